--- /dev/null
+++ b/modules/al_budget/allowance/allowance_book.cc
@@ -0,0 +1,78 @@
+#include "al_budget/allowance/allowance_book.h"
+
+#include <algorithm>
+#include <cassert>
+#include <cmath>
+
+namespace auburnloft {
+
+namespace {
+
+/** The time constant of the rate of spending: long against one request, short against the
+    hours in which the load moves between failure domains. */
+constexpr Duration kRateWindow = std::chrono::seconds(60);
+
+auto Decayed(const TeamAllowance& allowance, Instant now) -> double {
+  const double age = ToSeconds(now - allowance.rate_updated);
+  return allowance.tokens_per_second *
+         std::exp(-std::max(0.0, age) / ToSeconds(kRateWindow));
+}
+
+}  // namespace
+
+auto AllowanceBook::Receive(const TeamId& team, Tokens tokens) -> void {
+  assert(tokens >= 0);
+  TeamAllowance& allowance = this->all_teams[team];
+  allowance.free += tokens;
+  allowance.received += tokens;
+}
+
+auto AllowanceBook::Restore(const TeamId& team, Tokens tokens) -> void {
+  assert(tokens >= 0);
+  this->all_teams[team].free += tokens;
+}
+
+auto AllowanceBook::TryReserve(const TeamId& team, Tokens tokens) -> bool {
+  TeamAllowance& allowance = this->all_teams[team];
+  allowance.largest_reserve = std::max(allowance.largest_reserve, tokens);
+  if (allowance.free < tokens) {
+    return false;
+  }
+  allowance.free -= tokens;
+  allowance.reserved += tokens;
+  return true;
+}
+
+auto AllowanceBook::Settle(Instant now,
+                           const TeamId& team,
+                           Tokens reserved,
+                           Tokens spent) -> void {
+  assert(0 <= spent && spent <= reserved);
+  TeamAllowance& allowance = this->all_teams[team];
+  allowance.reserved -= reserved;
+  allowance.free += reserved - spent;
+  allowance.tokens_per_second =
+      Decayed(allowance, now) +
+      static_cast<double>(spent) / ToSeconds(kRateWindow);
+  allowance.rate_updated = now;
+}
+
+auto AllowanceBook::TryDebit(const TeamId& team, Tokens tokens) -> bool {
+  const auto found = this->all_teams.find(team);
+  if (found == this->all_teams.end() || found->second.free < tokens) {
+    return false;
+  }
+  found->second.free -= tokens;
+  return true;
+}
+
+auto AllowanceBook::Of(const TeamId& team) const -> TeamAllowance {
+  const auto found = this->all_teams.find(team);
+  return found == this->all_teams.end() ? TeamAllowance{} : found->second;
+}
+
+auto AllowanceBook::RateOf(Instant now, const TeamId& team) const -> double {
+  return Decayed(this->Of(team), now);
+}
+
+}  // namespace auburnloft
--- /dev/null
+++ b/modules/al_budget/allowance/budget_coordinator.h
@@ -0,0 +1,180 @@
+#ifndef AL_BUDGET_ALLOWANCE_BUDGET_COORDINATOR_H_
+#define AL_BUDGET_ALLOWANCE_BUDGET_COORDINATOR_H_
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "al_actions/action_queue.h"
+#include "al_budget/allowance/allowance_book.h"
+#include "al_budget/allowance/settled_request.h"
+#include "al_budget/allowance/transfer_desk.h"
+#include "al_budget/outbox/entry_outbox.h"
+#include "al_budget/policy/allowance_policy.h"
+#include "al_ledger/records/partition_map.h"
+#include "peer.pb.h"
+
+namespace auburnloft {
+
+/** How the wait of one request for tokens ended. */
+struct BudgetDecision {
+  RequestHandle handle = 0;
+  TeamId team;
+  Tokens upper = 0;
+  bool reserved = false;
+  RefusalCode refusal = RefusalCode::kBudgetExhausted;  ///< Where not reserved.
+};
+
+/** The holder's side of the budgets: reserves, settles, and comes by more tokens in time.
+
+    A request whose tokens are in hand is reserved at once and waits for nobody. Otherwise it
+    waits while the coordinator asks the partition's keeper for a grant, and, where the budget has
+    nothing left or the keeper does not answer, asks other holders for transfers. A request is
+    refused for its budget only when both ways are exhausted.
+
+    Thread safety: none; used on one thread.
+
+    @see AllowanceBook, EntryOutbox, PartitionKeeper, TransferDesk
+*/
+class BudgetCoordinator {
+ public:
+  /** Names routers that may hold tokens of a team when the keeper does not say who does. */
+  using LikelyHolders =
+      std::function<std::vector<RouterId>(const TeamId& team)>;
+
+  enum class ReserveAnswer { kReserved, kWaiting, kRefused };
+
+  BudgetCoordinator(IncarnationId self,
+                    PartitionMap partitions,
+                    AnyAllowancePolicy policy,
+                    EntryOutbox& outbox,
+                    TransferDesk& transfers,
+                    LikelyHolders likely_holders);
+
+  BudgetCoordinator(const BudgetCoordinator&) = delete;
+  auto operator=(const BudgetCoordinator&) -> BudgetCoordinator& = delete;
+
+  //============================================================================
+  // Commands
+
+  /** Changes the policy for the asks from now on. */
+  auto SetPolicy(AnyAllowancePolicy new_policy) -> void;
+
+  /** Reserves `upper` tokens for a request. kWaiting: TakeDecisions() tells the end later.
+      @pre upper >= 0; `handle` has no other reservation under way. */
+  auto Reserve(Instant now,
+               RequestHandle handle,
+               const TeamId& team,
+               Tokens upper,
+               Instant deadline) -> ReserveAnswer;
+
+  /** Forgets a request that waits, as when its caller has gone. */
+  auto CancelWaiting(RequestHandle handle) -> void;
+
+  /** Ends a reservation of which nothing was spent. */
+  auto Release(Instant now, const TeamId& team, Tokens reserved) -> void;
+
+  /** Ends a reservation and bills what was spent. @return the bill, which is on its way to the
+      keeper; empty for a request that spent nothing. */
+  auto Settle(Instant now, const SettledRequest& request) -> std::optional<wire::LedgerEntry>;
+
+  /** Handles the verdict on an entry that this coordinator submitted: a grant, return,
+      transfer or bill. */
+  auto OnVerdict(Instant now,
+                 const wire::LedgerEntry& entry,
+                 const wire::EntryVerdict& verdict) -> void;
+
+  /** Handles tokens, or a refusal, from another holder. */
+  auto OnTransferGive(Instant now,
+                      const IncarnationId& from,
+                      const PeerAddress& from_address,
+                      const wire::TransferGive& give) -> void;
+
+  /** Answers another holder that asks for tokens. */
+  auto OnTransferAsk(Instant now,
+                     const IncarnationId& from,
+                     const PeerAddress& from_address,
+                     const wire::TransferAsk& ask) -> void;
+
+  /** Refills low allowances and ends waits whose time has come. */
+  auto Tick(Instant now) -> void;
+
+  /** Returns all free tokens to the budgets, as a draining router does. */
+  auto ReturnAll(Instant now) -> void;
+
+  /** The requests whose wait has ended since the last call. */
+  [[nodiscard]] auto TakeDecisions() -> std::vector<BudgetDecision>;
+
+  //============================================================================
+  // Queries
+
+  [[nodiscard]] auto book() const -> const AllowanceBook& { return this->allowances; }
+  [[nodiscard]] auto WaitingCount() const -> std::size_t;
+
+  /** Bills whose requests were issued before the horizon; their tokens stay out. */
+  [[nodiscard]] auto too_old_bills() const -> std::uint64_t {
+    return this->bills_too_old;
+  }
+
+ private:
+  struct Waiter {
+    RequestHandle handle = 0;
+    Tokens upper = 0;
+    Instant deadline;
+  };
+  struct TeamFetch {
+    std::vector<Waiter> waiters;
+    std::uint64_t op_seq = 0;
+    std::string open_op;          ///< Entry id of the grant or return under way.
+    Instant asked_keeper_at;
+    Instant next_refill_at;
+    Instant next_surplus_check;
+    bool keeper_has_none = false;
+    Instant exhausted_until;      ///< Asking again earlier would not help.
+    std::optional<Instant> holders_deadline;  ///< Set while holders are asked.
+    std::size_t open_asks = 0;
+    std::uint64_t ask_id = 0;
+  };
+
+  [[nodiscard]] auto DemandOf(Instant now, const TeamId& team, Tokens need) const
+      -> HolderDemand;
+  [[nodiscard]] auto NeedOf(const TeamId& team, const TeamFetch& fetch) const -> Tokens;
+  auto AskKeeper(Instant now, const TeamId& team, TeamFetch& fetch) -> void;
+  auto AskHolders(Instant now,
+                  const TeamId& team,
+                  TeamFetch& fetch,
+                  std::vector<RouterId> holders) -> void;
+  auto ServeWaiters(Instant now, const TeamId& team, TeamFetch& fetch) -> void;
+  auto RefuseWaiters(const TeamId& team, TeamFetch& fetch, RefusalCode code) -> void;
+  auto FinishAskingHolders(Instant now, const TeamId& team, TeamFetch& fetch) -> void;
+  auto OnGrantVerdict(Instant now,
+                      const wire::Grant& grant,
+                      const wire::EntryVerdict& verdict) -> void;
+  auto OnBillVerdict(Instant now,
+                     const wire::LedgerEntry& entry,
+                     const wire::EntryVerdict& verdict) -> void;
+  auto TickTeam(Instant now, const TeamId& team, TeamFetch& fetch) -> void;
+  auto ReturnTokens(Instant now, const TeamId& team, TeamFetch& fetch, Tokens tokens) -> void;
+  auto Submit(Instant now, const TeamId& team, wire::LedgerEntry entry, Urgency urgency)
+      -> void;
+
+  IncarnationId self;
+  PartitionMap partitions;
+  AnyAllowancePolicy policy;
+  EntryOutbox& outbox;
+  TransferDesk& transfers;
+  LikelyHolders likely_holders;
+  AllowanceBook allowances;
+  std::map<TeamId, TeamFetch> fetches;
+  std::vector<BudgetDecision> decisions;
+  std::uint64_t next_ask_id = 1;
+  std::uint64_t bills_too_old = 0;
+  bool draining = false;
+};
+
+}  // namespace auburnloft
+
+#endif  // AL_BUDGET_ALLOWANCE_BUDGET_COORDINATOR_H_
--- /dev/null
+++ b/modules/al_budget/allowance/settled_request.h
@@ -0,0 +1,24 @@
+#ifndef AL_BUDGET_ALLOWANCE_SETTLED_REQUEST_H_
+#define AL_BUDGET_ALLOWANCE_SETTLED_REQUEST_H_
+
+#include <cstdint>
+#include <string>
+
+#include "al_core/ids/ids.h"
+
+namespace auburnloft {
+
+/** What a request cost, for its bill. */
+struct SettledRequest {
+  TeamId team;
+  RequestKey key;
+  RunId run;
+  std::string request_class;
+  std::int64_t issued_at_ms = 0;
+  Tokens reserved = 0;
+  Tokens spent = 0;
+};
+
+}  // namespace auburnloft
+
+#endif  // AL_BUDGET_ALLOWANCE_SETTLED_REQUEST_H_
--- /dev/null
+++ b/modules/al_budget/keeper/log_port.h
@@ -0,0 +1,63 @@
+#ifndef AL_BUDGET_KEEPER_LOG_PORT_H_
+#define AL_BUDGET_KEEPER_LOG_PORT_H_
+
+#include <map>
+#include <optional>
+#include <string>
+
+#include "al_actions/action_queue.h"
+#include "al_core/ids/ids.h"
+
+namespace auburnloft {
+
+/** Hands out the tags of log calls and remembers which stream each one is for.
+
+    Thread safety: none; used on one thread.
+*/
+class LogPort {
+ public:
+  explicit LogPort(ActionQueue& actions) : actions(actions) {}
+
+  LogPort(const LogPort&) = delete;
+  auto operator=(const LogPort&) -> LogPort& = delete;
+
+  /** Queues an append. @return the tag that its answer will carry. */
+  auto Append(const StreamId& stream, std::string bytes) -> LogTag {
+    const LogTag tag = this->Open(stream);
+    this->actions.Push(AppendRecord{tag, stream, std::move(bytes)});
+    return tag;
+  }
+
+  /** Queues a read. @return the tag that its answer will carry. */
+  auto Read(const StreamId& stream, LogOffset from) -> LogTag {
+    const LogTag tag = this->Open(stream);
+    this->actions.Push(ReadRecords{tag, stream, from});
+    return tag;
+  }
+
+  /** The stream of an answered call, which is closed thereby; empty for an unknown tag. */
+  auto Close(LogTag tag) -> std::optional<StreamId> {
+    const auto found = this->open_calls.find(tag);
+    if (found == this->open_calls.end()) {
+      return std::nullopt;
+    }
+    StreamId stream = std::move(found->second);
+    this->open_calls.erase(found);
+    return stream;
+  }
+
+ private:
+  auto Open(const StreamId& stream) -> LogTag {
+    const LogTag tag = this->next_tag++;
+    this->open_calls.emplace(tag, stream);
+    return tag;
+  }
+
+  ActionQueue& actions;
+  std::map<LogTag, StreamId> open_calls;
+  LogTag next_tag = 1;
+};
+
+}  // namespace auburnloft
+
+#endif  // AL_BUDGET_KEEPER_LOG_PORT_H_
--- /dev/null
+++ b/modules/al_budget/keeper/partition_keeper.h
@@ -0,0 +1,149 @@
+#ifndef AL_BUDGET_KEEPER_PARTITION_KEEPER_H_
+#define AL_BUDGET_KEEPER_PARTITION_KEEPER_H_
+
+#include <deque>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "al_actions/action_queue.h"
+#include "al_actions/log_events.h"
+#include "al_budget/keeper/keeper_settings.h"
+#include "al_budget/keeper/log_port.h"
+#include "al_ledger/fold/partition_ledger.h"
+#include "peer.pb.h"
+
+namespace auburnloft {
+
+/** Writes one ledger partition on behalf of all routers.
+
+    It takes over by a record that starts the next epoch, gathers submitted entries into one
+    record at a time (group commit), and answers each submitter only after it has read the record
+    back as valid. When an append gets no answer, it reads the stream to its end and appends the
+    same record again where it is missing; the fold drops a repeat.
+
+    Being late is harmless: whatever a deposed keeper appends is void, and it learns so when it
+    reads it back.
+
+    Thread safety: none; used on one thread.
+
+    @see PartitionLedger, KeeperHost, EntryOutbox
+*/
+class PartitionKeeper {
+ public:
+  enum class Role {
+    kIdle,        ///< Does not keep the partition.
+    kCatchingUp,  ///< Reads the stream to its end before it takes over.
+    kTakingOver,  ///< Has appended its take-over and waits to read it back.
+    kKeeping,     ///< Is the keeper of the current epoch, as far as it has read.
+  };
+
+  PartitionKeeper(PartitionIndex partition,
+                  IncarnationId self,
+                  PeerAddress self_address,
+                  ActionQueue& actions,
+                  LogPort& log,
+                  const KeeperSettings& settings);
+
+  PartitionKeeper(const PartitionKeeper&) = delete;
+  auto operator=(const PartitionKeeper&) -> PartitionKeeper& = delete;
+
+  //============================================================================
+  // Commands
+
+  /** Starts to take the partition over, where its role is kIdle. */
+  auto TakeOver(Instant now) -> void;
+
+  /** Queues submitted entries; their verdicts go to `from_address`. */
+  auto OnSubmit(Instant now,
+                const PeerAddress& from_address,
+                const wire::Submit& submit) -> void;
+
+  /** Adds an entry of the keeper's own, whose verdict nobody waits for. */
+  auto AddOwnEntry(Instant now, wire::LedgerEntry entry) -> void;
+
+  auto OnRecords(Instant now, const LogRecords& records) -> void;
+  auto OnAppended(Instant now, const LogAppended& appended) -> void;
+  auto OnFailed(Instant now, const LogFailed& failed) -> void;
+
+  /** Commits, polls and repeats whatever is due. */
+  auto Tick(Instant now) -> void;
+
+  //============================================================================
+  // Queries
+
+  [[nodiscard]] auto role() const -> Role { return this->current_role; }
+  [[nodiscard]] auto ledger() const -> const PartitionLedger& { return this->fold; }
+  [[nodiscard]] auto pending() const -> std::size_t { return this->queue.size() + this->sent.size(); }
+  [[nodiscard]] auto appends() const -> std::uint64_t { return this->append_count; }
+
+  /** True while the log has not answered for longer than a submitter should rely on. */
+  [[nodiscard]] auto IsStalled(Instant now) const -> bool;
+
+ private:
+  enum class Io { kNone, kAppending, kReading };
+  struct QueuedEntry {
+    PeerAddress from;
+    wire::LedgerEntry entry;
+    Instant arrived;
+  };
+  using Replies = std::map<PeerAddress, wire::Verdicts>;
+
+  auto StartRead(Instant now) -> void;
+  auto StartAppend(Instant now, std::string bytes) -> void;
+  auto FinishIo(Instant now) -> void;
+  auto RetryLater(Instant now) -> void;
+  auto ApplyRecord(std::string_view bytes) -> void;
+  auto OnEndOfStream(Instant now) -> void;
+  auto PlaceStart(Instant now, const LogRecords& records) -> void;
+  auto Depose() -> void;
+  auto AppendTakeOver(Instant now) -> void;
+  auto Commit(Instant now) -> void;
+  auto BuildBatch(Instant now) -> wire::LedgerBatch;
+  [[nodiscard]] auto ShapeGrant(wire::Grant& grant, std::map<std::string, Tokens>& taken) const -> bool;
+  auto AnswerFromState(const QueuedEntry& item) -> bool;
+  auto RefuseGrant(const QueuedEntry& item) -> void;
+  auto AddReply(const PeerAddress& to, wire::EntryVerdict verdict) -> void;
+  auto FlushReplies(bool stalled) -> void;
+  auto WriteSnapshot(Instant now) -> void;
+
+  PartitionIndex partition;
+  IncarnationId self;
+  PeerAddress self_address;
+  ActionQueue& actions;
+  LogPort& log;
+  const KeeperSettings& settings;
+
+  Role current_role = Role::kIdle;
+  PartitionLedger fold;
+  std::uint64_t own_epoch = 0;
+
+  Io io = Io::kNone;
+  LogTag io_tag = 0;
+  Instant io_deadline;
+  Instant next_io;          ///< No call to the log before this, after a failure.
+  Duration backoff{0};
+  Instant failing_since;
+  bool failing = false;
+
+  bool start_is_placed = false;
+  LogOffset start_distance = 0;
+  Instant io_started;
+  Instant last_full_read;   ///< When the last call that showed the stream's end was begun.
+  bool read_wanted = false;
+
+  std::deque<QueuedEntry> queue;
+  std::set<std::string> queued_ids;
+  std::map<std::string, PeerAddress> sent;  ///< Entries of the batch under way.
+  std::string batch_bytes;
+  std::uint64_t batch_seq = 0;
+  Instant next_commit;
+  std::uint64_t records_since_snapshot = 0;
+  std::uint64_t append_count = 0;
+  Replies replies;
+};
+
+}  // namespace auburnloft
+
+#endif  // AL_BUDGET_KEEPER_PARTITION_KEEPER_H_
--- /dev/null
+++ b/modules/al_budget/outbox/entry_outbox.cc
@@ -0,0 +1,123 @@
+#include "al_budget/outbox/entry_outbox.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace auburnloft {
+
+namespace {
+
+/** The interval before the first repeat; it doubles up to the longest. */
+constexpr Duration kFirstRepeat = std::chrono::milliseconds(500);
+constexpr Duration kLongestRepeat = std::chrono::seconds(8);
+
+}  // namespace
+
+auto EntryOutbox::Add(Instant now,
+                      PartitionIndex partition,
+                      wire::LedgerEntry entry,
+                      Urgency urgency) -> void {
+  assert(!this->Contains(entry.entry_id()));
+  const std::uint64_t order = this->next_order++;
+  this->places[entry.entry_id()] = {partition, order};
+  const Instant due =
+      urgency == Urgency::kAtOnce ? now : now + kBatchDelay;
+  this->partitions[partition].items.emplace(
+      order, Item{std::move(entry), due, Duration{0}});
+}
+
+auto EntryOutbox::Remove(std::string_view entry_id)
+    -> std::optional<wire::LedgerEntry> {
+  const auto place = this->places.find(std::string(entry_id));
+  if (place == this->places.end()) {
+    return std::nullopt;
+  }
+  const auto partition = this->partitions.find(place->second.partition);
+  const auto item = partition->second.items.find(place->second.order);
+  wire::LedgerEntry entry = std::move(item->second.entry);
+  partition->second.items.erase(item);
+  this->places.erase(place);
+  if (partition->second.items.empty()) {
+    this->partitions.erase(partition);
+  }
+  return entry;
+}
+
+auto EntryOutbox::TakeDue(Instant now) -> std::vector<DueBatch> {
+  std::vector<DueBatch> batches;
+  for (auto& [index, partition] : this->partitions) {
+    DueBatch batch;
+    batch.partition = index;
+    std::size_t seen = 0;
+    for (auto& [order, item] : partition.items) {
+      if (++seen > partition.window) {
+        break;
+      }
+      if (item.due > now) {
+        continue;
+      }
+      const bool sent_before = item.interval > Duration{0};
+      batch.is_repeat = batch.is_repeat || sent_before;
+      item.interval = sent_before
+                          ? std::min(item.interval * 2, kLongestRepeat)
+                          : kFirstRepeat;
+      item.due = now + item.interval;
+      batch.entries.push_back(item.entry);
+    }
+    if (batch.is_repeat) {
+      partition.window = kFirstWindow;
+    }
+    if (!batch.entries.empty()) {
+      batches.push_back(std::move(batch));
+    }
+  }
+  return batches;
+}
+
+auto EntryOutbox::NoteAnswer(Instant now,
+                             PartitionIndex partition,
+                             bool has_verdicts) -> void {
+  const auto found = this->partitions.find(partition);
+  if (found == this->partitions.end() || !has_verdicts) {
+    return;
+  }
+  found->second.window = std::min(found->second.window * 2, kLargestWindow);
+  for (auto& [order, item] : found->second.items) {
+    // Entries that back off after a silence go out again at once; fresh ones keep their time.
+    if (item.interval > kFirstRepeat) {
+      item.interval = Duration{0};
+      item.due = now;
+    }
+  }
+}
+
+auto EntryOutbox::ResendNow(Instant now, PartitionIndex partition) -> void {
+  const auto found = this->partitions.find(partition);
+  if (found == this->partitions.end()) {
+    return;
+  }
+  for (auto& [order, item] : found->second.items) {
+    item.due = now;
+    item.interval = Duration{0};
+  }
+}
+
+auto EntryOutbox::Contains(std::string_view entry_id) const -> bool {
+  return this->places.contains(std::string(entry_id));
+}
+
+auto EntryOutbox::NextDue() const -> std::optional<Instant> {
+  std::optional<Instant> next;
+  for (const auto& [index, partition] : this->partitions) {
+    std::size_t seen = 0;
+    for (const auto& [order, item] : partition.items) {
+      if (++seen > partition.window) {
+        break;
+      }
+      next = next ? std::min(*next, item.due) : item.due;
+    }
+  }
+  return next;
+}
+
+}  // namespace auburnloft
--- /dev/null
+++ b/modules/al_budget/policy/demand_led_policy.h
@@ -0,0 +1,39 @@
+#ifndef AL_BUDGET_POLICY_DEMAND_LED_POLICY_H_
+#define AL_BUDGET_POLICY_DEMAND_LED_POLICY_H_
+
+#include "al_budget/policy/policy_inputs.h"
+#include "al_core/time/instant.h"
+
+namespace auburnloft {
+
+/** Sizes allowances by the holder's demand, and shrinks them as the budget runs low.
+
+    A holder asks for what it spends in `cover`, and again when half of that is gone. The keeper
+    grants at most a fraction of what is unallocated, so that the last tokens are not taken by
+    one holder while another needs them; a holder whose requests wait gets its need in full
+    where the budget has it.
+
+    `cover` is the one setting between users: a long one rides out a long partition, a short one
+    leaves fewer tokens with a router that dies.
+*/
+class DemandLedPolicy {
+ public:
+  /** @param cover      how long an allowance lasts at the present rate; > 0.
+      @param transfers  whether holders move tokens to each other. */
+  DemandLedPolicy(Duration cover, bool transfers)
+      : cover(cover), moves_tokens(transfers) {}
+
+  [[nodiscard]] auto Wanted(const HolderDemand& demand) const -> Tokens;
+  [[nodiscard]] auto Shape(const GrantRequest& request) const -> Tokens;
+  [[nodiscard]] auto transfers() const -> bool { return this->moves_tokens; }
+
+ private:
+  [[nodiscard]] auto Target(const HolderDemand& demand) const -> Tokens;
+
+  Duration cover;
+  bool moves_tokens;
+};
+
+}  // namespace auburnloft
+
+#endif  // AL_BUDGET_POLICY_DEMAND_LED_POLICY_H_
--- /dev/null
+++ b/modules/al_budget/policy/fixed_chunk_policy.h
@@ -0,0 +1,24 @@
+#ifndef AL_BUDGET_POLICY_FIXED_CHUNK_POLICY_H_
+#define AL_BUDGET_POLICY_FIXED_CHUNK_POLICY_H_
+
+#include "al_budget/policy/policy_inputs.h"
+
+namespace auburnloft {
+
+/** Grants allowances of one size whenever less than half of it is left. */
+class FixedChunkPolicy {
+ public:
+  /** @param chunk  tokens of one grant; > 0. */
+  explicit FixedChunkPolicy(Tokens chunk) : chunk(chunk) {}
+
+  [[nodiscard]] auto Wanted(const HolderDemand& demand) const -> Tokens;
+  [[nodiscard]] auto Shape(const GrantRequest& request) const -> Tokens;
+  [[nodiscard]] auto transfers() const -> bool { return false; }
+
+ private:
+  Tokens chunk;
+};
+
+}  // namespace auburnloft
+
+#endif  // AL_BUDGET_POLICY_FIXED_CHUNK_POLICY_H_
--- /dev/null
+++ b/modules/al_budget/policy/fixed_split_policy.h
@@ -0,0 +1,21 @@
+#ifndef AL_BUDGET_POLICY_FIXED_SPLIT_POLICY_H_
+#define AL_BUDGET_POLICY_FIXED_SPLIT_POLICY_H_
+
+#include "al_budget/policy/policy_inputs.h"
+
+namespace auburnloft {
+
+/** Splits each budget evenly over the routers. The baseline.
+
+    A holder never gets more than its share of all top-ups, whatever its demand.
+*/
+class FixedSplitPolicy {
+ public:
+  [[nodiscard]] auto Wanted(const HolderDemand& demand) const -> Tokens;
+  [[nodiscard]] auto Shape(const GrantRequest& request) const -> Tokens;
+  [[nodiscard]] auto transfers() const -> bool { return false; }
+};
+
+}  // namespace auburnloft
+
+#endif  // AL_BUDGET_POLICY_FIXED_SPLIT_POLICY_H_
--- /dev/null
+++ b/modules/al_budget/witness/witness_desk.h
@@ -0,0 +1,116 @@
+#ifndef AL_BUDGET_WITNESS_WITNESS_DESK_H_
+#define AL_BUDGET_WITNESS_WITNESS_DESK_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "al_actions/action_queue.h"
+#include "al_budget/outbox/entry_outbox.h"
+#include "al_core/ids/ids.h"
+#include "al_ledger/records/partition_map.h"
+#include "peer.pb.h"
+
+namespace auburnloft {
+
+/** Keeps a copy of unrecorded bills at a second router, so that a router that dies after an
+    answer does not leave it unbilled.
+
+    As sender: the final part of an answer is held back until a witness in another failure domain
+    has a copy of its bill, or until a short time limit, since a caller must not wait for a
+    witness that is cut off. As witness: entries that their sender does not report as recorded are
+    submitted by this router. Entries are idempotent, so this needs no proof that the sender is
+    dead. Copies help to bill; no promise about overspend rests on them.
+
+    Thread safety: none; used on one thread.
+
+    @see EntryOutbox
+*/
+class WitnessDesk {
+ public:
+  /** Where the witness of this router listens; empty where no other router is heard of. */
+  using WitnessAddress = std::function<std::optional<PeerAddress>()>;
+
+  WitnessDesk(PartitionMap partitions,
+              ActionQueue& actions,
+              EntryOutbox& outbox,
+              WitnessAddress witness_address);
+
+  WitnessDesk(const WitnessDesk&) = delete;
+  auto operator=(const WitnessDesk&) -> WitnessDesk& = delete;
+
+  //============================================================================
+  // Commands of the sender
+
+  /** Copies `entries` to the witness and releases the answer of `handle` once they are there. */
+  auto Protect(Instant now, RequestHandle handle, std::vector<wire::LedgerEntry> entries) -> void;
+
+  auto OnAck(const wire::EntryNoteAck& ack) -> void;
+
+  /** Notes that an entry is recorded; its copy is no longer needed. */
+  auto OnRecorded(std::string_view entry_id) -> void;
+
+  //============================================================================
+  // Commands of the witness
+
+  auto OnNote(Instant now,
+              const IncarnationId& from,
+              const PeerAddress& from_address,
+              const wire::EntryNote& note) -> void;
+
+  auto OnDone(const IncarnationId& from, const wire::EntryNoteDone& done) -> void;
+
+  /** Submits at once what a dead router left here. */
+  auto OnHolderDead(Instant now, const std::function<bool(const IncarnationId&)>& is_dead) -> void;
+
+  //============================================================================
+
+  /** Releases answers whose witness is late, and submits copies whose time has come. */
+  auto Tick(Instant now) -> void;
+
+  /** Copies held for other routers. */
+  [[nodiscard]] auto copies_held() const -> std::size_t { return this->copies.size(); }
+
+  /** Answers that were released without a copy of their bill. */
+  [[nodiscard]] auto released_unprotected() const -> std::uint64_t {
+    return this->unprotected;
+  }
+
+ private:
+  struct Note {
+    RequestHandle handle = 0;
+    Instant deadline;
+    bool released = false;
+    std::optional<PeerAddress> witness;
+    std::set<std::string> open_entries;
+  };
+  struct Copy {
+    Instant due;
+    std::vector<wire::LedgerEntry> entries;
+  };
+  using CopyKey = std::pair<IncarnationId, std::uint64_t>;
+
+  auto Release(Note& note) -> void;
+  auto SubmitCopy(Instant now, const Copy& copy) -> void;
+
+  PartitionMap partitions;
+  ActionQueue& actions;
+  EntryOutbox& outbox;
+  WitnessAddress witness_address;
+  std::map<std::uint64_t, Note> notes;
+  std::map<std::string, std::uint64_t, std::less<>> note_of_entry;
+  std::map<PeerAddress, wire::EntryNoteDone> done;
+  Instant next_done;
+  std::map<CopyKey, Copy> copies;
+  std::uint64_t next_note = 1;
+  std::uint64_t unprotected = 0;
+};
+
+}  // namespace auburnloft
+
+#endif  // AL_BUDGET_WITNESS_WITNESS_DESK_H_
--- /dev/null
+++ b/modules/al_ledger/fold/team_account.cc
@@ -0,0 +1,214 @@
+#include "al_ledger/fold/team_account.h"
+
+#include <algorithm>
+#include <numeric>
+
+#include "al_core/text/digest.h"
+
+namespace auburnloft {
+
+//==============================================================================
+// Commands
+
+auto TeamAccount::Apply(const wire::TopUp& entry) -> wire::Verdict {
+  if (entry.tokens() <= 0 || entry.top_up_id().empty()) {
+    return wire::VERDICT_MALFORMED;
+  }
+  if (!this->top_up_ids.insert(entry.top_up_id()).second) {
+    return wire::VERDICT_REPEATED;
+  }
+  this->top_up_total += entry.tokens();
+  this->free_tokens += entry.tokens();
+  return wire::VERDICT_VALID;
+}
+
+auto TeamAccount::Apply(const wire::Grant& entry) -> wire::Verdict {
+  if (entry.tokens() < 0 || entry.holder().empty()) {
+    return wire::VERDICT_MALFORMED;
+  }
+  HolderBalance& account = this->accounts[IncarnationId(entry.holder())];
+  if (entry.op_seq() == account.op_seq && entry.op_seq() != 0) {
+    return wire::VERDICT_REPEATED;
+  }
+  if (entry.op_seq() < account.op_seq || account.closed) {
+    return wire::VERDICT_STALE;
+  }
+  if (entry.tokens() == 0 || entry.tokens() > this->free_tokens) {
+    return wire::VERDICT_INSUFFICIENT;
+  }
+  this->free_tokens -= entry.tokens();
+  account.tokens += entry.tokens();
+  account.received += entry.tokens();
+  account.last_grant = entry.tokens();
+  account.op_seq = entry.op_seq();
+  return wire::VERDICT_VALID;
+}
+
+auto TeamAccount::Apply(const wire::Return& entry) -> wire::Verdict {
+  if (entry.tokens() <= 0) {
+    return wire::VERDICT_MALFORMED;
+  }
+  const auto found = this->accounts.find(IncarnationId(entry.holder()));
+  if (found == this->accounts.end()) {
+    return wire::VERDICT_INSUFFICIENT;
+  }
+  HolderBalance& account = found->second;
+  if (entry.op_seq() == account.op_seq) {
+    return wire::VERDICT_REPEATED;
+  }
+  if (entry.op_seq() < account.op_seq) {
+    return wire::VERDICT_STALE;
+  }
+  if (entry.tokens() > account.tokens) {
+    return wire::VERDICT_INSUFFICIENT;
+  }
+  account.tokens -= entry.tokens();
+  account.op_seq = entry.op_seq();
+  account.last_grant = 0;
+  this->free_tokens += entry.tokens();
+  return wire::VERDICT_VALID;
+}
+
+auto TeamAccount::Apply(const wire::Transfer& entry) -> wire::Verdict {
+  if (entry.tokens() <= 0 || entry.from() == entry.to() ||
+      entry.transfer_id().empty()) {
+    return wire::VERDICT_MALFORMED;
+  }
+  if (this->transfer_ids.contains(entry.transfer_id())) {
+    return wire::VERDICT_REPEATED;
+  }
+  const auto giver = this->accounts.find(IncarnationId(entry.from()));
+  if (giver == this->accounts.end() || giver->second.tokens < entry.tokens()) {
+    return wire::VERDICT_INSUFFICIENT;
+  }
+  this->transfer_ids.insert(entry.transfer_id());
+  giver->second.tokens -= entry.tokens();
+  HolderBalance& receiver = this->accounts[IncarnationId(entry.to())];
+  receiver.tokens += entry.tokens();
+  receiver.received += entry.tokens();
+  return wire::VERDICT_VALID;
+}
+
+auto TeamAccount::Apply(const wire::Bill& entry, std::int64_t oldest_ms)
+    -> wire::Verdict {
+  if (entry.tokens() < 0 || entry.request_key().empty()) {
+    return wire::VERDICT_MALFORMED;
+  }
+  const KeyDigest key = DigestOf(entry.request_key());
+  const std::uint64_t run = StableHash(entry.run_id());
+  const auto known = this->bills.find(key);
+  if (known != this->bills.end()) {
+    return known->second.run_digest == run ? wire::VERDICT_REPEATED
+                                           : wire::VERDICT_DUPLICATE;
+  }
+  if (entry.issued_at_ms() < oldest_ms) {
+    return wire::VERDICT_TOO_OLD;
+  }
+  const auto found = this->accounts.find(IncarnationId(entry.holder()));
+  if (found == this->accounts.end() || found->second.tokens < entry.tokens()) {
+    return wire::VERDICT_INSUFFICIENT;
+  }
+  found->second.tokens -= entry.tokens();
+  this->billed_total += entry.tokens();
+  ++this->bills_ever;
+  this->bills.emplace(key, BillMark{run, entry.issued_at_ms()});
+  return wire::VERDICT_VALID;
+}
+
+auto TeamAccount::Apply(const wire::Reclaim& entry) -> wire::Verdict {
+  const auto found = this->accounts.find(IncarnationId(entry.holder()));
+  if (found == this->accounts.end()) {
+    return wire::VERDICT_INSUFFICIENT;
+  }
+  HolderBalance& account = found->second;
+  const Tokens recorded_draws = account.received - account.tokens;
+  const Tokens may_be_drawn =
+      std::max<Tokens>(0, entry.drawn_limit() - recorded_draws);
+  const Tokens back = std::max<Tokens>(0, account.tokens - may_be_drawn);
+  account.tokens -= back;
+  account.closed = true;
+  this->free_tokens += back;
+  return wire::VERDICT_VALID;
+}
+
+auto TeamAccount::ForgetBills(std::int64_t oldest_ms) -> void {
+  std::erase_if(this->bills, [oldest_ms](const auto& bill) {
+    return bill.second.issued_at_ms < oldest_ms;
+  });
+}
+
+//==============================================================================
+// Queries
+
+auto TeamAccount::AllowancesOut() const -> Tokens {
+  return std::accumulate(this->accounts.begin(), this->accounts.end(),
+                         Tokens{0}, [](Tokens sum, const auto& account) {
+                           return sum + account.second.tokens;
+                         });
+}
+
+auto TeamAccount::BalanceOf(const IncarnationId& holder) const
+    -> HolderBalance {
+  const auto found = this->accounts.find(holder);
+  return found == this->accounts.end() ? HolderBalance{} : found->second;
+}
+
+auto TeamAccount::IsBilled(const RequestKey& key) const -> bool {
+  return this->bills.contains(DigestOf(key.value()));
+}
+
+//==============================================================================
+// Snapshots
+
+auto TeamAccount::Load(const wire::TeamSnapshot& snapshot) -> void {
+  this->top_up_total = snapshot.topped_up();
+  this->free_tokens = snapshot.unallocated();
+  this->billed_total = snapshot.billed();
+  this->bills_ever = snapshot.bill_count();
+  this->top_up_ids = {snapshot.top_up_ids().begin(),
+                      snapshot.top_up_ids().end()};
+  this->transfer_ids = {snapshot.transfer_ids().begin(),
+                        snapshot.transfer_ids().end()};
+  this->accounts.clear();
+  for (const wire::HolderAccount& holder : snapshot.holders()) {
+    this->accounts[IncarnationId(holder.holder())] = {
+        holder.tokens(), holder.received(), holder.last_grant(),
+        holder.op_seq(), holder.closed()};
+  }
+  this->bills.clear();
+  for (const wire::BilledRequest& bill : snapshot.bills()) {
+    this->bills.emplace(DigestFromBytes(bill.key_digest()),
+                        BillMark{bill.run_digest(), bill.issued_at_ms()});
+  }
+}
+
+auto TeamAccount::Save(wire::TeamSnapshot& snapshot) const -> void {
+  snapshot.set_team(this->team.value());
+  snapshot.set_topped_up(this->top_up_total);
+  snapshot.set_unallocated(this->free_tokens);
+  snapshot.set_billed(this->billed_total);
+  snapshot.set_bill_count(this->bills_ever);
+  for (const auto& [holder, account] : this->accounts) {
+    wire::HolderAccount& out = *snapshot.add_holders();
+    out.set_holder(holder.value());
+    out.set_tokens(account.tokens);
+    out.set_received(account.received);
+    out.set_last_grant(account.last_grant);
+    out.set_op_seq(account.op_seq);
+    out.set_closed(account.closed);
+  }
+  for (const auto& [key, mark] : this->bills) {
+    wire::BilledRequest& out = *snapshot.add_bills();
+    out.set_key_digest(ToBytes(key));
+    out.set_run_digest(mark.run_digest);
+    out.set_issued_at_ms(mark.issued_at_ms);
+  }
+  for (const std::string& id : this->top_up_ids) {
+    snapshot.add_top_up_ids(id);
+  }
+  for (const std::string& id : this->transfer_ids) {
+    snapshot.add_transfer_ids(id);
+  }
+}
+
+}  // namespace auburnloft
--- /dev/null
+++ b/modules/al_router/core/fleet_voice.cc
@@ -0,0 +1,170 @@
+#include "al_router/core/fleet_voice.h"
+
+#include <utility>
+
+#include "al_fleet/membership/neighbours.h"
+
+namespace auburnloft {
+
+namespace {
+
+/** The time between two heartbeats: a change of configuration passes nine hops, the diameter of
+    420 routers, within the seven seconds that it has. */
+constexpr Duration kHeartbeatInterval = std::chrono::milliseconds(700);
+
+/** Neighbours of one router; the ring with chords of 420 routers has nine. */
+constexpr std::size_t kMostNeighbours = 9;
+
+/** A starting router asks for all that is known with its first heartbeats. */
+constexpr int kRoundsAsNewcomer = 3;
+
+}  // namespace
+
+FleetVoice::FleetVoice(IncarnationId self,
+                       ActionQueue& actions,
+                       Membership& membership,
+                       KeeperDirectory& directory,
+                       ConfigFollower& config)
+    : self(std::move(self)),
+      actions(actions),
+      membership(membership),
+      directory(directory),
+      config(config) {}
+
+auto FleetVoice::OnHeartbeat(Instant now,
+                             const IncarnationId& from,
+                             const PeerAddress& from_address,
+                             const wire::Heartbeat& heartbeat) -> void {
+  this->membership.OnHeartbeat(from, heartbeat.open_requests(),
+                               heartbeat.draining());
+  for (const wire::Rumor& rumor : heartbeat.rumors()) {
+    this->OnRumor(rumor);
+  }
+  if (heartbeat.config_version() > this->config.fold().version()) {
+    this->config.OnNewerVersion(now, from_address);
+  }
+  if (heartbeat.wants_directory()) {
+    this->SendDirectory(from_address);
+  }
+}
+
+auto FleetVoice::OnHeard(Instant now, const IncarnationId& from) -> void {
+  if (this->membership.OnHeard(now, from)) {
+    this->TellDead(RouterOf(from));
+  }
+}
+
+auto FleetVoice::TellDead(const RouterId& router) -> void {
+  const auto found = this->membership.dead_before().find(router);
+  if (found == this->membership.dead_before().end()) {
+    return;
+  }
+  wire::Rumor rumor;
+  rumor.set_kind(wire::Rumor::DEAD);
+  rumor.set_router(router.value());
+  rumor.set_number(static_cast<std::uint64_t>(found->second));
+  this->rumors.Add(std::move(rumor));
+}
+
+auto FleetVoice::LearnKeeper(PartitionIndex partition,
+                             const IncarnationId& keeper,
+                             std::uint64_t epoch) -> void {
+  if (!this->directory.Learn(partition, keeper, epoch)) {
+    return;
+  }
+  wire::Rumor rumor;
+  rumor.set_kind(wire::Rumor::KEEPER);
+  rumor.set_partition(partition);
+  rumor.set_number(epoch);
+  rumor.set_router(keeper.value());
+  this->rumors.Add(std::move(rumor));
+}
+
+auto FleetVoice::TellDraining() -> void {
+  this->membership.LearnDraining(this->self);
+  wire::Rumor rumor;
+  rumor.set_kind(wire::Rumor::DRAINING);
+  rumor.set_router(this->self.value());
+  this->rumors.Add(std::move(rumor));
+}
+
+auto FleetVoice::OnRumor(const wire::Rumor& rumor) -> void {
+  switch (rumor.kind()) {
+    case wire::Rumor::KEEPER:
+      this->LearnKeeper(rumor.partition(), IncarnationId(rumor.router()),
+                        rumor.number());
+      break;
+    case wire::Rumor::DRAINING:
+      if (this->membership.LearnDraining(IncarnationId(rumor.router()))) {
+        this->rumors.Add(rumor);
+      }
+      break;
+    case wire::Rumor::DEAD:
+      if (this->membership.LearnDead(
+              RouterId(rumor.router()),
+              static_cast<std::int64_t>(rumor.number()))) {
+        this->rumors.Add(rumor);
+      }
+      break;
+    default:
+      break;
+  }
+}
+
+auto FleetVoice::AddKnownFacts(wire::Heartbeat& heartbeat) const -> void {
+  for (const auto& [partition, known] : this->directory.all()) {
+    wire::Rumor& rumor = *heartbeat.add_rumors();
+    rumor.set_kind(wire::Rumor::KEEPER);
+    rumor.set_partition(partition);
+    rumor.set_number(known.epoch);
+    rumor.set_router(known.keeper.value());
+  }
+  for (const auto& [router, before] : this->membership.dead_before()) {
+    wire::Rumor& rumor = *heartbeat.add_rumors();
+    rumor.set_kind(wire::Rumor::DEAD);
+    rumor.set_router(router.value());
+    rumor.set_number(static_cast<std::uint64_t>(before));
+  }
+}
+
+auto FleetVoice::SendDirectory(const PeerAddress& to) -> void {
+  wire::PeerMessage message;
+  wire::Heartbeat& heartbeat = *message.mutable_heartbeat();
+  heartbeat.set_open_requests(this->last_open_requests);
+  heartbeat.set_draining(this->last_draining);
+  heartbeat.set_config_version(this->config.fold().version());
+  this->AddKnownFacts(heartbeat);
+  this->actions.Push(SendPeer{to, std::move(message)});
+}
+
+auto FleetVoice::Tick(Instant now, std::uint32_t open_requests, bool draining)
+    -> void {
+  this->last_open_requests = open_requests;
+  this->last_draining = draining;
+  if (now < this->next_heartbeat) {
+    return;
+  }
+  this->next_heartbeat = now + kHeartbeatInterval;
+  wire::PeerMessage message;
+  wire::Heartbeat& heartbeat = *message.mutable_heartbeat();
+  heartbeat.set_open_requests(open_requests);
+  heartbeat.set_draining(draining);
+  heartbeat.set_config_version(this->config.fold().version());
+  for (wire::Rumor& rumor : this->rumors.TakeRound()) {
+    *heartbeat.add_rumors() = std::move(rumor);
+  }
+  const std::vector<RouterId> neighbours =
+      NeighboursOf(RouterOf(this->self), this->membership, kMostNeighbours);
+  if (!neighbours.empty() && this->rounds < kRoundsAsNewcomer) {
+    ++this->rounds;
+    heartbeat.set_wants_directory(true);
+  }
+  for (const RouterId& neighbour : neighbours) {
+    if (const std::optional<PeerAddress> address =
+            this->membership.AddressOf(neighbour)) {
+      this->actions.Push(SendPeer{*address, message});
+    }
+  }
+}
+
+}  // namespace auburnloft
--- /dev/null
+++ b/modules/al_router/front/front_door.h
@@ -0,0 +1,67 @@
+#ifndef AL_ROUTER_FRONT_FRONT_DOOR_H_
+#define AL_ROUTER_FRONT_FRONT_DOOR_H_
+
+#include <optional>
+#include <string>
+
+#include "al_actions/refusal.h"
+#include "al_config/model/configuration.h"
+#include "al_core/time/instant.h"
+#include "al_ledger/fold/ledger_rules.h"
+#include "al_router/front/caller_request.h"
+#include "al_router/requests/arriving_request.h"
+
+namespace auburnloft {
+
+/** A request that may be decided on, with what the upstream is sent. */
+struct AdmittedRequest {
+  ArrivingRequest arrival;
+  std::string upstream_method;
+  std::string upstream_path;
+  std::string upstream_body;
+  std::string content_type;
+  bool is_chat = false;
+  bool wants_stream = false;
+  Tokens prompt_estimate = 0;  ///< Billed with the pieces where a caller leaves early.
+};
+
+/** Checks callers' requests against the configuration and turns them into decisions' terms.
+
+    Nothing of a request that fails a check reaches an upstream or the ledger.
+
+    Thread safety: none; used on one thread.
+
+    @see docs/API.md
+*/
+class FrontDoor {
+ public:
+  /** The reason of the last Admit() that returned empty. */
+  [[nodiscard]] auto last_refusal() const -> const Refusal& { return this->refusal; }
+
+  /** Checks a request. @return empty where it is refused; last_refusal() tells why. */
+  [[nodiscard]] auto Admit(Instant now,
+                           const Configuration& configuration,
+                           const CallerRequest& request)
+      -> std::optional<AdmittedRequest>;
+
+  /** Longest accepted key, in bytes: room for any customary form, bounded for the ledger. */
+  static constexpr std::size_t kMostKeySize = 128;
+
+ private:
+  using Admitted = std::optional<AdmittedRequest>;
+
+  auto AdmitChat(const Configuration& configuration, const CallerRequest& request, AdmittedRequest admitted)
+      -> Admitted;
+  auto AdmitService(const Configuration& configuration, const CallerRequest& request, AdmittedRequest admitted)
+      -> Admitted;
+  auto SetIdentity(Instant now, const CallerRequest& request, ArrivingRequest& arrival) -> bool;
+  auto SetResume(const Configuration& configuration, const CallerRequest& request, ArrivingRequest& arrival) -> bool;
+  auto Refuse(RefusalCode code, std::string text) -> Admitted;
+
+  LedgerRules rules;
+  Refusal refusal;
+};
+
+}  // namespace auburnloft
+
+#endif  // AL_ROUTER_FRONT_FRONT_DOOR_H_
--- /dev/null
+++ b/modules/al_traffic/choice/baseline_choosers.cc
@@ -0,0 +1,29 @@
+#include "al_traffic/choice/baseline_choosers.h"
+
+namespace auburnloft {
+
+auto RandomChooser::Choose(std::span<const Candidate> candidates,
+                           RandomSource& random) -> std::size_t {
+  return random.Below(candidates.size());
+}
+
+auto RoundRobinChooser::Choose(std::span<const Candidate> candidates,
+                               RandomSource& /*random*/) -> std::size_t {
+  return this->next++ % candidates.size();
+}
+
+auto LeastInFlightChooser::Choose(std::span<const Candidate> candidates,
+                                  RandomSource& random) -> std::size_t {
+  // Starts at a random place, so that equal candidates share the load.
+  const std::size_t first = random.Below(candidates.size());
+  std::size_t best = first;
+  for (std::size_t step = 1; step < candidates.size(); ++step) {
+    const std::size_t place = (first + step) % candidates.size();
+    if (candidates[place].own_in_flight < candidates[best].own_in_flight) {
+      best = place;
+    }
+  }
+  return best;
+}
+
+}  // namespace auburnloft
--- /dev/null
+++ b/modules/al_traffic/queue/dispatch_queue.cc
@@ -0,0 +1,54 @@
+#include "al_traffic/queue/dispatch_queue.h"
+
+#include <algorithm>
+
+namespace auburnloft {
+
+auto DispatchQueue::Add(RequestHandle handle,
+                        Patience patience,
+                        Instant arrived,
+                        Instant give_up_at) -> void {
+  std::deque<Item>& items =
+      patience == Patience::kQuick ? this->quick : this->patient;
+  items.push_back({handle, arrived, give_up_at});
+}
+
+auto DispatchQueue::Remove(RequestHandle handle) -> void {
+  for (std::deque<Item>* items : {&this->quick, &this->patient}) {
+    std::erase_if(*items, [handle](const Item& item) {
+      return item.handle == handle;
+    });
+  }
+}
+
+auto DispatchQueue::Offer(
+    const std::function<bool(RequestHandle)>& try_dispatch) -> void {
+  for (std::deque<Item>* items : {&this->quick, &this->patient}) {
+    std::erase_if(*items, [&](const Item& item) {
+      return try_dispatch(item.handle);
+    });
+  }
+}
+
+auto DispatchQueue::TakeExpired(Instant now) -> std::vector<RequestHandle> {
+  std::vector<RequestHandle> expired;
+  for (std::deque<Item>* items : {&this->quick, &this->patient}) {
+    std::erase_if(*items, [&](const Item& item) {
+      if (now < item.give_up_at) {
+        return false;
+      }
+      expired.push_back(item.handle);
+      return true;
+    });
+  }
+  return expired;
+}
+
+auto DispatchQueue::ExpectedWait(Instant now, Patience patience) const
+    -> Duration {
+  const std::deque<Item>& items =
+      patience == Patience::kQuick ? this->quick : this->patient;
+  return items.empty() ? Duration{0} : now - items.front().arrived;
+}
+
+}  // namespace auburnloft
--- /dev/null
+++ b/modules/al_traffic/upstreams/upstream_pool.cc
@@ -0,0 +1,252 @@
+#include "al_traffic/upstreams/upstream_pool.h"
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+#include <utility>
+
+namespace auburnloft {
+
+namespace {
+
+/** The weight of a load report halves in this time. */
+constexpr Duration kReportHalfLife = std::chrono::seconds(2);
+
+/** Failures in a row after which an upstream gets no work for a while. */
+constexpr int kFailuresToEject = 3;
+constexpr Duration kFirstEjection = std::chrono::seconds(1);
+constexpr Duration kLongestEjection = std::chrono::seconds(16);
+
+/** An upstream that comes back takes its whole load only after this time. */
+constexpr Duration kEaseIn = std::chrono::seconds(5);
+
+/** Quick work may stand before an engine's slots by this factor: the engine takes it first. */
+constexpr double kQuickOvercommit = 1.5;
+
+auto ChooserFor(ChooserKind kind) -> AnyUpstreamChooser {
+  switch (kind) {
+    case ChooserKind::kRandom:
+      return RandomChooser();
+    case ChooserKind::kRoundRobin:
+      return RoundRobinChooser();
+    case ChooserKind::kLeastInFlight:
+      return LeastInFlightChooser();
+    case ChooserKind::kScored:
+      break;
+  }
+  return ScoredChooser();
+}
+
+}  // namespace
+
+UpstreamPool::UpstreamPool(DomainId own_domain, RandomSource& random)
+    : own_domain(std::move(own_domain)), random(random) {}
+
+//==============================================================================
+// Commands
+
+auto UpstreamPool::SetConfiguration(const Configuration& configuration,
+                                    std::size_t router_count) -> void {
+  const AnyUpstreamChooser wanted =
+      ChooserFor(configuration.defaults.traffic.chooser);
+  if (wanted.index() != this->chooser.index()) {
+    this->chooser = wanted;
+  }
+  this->patient_share = configuration.defaults.traffic.patient_share;
+  this->routers = std::max<std::size_t>(1, router_count);
+  std::vector<Member> next;
+  for (const Upstream& upstream : configuration.upstreams) {
+    Member* const known = this->Find(upstream.id);
+    Member& member = next.emplace_back(known == nullptr ? Member{}
+                                                        : std::move(*known));
+    if (member.upstream.address != upstream.address) {
+      member.prefixes.Clear();
+    }
+    member.upstream = upstream;
+  }
+  this->all = std::move(next);
+}
+
+auto UpstreamPool::SetLeaving(
+    Instant now,
+    const std::function<bool(const UpstreamId&)>& is_leaving) -> void {
+  for (Member& member : this->all) {
+    const bool leaving =
+        is_leaving(member.upstream.id) || member.report.leaving;
+    if (member.leaving && !leaving) {
+      member.eased_in_since = now;
+    }
+    member.leaving = leaving;
+  }
+}
+
+auto UpstreamPool::TryAcquire(Instant now, const UpstreamQuery& query)
+    -> std::optional<UpstreamId> {
+  std::vector<Candidate> candidates;
+  for (std::size_t index = 0; index < this->all.size(); ++index) {
+    const Member& member = this->all[index];
+    if (!Matches(member, query) || !this->MayTake(now, member, query)) {
+      continue;
+    }
+    candidates.push_back(
+        {index, static_cast<double>(member.own_quick + member.own_patient),
+         this->OthersInFlight(now, member),
+         static_cast<double>(member.upstream.slots),
+         member.prefixes.MatchOf(query.prefix),
+         member.upstream.domain == this->own_domain});
+  }
+  if (candidates.empty()) {
+    return std::nullopt;
+  }
+  const std::size_t place = std::visit(
+      [&](auto& chosen) { return chosen.Choose(candidates, this->random); },
+      this->chooser);
+  Member& member = this->all[candidates[place].index];
+  this->Acquire(member.upstream.id, query.patience);
+  member.prefixes.NoteCached(query.prefix);
+  return member.upstream.id;
+}
+
+auto UpstreamPool::Acquire(const UpstreamId& upstream, Patience patience)
+    -> void {
+  if (Member* const member = this->Find(upstream)) {
+    ++(patience == Patience::kQuick ? member->own_quick : member->own_patient);
+  }
+}
+
+auto UpstreamPool::Release(const UpstreamId& upstream, Patience patience)
+    -> void {
+  Member* const member = this->Find(upstream);
+  if (member == nullptr) {
+    return;
+  }
+  std::uint32_t& count = patience == Patience::kQuick ? member->own_quick
+                                                      : member->own_patient;
+  count -= std::min<std::uint32_t>(count, 1);
+}
+
+auto UpstreamPool::NoteSuccess(const UpstreamId& upstream) -> void {
+  if (Member* const member = this->Find(upstream)) {
+    member->failures_in_row = 0;
+  }
+}
+
+auto UpstreamPool::NoteFailure(Instant now, const UpstreamId& upstream)
+    -> void {
+  Member* const member = this->Find(upstream);
+  if (member == nullptr || ++member->failures_in_row < kFailuresToEject) {
+    return;
+  }
+  const int doublings = std::min(member->failures_in_row - kFailuresToEject, 4);
+  const Duration ejection =
+      std::min(kFirstEjection * (1 << doublings), kLongestEjection);
+  member->ejected_until = now + ejection;
+  member->eased_in_since = member->ejected_until;
+}
+
+auto UpstreamPool::NoteReport(Instant now,
+                              const UpstreamId& upstream,
+                              const LoadReport& report) -> void {
+  if (Member* const member = this->Find(upstream)) {
+    member->report = report;
+    member->reported_at = now;
+    member->own_at_report = member->own_quick + member->own_patient;
+    member->leaving = member->leaving || report.leaving;
+  }
+}
+
+auto UpstreamPool::NoteCached(const UpstreamId& upstream,
+                              std::span<const PrefixDigest> digests) -> void {
+  if (Member* const member = this->Find(upstream)) {
+    member->prefixes.NoteCached(digests);
+  }
+}
+
+auto UpstreamPool::NoteDropped(const UpstreamId& upstream, PrefixDigest digest)
+    -> void {
+  if (Member* const member = this->Find(upstream)) {
+    member->prefixes.NoteDropped(digest);
+  }
+}
+
+auto UpstreamPool::Find(const UpstreamId& upstream) -> Member* {
+  const auto found = std::ranges::find_if(this->all, [&](const Member& item) {
+    return item.upstream.id == upstream;
+  });
+  return found == this->all.end() ? nullptr : &*found;
+}
+
+//==============================================================================
+// Queries
+
+auto UpstreamPool::Matches(const Member& member, const UpstreamQuery& query)
+    -> bool {
+  if (!query.service.empty()) {
+    return member.upstream.service == query.service;
+  }
+  const std::vector<std::string>& models = member.upstream.models;
+  return member.upstream.kind == UpstreamKind::kEngine &&
+         std::ranges::find(models, query.model) != models.end();
+}
+
+auto UpstreamPool::Serves(const UpstreamQuery& query) const -> bool {
+  return std::ranges::any_of(this->all, [&](const Member& member) {
+    return Matches(member, query);
+  });
+}
+
+auto UpstreamPool::OthersInFlight(Instant now, const Member& member) const
+    -> double {
+  const double reported = member.report.running + member.report.waiting;
+  const double others =
+      std::max(0.0, reported - static_cast<double>(member.own_at_report));
+  const double age = ToSeconds(now - member.reported_at);
+  return others * std::exp2(-std::max(0.0, age) / ToSeconds(kReportHalfLife));
+}
+
+auto UpstreamPool::EaseLimit(Instant now, const Member& member) const
+    -> double {
+  const double slots = member.upstream.slots;
+  if (member.eased_in_since == Instant{}) {
+    return slots * kQuickOvercommit;
+  }
+  const double back = ToSeconds(now - member.eased_in_since);
+  const double part = std::clamp(back / ToSeconds(kEaseIn), 0.0, 1.0);
+  return std::max(1.0, slots * kQuickOvercommit * part);
+}
+
+auto UpstreamPool::MayTake(Instant now,
+                           const Member& member,
+                           const UpstreamQuery& query) const -> bool {
+  const bool avoided = query.avoid != nullptr &&
+                       query.avoid->contains(member.upstream.id);
+  if (member.leaving || avoided || now < member.ejected_until) {
+    return false;
+  }
+  const double own = member.own_quick + member.own_patient;
+  const double total = own + this->OthersInFlight(now, member);
+  if (own >= this->EaseLimit(now, member)) {
+    return false;
+  }
+  const double slots = member.upstream.slots;
+  if (member.upstream.kind == UpstreamKind::kService ||
+      query.patience == Patience::kQuick) {
+    return total < slots * kQuickOvercommit;
+  }
+  // Patient work keeps to its share of the engine; each router to its part of that share.
+  const double share = slots * this->patient_share;
+  const double own_share =
+      std::max(1.0, share / static_cast<double>(this->routers) * 2.0);
+  const double patient_running =
+      std::max<double>(member.own_patient, member.report.patient_running);
+  return member.own_patient < own_share && patient_running < share;
+}
+
+auto UpstreamPool::InFlight() const -> std::uint32_t {
+  return std::accumulate(this->all.begin(), this->all.end(), 0U,
+                         [](std::uint32_t sum, const Member& member) {
+                           return sum + member.own_quick + member.own_patient;
+                         });
+}
+
+}  // namespace auburnloft
--- /dev/null
+++ b/modules/al_traffic/upstreams/upstream_pool.h
@@ -0,0 +1,116 @@
+#ifndef AL_TRAFFIC_UPSTREAMS_UPSTREAM_POOL_H_
+#define AL_TRAFFIC_UPSTREAMS_UPSTREAM_POOL_H_
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <set>
+#include <span>
+#include <string>
+#include <vector>
+
+#include "al_config/model/configuration.h"
+#include "al_core/random/random_source.h"
+#include "al_traffic/choice/upstream_chooser.h"
+#include "al_traffic/upstreams/prefix_beliefs.h"
+
+namespace auburnloft {
+
+/** What an upstream says of its load; old by the time it is read. */
+struct LoadReport {
+  std::uint32_t running = 0;
+  std::uint32_t patient_running = 0;
+  std::uint32_t waiting = 0;
+  bool leaving = false;
+};
+
+/** What a request wants of an upstream. */
+struct UpstreamQuery {
+  std::string model;    ///< For engines.
+  std::string service;  ///< For services; empty for engines.
+  Patience patience = Patience::kQuick;
+  std::span<const PrefixDigest> prefix;
+  const std::set<UpstreamId>* avoid = nullptr;  ///< Upstreams that failed this request.
+};
+
+/** The upstreams that this router uses: their load, health and shares.
+
+    Thread safety: none; used on one thread.
+
+    @see UpstreamChooser, DispatchQueue
+*/
+class UpstreamPool {
+ public:
+  struct Member {
+    Upstream upstream;
+    std::uint32_t own_quick = 0;
+    std::uint32_t own_patient = 0;
+    LoadReport report;
+    std::uint32_t own_at_report = 0;
+    Instant reported_at;
+    bool leaving = false;           ///< By the VM list, its own word, or an operator.
+    int failures_in_row = 0;
+    Instant ejected_until;
+    Instant eased_in_since;         ///< When it last came back.
+    PrefixBeliefs prefixes;
+  };
+
+  UpstreamPool(DomainId own_domain, RandomSource& random);
+
+  //============================================================================
+  // Commands
+
+  /** Takes over the upstreams of a configuration; what is known of those that stay is kept.
+      @param routers  in the fleet, which share the engines. */
+  auto SetConfiguration(const Configuration& configuration, std::size_t routers) -> void;
+
+  /** Marks upstreams as leaving by the VM list. */
+  auto SetLeaving(Instant now, const std::function<bool(const UpstreamId&)>& is_leaving) -> void;
+
+  /** Picks an upstream for a request and counts the request there. Empty where none may take it
+      now. */
+  [[nodiscard]] auto TryAcquire(Instant now, const UpstreamQuery& query) -> std::optional<UpstreamId>;
+
+  /** Counts a request at an upstream that is given, as for a stream that is taken up again. */
+  auto Acquire(const UpstreamId& upstream, Patience patience) -> void;
+
+  /** Ends a request that TryAcquire() or Acquire() counted. */
+  auto Release(const UpstreamId& upstream, Patience patience) -> void;
+
+  /** Notes that an upstream answered, or failed to. */
+  auto NoteSuccess(const UpstreamId& upstream) -> void;
+  auto NoteFailure(Instant now, const UpstreamId& upstream) -> void;
+
+  auto NoteReport(Instant now, const UpstreamId& upstream, const LoadReport& report) -> void;
+  auto NoteCached(const UpstreamId& upstream, std::span<const PrefixDigest> digests) -> void;
+  auto NoteDropped(const UpstreamId& upstream, PrefixDigest digest) -> void;
+
+  //============================================================================
+  // Queries
+
+  [[nodiscard]] auto members() const -> std::span<const Member> { return this->all; }
+
+  /** Whether any upstream serves such requests, busy or not. */
+  [[nodiscard]] auto Serves(const UpstreamQuery& query) const -> bool;
+
+  /** Requests of this router that run now. */
+  [[nodiscard]] auto InFlight() const -> std::uint32_t;
+
+ private:
+  auto Find(const UpstreamId& upstream) -> Member*;
+  [[nodiscard]] static auto Matches(const Member& member, const UpstreamQuery& query) -> bool;
+  [[nodiscard]] auto MayTake(Instant now, const Member& member, const UpstreamQuery& query) const -> bool;
+  [[nodiscard]] auto OthersInFlight(Instant now, const Member& member) const -> double;
+  [[nodiscard]] auto EaseLimit(Instant now, const Member& member) const -> double;
+
+  DomainId own_domain;
+  RandomSource& random;
+  AnyUpstreamChooser chooser;
+  double patient_share = 1.0;
+  std::size_t routers = 1;
+  std::vector<Member> all;
+};
+
+}  // namespace auburnloft
+
+#endif  // AL_TRAFFIC_UPSTREAMS_UPSTREAM_POOL_H_
