Serve the whole path on real processes: router, ctl, load tool, stand-ins, demo

Cause: the decisions had no sockets and nobody could see them work. Change: al_edge (one loop on libwebsockets, ZeroMQ between routers), al_platform, al_operator; auburnloft-router, auburnloft-ctl, auburnloft-load; stand-ins of platform, engine and service; scripts/demo with 6 routers, 4 engines and a service.

--- a/modules/al_config/check/json_reader.cc
+++ b/modules/al_config/check/json_reader.cc
@@ -133,6 +133,28 @@
   }
 }
 
+auto JsonReader::ForEachNamed(
+    std::string_view name,
+    const std::function<void(std::string_view key, JsonReader& item)>& read)
+    -> void {
+  const nlohmann::json* const member = this->Member(name);
+  if (member == nullptr) {
+    return;
+  }
+  if (!member->is_object()) {
+    this->Note(name, "is not an object");
+    return;
+  }
+  for (const auto& [key, item] : member->items()) {
+    JsonReader reader(item, this->PathOf(name) + "." + key, this->findings);
+    if (key.empty()) {
+      reader.Note("", "has an empty name");
+    }
+    read(key, reader);
+    reader.Finish();
+  }
+}
+
 auto JsonReader::Object(std::string_view name,
                         const std::function<void(JsonReader& item)>& read)
     -> void {
--- a/modules/al_config/check/json_reader.h
+++ b/modules/al_config/check/json_reader.h
@@ -48,6 +48,11 @@
   auto ForEach(std::string_view name,
                const std::function<void(JsonReader& item)>& read) -> void;
 
+  /** Calls `read` for each member of an object member, with the member's name. */
+  auto ForEachNamed(std::string_view name,
+                    const std::function<void(std::string_view key, JsonReader& item)>& read)
+      -> void;
+
   /** Calls `read` with an object member, or with an empty object where it is absent. */
   auto Object(std::string_view name,
               const std::function<void(JsonReader& item)>& read) -> void;
--- /dev/null
+++ b/modules/al_edge/loop/event_loop.cc
@@ -0,0 +1,211 @@
+#include "al_edge/loop/event_loop.h"
+
+#include <libwebsockets.h>
+
+#include <array>
+#include <atomic>
+#include <csignal>
+#include <stdexcept>
+#include <utility>
+
+#include "al_edge/http/http_client.h"
+
+namespace auburnloft {
+
+namespace {
+
+/** lws must not end long answers or slow engines by itself: the decisions have deadlines. */
+constexpr unsigned int kNoTimeoutSeconds = 86'400;
+
+/** How long a connection may take to be established. */
+constexpr unsigned int kConnectTimeoutSeconds = 3;
+
+/** How long a caller may take to send its header. */
+constexpr unsigned int kHeaderTimeoutSeconds = 10;
+
+/** Bytes read at once; several pieces of a stream fit. */
+constexpr unsigned int kReadBufferSize = 32'768;
+
+/** Room for the header of one request; larger ones are refused. */
+constexpr unsigned short kHeaderBufferSize = 32'768;
+
+constexpr const char* kWatchProtocol = "watch";
+
+std::atomic<lws_context*> signal_context{nullptr};
+std::atomic<bool> interrupted{false};
+std::atomic<bool> terminated{false};
+
+auto OnSignal(int signal_number) -> void {
+  (signal_number == SIGTERM ? terminated : interrupted) = true;
+  if (lws_context* const context = signal_context) {
+    lws_cancel_service(context);
+  }
+}
+
+auto OnWatched(lws* wsi,
+               lws_callback_reasons reason,
+               void* /*user*/,
+               void* /*in*/,
+               size_t /*size*/) -> int {
+  if (reason == LWS_CALLBACK_RAW_RX_FILE) {
+    (*static_cast<EventLoop::Callback*>(lws_get_opaque_user_data(wsi)))();
+  }
+  return 0;
+}
+
+}  // namespace
+
+struct EventLoop::Timer {
+  lws_sorted_usec_list_t sul{};  // First, so that lws's pointer is the timer's.
+  EventLoop* loop = nullptr;
+  Duration interval{0};
+  bool repeats = false;
+  Callback callback;
+};
+
+EventLoop::EventLoop()
+    : wall_start(std::chrono::duration_cast<Duration>(
+          std::chrono::system_clock::now().time_since_epoch())),
+      steady_start(std::chrono::steady_clock::now()) {
+  lws_set_log_level(LLL_ERR, nullptr);
+  lws_context_creation_info info{};
+  info.port = CONTEXT_PORT_NO_LISTEN;
+  info.options = LWS_SERVER_OPTION_EXPLICIT_VHOSTS;
+  info.timeout_secs = kNoTimeoutSeconds;
+  info.connect_timeout_secs = kConnectTimeoutSeconds;
+  info.timeout_secs_ah_idle = kHeaderTimeoutSeconds;
+  info.pt_serv_buf_size = kReadBufferSize;
+  info.max_http_header_data = kHeaderBufferSize;
+  this->lws = lws_create_context(&info);
+  if (this->lws == nullptr) {
+    throw std::runtime_error("the event loop cannot be created");
+  }
+  static const std::array<lws_protocols, 3> protocols = {{
+      HttpClient::Protocol(),
+      {kWatchProtocol, OnWatched, 0, 0, 0, nullptr, 0},
+      {nullptr, nullptr, 0, 0, 0, nullptr, 0},
+  }};
+  info.protocols = protocols.data();
+  info.vhost_name = "client";
+  this->vhost = lws_create_vhost(this->lws, &info);
+}
+
+EventLoop::~EventLoop() {
+  signal_context = nullptr;
+  lws_context_destroy(this->lws);
+}
+
+//==============================================================================
+// Commands
+
+auto EventLoop::Run() -> void {
+  while (!interrupted) {
+    this->RunPosted();
+    if (lws_service(this->lws, 0) < 0) {
+      break;
+    }
+    if (terminated.exchange(false) && this->terminate) {
+      this->terminate();
+    }
+  }
+}
+
+auto EventLoop::RunUntil(const std::function<bool()>& is_done, Duration limit)
+    -> bool {
+  const Instant end = this->Now() + limit;
+  bool timed_out = false;
+  this->After(limit, [] {});  // Wakes the loop at the end.
+  while (!interrupted && !is_done() && !timed_out) {
+    this->RunPosted();
+    if (lws_service(this->lws, 0) < 0) {
+      break;
+    }
+    timed_out = this->Now() >= end;
+  }
+  return is_done();
+}
+
+auto EventLoop::Stop() -> void {
+  interrupted = true;
+  lws_cancel_service(this->lws);
+}
+
+auto EventLoop::HandleSignals(Callback on_terminate) -> void {
+  this->terminate = std::move(on_terminate);
+  signal_context = this->lws;
+  std::signal(SIGINT, OnSignal);
+  std::signal(SIGTERM, OnSignal);
+  std::signal(SIGPIPE, SIG_IGN);
+}
+
+auto EventLoop::RunPosted() -> void {
+  while (!this->posted.empty()) {
+    for (const Callback& callback : std::exchange(this->posted, {})) {
+      callback();
+    }
+  }
+}
+
+auto EventLoop::StartTimer(Timer& timer) -> void {
+  const auto fire = [](lws_sorted_usec_list_t* sul) {
+    auto* const timer = reinterpret_cast<Timer*>(sul);
+    EventLoop& loop = *timer->loop;
+    if (timer->repeats) {
+      loop.StartTimer(*timer);
+      timer->callback();
+      return;
+    }
+    const Callback callback = std::move(timer->callback);
+    loop.timers.remove_if(
+        [timer](const auto& item) { return item.get() == timer; });
+    callback();
+  };
+  lws_sul_schedule(this->lws, 0, &timer.sul, fire, timer.interval.count());
+}
+
+auto EventLoop::Every(Duration interval, Callback callback) -> void {
+  auto timer = std::make_unique<Timer>();
+  timer->loop = this;
+  timer->interval = interval;
+  timer->repeats = true;
+  timer->callback = std::move(callback);
+  this->StartTimer(*timer);
+  this->timers.push_back(std::move(timer));
+}
+
+auto EventLoop::After(Duration delay, Callback callback) -> void {
+  auto timer = std::make_unique<Timer>();
+  timer->loop = this;
+  timer->interval = delay;
+  timer->callback = std::move(callback);
+  this->StartTimer(*timer);
+  this->timers.push_back(std::move(timer));
+}
+
+auto EventLoop::Post(Callback callback) -> void {
+  this->posted.push_back(std::move(callback));
+  lws_cancel_service(this->lws);
+}
+
+auto EventLoop::WatchReadable(int descriptor, Callback on_readable) -> bool {
+  Callback& watch = this->watches.emplace_back(std::move(on_readable));
+  lws_sock_file_fd_type file{};
+  file.filefd = descriptor;
+  struct lws* const wsi = lws_adopt_descriptor_vhost(
+      this->vhost, LWS_ADOPT_RAW_FILE_DESC, file, kWatchProtocol, nullptr);
+  if (wsi == nullptr) {
+    return false;
+  }
+  lws_set_opaque_user_data(wsi, &watch);
+  return true;
+}
+
+//==============================================================================
+// Queries
+
+auto EventLoop::Now() const -> Instant {
+  const auto elapsed = std::chrono::steady_clock::now() - this->steady_start;
+  return this->wall_start + std::chrono::duration_cast<Duration>(elapsed);
+}
+
+}  // namespace auburnloft
--- /dev/null
+++ b/modules/al_platform/log/log_client.cc
@@ -0,0 +1,103 @@
+#include "al_platform/log/log_client.h"
+
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "al_core/text/base64.h"
+
+namespace auburnloft {
+
+namespace {
+
+constexpr int kHttpOk = 200;
+
+auto RecordsPath(const StreamId& stream) -> std::string {
+  return "/streams/" + stream.value() + "/records";
+}
+
+auto ParseRecords(std::string_view body) -> std::optional<LogRecords> {
+  const nlohmann::json json = nlohmann::json::parse(body, nullptr, false);
+  if (!json.is_object() || !json.contains("records")) {
+    return std::nullopt;
+  }
+  LogRecords records;
+  records.first = json.value("first", LogOffset{0});
+  records.next = json.value("next", LogOffset{0});
+  records.oldest = json.value("oldest", LogOffset{0});
+  for (const nlohmann::json& item : json["records"]) {
+    std::optional<std::string> bytes = FromBase64(item.get<std::string>());
+    if (!bytes) {
+      return std::nullopt;
+    }
+    records.records.push_back(std::move(*bytes));
+  }
+  return records;
+}
+
+auto ParseOffset(std::string_view body) -> std::optional<LogOffset> {
+  const nlohmann::json json = nlohmann::json::parse(body, nullptr, false);
+  if (!json.is_object() || !json.contains("offset")) {
+    return std::nullopt;
+  }
+  return json["offset"].get<LogOffset>();
+}
+
+}  // namespace
+
+LogClient::LogClient(HttpClient& http,
+                     std::string address,
+                     std::string client_name)
+    : http(http),
+      address(std::move(address)),
+      client_name(std::move(client_name)) {}
+
+auto LogClient::Append(const StreamId& stream,
+                       std::string bytes,
+                       OnAppended on_appended) -> void {
+  HttpCall call;
+  call.method = "POST";
+  call.path = RecordsPath(stream);
+  call.body = std::move(bytes);
+  this->Send(std::move(call),
+             [on_appended = std::move(on_appended)](
+                 const std::optional<std::string>& body) {
+               on_appended(body ? ParseOffset(*body) : std::nullopt);
+             });
+}
+
+auto LogClient::Read(const StreamId& stream,
+                     LogOffset from,
+                     OnRecords on_records) -> void {
+  HttpCall call;
+  call.path = RecordsPath(stream) + "?from=" + std::to_string(from);
+  this->Send(std::move(call),
+             [on_records = std::move(on_records)](
+                 const std::optional<std::string>& body) {
+               on_records(body ? ParseRecords(*body) : std::nullopt);
+             });
+}
+
+auto LogClient::Send(HttpCall call,
+                     std::function<void(std::optional<std::string>)> on_body)
+    -> void {
+  struct Answer {
+    int status = 0;
+    std::string body;
+  };
+  auto answer = std::make_shared<Answer>();
+  call.address = this->address;
+  call.headers.push_back({"x-client", this->client_name});
+  call.on_head = [answer](int status, const HttpHeaders&) {
+    answer->status = status;
+  };
+  call.on_data = [answer](std::string_view data) { answer->body += data; };
+  call.on_end = [answer, on_body] {
+    on_body(answer->status == kHttpOk ? std::optional(answer->body)
+                                      : std::nullopt);
+  };
+  call.on_error = [on_body](bool, std::string_view) { on_body(std::nullopt); };
+  this->http.Send(std::move(call));
+}
+
+}  // namespace auburnloft
--- /dev/null
+++ b/modules/al_platform/vms/vm_list_client.cc
@@ -0,0 +1,51 @@
+#include "al_platform/vms/vm_list_client.h"
+
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace auburnloft {
+
+VmListClient::VmListClient(HttpClient& http,
+                           std::string address,
+                           std::string client_name)
+    : http(http),
+      address(std::move(address)),
+      client_name(std::move(client_name)) {}
+
+auto VmListClient::Fetch(OnList on_list) -> void {
+  auto body = std::make_shared<std::string>();
+  HttpCall call;
+  call.address = this->address;
+  call.path = "/vms";
+  call.headers.push_back({"x-client", this->client_name});
+  call.on_data = [body](std::string_view data) { *body += data; };
+  call.on_end = [body, on_list] { on_list(Parse(*body)); };
+  call.on_error = [on_list](bool, std::string_view) { on_list(std::nullopt); };
+  this->http.Send(std::move(call));
+}
+
+auto VmListClient::Parse(std::string_view body) -> std::optional<VmList> {
+  const nlohmann::json json = nlohmann::json::parse(body, nullptr, false);
+  if (!json.is_object() || !json.contains("vms") || !json["vms"].is_array()) {
+    return std::nullopt;
+  }
+  VmList list;
+  for (const nlohmann::json& row : json["vms"]) {
+    if (!row.is_object()) {
+      return std::nullopt;
+    }
+    Vm vm;
+    vm.name = row.value("name", "");
+    vm.role = row.value("role", "router");
+    vm.domain = DomainId(row.value("domain", ""));
+    vm.http_address = row.value("http_address", "");
+    vm.peer_address = PeerAddress(row.value("peer_address", ""));
+    vm.state = row.value("state", "live") == "leaving" ? VmState::kLeaving
+                                                       : VmState::kLive;
+    list.push_back(std::move(vm));
+  }
+  return list;
+}
+
+}  // namespace auburnloft
--- a/modules/al_router/front/front_door.cc
+++ b/modules/al_router/front/front_door.cc
@@ -200,6 +200,10 @@
       static_cast<Tokens>(body->prompt.size()) / kCharactersPerToken;
   admitted.is_chat = true;
   admitted.wants_stream = body->wants_stream;
+  const nlohmann::json options =
+      body->json.value("stream_options", nlohmann::json::object());
+  admitted.wants_usage =
+      options.is_object() && options.value("include_usage", false);
   admitted.upstream_path = request.path;
   admitted.content_type = "application/json";
   body->json["stream"] = true;
--- a/modules/al_router/front/front_door.h
+++ b/modules/al_router/front/front_door.h
@@ -22,6 +22,7 @@
   std::string content_type;
   bool is_chat = false;
   bool wants_stream = false;
+  bool wants_usage = false;    ///< In a stream; a whole answer always tells it.
   Tokens prompt_estimate = 0;  ///< Billed with the pieces where a caller leaves early.
 };
 
--- /dev/null
+++ b/programs/load/caller.cc
@@ -0,0 +1,267 @@
+#include "load/caller.h"
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "common/answer_script.h"
+
+namespace auburnloft::load {
+
+namespace {
+
+using nlohmann::json;
+using standins::AnswerScript;
+
+constexpr int kOk = 200;
+constexpr Duration kRetryWait = std::chrono::milliseconds(150);
+
+/** As docs/API.md states the bound of a chat: bytes of the prompt, template, and output. */
+constexpr Tokens kTemplateTokens = 24;
+
+/** Codes after which a caller comes back with the same key rather than give up. */
+auto ComesBack(std::string_view code) -> bool {
+  return code == "draining" || code == "not_ready" || code == "in_progress";
+}
+
+}  // namespace
+
+Caller::Caller(EventLoop& loop,
+               HttpClient& http,
+               EntryBook& entries,
+               Request request,
+               OnResult on_result)
+    : loop(loop),
+      http(http),
+      entries(entries),
+      request(std::move(request)),
+      on_result(std::move(on_result)) {
+  const RequestKind& kind = *this->request.kind;
+  this->result.team = this->request.team->team;
+  this->result.kind_name = kind.name;
+  this->result.key = this->request.key;
+  this->result.is_service = !kind.service.empty();
+  this->prompt = std::string(kind.shared_characters, 's') + "[pieces=" +
+                 std::to_string(kind.pieces) + "] " + this->request.filler;
+  if (this->prompt.size() < kind.prompt_characters) {
+    this->prompt.append(kind.prompt_characters - this->prompt.size(), '.');
+  }
+  this->result.upper = this->Upper();
+}
+
+auto Caller::Upper() const -> Tokens {
+  if (this->result.is_service) {
+    return 1;
+  }
+  return static_cast<Tokens>(this->prompt.size()) + 1 + kTemplateTokens +
+         static_cast<Tokens>(this->request.kind->pieces);
+}
+
+auto Caller::ChatBody() const -> std::string {
+  return json{{"model", this->request.model},
+              {"messages", {{{"role", "user"}, {"content", this->prompt}}}},
+              {"max_tokens", this->request.kind->pieces},
+              {"stream", this->request.kind->stream},
+              {"stream_options", {{"include_usage", true}}}}
+      .dump();
+}
+
+auto Caller::Start() -> void {
+  if (this->result.attempts == 0) {
+    this->started = this->loop.Now();
+  }
+  this->entries.Pick(this->request.team->team, this->request.team->key,
+                     this->address,
+                     [self = this->shared_from_this()](std::string address) {
+                       if (address.empty()) {
+                         self->OnError("no address is known");
+                         return;
+                       }
+                       self->Send(address);
+                     });
+}
+
+auto Caller::Send(const std::string& to) -> void {
+  const RequestKind& kind = *this->request.kind;
+  ++this->result.attempts;
+  this->address = to;
+  this->status = 0;
+  this->resumed = false;
+  this->body.clear();
+  this->parser = SseParser();
+  this->stream_error.clear();
+  this->done_seen = false;
+  HttpCall next;
+  next.address = to;
+  next.headers = {{"authorization", "Bearer " + this->request.team->key},
+                  {"idempotency-key", this->request.key},
+                  {"content-type", "application/json"}};
+  if (this->result.is_service) {
+    next.method = kind.method;
+    next.path = "/v1/services/" + kind.service + kind.path;
+    next.body = kind.method == "GET" ? "" : "{}";
+  } else {
+    next.method = "POST";
+    next.path = "/v1/chat/completions";
+    next.body = this->ChatBody();
+    if (!kind.request_class.empty()) {
+      next.headers.push_back({"auburnloft-class", kind.request_class});
+    }
+    if (!this->last_event_id.empty()) {
+      next.headers.push_back({"last-event-id", this->last_event_id});
+    }
+  }
+  next.answer_headers = {"content-type", "auburnloft-resumed"};
+  const auto self = this->shared_from_this();
+  next.on_head = [self](int code, const HttpHeaders& headers) {
+    self->status = code;
+    self->resumed = HeaderValue(headers, "auburnloft-resumed") == "yes";
+    self->is_stream =
+        HeaderValue(headers, "content-type").starts_with("text/event-stream");
+    if (!self->resumed) {
+      self->content.clear();
+      self->result.pieces = 0;
+    }
+  };
+  next.on_data = [self](std::string_view data) { self->OnData(data); };
+  next.on_end = [self] { self->OnEnd(); };
+  next.on_error = [self](bool, std::string_view text) { self->OnError(text); };
+  this->call = this->http.Send(std::move(next));
+}
+
+auto Caller::OnData(std::string_view data) -> void {
+  if (!this->is_stream) {
+    this->body += data;
+    return;
+  }
+  const bool fed = this->parser.Feed(
+      data, [this](const SseEvent& event) { this->OnEvent(event); });
+  if (!fed) {
+    this->stream_error = "malformed";
+  }
+  const std::size_t rate = this->request.kind->read_bytes_per_second;
+  if (rate > 0) {
+    this->call->SetPaused(true);
+    const auto wait = Duration(std::chrono::seconds(1)) *
+                      static_cast<std::int64_t>(data.size()) /
+                      static_cast<std::int64_t>(rate);
+    this->loop.After(wait, [self = this->shared_from_this()] {
+      self->call->SetPaused(false);
+    });
+  }
+}
+
+auto Caller::OnEvent(const SseEvent& event) -> void {
+  if (event.data == "[DONE]") {
+    this->done_seen = true;
+    return;
+  }
+  const json chunk = json::parse(event.data, nullptr, false);
+  if (!chunk.is_object()) {
+    this->stream_error = "malformed";
+    return;
+  }
+  if (chunk.contains("error")) {
+    this->stream_error = chunk["error"].value("code", "unknown");
+    return;
+  }
+  if (chunk.contains("usage") && chunk["usage"].is_object()) {
+    this->result.used = chunk["usage"].value("total_tokens", Tokens{0});
+    return;
+  }
+  if (this->result.first_piece == Duration{0}) {
+    this->result.first_piece = this->loop.Now() - this->started;
+  }
+  ++this->result.pieces;
+  this->content += chunk["choices"][0]["delta"].value("content", "");
+  this->last_event_id = event.id;
+}
+
+auto Caller::OnEnd() -> void {
+  if (this->is_stream) {
+    if (!this->stream_error.empty()) {
+      ++this->result.breaks;
+      this->Finish(ResultKind::kFailed, this->stream_error);
+    } else if (!this->done_seen) {
+      this->OnError("the stream ended early");
+    } else {
+      const AnswerScript script(this->prompt + "\n",
+                                this->request.kind->pieces);
+      this->Finish(this->content == script.Whole() ? ResultKind::kWhole
+                                                   : ResultKind::kWrong,
+                   "");
+    }
+    return;
+  }
+  if (this->status == kOk) {
+    this->OnWholeBody();
+  } else {
+    this->OnErrorBody(this->body);
+  }
+}
+
+auto Caller::OnWholeBody() -> void {
+  this->result.first_piece = this->loop.Now() - this->started;
+  const json answer = json::parse(this->body, nullptr, false);
+  if (this->result.is_service) {
+    const bool own =
+        answer.is_object() && answer.value("done", "") == this->request.key;
+    this->result.used = this->result.upper;
+    this->Finish(own ? ResultKind::kWhole : ResultKind::kWrong, "");
+    return;
+  }
+  const AnswerScript script(this->prompt + "\n", this->request.kind->pieces);
+  const bool own =
+      answer.is_object() && answer.contains("choices") &&
+      answer["choices"][0]["message"].value("content", "") == script.Whole();
+  if (own) {
+    this->result.used = answer["usage"].value("total_tokens", Tokens{0});
+  }
+  this->Finish(own ? ResultKind::kWhole : ResultKind::kWrong, "");
+}
+
+auto Caller::OnErrorBody(std::string_view text) -> void {
+  const json answer = json::parse(text, nullptr, false);
+  if (!answer.is_object() || !answer.contains("error")) {
+    this->Finish(ResultKind::kFailed, "status " + std::to_string(this->status));
+    return;
+  }
+  const json& error = answer["error"];
+  const std::string code = error.value("code", "");
+  if (ComesBack(code) && this->result.attempts < this->request.most_attempts) {
+    if (code == "draining") {
+      this->entries.Expire(this->request.team->team);
+    }
+    this->Retry(std::chrono::milliseconds(error.value("retry_after_ms", 200)));
+    return;
+  }
+  const std::string run = error.value("run", "unknown");
+  this->Finish(run == "no"        ? ResultKind::kRefused
+               : run == "unknown" ? ResultKind::kUnknown
+                                  : ResultKind::kFailed,
+               code);
+}
+
+auto Caller::OnError(std::string_view text) -> void {
+  if (this->result.pieces > 0) {
+    ++this->result.breaks;
+  }
+  if (this->result.attempts >= this->request.most_attempts) {
+    this->Finish(ResultKind::kFailed, std::string(text));
+    return;
+  }
+  this->entries.Expire(this->request.team->team);
+  this->Retry(kRetryWait * (this->result.attempts + 1));
+}
+
+auto Caller::Retry(Duration wait) -> void {
+  this->loop.After(wait, [self = this->shared_from_this()] { self->Start(); });
+}
+
+auto Caller::Finish(ResultKind kind, std::string code) -> void {
+  this->result.kind = kind;
+  this->result.code = std::move(code);
+  this->result.total = this->loop.Now() - this->started;
+  this->on_result(this->result);
+}
+
+}  // namespace auburnloft::load
--- /dev/null
+++ b/programs/load/caller.h
@@ -0,0 +1,80 @@
+#ifndef PROGRAMS_LOAD_CALLER_H_
+#define PROGRAMS_LOAD_CALLER_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "al_edge/http/http_client.h"
+#include "al_edge/http/sse_parser.h"
+#include "al_edge/loop/event_loop.h"
+#include "load/entry_book.h"
+#include "load/request_result.h"
+#include "load/workload.h"
+
+namespace auburnloft::load {
+
+/** One request as a careful caller sends it: with a key, checked byte for byte, and sent again with
+    the same key when its connection breaks.
+
+    Thread safety: none; used on the loop's thread.
+*/
+class Caller : public std::enable_shared_from_this<Caller> {
+ public:
+  using OnResult = std::function<void(const RequestResult& result)>;
+
+  struct Request {
+    const TeamLoad* team = nullptr;
+    const RequestKind* kind = nullptr;
+    std::string model;
+    std::string key;      ///< A UUID of version 7.
+    std::string filler;   ///< Makes the prompt this request's own.
+    int most_attempts = 6;
+  };
+
+  Caller(EventLoop& loop, HttpClient& http, EntryBook& entries, Request request, OnResult on_result);
+
+  Caller(const Caller&) = delete;
+  auto operator=(const Caller&) -> Caller& = delete;
+
+  auto Start() -> void;
+
+  /** The most tokens that the request can cost, as the router reckons. */
+  [[nodiscard]] auto Upper() const -> Tokens;
+
+ private:
+  auto Send(const std::string& address) -> void;
+  auto OnData(std::string_view data) -> void;
+  auto OnEvent(const SseEvent& event) -> void;
+  auto OnEnd() -> void;
+  auto OnError(std::string_view text) -> void;
+  auto OnErrorBody(std::string_view text) -> void;
+  auto OnWholeBody() -> void;
+  auto Retry(Duration wait) -> void;
+  auto Finish(ResultKind kind, std::string code) -> void;
+  [[nodiscard]] auto ChatBody() const -> std::string;
+
+  EventLoop& loop;
+  HttpClient& http;
+  EntryBook& entries;
+  Request request;
+  OnResult on_result;
+  RequestResult result;
+  std::string prompt;
+  Instant started;
+  std::string address;
+  std::shared_ptr<HttpCallHandle> call;
+  int status = 0;
+  bool resumed = false;
+  bool is_stream = false;
+  std::string body;
+  SseParser parser;
+  std::string content;
+  std::string last_event_id;
+  std::string stream_error;
+  bool done_seen = false;
+};
+
+}  // namespace auburnloft::load
+
+#endif  // PROGRAMS_LOAD_CALLER_H_
--- /dev/null
+++ b/programs/load/entry_book.h
@@ -0,0 +1,57 @@
+#ifndef PROGRAMS_LOAD_ENTRY_BOOK_H_
+#define PROGRAMS_LOAD_ENTRY_BOOK_H_
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "al_core/ids/ids.h"
+#include "al_core/random/random_source.h"
+#include "al_edge/http/http_client.h"
+#include "al_edge/loop/event_loop.h"
+
+namespace auburnloft::load {
+
+/** The addresses that callers use: asked for at any router, kept for as long as the answer holds.
+
+    Thread safety: none; used on the loop's thread.
+*/
+class EntryBook {
+ public:
+  using OnAddress = std::function<void(std::string address)>;
+
+  /** @param bootstrap  routers to ask at first.  @param follows_lists  false keeps to them. */
+  EntryBook(EventLoop& loop, HttpClient& http, RandomSource& random,
+            std::vector<std::string> bootstrap, bool follows_lists);
+
+  /** Gives an address for a request of `team`, asking for a new list where the old one has run
+      out. @param avoid  an address that just failed. */
+  auto Pick(const TeamId& team, const std::string& key, const std::string& avoid, OnAddress on_address)
+      -> void;
+
+  /** Makes the next Pick() of `team` ask anew. */
+  auto Expire(const TeamId& team) -> void;
+
+ private:
+  struct List {
+    std::vector<std::string> addresses;
+    Instant until;
+    bool asking = false;
+    std::vector<std::pair<std::string, OnAddress>> waiting;
+  };
+
+  auto Ask(const TeamId& team, const std::string& key, int attempt) -> void;
+  auto Answer(List& list, const std::string& avoid, const OnAddress& on_address) -> void;
+
+  EventLoop& loop;
+  HttpClient& http;
+  RandomSource& random;
+  std::vector<std::string> bootstrap;
+  bool follows_lists;
+  std::map<TeamId, List> lists;
+};
+
+}  // namespace auburnloft::load
+
+#endif  // PROGRAMS_LOAD_ENTRY_BOOK_H_
--- /dev/null
+++ b/programs/load/load_run.h
@@ -0,0 +1,75 @@
+#ifndef PROGRAMS_LOAD_LOAD_RUN_H_
+#define PROGRAMS_LOAD_LOAD_RUN_H_
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "al_core/random/random_source.h"
+#include "al_edge/http/http_client.h"
+#include "al_edge/loop/event_loop.h"
+#include "load/caller.h"
+#include "load/entry_book.h"
+#include "load/request_result.h"
+#include "load/workload.h"
+
+namespace auburnloft::load {
+
+/** Plays the callers of a workload for a while, at a rate that does not wait for answers.
+
+    Thread safety: none.
+*/
+class LoadRun {
+ public:
+  struct Options {
+    std::vector<std::string> bootstrap;
+    bool follows_lists = true;
+    double rate = 10.0;        ///< Requests a second.
+    Duration duration = std::chrono::seconds(10);
+    Duration grace = std::chrono::seconds(30);  ///< For answers after the last request.
+    std::uint64_t seed = 1;
+    std::map<TeamId, Tokens> budgets;  ///< Top-ups less bills at the start; may be empty.
+  };
+
+  LoadRun(Workload workload, Options options);
+
+  LoadRun(const LoadRun&) = delete;
+  auto operator=(const LoadRun&) -> LoadRun& = delete;
+
+  /** Sends all requests and waits for their ends. */
+  auto Run() -> void;
+
+  [[nodiscard]] auto results() const -> const std::vector<RequestResult>& { return this->done; }
+  [[nodiscard]] auto sent() const -> std::uint64_t { return this->sent_count; }
+  [[nodiscard]] auto seconds() const -> double { return this->elapsed_seconds; }
+
+ private:
+  struct TeamSpending {
+    Tokens used = 0;
+    Tokens reserved = 0;  ///< Upper bounds of requests that are under way.
+  };
+
+  auto ScheduleNext() -> void;
+  auto SendOne() -> void;
+  auto OnResult(RequestResult result) -> void;
+  auto NewKey() -> std::string;
+
+  Workload workload;
+  Options options;
+  EventLoop loop;
+  HttpClient http;
+  RandomSource random;
+  EntryBook entries;
+  std::map<TeamId, TeamSpending> spending;
+  std::vector<RequestResult> done;
+  std::uint64_t sent_count = 0;
+  double elapsed_seconds = 0.0;
+  Instant next_at;
+  Instant end_at;
+  bool all_sent = false;
+};
+
+}  // namespace auburnloft::load
+
+#endif  // PROGRAMS_LOAD_LOAD_RUN_H_
--- /dev/null
+++ b/programs/load/main.cc
@@ -0,0 +1,112 @@
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+#include "al_edge/settings/settings_reader.h"
+#include "load/audit.h"
+#include "load/load_run.h"
+#include "load/report.h"
+#include "load/workload.h"
+
+namespace {
+
+using namespace auburnloft;        // NOLINT(google-build-using-namespace)
+using namespace auburnloft::load;  // NOLINT(google-build-using-namespace)
+
+auto SplitList(const std::string& text) -> std::vector<std::string> {
+  std::vector<std::string> items;
+  std::istringstream stream(text);
+  for (std::string item; std::getline(stream, item, ',');) {
+    if (!item.empty()) {
+      items.push_back(item);
+    }
+  }
+  return items;
+}
+
+auto DeclareSettings(SettingsReader& settings) -> void {
+  settings.DeclareRequiredText("workload", "file that tells what to send");
+  settings.DeclareRequiredText("routers",
+                               "addresses to ask for entries, comma-separated");
+  settings.DeclareSwitch("direct",
+                         "send to --routers themselves, without entry lists");
+  settings.DeclareWhole("rate", "requests a second", 20, 1, 100'000);
+  settings.DeclareWhole("seconds", "how long to send", 10, 1, 86'400);
+  settings.DeclareWhole("grace-seconds", "how long to wait for the last answers",
+                        30, 1, 3600);
+  settings.DeclareWhole("seed", "seed of the schedule", 1, 0, 1'000'000'000);
+  settings.DeclareText("platform-address",
+                       "the log, for the audit of bills; empty for none", "");
+  settings.DeclareText("services",
+                       "stand-in services to ask for executions, "
+                       "comma-separated",
+                       "");
+  settings.DeclareText("all-routers",
+                       "routers to ask which holders live; else --routers", "");
+  settings.DeclareWhole("settle-seconds", "how long bills may take at the end",
+                        15, 0, 3600);
+  settings.DeclareText("name", "name of the run, for the report", "load");
+  settings.DeclareText("json", "file for the report", "");
+}
+
+auto ReadWorkload(const std::string& path) -> std::optional<Workload> {
+  const std::ifstream file(path);
+  std::ostringstream text;
+  text << file.rdbuf();
+  Findings findings;
+  std::optional<Workload> workload = ParseWorkload(text.str(), findings);
+  if (!workload) {
+    std::cerr << path << ":\n" << findings.ToText();
+  }
+  return workload;
+}
+
+}  // namespace
+
+auto main(int argc, char** argv) -> int {
+  SettingsReader settings("Plays callers and checks what they get.");
+  DeclareSettings(settings);
+  if (!settings.Read(argc, argv)) {
+    std::cerr << settings.findings().ToText();
+    return 2;
+  }
+  const std::optional<Workload> workload =
+      ReadWorkload(settings.Text("workload"));
+  if (!workload) {
+    return 2;
+  }
+  std::vector<TeamId> teams;
+  for (const TeamLoad& team : workload->teams) {
+    teams.push_back(team.team);
+  }
+  LoadRun::Options options;
+  options.bootstrap = SplitList(settings.Text("routers"));
+  options.follows_lists = !settings.Switch("direct");
+  options.rate = static_cast<double>(settings.Whole("rate"));
+  options.duration = std::chrono::seconds(settings.Whole("seconds"));
+  options.grace = std::chrono::seconds(settings.Whole("grace-seconds"));
+  options.seed = static_cast<std::uint64_t>(settings.Whole("seed"));
+  const std::string all_routers = settings.Text("all-routers");
+  std::optional<Audit> audit;
+  if (!settings.Text("platform-address").empty()) {
+    audit.emplace(settings.Text("platform-address"),
+                  all_routers.empty() ? options.bootstrap
+                                      : SplitList(all_routers),
+                  SplitList(settings.Text("services")));
+    options.budgets = audit->Budgets(teams);
+  }
+  LoadRun run(*workload, std::move(options));
+  run.Run();
+  std::optional<AuditReport> audited;
+  if (audit) {
+    audited = audit->Run(teams, run.results(),
+                         std::chrono::seconds(settings.Whole("settle-seconds")));
+  }
+  const nlohmann::json report =
+      ReportOf(settings.Text("name"), run, audited ? &*audited : nullptr);
+  std::cout << TableOf(report);
+  if (!settings.Text("json").empty()) {
+    std::ofstream(settings.Text("json")) << report.dump(2) << "\n";
+  }
+  return 0;
+}
--- /dev/null
+++ b/programs/load/workload.cc
@@ -0,0 +1,61 @@
+#include "load/workload.h"
+
+#include <nlohmann/json.hpp>
+
+#include "al_config/check/json_reader.h"
+
+namespace auburnloft::load {
+
+namespace {
+
+constexpr double kMostWeight = 1e6;
+constexpr std::int64_t kMostCharacters = 1'000'000;
+
+auto ReadKind(std::string_view name, JsonReader& reader) -> RequestKind {
+  RequestKind kind;
+  kind.name = name;
+  kind.weight = reader.Fraction("weight", 1.0, 0.0, kMostWeight);
+  kind.service = reader.Text("service", "");
+  kind.method = reader.Text("method", "POST");
+  kind.path = reader.Text("path", "/");
+  kind.request_class = reader.Text("class", "");
+  kind.prompt_characters = static_cast<std::size_t>(
+      reader.Whole("prompt_characters", 200, 1, kMostCharacters));
+  kind.shared_characters = static_cast<std::size_t>(
+      reader.Whole("shared_characters", 0, 0, kMostCharacters));
+  kind.pieces =
+      static_cast<std::size_t>(reader.Whole("pieces", 16, 1, kMostCharacters));
+  kind.stream = reader.Flag("stream", true);
+  kind.read_bytes_per_second = static_cast<std::size_t>(
+      reader.Whole("read_bytes_per_second", 0, 0, kMostCharacters));
+  return kind;
+}
+
+}  // namespace
+
+auto ParseWorkload(std::string_view text, Findings& findings)
+    -> std::optional<Workload> {
+  const nlohmann::json json = nlohmann::json::parse(text, nullptr, false);
+  Workload workload;
+  JsonReader reader(json, "$", findings);
+  workload.model = reader.RequiredText("model");
+  reader.ForEachNamed("teams", [&](std::string_view name, JsonReader& item) {
+    TeamLoad& team = workload.teams.emplace_back();
+    team.team = TeamId(name);
+    team.key = item.RequiredText("key");
+    team.weight = item.Fraction("weight", 1.0, 0.0, kMostWeight);
+    item.ForEachNamed("kinds", [&](std::string_view kind, JsonReader& inner) {
+      team.kinds.push_back(ReadKind(kind, inner));
+    });
+    if (team.kinds.empty()) {
+      item.Note("kinds", "is required and must not be empty");
+    }
+  });
+  if (workload.teams.empty()) {
+    reader.Note("teams", "is required and must not be empty");
+  }
+  reader.Finish();
+  return findings.empty() ? std::optional(workload) : std::nullopt;
+}
+
+}  // namespace auburnloft::load
--- /dev/null
+++ b/programs/router/main.cc
@@ -0,0 +1,74 @@
+#include <log4cplus/configurator.h>
+#include <log4cplus/initializer.h>
+
+#include <iostream>
+
+#include "al_core/text/digest.h"
+#include "al_edge/settings/settings_reader.h"
+#include "router/router_daemon.h"
+
+namespace {
+
+using namespace auburnloft;  // NOLINT(google-build-using-namespace)
+
+constexpr int kMarkBytes = 4;
+
+auto DeclareSettings(SettingsReader& settings) -> void {
+  settings.DeclareRequiredText("name", "name of this router's VM");
+  settings.DeclareRequiredText("domain", "failure domain of this VM");
+  settings.DeclareAddress("http-address", "where callers connect, as ip:port");
+  settings.DeclareAddress("peer-address", "where routers connect, as ip:port");
+  settings.DeclareAddress("platform-address",
+                          "where the log and the VM list are, as ip:port");
+  settings.DeclareText("admin-key", "bearer key for POST /admin/drain", "");
+  settings.DeclareWhole("max-body-bytes", "longest body of a request",
+                        1'048'576, 1024, 1'073'741'824);
+  settings.DeclareText("log-level", "DEBUG, INFO, WARN or ERROR", "INFO");
+  settings.DeclareSwitch("no-upstream-polls",
+                         "do not ask upstreams for load and cache events");
+}
+
+auto OptionsOf(const SettingsReader& settings, Instant now)
+    -> RouterDaemon::Options {
+  RouterDaemon::Options options;
+  const std::string mark = SecureRandomHex(kMarkBytes);
+  options.router.name = RouterId(settings.Text("name"));
+  options.router.incarnation =
+      MakeIncarnation(options.router.name, ToUnixMillis(now), mark);
+  options.router.seed = StableHash(mark);
+  options.router.vm.name = settings.Text("name");
+  options.router.vm.role = "router";
+  options.router.vm.domain = DomainId(settings.Text("domain"));
+  options.router.vm.http_address = settings.Text("http-address");
+  options.router.vm.peer_address = PeerAddress(settings.Text("peer-address"));
+  options.platform_address = settings.Text("platform-address");
+  options.admin_key = settings.Text("admin-key");
+  options.most_body =
+      static_cast<std::size_t>(settings.Whole("max-body-bytes"));
+  options.polls_upstreams = !settings.Switch("no-upstream-polls");
+  return options;
+}
+
+}  // namespace
+
+auto main(int argc, char** argv) -> int {
+  SettingsReader settings("Routes requests of prepaid teams to upstreams.");
+  DeclareSettings(settings);
+  if (!settings.Read(argc, argv)) {
+    std::cerr << settings.findings().ToText();
+    return 2;
+  }
+  const log4cplus::Initializer log_initializer;
+  log4cplus::BasicConfigurator::doConfigure();
+  log4cplus::Logger::getRoot().setLogLevel(
+      log4cplus::getLogLevelManager().fromString(settings.Text("log-level")));
+  EventLoop loop;
+  RouterDaemon daemon(loop, OptionsOf(settings, loop.Now()));
+  loop.HandleSignals([&daemon] { daemon.Drain(); });
+  if (!daemon.Start()) {
+    std::cerr << "--http-address or --peer-address: cannot be listened on\n";
+    return 2;
+  }
+  loop.Run();
+  return 0;
+}
--- /dev/null
+++ b/programs/router/state_log.h
@@ -0,0 +1,29 @@
+#ifndef PROGRAMS_ROUTER_STATE_LOG_H_
+#define PROGRAMS_ROUTER_STATE_LOG_H_
+
+#include <cstdint>
+#include <vector>
+
+#include "al_router/core/router_core.h"
+
+namespace auburnloft {
+
+/** Writes a log line for each change of a router's state, and none for its requests.
+
+    Thread safety: none; used on the loop's thread.
+*/
+class StateLog {
+ public:
+  /** Compares the state with the last one. */
+  auto Observe(const RouterCore& core) -> void;
+
+ private:
+  std::uint64_t config_version = 0;
+  std::vector<PartitionIndex> kept;
+  std::vector<RouterId> live;
+  bool draining = false;
+};
+
+}  // namespace auburnloft
+
+#endif  // PROGRAMS_ROUTER_STATE_LOG_H_
--- /dev/null
+++ b/programs/router/upstream_poller.cc
@@ -0,0 +1,86 @@
+#include "router/upstream_poller.h"
+
+#include <charconv>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace auburnloft {
+
+namespace {
+
+using nlohmann::json;
+
+auto ParseLoad(std::string_view body) -> std::optional<LoadReport> {
+  const json report = json::parse(body, nullptr, false);
+  if (!report.is_object()) {
+    return std::nullopt;
+  }
+  return LoadReport{report.value("running", 0U),
+                    report.value("patient_running", 0U),
+                    report.value("waiting", 0U),
+                    report.value("leaving", false)};
+}
+
+auto ParseDigest(const json& event) -> PrefixDigest {
+  const std::string text = event.value("digest", "");
+  PrefixDigest digest = 0;
+  std::from_chars(text.data(), text.data() + text.size(), digest);
+  return digest;
+}
+
+}  // namespace
+
+UpstreamPoller::UpstreamPoller(HttpClient& http,
+                               OnLoad on_load,
+                               OnCache on_cache)
+    : http(http),
+      on_load(std::move(on_load)),
+      on_cache(std::move(on_cache)) {}
+
+auto UpstreamPoller::Poll(const Configuration& configuration) -> void {
+  for (const Upstream& upstream : configuration.upstreams) {
+    const UpstreamId id = upstream.id;
+    this->Get(upstream, "/load", [this, id](std::string_view body) {
+      if (const std::optional<LoadReport> report = ParseLoad(body)) {
+        this->on_load(id, *report);
+      }
+    });
+    if (upstream.kind != UpstreamKind::kEngine) {
+      continue;
+    }
+    const std::string after = std::to_string(this->cache_sequence[id]);
+    this->Get(upstream, "/cache-events?after=" + after,
+              [this, id](std::string_view body) {
+                const json answer = json::parse(body, nullptr, false);
+                if (!answer.is_object()) {
+                  return;
+                }
+                CacheChange change;
+                change.upstream = id;
+                for (const json& event :
+                     answer.value("events", json::array())) {
+                  (event.value("stored", true) ? change.cached : change.dropped)
+                      .push_back(ParseDigest(event));
+                }
+                this->cache_sequence[id] =
+                    answer.value("next", std::uint64_t{0});
+                this->on_cache(change);
+              });
+  }
+}
+
+auto UpstreamPoller::Get(const Upstream& upstream,
+                         std::string path,
+                         std::function<void(std::string_view body)> on_body)
+    -> void {
+  auto body = std::make_shared<std::string>();
+  HttpCall call;
+  call.address = upstream.address;
+  call.path = std::move(path);
+  call.on_data = [body](std::string_view data) { *body += data; };
+  call.on_end = [body, on_body = std::move(on_body)] { on_body(*body); };
+  this->http.Send(std::move(call));
+}
+
+}  // namespace auburnloft
