Close finished HTTP exchanges whose client does not keep the connection

Cause: strace of an idle stand-in showed poll() returning for a connection that nobody read: libwebsockets wants a negative return where a finished transaction cannot be kept alive, and got 1. Ruled out: the 1 ms timers of the engine stand-in (5% of a core). Change: HttpExchange returns -1 where lws_http_transaction_completed() asks for a close.

--- a/modules/al_edge/http/http_exchange.cc
+++ b/modules/al_edge/http/http_exchange.cc
@@ -177,7 +177,7 @@
   lws* const connection = this->wsi;
   this->wsi = nullptr;
   lws_set_opaque_user_data(connection, nullptr);
-  return lws_http_transaction_completed(connection);
+  return lws_http_transaction_completed(connection) != 0 ? -1 : 0;
 }
 
 auto HttpExchange::OnClosed() -> void {
