--- /dev/null
+++ b/bench/schedule_main.cc
@@ -0,0 +1,34 @@
+#include <iostream>
+
+#include "al_edge/settings/settings_reader.h"
+#include "support/fault_schedule.h"
+
+/** Replays fault schedules by their seeds; prints what was seen. */
+auto main(int argc, char** argv) -> int {
+  auburnloft::SettingsReader settings("Runs fault schedules in virtual time, one a seed.");
+  settings.DeclareWhole("seed", "first seed", 1, 0, 1'000'000'000);
+  settings.DeclareWhole("count", "how many seeds from there on", 1, 1, 1'000'000);
+  settings.DeclareSwitch("faults", "print the faults of each run");
+  if (!settings.Read(argc, argv)) {
+    std::cerr << settings.findings().ToText();
+    return 2;
+  }
+  int failed = 0;
+  const auto first = static_cast<std::uint64_t>(settings.Whole("seed"));
+  const auto count = static_cast<std::uint64_t>(settings.Whole("count"));
+  for (std::uint64_t seed = first; seed < first + count; ++seed) {
+    const auburnloft::testing::FaultSchedule::Outcome outcome =
+        auburnloft::testing::FaultSchedule(seed).Run();
+    if (settings.Switch("faults")) {
+      for (const std::string& fault : outcome.faults) {
+        std::cout << "  " << fault << "\n";
+      }
+    }
+    failed += outcome.violation.empty() ? 0 : 1;
+    std::cout << "seed " << seed << ": " << (outcome.violation.empty() ? "held" : outcome.violation)
+              << "; steps " << outcome.steps << ", requests " << outcome.requests << ", answered "
+              << outcome.answered << ", unbilled " << outcome.unbilled << ", stranded "
+              << outcome.stranded << "\n";
+  }
+  return failed == 0 ? 0 : 1;
+}
--- a/modules/al_budget/allowance/budget_coordinator.cc
+++ b/modules/al_budget/allowance/budget_coordinator.cc
@@ -20,8 +20,10 @@
 /** After everyone was asked in vain, further requests are refused at once for this long. */
 constexpr Duration kExhaustedHold = std::chrono::milliseconds(200);
 
-/** A refill that the keeper cut short or refused is tried again after this. */
+/** A refill that the keeper cut short or refused is tried again after this; the wait doubles with
+    each refusal, so that the holders of a spent budget do not keep their keeper busy. */
 constexpr Duration kRefillHold = std::chrono::seconds(1);
+constexpr Duration kLongestRefillHold = std::chrono::seconds(32);
 
 /** How often an allowance is checked for tokens that another router may need more. */
 constexpr Duration kSurplusInterval = std::chrono::seconds(10);
@@ -39,12 +41,14 @@
                                      AnyAllowancePolicy policy,
                                      EntryOutbox& outbox,
                                      TransferDesk& transfers,
+                                     WitnessDesk& witness,
                                      LikelyHolders likely_holders)
     : self(std::move(self)),
       partitions(partitions),
       policy(policy),
       outbox(outbox),
       transfers(transfers),
+      witness(witness),
       likely_holders(std::move(likely_holders)) {}
 
 //==============================================================================
@@ -210,10 +214,13 @@
     this->allowances.Receive(team, verdict.tokens());
     const bool cut_short = verdict.tokens() < grant.tokens();
     fetch.next_refill_at = cut_short ? now + kRefillHold : now;
+    fetch.refill_hold = kRefillHold;
     this->ServeWaiters(now, team, fetch);
     return;
   }
-  fetch.next_refill_at = now + kRefillHold;
+  fetch.refill_hold = std::clamp(fetch.refill_hold * 2, kRefillHold,
+                                 kLongestRefillHold);
+  fetch.next_refill_at = now + fetch.refill_hold;
   if (fetch.waiters.empty() || fetch.holders_deadline) {
     fetch.keeper_has_none = true;
     return;
@@ -293,6 +300,7 @@
     transfer.set_from(from.value());
     transfer.set_to(this->self.value());
     transfer.set_tokens(give.tokens());
+    this->witness.Copy(now, entry);
     this->Submit(now, team, std::move(entry), Urgency::kBatched);
     this->ServeWaiters(now, team, fetch);
   }
@@ -327,6 +335,7 @@
   transfer.set_from(this->self.value());
   transfer.set_to(from.value());
   transfer.set_tokens(tokens);
+  this->witness.Copy(now, entry);
   this->Submit(now, team, std::move(entry), Urgency::kBatched);
 }
 
@@ -354,7 +363,7 @@
       if (verdict.verdict() == wire::VERDICT_INSUFFICIENT) {
         // The giver's own grant or transfer in is not recorded yet.
         this->Submit(now, TeamId(entry.transfer().team()), entry,
-                     Urgency::kBatched);
+                     Urgency::kLater);
       }
       break;
     case wire::LedgerEntry::kBill:
@@ -373,7 +382,8 @@
   const bool is_own = entry.bill().holder() == this->self.value();
   switch (verdict.verdict()) {
     case wire::VERDICT_INSUFFICIENT:
-      this->Submit(now, team, entry, Urgency::kBatched);
+      // The transfer that covers it is not recorded yet.
+      this->Submit(now, team, entry, Urgency::kLater);
       break;
     case wire::VERDICT_DUPLICATE:
       if (!is_own) {
--- a/modules/al_budget/allowance/budget_coordinator.h
+++ b/modules/al_budget/allowance/budget_coordinator.h
@@ -14,6 +14,7 @@
 #include "al_budget/allowance/transfer_desk.h"
 #include "al_budget/outbox/entry_outbox.h"
 #include "al_budget/policy/allowance_policy.h"
+#include "al_budget/witness/witness_desk.h"
 #include "al_ledger/records/partition_map.h"
 #include "peer.pb.h"
 
@@ -52,6 +53,7 @@
                     AnyAllowancePolicy policy,
                     EntryOutbox& outbox,
                     TransferDesk& transfers,
+                    WitnessDesk& witness,
                     LikelyHolders likely_holders);
 
   BudgetCoordinator(const BudgetCoordinator&) = delete;
@@ -131,6 +133,7 @@
     std::string open_op;          ///< Entry id of the grant or return under way.
     Instant asked_keeper_at;
     Instant next_refill_at;
+    Duration refill_hold{0};
     Instant next_surplus_check;
     bool keeper_has_none = false;
     Instant exhausted_until;      ///< Asking again earlier would not help.
@@ -166,6 +169,7 @@
   AnyAllowancePolicy policy;
   EntryOutbox& outbox;
   TransferDesk& transfers;
+  WitnessDesk& witness;
   LikelyHolders likely_holders;
   AllowanceBook allowances;
   std::map<TeamId, TeamFetch> fetches;
--- a/modules/al_budget/outbox/entry_outbox.cc
+++ b/modules/al_budget/outbox/entry_outbox.cc
@@ -11,6 +11,18 @@
 constexpr Duration kFirstRepeat = std::chrono::milliseconds(500);
 constexpr Duration kLongestRepeat = std::chrono::seconds(8);
 
+auto DelayOf(Urgency urgency) -> Duration {
+  switch (urgency) {
+    case Urgency::kAtOnce:
+      return Duration{0};
+    case Urgency::kBatched:
+      return EntryOutbox::kBatchDelay;
+    case Urgency::kLater:
+      break;
+  }
+  return EntryOutbox::kLaterDelay;
+}
+
 }  // namespace
 
 auto EntryOutbox::Add(Instant now,
@@ -20,8 +32,7 @@
   assert(!this->Contains(entry.entry_id()));
   const std::uint64_t order = this->next_order++;
   this->places[entry.entry_id()] = {partition, order};
-  const Instant due =
-      urgency == Urgency::kAtOnce ? now : now + kBatchDelay;
+  const Instant due = now + DelayOf(urgency);
   this->partitions[partition].items.emplace(
       order, Item{std::move(entry), due, Duration{0}});
 }
@@ -106,6 +117,16 @@
   return this->places.contains(std::string(entry_id));
 }
 
+auto EntryOutbox::Entries() const -> std::vector<const wire::LedgerEntry*> {
+  std::vector<const wire::LedgerEntry*> entries;
+  for (const auto& [index, partition] : this->partitions) {
+    for (const auto& [order, item] : partition.items) {
+      entries.push_back(&item.entry);
+    }
+  }
+  return entries;
+}
+
 auto EntryOutbox::NextDue() const -> std::optional<Instant> {
   std::optional<Instant> next;
   for (const auto& [index, partition] : this->partitions) {
--- a/modules/al_budget/outbox/entry_outbox.h
+++ b/modules/al_budget/outbox/entry_outbox.h
@@ -18,6 +18,7 @@
 enum class Urgency {
   kAtOnce,   ///< A caller waits for the verdict.
   kBatched,  ///< Sent together with others, within EntryOutbox::kBatchDelay.
+  kLater,    ///< Was premature; sent again after EntryOutbox::kLaterDelay.
 };
 
 /** Ledger entries on their way to the keepers of their partitions.
@@ -45,6 +46,9 @@
   /** Bills wait this long for others, so that a message carries several. */
   static constexpr Duration kBatchDelay = std::chrono::milliseconds(200);
 
+  /** An entry whose cover is not recorded yet waits this long before it is tried again. */
+  static constexpr Duration kLaterDelay = std::chrono::seconds(4);
+
   //============================================================================
   // Commands
 
@@ -74,6 +78,9 @@
   [[nodiscard]] auto size() const -> std::size_t { return this->places.size(); }
   [[nodiscard]] auto Contains(std::string_view entry_id) const -> bool;
 
+  /** All entries, in order within each partition. Valid until the next command. */
+  [[nodiscard]] auto Entries() const -> std::vector<const wire::LedgerEntry*>;
+
   /** The time at which the next entry is due; empty where there is none. */
   [[nodiscard]] auto NextDue() const -> std::optional<Instant>;
 
--- a/modules/al_budget/witness/witness_desk.cc
+++ b/modules/al_budget/witness/witness_desk.cc
@@ -6,8 +6,13 @@
 
 namespace {
 
-/** How long an answer waits for its witness: some round trips between failure domains. */
-constexpr Duration kWitnessWait = std::chrono::milliseconds(25);
+/** How long an answer waits for its witness: some round trips between failure domains, and one
+    repeat of a lost message. */
+constexpr Duration kWitnessWait = std::chrono::milliseconds(45);
+
+/** A copy is sent again at these intervals, before and after its answer was released. */
+constexpr Duration kRepeatWhileHeld = std::chrono::milliseconds(15);
+constexpr Duration kRepeat = std::chrono::milliseconds(500);
 
 /** How long a witness waits for word that an entry is recorded. */
 constexpr Duration kSubmitAfter = std::chrono::seconds(30);
@@ -16,8 +21,11 @@
 constexpr Duration kDoneInterval = std::chrono::seconds(1);
 
 auto TeamOf(const wire::LedgerEntry& entry) -> TeamId {
-  return TeamId(entry.has_bill() ? entry.bill().team()
-                                 : entry.outcome().team());
+  if (entry.has_bill()) {
+    return TeamId(entry.bill().team());
+  }
+  return TeamId(entry.has_transfer() ? entry.transfer().team()
+                                     : entry.outcome().team());
 }
 
 }  // namespace
@@ -34,29 +42,51 @@
 //==============================================================================
 // Sender
 
+auto WitnessDesk::AddNote(Instant now, std::vector<wire::LedgerEntry> entries)
+    -> Note& {
+  const std::uint64_t id = this->next_note++;
+  Note& note = this->notes[id];
+  note.note.set_note_id(id);
+  for (wire::LedgerEntry& entry : entries) {
+    note.open_entries.insert(entry.entry_id());
+    this->note_of_entry[entry.entry_id()] = id;
+    *note.note.add_entries() = std::move(entry);
+  }
+  this->Place(now, note);
+  return note;
+}
+
+auto WitnessDesk::Copy(Instant now, const wire::LedgerEntry& entry) -> void {
+  this->AddNote(now, {entry}).released = true;
+}
+
 auto WitnessDesk::Protect(Instant now,
                           RequestHandle handle,
                           std::vector<wire::LedgerEntry> entries) -> void {
-  const std::optional<PeerAddress> witness = this->witness_address();
-  if (entries.empty() || !witness) {
-    this->unprotected += entries.empty() ? 0 : 1;
+  if (entries.empty()) {
     this->actions.Push(ReleaseAnswer{handle});
     return;
   }
-  const std::uint64_t id = this->next_note++;
-  Note& note = this->notes[id];
+  Note& note = this->AddNote(now, std::move(entries));
   note.handle = handle;
   note.deadline = now + kWitnessWait;
+  if (note.witness.empty()) {
+    ++this->unprotected;
+    this->Release(note);
+  }
+}
+
+auto WitnessDesk::Place(Instant now, Note& note) -> void {
+  note.next_send = now + (note.released ? kRepeat : kRepeatWhileHeld);
+  const PeerAddress witness = this->witness_address().value_or(PeerAddress());
+  if (witness.empty() || (note.has_copy && witness == note.witness)) {
+    return;
+  }
   note.witness = witness;
+  note.has_copy = false;
   wire::PeerMessage message;
-  wire::EntryNote& out = *message.mutable_entry_note();
-  out.set_note_id(id);
-  for (wire::LedgerEntry& entry : entries) {
-    note.open_entries.insert(entry.entry_id());
-    this->note_of_entry[entry.entry_id()] = id;
-    *out.add_entries() = std::move(entry);
-  }
-  this->actions.Push(SendPeer{*witness, std::move(message)});
+  *message.mutable_entry_note() = note.note;
+  this->actions.Push(SendPeer{witness, std::move(message)});
 }
 
 auto WitnessDesk::Release(Note& note) -> void {
@@ -69,6 +99,7 @@
 auto WitnessDesk::OnAck(const wire::EntryNoteAck& ack) -> void {
   const auto found = this->notes.find(ack.note_id());
   if (found != this->notes.end()) {
+    found->second.has_copy = true;
     this->Release(found->second);
   }
 }
@@ -86,7 +117,9 @@
     return;
   }
   this->Release(note);
-  this->done[*note.witness].add_note_ids(found->first);
+  if (!note.witness.empty()) {
+    this->done[note.witness].add_note_ids(found->first);
+  }
   this->notes.erase(found);
 }
 
@@ -97,7 +130,7 @@
                          const IncarnationId& from,
                          const PeerAddress& from_address,
                          const wire::EntryNote& note) -> void {
-  Copy& copy = this->copies[{from, note.note_id()}];
+  HeldCopy& copy = this->copies[{from, note.note_id()}];
   copy.due = now + kSubmitAfter;
   copy.entries.assign(note.entries().begin(), note.entries().end());
   wire::PeerMessage message;
@@ -124,7 +157,7 @@
   });
 }
 
-auto WitnessDesk::SubmitCopy(Instant now, const Copy& copy) -> void {
+auto WitnessDesk::SubmitCopy(Instant now, const HeldCopy& copy) -> void {
   for (const wire::LedgerEntry& entry : copy.entries) {
     if (!this->outbox.Contains(entry.entry_id())) {
       this->outbox.Add(now, this->partitions.PartitionOf(TeamOf(entry)), entry,
@@ -135,12 +168,26 @@
 
 //==============================================================================
 
+auto WitnessDesk::HeldEntries() const
+    -> std::vector<const wire::LedgerEntry*> {
+  std::vector<const wire::LedgerEntry*> entries;
+  for (const auto& [key, copy] : this->copies) {
+    for (const wire::LedgerEntry& entry : copy.entries) {
+      entries.push_back(&entry);
+    }
+  }
+  return entries;
+}
+
 auto WitnessDesk::Tick(Instant now) -> void {
   for (auto& [id, note] : this->notes) {
     if (!note.released && now >= note.deadline) {
       ++this->unprotected;
       this->Release(note);
     }
+    if (now >= note.next_send) {
+      this->Place(now, note);
+    }
   }
   std::erase_if(this->copies, [&](const auto& item) {
     if (now < item.second.due) {
--- a/modules/al_budget/witness/witness_desk.h
+++ b/modules/al_budget/witness/witness_desk.h
@@ -47,6 +47,9 @@
   //============================================================================
   // Commands of the sender
 
+  /** Copies an entry to the witness, without an answer that waits for it. */
+  auto Copy(Instant now, const wire::LedgerEntry& entry) -> void;
+
   /** Copies `entries` to the witness and releases the answer of `handle` once they are there. */
   auto Protect(Instant now, RequestHandle handle, std::vector<wire::LedgerEntry> entries) -> void;
 
@@ -73,6 +76,9 @@
   /** Releases answers whose witness is late, and submits copies whose time has come. */
   auto Tick(Instant now) -> void;
 
+  /** All entries that are held for other routers. Valid until the next command. */
+  [[nodiscard]] auto HeldEntries() const -> std::vector<const wire::LedgerEntry*>;
+
   /** Copies held for other routers. */
   [[nodiscard]] auto copies_held() const -> std::size_t { return this->copies.size(); }
 
@@ -85,18 +91,23 @@
   struct Note {
     RequestHandle handle = 0;
     Instant deadline;
+    Instant next_send;
     bool released = false;
-    std::optional<PeerAddress> witness;
+    bool has_copy = false;  ///< `witness` has acknowledged it.
+    PeerAddress witness;
+    wire::EntryNote note;
     std::set<std::string> open_entries;
   };
-  struct Copy {
+  struct HeldCopy {
     Instant due;
     std::vector<wire::LedgerEntry> entries;
   };
   using CopyKey = std::pair<IncarnationId, std::uint64_t>;
 
+  auto AddNote(Instant now, std::vector<wire::LedgerEntry> entries) -> Note&;
+  auto Place(Instant now, Note& note) -> void;
   auto Release(Note& note) -> void;
-  auto SubmitCopy(Instant now, const Copy& copy) -> void;
+  auto SubmitCopy(Instant now, const HeldCopy& copy) -> void;
 
   PartitionMap partitions;
   ActionQueue& actions;
@@ -106,7 +117,7 @@
   std::map<std::string, std::uint64_t, std::less<>> note_of_entry;
   std::map<PeerAddress, wire::EntryNoteDone> done;
   Instant next_done;
-  std::map<CopyKey, Copy> copies;
+  std::map<CopyKey, HeldCopy> copies;
   std::uint64_t next_note = 1;
   std::uint64_t unprotected = 0;
 };
--- a/modules/al_ledger/fold/partition_ledger.cc
+++ b/modules/al_ledger/fold/partition_ledger.cc
@@ -251,12 +251,13 @@
 auto PartitionLedger::SumRuleHolds() const -> bool {
   return std::ranges::all_of(this->all_teams, [](const auto& item) {
     const TeamAccount& account = item.second.account;
-    const bool none_negative = std::ranges::all_of(
-        account.holders(),
-        [](const auto& holder) { return holder.second.tokens >= 0; });
-    return none_negative && account.unallocated() >= 0 &&
-           account.topped_up() == account.billed() + account.unallocated() +
-                                      account.AllowancesOut();
+    Tokens held = 0;
+    for (const auto& [holder, balance] : account.holders()) {
+      held += balance.tokens;
+    }
+    return account.unallocated() >= 0 && held >= 0 &&
+           account.topped_up() ==
+               account.billed() + account.unallocated() + held;
   });
 }
 
--- a/modules/al_ledger/fold/team_account.cc
+++ b/modules/al_ledger/fold/team_account.cc
@@ -1,7 +1,6 @@
 #include "al_ledger/fold/team_account.h"
 
 #include <algorithm>
-#include <numeric>
 
 #include "al_core/text/digest.h"
 
@@ -37,6 +36,7 @@
     return wire::VERDICT_INSUFFICIENT;
   }
   this->free_tokens -= entry.tokens();
+  this->out_tokens += entry.tokens();
   account.tokens += entry.tokens();
   account.received += entry.tokens();
   account.last_grant = entry.tokens();
@@ -48,21 +48,17 @@
   if (entry.tokens() <= 0) {
     return wire::VERDICT_MALFORMED;
   }
-  const auto found = this->accounts.find(IncarnationId(entry.holder()));
-  if (found == this->accounts.end()) {
-    return wire::VERDICT_INSUFFICIENT;
-  }
-  HolderBalance& account = found->second;
+  HolderBalance& account = this->accounts[IncarnationId(entry.holder())];
   if (entry.op_seq() == account.op_seq) {
     return wire::VERDICT_REPEATED;
   }
   if (entry.op_seq() < account.op_seq) {
     return wire::VERDICT_STALE;
   }
-  if (entry.tokens() > account.tokens) {
+  if (entry.tokens() > this->out_tokens) {
     return wire::VERDICT_INSUFFICIENT;
   }
-  account.tokens -= entry.tokens();
+  this->TakeFrom(account, entry.tokens());
   account.op_seq = entry.op_seq();
   account.last_grant = 0;
   this->free_tokens += entry.tokens();
@@ -74,15 +70,10 @@
       entry.transfer_id().empty()) {
     return wire::VERDICT_MALFORMED;
   }
-  if (this->transfer_ids.contains(entry.transfer_id())) {
+  if (!this->transfer_ids.insert(entry.transfer_id()).second) {
     return wire::VERDICT_REPEATED;
   }
-  const auto giver = this->accounts.find(IncarnationId(entry.from()));
-  if (giver == this->accounts.end() || giver->second.tokens < entry.tokens()) {
-    return wire::VERDICT_INSUFFICIENT;
-  }
-  this->transfer_ids.insert(entry.transfer_id());
-  giver->second.tokens -= entry.tokens();
+  this->accounts[IncarnationId(entry.from())].tokens -= entry.tokens();
   HolderBalance& receiver = this->accounts[IncarnationId(entry.to())];
   receiver.tokens += entry.tokens();
   receiver.received += entry.tokens();
@@ -104,11 +95,10 @@
   if (entry.issued_at_ms() < oldest_ms) {
     return wire::VERDICT_TOO_OLD;
   }
-  const auto found = this->accounts.find(IncarnationId(entry.holder()));
-  if (found == this->accounts.end() || found->second.tokens < entry.tokens()) {
+  if (entry.tokens() > this->out_tokens) {
     return wire::VERDICT_INSUFFICIENT;
   }
-  found->second.tokens -= entry.tokens();
+  this->TakeFrom(this->accounts[IncarnationId(entry.holder())], entry.tokens());
   this->billed_total += entry.tokens();
   ++this->bills_ever;
   this->bills.emplace(key, BillMark{run, entry.issued_at_ms()});
@@ -125,12 +115,17 @@
   const Tokens may_be_drawn =
       std::max<Tokens>(0, entry.drawn_limit() - recorded_draws);
   const Tokens back = std::max<Tokens>(0, account.tokens - may_be_drawn);
-  account.tokens -= back;
+  this->TakeFrom(account, back);
   account.closed = true;
   this->free_tokens += back;
   return wire::VERDICT_VALID;
 }
 
+auto TeamAccount::TakeFrom(HolderBalance& account, Tokens tokens) -> void {
+  account.tokens -= tokens;
+  this->out_tokens -= tokens;
+}
+
 auto TeamAccount::ForgetBills(std::int64_t oldest_ms) -> void {
   std::erase_if(this->bills, [oldest_ms](const auto& bill) {
     return bill.second.issued_at_ms < oldest_ms;
@@ -140,13 +135,6 @@
 //==============================================================================
 // Queries
 
-auto TeamAccount::AllowancesOut() const -> Tokens {
-  return std::accumulate(this->accounts.begin(), this->accounts.end(),
-                         Tokens{0}, [](Tokens sum, const auto& account) {
-                           return sum + account.second.tokens;
-                         });
-}
-
 auto TeamAccount::BalanceOf(const IncarnationId& holder) const
     -> HolderBalance {
   const auto found = this->accounts.find(holder);
@@ -170,10 +158,12 @@
   this->transfer_ids = {snapshot.transfer_ids().begin(),
                         snapshot.transfer_ids().end()};
   this->accounts.clear();
+  this->out_tokens = 0;
   for (const wire::HolderAccount& holder : snapshot.holders()) {
     this->accounts[IncarnationId(holder.holder())] = {
         holder.tokens(), holder.received(), holder.last_grant(),
         holder.op_seq(), holder.closed()};
+    this->out_tokens += holder.tokens();
   }
   this->bills.clear();
   for (const wire::BilledRequest& bill : snapshot.bills()) {
--- a/modules/al_ledger/fold/team_account.h
+++ b/modules/al_ledger/fold/team_account.h
@@ -16,7 +16,8 @@
 
 /** The tokens of one holder within a team's budget, as the ledger records them. */
 struct HolderBalance {
-  Tokens tokens = 0;         ///< Out with the holder and not yet billed.
+  Tokens tokens = 0;         ///< Out with the holder and not yet billed; negative
+                             ///< while a transfer to it is not recorded yet.
   Tokens received = 0;       ///< Cumulative grants and transfers in.
   Tokens last_grant = 0;     ///< The amount of the grant with number `op_seq`.
   std::uint64_t op_seq = 0;  ///< The last grant or return that took effect.
@@ -26,7 +27,13 @@
 /** The money of one team: top-ups, allowances out, bills.
 
     A part of the fold: applies one entry at a time and answers whether it was valid at its
-    place. In every state topped_up() == billed() + unallocated() + AllowancesOut().
+    place. In every state topped_up() == billed() + unallocated() + AllowancesOut(), and none of
+    them is negative, so that bills never exceed the top-ups.
+
+    Holders move tokens to each other before the ledger hears of it, and the records of that may
+    come late, in any order, or never, when all who had a copy died. A bill is therefore covered by
+    all allowances together: the account of one holder may be negative until the transfer to it is
+    recorded.
 
     Thread safety: none; used on one thread.
 
@@ -73,7 +80,7 @@
   }
 
   /** The sum over all holders. */
-  [[nodiscard]] auto AllowancesOut() const -> Tokens;
+  [[nodiscard]] auto AllowancesOut() const -> Tokens { return this->out_tokens; }
 
   /** The balance of `holder`; an empty one where it never held tokens. */
   [[nodiscard]] auto BalanceOf(const IncarnationId& holder) const
@@ -86,6 +93,8 @@
   auto Save(wire::TeamSnapshot& snapshot) const -> void;
 
  private:
+  auto TakeFrom(HolderBalance& account, Tokens tokens) -> void;
+
   struct BillMark {
     std::uint64_t run_digest = 0;
     std::int64_t issued_at_ms = 0;
@@ -95,6 +104,7 @@
   Tokens top_up_total = 0;
   Tokens free_tokens = 0;
   Tokens billed_total = 0;
+  Tokens out_tokens = 0;
   std::uint64_t bills_ever = 0;
   Holders accounts;
   std::set<std::string, std::less<>> top_up_ids;
--- a/modules/al_router/core/router_core.cc
+++ b/modules/al_router/core/router_core.cc
@@ -65,6 +65,7 @@
              DemandLedPolicy(AllowanceSettings{}.cover, true),
              core.entries,
              core.transfers,
+             witness,
              [&core](const TeamId& team) { return core.LikelyHolders(team); }),
       desk(core.own.incarnation,
            partitions,
@@ -228,7 +229,7 @@
       continue;
     }
     const bool is_final = verdict.verdict() != wire::VERDICT_INSUFFICIENT;
-    if (is_final && (entry->has_bill() || entry->has_outcome())) {
+    if (is_final) {
       this->ledgered->witness.OnRecorded(entry->entry_id());
     }
     if (entry->has_claim() || entry->has_outcome()) {
--- /dev/null
+++ b/tests/support/fake_upstreams.h
@@ -0,0 +1,43 @@
+#ifndef TESTS_SUPPORT_FAKE_UPSTREAMS_H_
+#define TESTS_SUPPORT_FAKE_UPSTREAMS_H_
+
+#include <functional>
+#include <map>
+#include <string>
+
+#include "al_core/random/random_source.h"
+#include "al_router/requests/arriving_request.h"
+#include "al_router/requests/upstream_events.h"
+#include "support/event_queue.h"
+
+namespace auburnloft::testing {
+
+/** Engines and services in virtual time; they count the executions of each key. */
+class FakeUpstreams {
+ public:
+  struct Faults {
+    double refuse_connection = 0.0;  ///< Nothing is sent.
+    double lose_answer = 0.0;        ///< Executed, and the answer is lost.
+  };
+  using OnDone = std::function<void(UpstreamDone)>;
+  using OnFailed = std::function<void(UpstreamFailed)>;
+
+  FakeUpstreams(EventQueue& queue, RandomSource& random) : queue(queue), random(random) {}
+
+  /** Executes a request and reports. @param on_executed  called when it takes effect. */
+  auto Send(RequestHandle handle, int attempt, const ArrivingRequest& arrival,
+            std::function<void()> on_executed, OnDone done, OnFailed failed) -> void;
+
+  Faults faults;
+  Duration work = std::chrono::milliseconds(20);
+  [[nodiscard]] auto executions() const -> const std::map<std::string, int>& { return this->counts; }
+
+ private:
+  EventQueue& queue;
+  RandomSource& random;
+  std::map<std::string, int> counts;
+};
+
+}  // namespace auburnloft::testing
+
+#endif  // TESTS_SUPPORT_FAKE_UPSTREAMS_H_
--- /dev/null
+++ b/tests/support/fault_schedule.cc
@@ -0,0 +1,214 @@
+#include "support/fault_schedule.h"
+
+#include <array>
+
+namespace auburnloft::testing {
+
+namespace {
+
+constexpr std::size_t kRouters = 4;
+constexpr Duration kFaultSpan = std::chrono::seconds(40);
+constexpr Duration kQuietSpan = std::chrono::seconds(90);
+constexpr Duration kRequestGap = std::chrono::milliseconds(35);
+constexpr std::array<const char*, 3> kTeams = {"large", "small", "payer"};
+
+auto FleetOptions(std::uint64_t seed) -> VirtualFleet::Options {
+  VirtualFleet::Options options;
+  options.seed = seed;
+  options.routers = kRouters;
+  options.budgets = {{"large", 200'000}, {"small", 2'500}, {"payer", 20'000}};
+  options.configuration = nlohmann::json::parse(
+      R"({"defaults": {"allowance": {"cover_seconds": 20}}})");
+  return options;
+}
+
+}  // namespace
+
+FaultSchedule::FaultSchedule(std::uint64_t seed)
+    : seed(seed),
+      chance(seed * 7919 + 17),
+      fleet(FleetOptions(seed)),
+      checker(fleet),
+      start(fleet.queue.Now()),
+      faults_end(start + kFaultSpan) {}
+
+auto FaultSchedule::Note(std::string text) -> void {
+  const double at = ToSeconds(this->fleet.queue.Now() - this->start);
+  this->outcome.faults.push_back(std::to_string(at) + " s: " + std::move(text));
+}
+
+auto FaultSchedule::Run() -> Outcome {
+  this->fleet.after_step = [this] { return this->checker.Check(); };
+  this->fleet.RunFor(std::chrono::seconds(2));
+  this->ScheduleFault();
+  this->ScheduleRequest();
+  this->fleet.RunUntil(this->faults_end);
+  this->Heal();
+  this->fleet.RunFor(kQuietSpan);
+  if (this->checker.violation().empty()) {
+    this->checker.CheckEnd();
+  }
+  this->outcome.violation = this->checker.violation();
+  this->outcome.steps = this->fleet.steps;
+  this->outcome.requests = this->fleet.callers.size();
+  for (const CallerRecord& caller : this->fleet.callers) {
+    this->outcome.answered += caller.answered ? 1 : 0;
+  }
+  this->outcome.unbilled = this->checker.Unbilled().size();
+  this->outcome.stranded = this->checker.Stranded();
+  return this->outcome;
+}
+
+auto FaultSchedule::ScheduleRequest() -> void {
+  if (this->fleet.queue.Now() >= this->faults_end) {
+    return;
+  }
+  this->SendRequest();
+  this->fleet.queue.After(kRequestGap, [this] { this->ScheduleRequest(); });
+}
+
+auto FaultSchedule::SendRequest() -> void {
+  const std::string team = kTeams.at(this->chance.Below(kTeams.size()));
+  const bool once = team == "payer";
+  const std::string key = (once ? "once-" : "key-") + std::to_string(this->next_key++);
+  const Tokens upper = once ? 1 : static_cast<Tokens>(5 + this->chance.Below(40));
+  const ArrivingRequest arrival = this->fleet.MakeRequest(team, key, upper, once);
+  const std::size_t node = this->chance.Below(kRouters);
+  this->fleet.Send(node, arrival);
+  if (this->chance.Chance(0.1)) {  // An impatient caller: the same request elsewhere as well.
+    const Duration wait = std::chrono::milliseconds(this->chance.Below(400));
+    const std::size_t other = this->chance.Below(kRouters);
+    this->fleet.queue.After(wait, [this, other, arrival] { this->fleet.Send(other, arrival); });
+  }
+}
+
+auto FaultSchedule::ScheduleFault() -> void {
+  const Duration gap = std::chrono::milliseconds(300 + this->chance.Below(1500));
+  this->fleet.queue.After(gap, [this] {
+    if (this->fleet.queue.Now() < this->faults_end) {
+      this->InjectFault();
+      this->ScheduleFault();
+    }
+  });
+}
+
+auto FaultSchedule::InjectFault() -> void {
+  const std::size_t node = this->chance.Below(kRouters);
+  const std::size_t other = (node + 1 + this->chance.Below(kRouters - 1)) % kRouters;
+  const Duration span = std::chrono::milliseconds(200 + this->chance.Below(9000));
+  const std::string who = " router " + std::to_string(node);
+  EventQueue& queue = this->fleet.queue;
+  switch (this->chance.Below(13)) {
+    case 0:
+      this->Note("kill" + who);
+      this->checker.BeforeKill(node);
+      this->fleet.Kill(node);
+      queue.After(span, [this, node] {
+        if (this->fleet.nodes[node].core == nullptr) {
+          this->fleet.Start(node);
+        }
+      });
+      break;
+    case 1:
+      this->Note("take away the VM of" + who);
+      this->checker.BeforeKill(node);
+      this->fleet.Kill(node);
+      this->fleet.SetListed(node, false);
+      queue.After(span + std::chrono::seconds(4), [this, node] {
+        this->fleet.SetListed(node, true);
+        if (this->fleet.nodes[node].core == nullptr) {
+          this->fleet.Start(node);
+        }
+      });
+      break;
+    case 2:
+    case 3:
+      this->Note("pause" + who);
+      this->fleet.Pause(node);
+      queue.After(span * 2, [this, node] { this->fleet.Wake(node); });
+      break;
+    case 4:
+      this->Note("cut" + who + " off from router " + std::to_string(other) + ", one way");
+      this->fleet.CutLink(node, other);
+      queue.After(span, [this] { this->fleet.HealCuts(); });
+      break;
+    case 5:
+      this->Note("cut routers 0 and 1 off from 2 and 3");
+      for (const std::size_t left : {0U, 1U}) {
+        for (const std::size_t right : {2U, 3U}) {
+          this->fleet.CutLink(left, right);
+          this->fleet.CutLink(right, left);
+        }
+      }
+      queue.After(span, [this] { this->fleet.HealCuts(); });
+      break;
+    case 6:
+      this->Note("cut" + who + " off from the log");
+      this->fleet.CutLog(node);
+      queue.After(span, [this] { this->fleet.HealCuts(); });
+      break;
+    case 7:
+      this->Note("outage of the log");
+      this->fleet.log.faults.outage = true;
+      queue.After(span, [this] { this->fleet.log.faults.outage = false; });
+      break;
+    case 8:
+      this->Note("the log loses, delays and repeats appends");
+      this->fleet.log.faults.lose_reply = 0.3;
+      this->fleet.log.faults.late_append = 0.1;
+      this->fleet.log.faults.repeat = 0.1;
+      queue.After(span, [this] { this->fleet.log.faults = {}; });
+      break;
+    case 9:
+      this->Note("messages are lost and repeated; upstreams refuse and lose answers");
+      this->fleet.lose_message = 0.2;
+      this->fleet.repeat_message = 0.2;
+      this->fleet.upstreams.faults = {0.1, 0.1};
+      queue.After(span, [this] {
+        this->fleet.lose_message = 0.0;
+        this->fleet.repeat_message = 0.0;
+        this->fleet.upstreams.faults = {};
+      });
+      break;
+    case 10:
+      this->Note("the log forgets old records");
+      this->fleet.log.Retain(120);
+      break;
+    case 11: {
+      this->Note("top-up");
+      const std::string id = "id-" + std::to_string(this->next_top_up++);
+      this->fleet.TopUp(TeamId("small"), 500, id);
+      this->fleet.TopUp(TeamId("small"), 500, id);  // Sent twice, counted once.
+      break;
+    }
+    default: {
+      this->Note("two operators publish at once");
+      std::uint64_t newest = 0;
+      for (const VirtualFleet::Node& item : this->fleet.nodes) {
+        if (item.core != nullptr && item.core->configuration() != nullptr) {
+          newest = std::max(newest, item.core->configuration()->version);
+        }
+      }
+      this->fleet.Publish(newest, {{"defaults", {{"max_output_tokens", 100 + newest}}}});
+      this->fleet.Publish(newest, {{"defaults", {{"max_output_tokens", 5000 + newest}}}});
+      break;
+    }
+  }
+}
+
+auto FaultSchedule::Heal() -> void {
+  this->fleet.HealCuts();
+  this->fleet.log.faults = {};
+  this->fleet.lose_message = 0.0;
+  this->fleet.repeat_message = 0.0;
+  this->fleet.upstreams.faults = {};
+  for (std::size_t i = 0; i < kRouters; ++i) {
+    this->fleet.Wake(i);
+    this->fleet.SetListed(i, true);
+    if (this->fleet.nodes[i].core == nullptr) {
+      this->fleet.Start(i);
+    }
+  }
+}
+
+}  // namespace auburnloft::testing
--- /dev/null
+++ b/tests/support/promise_checker.cc
@@ -0,0 +1,215 @@
+#include "support/promise_checker.h"
+
+#include <sstream>
+
+namespace auburnloft::testing {
+
+PromiseChecker::PromiseChecker(VirtualFleet& fleet) : fleet(fleet) {
+  // Records from before the checker was there are read back from the log's start.
+  for (const StreamId& stream : {StreamId("ledger-0"), StreamId("ledger-1")}) {
+    fleet.log.Read(
+        stream, 0,
+        [this, stream](const LogRecords& records) {
+          for (const std::string& record : records.records) {
+            this->OnStored(stream, record);
+          }
+        },
+        [] {});
+  }
+  fleet.RunFor(std::chrono::milliseconds(10));
+  fleet.log.SetOnStored([this](const StreamId& stream, const std::string& bytes) {
+    if (stream != ConfigFollower::Stream()) {
+      this->OnStored(stream, bytes);
+    }
+  });
+}
+
+auto PromiseChecker::Fail(std::string text) -> void {
+  if (this->found.empty()) {
+    this->found = std::move(text);
+  }
+}
+
+auto PromiseChecker::OnStored(const StreamId& stream, const std::string& bytes) -> void {
+  PartitionLedger& ledger = this->folds[stream];
+  const BatchResult result = ledger.ApplyBytes(bytes);
+  wire::LedgerBatch batch;
+  batch.ParseFromString(bytes);
+  for (std::size_t i = 0; i < result.verdicts.size(); ++i) {
+    const wire::LedgerEntry& entry = batch.entries(static_cast<int>(i));
+    if (entry.has_top_up() && this->top_up_ids.insert(entry.top_up().team() + "/" + entry.top_up().top_up_id()).second) {
+      this->topped_up[entry.top_up().team()] += entry.top_up().tokens();
+    }
+    if (entry.has_bill() && result.verdicts[i].verdict() == wire::VERDICT_VALID) {
+      const std::string key = entry.bill().team() + "/" + entry.bill().request_key();
+      this->billed[entry.bill().team()] += entry.bill().tokens();
+      this->billed_runs.insert(entry.bill().run_id());
+      if (++this->bills[key] > 1) {
+        this->Fail("request " + key + " is billed twice");
+      }
+    }
+  }
+  if (!ledger.SumRuleHolds()) {
+    this->Fail("stream " + stream.value() + ": top-ups differ from billed + allowances + unallocated");
+  }
+}
+
+auto PromiseChecker::CommittedBy(const RouterCore& core, const TeamId& team) const -> Tokens {
+  if (core.budget() == nullptr) {
+    return 0;
+  }
+  const TeamAllowance allowance = core.budget()->book().Of(team);
+  Tokens committed = allowance.free + allowance.reserved;
+  for (const wire::LedgerEntry* const entry : core.outbox()->Entries()) {
+    const bool counts = entry->has_bill() && entry->bill().team() == team.value() &&
+                        entry->bill().holder() == core.settings().incarnation.value() &&
+                        !this->billed_runs.contains(entry->bill().run_id());
+    committed += counts ? entry->bill().tokens() : 0;
+  }
+  return committed;
+}
+
+auto PromiseChecker::CheckMoney() -> void {
+  for (const auto& [name, total] : this->topped_up) {
+    const TeamId team(name);
+    Tokens committed = this->billed[name];
+    for (const VirtualFleet::Node& node : this->fleet.nodes) {
+      committed += node.core == nullptr ? 0 : this->CommittedBy(*node.core, team);
+    }
+    if (committed > total) {
+      std::ostringstream text;
+      text << "team " << name << " can spend " << committed << " of " << total << " tokens";
+      this->Fail(text.str());
+    }
+  }
+}
+
+auto PromiseChecker::CheckCallers() -> void {
+  for (const CallerRecord& caller : this->fleet.callers) {
+    if (caller.refusal && caller.refusal->run == RunState::kNo && caller.sent_now) {
+      this->Fail("request " + caller.arrival.key.value() + " was refused as not run, but was sent");
+    }
+  }
+  for (const auto& [key, count] : this->fleet.upstreams.executions()) {
+    if (count > 1 && key.find("once-") != std::string::npos) {
+      this->Fail("request " + key + " ran " + std::to_string(count) + " times");
+    }
+  }
+}
+
+auto PromiseChecker::CheckConfig() -> void {
+  for (std::size_t i = 0; i < this->fleet.nodes.size(); ++i) {
+    const VirtualFleet::Node& node = this->fleet.nodes[i];
+    if (node.core == nullptr || node.core->configuration() == nullptr) {
+      continue;
+    }
+    std::uint64_t& last = this->versions[{i, node.life}];
+    const std::uint64_t now = node.core->configuration()->version;
+    if (now < last) {
+      this->Fail("router " + node.name.value() + " went back from configuration " + std::to_string(last));
+    }
+    last = now;
+  }
+}
+
+auto PromiseChecker::Check() -> bool {
+  this->CheckMoney();
+  if (this->fleet.steps % 64 == 0) {
+    this->CheckCallers();
+    this->CheckConfig();
+  }
+  return this->found.empty();
+}
+
+auto PromiseChecker::BillsHeldBy(const RouterCore& core) -> std::set<std::string> {
+  std::set<std::string> held;
+  std::vector<const wire::LedgerEntry*> entries = core.outbox()->Entries();
+  if (core.witness() != nullptr) {
+    const std::vector<const wire::LedgerEntry*> copies = core.witness()->HeldEntries();
+    entries.insert(entries.end(), copies.begin(), copies.end());
+  }
+  for (const wire::LedgerEntry* const entry : entries) {
+    if (entry->has_bill()) {
+      held.insert(entry->bill().team() + "/" + entry->bill().request_key());
+    }
+  }
+  return held;
+}
+
+auto PromiseChecker::BeforeKill(std::size_t index) -> void {
+  if (this->fleet.nodes[index].core == nullptr) {
+    return;
+  }
+  std::set<std::string> alone = BillsHeldBy(*this->fleet.nodes[index].core);
+  for (std::size_t other = 0; other < this->fleet.nodes.size(); ++other) {
+    if (other != index && this->fleet.nodes[other].core != nullptr) {
+      for (const std::string& key : BillsHeldBy(*this->fleet.nodes[other].core)) {
+        alone.erase(key);
+      }
+    }
+  }
+  this->last_copy_died.insert(alone.begin(), alone.end());
+}
+
+auto PromiseChecker::Unbilled() const -> std::set<std::string> {
+  std::set<std::string> missing;
+  for (const CallerRecord& caller : this->fleet.callers) {
+    const std::string key = caller.arrival.team.value() + "/" + caller.arrival.key.value();
+    if (caller.answered && !this->bills.contains(key)) {
+      missing.insert(key);
+    }
+  }
+  return missing;
+}
+
+auto PromiseChecker::Stranded() const -> Tokens {
+  Tokens stranded = 0;
+  for (const auto& [stream, ledger] : this->folds) {
+    for (const auto& [id, team] : ledger.teams()) {
+      for (const auto& [holder, balance] : team.account.holders()) {
+        bool lives = false;
+        for (const VirtualFleet::Node& node : this->fleet.nodes) {
+          lives = lives || (node.core != nullptr && node.core->settings().incarnation == holder);
+        }
+        stranded += lives ? 0 : balance.tokens;
+      }
+    }
+  }
+  return stranded;
+}
+
+auto PromiseChecker::CheckEnd() -> bool {
+  this->Check();
+  this->CheckCallers();
+  for (const CallerRecord& caller : this->fleet.callers) {
+    if (!caller.done) {
+      this->Fail("request " + caller.arrival.key.value() + " never ended");
+    }
+  }
+  for (const VirtualFleet::Node& node : this->fleet.nodes) {
+    if (node.core == nullptr) {
+      continue;
+    }
+    for (const wire::LedgerEntry* const entry : node.core->outbox()->Entries()) {
+      // A holder asks for a refill now and then for as long as its budget is spent.
+      const bool is_refill = entry->has_grant() && entry->grant().need() == 0;
+      if (!is_refill) {
+        this->Fail("router " + node.name.value() + " still has " + entry->ShortDebugString());
+      }
+    }
+  }
+  for (const std::string& key : this->Unbilled()) {
+    if (!this->last_copy_died.contains(key)) {
+      this->Fail("request " + key + " is answered and not billed, and its bill did not die with a router");
+    }
+  }
+  const std::uint64_t newest = this->fleet.nodes.front().core->configuration()->version;
+  for (const VirtualFleet::Node& node : this->fleet.nodes) {
+    if (node.core->configuration()->version != newest) {
+      this->Fail("router " + node.name.value() + " is not on the newest configuration");
+    }
+  }
+  return this->found.empty();
+}
+
+}  // namespace auburnloft::testing
--- /dev/null
+++ b/tests/support/virtual_fleet.h
@@ -0,0 +1,150 @@
+#ifndef TESTS_SUPPORT_VIRTUAL_FLEET_H_
+#define TESTS_SUPPORT_VIRTUAL_FLEET_H_
+
+#include <array>
+#include <functional>
+#include <map>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "al_router/core/router_core.h"
+#include "support/event_queue.h"
+#include "support/fake_log.h"
+#include "support/fake_upstreams.h"
+
+namespace auburnloft::testing {
+
+/** One request of a caller, from its first try to its end. */
+struct CallerRecord {
+  ArrivingRequest arrival;
+  std::size_t router = 0;
+  int tries = 0;
+  bool done = false;
+  bool answered = false;
+  bool replayed = false;
+  bool sent_now = false;  ///< In the present try something reached an upstream.
+  std::optional<Refusal> refusal;
+  Tokens spent = 0;
+  Instant began;
+  Instant ended;
+};
+
+/** Routers with their real decision code in virtual time, between small fakes.
+
+    Routers can be cut off, paused, killed and replaced. All chance comes from one seed.
+*/
+class VirtualFleet {
+ public:
+  struct Options {
+    std::uint64_t seed = 1;
+    std::size_t routers = 4;
+    std::map<std::string, Tokens> budgets;
+    nlohmann::json configuration;  ///< Merged over the default one.
+  };
+
+  /** One router VM and the process on it. */
+  struct Node {
+    RouterId name;
+    Vm vm;
+    std::unique_ptr<RouterCore> core;
+    std::uint64_t life = 0;
+    bool paused = false;
+    bool listed = true;
+    std::vector<EventQueue::Event> inbox;  ///< What came while it was paused.
+    std::map<RequestHandle, std::size_t> handles;
+    std::uint64_t peer_bytes = 0;
+  };
+
+  explicit VirtualFleet(Options options);
+
+  VirtualFleet(const VirtualFleet&) = delete;
+  auto operator=(const VirtualFleet&) -> VirtualFleet& = delete;
+
+  //============================================================================
+  // Faults and operators
+
+  auto Start(std::size_t node) -> void;
+  auto Kill(std::size_t node) -> void;
+  auto Pause(std::size_t node) -> void;
+  auto Wake(std::size_t node) -> void;
+  auto SetListed(std::size_t node, bool listed) -> void;
+
+  /** Drops messages from one router to another. */
+  auto CutLink(std::size_t from, std::size_t to) -> void { this->cut_links.insert({from, to}); }
+  auto CutLog(std::size_t node) -> void { this->cut_logs.insert(node); }
+  auto HealCuts() -> void;
+  auto TopUp(const TeamId& team, Tokens tokens, const std::string& id) -> void;
+
+  /** Publishes a change as an operator's tool does. */
+  auto Publish(std::uint64_t base, const nlohmann::json& patch) -> void;
+
+  //============================================================================
+  // Callers
+
+  /** Sends a request to a router; a caller whose router dies tries another. @return its number. */
+  auto Send(std::size_t node, ArrivingRequest arrival) -> std::size_t;
+
+  /** A request of a team, with the key given. */
+  [[nodiscard]] auto MakeRequest(const std::string& team, const std::string& key, Tokens upper,
+                                 bool at_most_once) -> ArrivingRequest;
+
+  //============================================================================
+  // Time
+
+  /** Runs all events up to `end`. */
+  auto RunUntil(Instant end) -> void;
+  auto RunFor(Duration span) -> void { this->RunUntil(this->queue.Now() + span); }
+
+  /** Called after each event; returns false to stop the run. */
+  std::function<bool()> after_step;
+
+  /** Called with each action that a router takes, for golden sessions. */
+  std::function<void(std::size_t node, const Action& action)> on_action;
+
+  //============================================================================
+
+  EventQueue queue;
+  RandomSource random;
+  FakeLog log;
+  FakeUpstreams upstreams;
+  double lose_message = 0.0;
+  double repeat_message = 0.0;
+  Duration link_delay = std::chrono::microseconds(500);
+  std::vector<Node> nodes;
+  std::vector<CallerRecord> callers;
+  std::uint64_t steps = 0;
+  bool stopped = false;
+  int most_tries = 6;
+
+ private:
+  auto ListVms() -> VmList;
+  auto Deliver(std::size_t node, std::uint64_t life, EventQueue::Event event) -> void;
+  auto Tick(std::size_t node, std::uint64_t life) -> void;
+  auto FetchVms(std::size_t node, std::uint64_t life) -> void;
+  auto Pump(std::size_t node) -> void;
+  auto CarryOut(std::size_t node, const SendPeer& action) -> void;
+  auto CarryOut(std::size_t node, const AppendRecord& action) -> void;
+  auto CarryOut(std::size_t node, const ReadRecords& action) -> void;
+  auto CarryOut(std::size_t node, const StartUpstream& action) -> void;
+  auto CarryOut(std::size_t node, const ResumeUpstream& action) -> void;
+  auto CarryOut(std::size_t node, const CancelUpstream& action) -> void;
+  auto CarryOut(std::size_t node, const RefuseRequest& action) -> void;
+  auto CarryOut(std::size_t node, const ReplayAnswer& action) -> void;
+  auto CarryOut(std::size_t node, const ReleaseAnswer& action) -> void;
+  auto Try(std::size_t caller, std::size_t node) -> void;
+  auto EndCaller(std::size_t node, RequestHandle handle) -> CallerRecord*;
+  auto TellLogFailed(std::size_t node, std::uint64_t life, LogTag tag) -> void;
+
+  Options options;
+  std::set<std::pair<std::size_t, std::size_t>> cut_links;
+  std::set<std::size_t> cut_logs;
+  std::vector<std::pair<Instant, VmList>> vm_versions;
+  RequestHandle next_handle = 1;
+};
+
+}  // namespace auburnloft::testing
+
+#endif  // TESTS_SUPPORT_VIRTUAL_FLEET_H_
