--- a/bench/schedule_main.cc
+++ b/bench/schedule_main.cc
@@ -5,9 +5,11 @@
 
 /** Replays fault schedules by their seeds; prints what was seen. */
 auto main(int argc, char** argv) -> int {
-  auburnloft::SettingsReader settings("Runs fault schedules in virtual time, one a seed.");
+  auburnloft::SettingsReader settings(
+      "Runs fault schedules in virtual time, one a seed.");
   settings.DeclareWhole("seed", "first seed", 1, 0, 1'000'000'000);
-  settings.DeclareWhole("count", "how many seeds from there on", 1, 1, 1'000'000);
+  settings.DeclareWhole("count", "how many seeds from there on", 1, 1,
+                        1'000'000);
   settings.DeclareSwitch("faults", "print the faults of each run");
   if (!settings.Read(argc, argv)) {
     std::cerr << settings.findings().ToText();
@@ -25,9 +27,11 @@
       }
     }
     failed += outcome.violation.empty() ? 0 : 1;
-    std::cout << "seed " << seed << ": " << (outcome.violation.empty() ? "held" : outcome.violation)
-              << "; steps " << outcome.steps << ", requests " << outcome.requests << ", answered "
-              << outcome.answered << ", unbilled " << outcome.unbilled << ", stranded "
+    std::cout << "seed " << seed << ": "
+              << (outcome.violation.empty() ? "held" : outcome.violation)
+              << "; steps " << outcome.steps << ", requests "
+              << outcome.requests << ", answered " << outcome.answered
+              << ", unbilled " << outcome.unbilled << ", stranded "
               << outcome.stranded << "\n";
   }
   return failed == 0 ? 0 : 1;
--- a/modules/al_actions/action.h
+++ b/modules/al_actions/action.h
@@ -22,7 +22,8 @@
   wire::PeerMessage message;
 };
 
-/** Append one record to a stream of the log. The reply may be lost after it took effect. */
+/** Append one record to a stream of the log. The reply may be lost after it
+ * took effect. */
 struct AppendRecord {
   LogTag tag = 0;
   StreamId stream;
@@ -44,7 +45,8 @@
   int priority = 0;  ///< Higher goes first at the engine.
 };
 
-/** Go on with a stream that broke off, at the same upstream, after the last piece received. */
+/** Go on with a stream that broke off, at the same upstream, after the last
+ * piece received. */
 struct ResumeUpstream {
   RequestHandle handle = 0;
   UpstreamId upstream;
@@ -63,7 +65,8 @@
   Refusal refusal;
 };
 
-/** Answer a request with the kept outcome of an earlier run. The request is closed. */
+/** Answer a request with the kept outcome of an earlier run. The request is
+ * closed. */
 struct ReplayAnswer {
   RequestHandle handle = 0;
   int http_status = 0;
@@ -71,14 +74,21 @@
   std::string body;
 };
 
-/** Release the final part of an answer that was held back until its bill was safe. */
+/** Release the final part of an answer that was held back until its bill was
+ * safe. */
 struct ReleaseAnswer {
   RequestHandle handle = 0;
 };
 
-using Action =
-    std::variant<SendPeer, AppendRecord, ReadRecords, StartUpstream, ResumeUpstream,
-                 CancelUpstream, RefuseRequest, ReplayAnswer, ReleaseAnswer>;
+using Action = std::variant<SendPeer,
+                            AppendRecord,
+                            ReadRecords,
+                            StartUpstream,
+                            ResumeUpstream,
+                            CancelUpstream,
+                            RefuseRequest,
+                            ReplayAnswer,
+                            ReleaseAnswer>;
 
 }  // namespace auburnloft
 
--- a/modules/al_actions/action_queue.h
+++ b/modules/al_actions/action_queue.h
@@ -15,7 +15,9 @@
 class ActionQueue {
  public:
   /** Appends an action. */
-  auto Push(Action action) -> void { this->actions.push_back(std::move(action)); }
+  auto Push(Action action) -> void {
+    this->actions.push_back(std::move(action));
+  }
 
   /** Hands over all actions so far and starts anew. */
   [[nodiscard]] auto Take() -> std::vector<Action> {
--- a/modules/al_actions/al_actions.h
+++ b/modules/al_actions/al_actions.h
@@ -1,7 +1,9 @@
-/** Module al_actions: what the decision code asks the edge of the process to do.
+/** Module al_actions: what the decision code asks the edge of the process to
+   do.
 
-    The decisions own no socket and no clock. They append typed actions to an ActionQueue, and
-    the edge (a daemon, a test or a bench) carries them out and reports back by events.
+    The decisions own no socket and no clock. They append typed actions to an
+   ActionQueue, and the edge (a daemon, a test or a bench) carries them out and
+   reports back by events.
 
     Depends on: al_core, the peer messages.
 
--- a/modules/al_actions/log_events.h
+++ b/modules/al_actions/log_events.h
@@ -11,8 +11,9 @@
 /** The answer to a ReadRecords action. */
 struct LogRecords {
   LogTag tag = 0;
-  LogOffset first = 0;   ///< The offset of records.front(), where there is one.
-  LogOffset next = 0;    ///< The offset that the next record of the stream will have.
+  LogOffset first = 0;  ///< The offset of records.front(), where there is one.
+  LogOffset next =
+      0;  ///< The offset that the next record of the stream will have.
   LogOffset oldest = 0;  ///< The oldest offset that the log still keeps.
   std::vector<std::string> records;
 };
@@ -23,12 +24,14 @@
   LogOffset offset = 0;
 };
 
-/** A call to the log without an answer. An append may have taken effect all the same. */
+/** A call to the log without an answer. An append may have taken effect all the
+ * same. */
 struct LogFailed {
   LogTag tag = 0;
 };
 
-/** An offset beyond the end of any stream: reading from it tells where the stream ends. */
+/** An offset beyond the end of any stream: reading from it tells where the
+ * stream ends. */
 inline constexpr LogOffset kEndOfStream = ~LogOffset{0};
 
 }  // namespace auburnloft
--- a/modules/al_actions/refusal.h
+++ b/modules/al_actions/refusal.h
@@ -18,23 +18,25 @@
 
 /** The stable codes of the errors that callers see. */
 enum class RefusalCode {
-  kBadRequest,          ///< The request is malformed.
-  kUnauthorized,        ///< The key names no team.
-  kNotFound,            ///< No such path, model, service or call.
-  kTooLarge,            ///< The header or body is over its limit.
-  kBudgetExhausted,     ///< The team's budget does not cover the request.
-  kBudgetUnavailable,   ///< No tokens could be had in time; they may exist.
-  kNoUpstream,          ///< No upstream could take the work in time.
-  kUpstreamFailed,      ///< The upstream failed, and the work is not repeated.
-  kDeadlineExceeded,    ///< The class's deadline passed.
-  kKeyExpired,          ///< The request was issued before the horizon.
-  kIssueTimeRequired,   ///< An at-most-once request does not tell when it was issued.
-  kIssueTimeInFuture,   ///< The stated time of issue lies ahead.
-  kInProgress,          ///< Another run of an at-most-once request is under way.
-  kOutcomeUnknown,      ///< An at-most-once request may have run.
-  kClaimUnavailable,    ///< The ledger did not answer; an at-most-once request was not sent.
-  kDraining,            ///< This router takes no new work.
-  kNotReady,            ///< This router has no configuration yet.
+  kBadRequest,         ///< The request is malformed.
+  kUnauthorized,       ///< The key names no team.
+  kNotFound,           ///< No such path, model, service or call.
+  kTooLarge,           ///< The header or body is over its limit.
+  kBudgetExhausted,    ///< The team's budget does not cover the request.
+  kBudgetUnavailable,  ///< No tokens could be had in time; they may exist.
+  kNoUpstream,         ///< No upstream could take the work in time.
+  kUpstreamFailed,     ///< The upstream failed, and the work is not repeated.
+  kDeadlineExceeded,   ///< The class's deadline passed.
+  kKeyExpired,         ///< The request was issued before the horizon.
+  kIssueTimeRequired,  ///< An at-most-once request does not tell when it was
+                       ///< issued.
+  kIssueTimeInFuture,  ///< The stated time of issue lies ahead.
+  kInProgress,         ///< Another run of an at-most-once request is under way.
+  kOutcomeUnknown,     ///< An at-most-once request may have run.
+  kClaimUnavailable,   ///< The ledger did not answer; an at-most-once request
+                       ///< was not sent.
+  kDraining,           ///< This router takes no new work.
+  kNotReady,           ///< This router has no configuration yet.
 };
 
 /** The number of codes, for tables that are indexed by them. */
@@ -44,8 +46,9 @@
 struct Refusal {
   RefusalCode code = RefusalCode::kBadRequest;
   RunState run = RunState::kNo;
-  std::string text;         ///< A sentence that names what was wrong.
-  Duration retry_after{0};  ///< When to come back; zero where that would not help.
+  std::string text;  ///< A sentence that names what was wrong.
+  Duration retry_after{
+      0};  ///< When to come back; zero where that would not help.
 };
 
 /** The code as the API writes it, such as `budget_exhausted`. */
--- a/modules/al_budget/al_budget.h
+++ b/modules/al_budget/al_budget.h
@@ -1,15 +1,19 @@
-/** Module al_budget: how routers come by tokens, spend them and account for them.
+/** Module al_budget: how routers come by tokens, spend them and account for
+   them.
 
-    A router spends only tokens of its allowance, which a valid ledger record moved out of the
-    team's budget. The keeper of a ledger partition turns what routers submit into records.
+    A router spends only tokens of its allowance, which a valid ledger record
+   moved out of the team's budget. The keeper of a ledger partition turns what
+   routers submit into records.
 
     Depends on: al_core, al_ledger, al_actions.
 
     Parts:
     - policy/      how much a router asks for and how much a keeper grants
     - allowance/   AllowanceBook and BudgetCoordinator: the holder's side
-    - outbox/      EntryOutbox: entries on their way to a keeper, resent until answered
-    - keeper/      PartitionKeeper, KeeperHost, KeeperDirectory: the keeper's side
+    - outbox/      EntryOutbox: entries on their way to a keeper, resent until
+   answered
+    - keeper/      PartitionKeeper, KeeperHost, KeeperDirectory: the keeper's
+   side
     - witness/     WitnessDesk: copies of unrecorded bills at a second router
 */
 #ifndef AL_BUDGET_AL_BUDGET_H_
--- a/modules/al_budget/allowance/allowance_book.h
+++ b/modules/al_budget/allowance/allowance_book.h
@@ -11,8 +11,8 @@
 /** The tokens of one team in the hands of this router. */
 struct TeamAllowance {
   Tokens free = 0;
-  Tokens reserved = 0;             ///< Upper bounds of requests that are running.
-  Tokens received = 0;             ///< Cumulative grants and transfers in.
+  Tokens reserved = 0;  ///< Upper bounds of requests that are running.
+  Tokens received = 0;  ///< Cumulative grants and transfers in.
   Tokens largest_reserve = 0;
   double tokens_per_second = 0.0;  ///< Smoothed rate of spending.
   Instant rate_updated;
@@ -20,8 +20,9 @@
 
 /** All allowances of one router, and the spending from them.
 
-    A request reserves an upper bound first and settles for the true count later; nothing is
-    spent that was not reserved, and nothing is reserved that is not free.
+    A request reserves an upper bound first and settles for the true count
+   later; nothing is spent that was not reserved, and nothing is reserved that
+   is not free.
 
     Thread safety: none; used on one thread.
 
@@ -34,7 +35,8 @@
   //============================================================================
   // Commands
 
-  /** Adds tokens that a ledger record or a transfer moved to this router.  @pre tokens >= 0. */
+  /** Adds tokens that a ledger record or a transfer moved to this router.  @pre
+   * tokens >= 0. */
   auto Receive(const TeamId& team, Tokens tokens) -> void;
 
   /** Gives back tokens of a bill that was void.  @pre tokens >= 0. */
@@ -43,7 +45,8 @@
   /** Reserves `tokens` where as many are free. */
   [[nodiscard]] auto TryReserve(const TeamId& team, Tokens tokens) -> bool;
 
-  /** Ends a reservation, of which `spent` was used.  @pre 0 <= spent <= reserved. */
+  /** Ends a reservation, of which `spent` was used.  @pre 0 <= spent <=
+   * reserved. */
   auto Settle(Instant now, const TeamId& team, Tokens reserved, Tokens spent)
       -> void;
 
--- a/modules/al_budget/allowance/budget_coordinator.cc
+++ b/modules/al_budget/allowance/budget_coordinator.cc
@@ -10,22 +10,30 @@
 
 namespace {
 
-/** How long a request waits for a keeper before other holders are asked. Above a keeper's
-    commit interval and one retry, below the patience of a driver at the gate. */
+/** How long a request waits for a keeper before other holders are asked. Above
+   a keeper's commit interval and one retry, below the patience of a driver at
+   the gate. */
 constexpr Duration kKeeperWait = std::chrono::milliseconds(1500);
 
 /** How long holders have to answer; some round trips between regions. */
 constexpr Duration kHoldersWait = std::chrono::milliseconds(400);
 
-/** After everyone was asked in vain, further requests are refused at once for this long. */
+/** While a keeper is silent, holders are asked again after this, until the
+   requests' patience ends: the keeper may answer yet. */
+constexpr Duration kHoldersAgain = std::chrono::seconds(1);
+
+/** After everyone was asked in vain, further requests are refused at once for
+ * this long. */
 constexpr Duration kExhaustedHold = std::chrono::milliseconds(200);
 
-/** A refill that the keeper cut short or refused is tried again after this; the wait doubles with
-    each refusal, so that the holders of a spent budget do not keep their keeper busy. */
+/** A refill that the keeper cut short or refused is tried again after this; the
+   wait doubles with each refusal, so that the holders of a spent budget do not
+   keep their keeper busy. */
 constexpr Duration kRefillHold = std::chrono::seconds(1);
 constexpr Duration kLongestRefillHold = std::chrono::seconds(32);
 
-/** How often an allowance is checked for tokens that another router may need more. */
+/** How often an allowance is checked for tokens that another router may need
+ * more. */
 constexpr Duration kSurplusInterval = std::chrono::seconds(10);
 
 /** More holders are not asked for one request: each answer costs messages. */
@@ -134,8 +142,7 @@
                                       TeamFetch& fetch,
                                       RefusalCode code) -> void {
   for (const Waiter& waiter : fetch.waiters) {
-    this->decisions.push_back(
-        {waiter.handle, team, waiter.upper, false, code});
+    this->decisions.push_back({waiter.handle, team, waiter.upper, false, code});
   }
   fetch.waiters.clear();
   fetch.holders_deadline.reset();
@@ -148,8 +155,8 @@
 //==============================================================================
 // Grants
 
-auto BudgetCoordinator::NeedOf(const TeamId& team,
-                               const TeamFetch& fetch) const -> Tokens {
+auto BudgetCoordinator::NeedOf(const TeamId& team, const TeamFetch& fetch) const
+    -> Tokens {
   Tokens waiting = 0;
   for (const Waiter& waiter : fetch.waiters) {
     waiting += waiter.upper;
@@ -208,8 +215,9 @@
   const bool granted = verdict.verdict() == wire::VERDICT_VALID ||
                        verdict.verdict() == wire::VERDICT_REPEATED;
   if (granted) {
-    // A refused ask leaves its number to the next one: should a late repeat of it be granted
-    // after all, the next ask is answered as repeated, and its tokens are received once.
+    // A refused ask leaves its number to the next one: should a late repeat of
+    // it be granted after all, the next ask is answered as repeated, and its
+    // tokens are received once.
     fetch.op_seq = grant.op_seq();
     this->allowances.Receive(team, verdict.tokens());
     const bool cut_short = verdict.tokens() < grant.tokens();
@@ -218,15 +226,16 @@
     this->ServeWaiters(now, team, fetch);
     return;
   }
-  fetch.refill_hold = std::clamp(fetch.refill_hold * 2, kRefillHold,
-                                 kLongestRefillHold);
+  fetch.refill_hold =
+      std::clamp(fetch.refill_hold * 2, kRefillHold, kLongestRefillHold);
   fetch.next_refill_at = now + fetch.refill_hold;
   if (fetch.waiters.empty() || fetch.holders_deadline) {
     fetch.keeper_has_none = true;
     return;
   }
   if (grant.need() < this->NeedOf(team, fetch) && grant.need() == 0) {
-    // The refusal answered a refill; the requests that came since have a need to state.
+    // The refusal answered a refill; the requests that came since have a need
+    // to state.
     this->AskKeeper(now, team, fetch);
     return;
   }
@@ -271,11 +280,10 @@
                                             const TeamId& team,
                                             TeamFetch& fetch) -> void {
   fetch.holders_deadline.reset();
-  if (!fetch.waiters.empty()) {
+  fetch.next_holders_ask = now + kHoldersAgain;
+  if (!fetch.waiters.empty() && fetch.keeper_has_none) {
     fetch.exhausted_until = now + kExhaustedHold;
-    this->RefuseWaiters(team, fetch, fetch.keeper_has_none
-                                   ? RefusalCode::kBudgetExhausted
-                                   : RefusalCode::kBudgetUnavailable);
+    this->RefuseWaiters(team, fetch, RefusalCode::kBudgetExhausted);
   }
   this->AskKeeper(now, team, fetch);
 }
@@ -320,8 +328,7 @@
   const Tokens free = this->allowances.Of(team).free;
   const Tokens offer = std::min(free, std::max(ask.need(), free / 2));
   const Tokens tokens = std::min(offer, std::max(ask.need(), ask.want()));
-  if (has_waiters || tokens <= 0 ||
-      !this->allowances.TryDebit(team, tokens)) {
+  if (has_waiters || tokens <= 0 || !this->allowances.TryDebit(team, tokens)) {
     this->transfers.GiveNothing(from_address, ask);
     return;
   }
@@ -387,7 +394,8 @@
       break;
     case wire::VERDICT_DUPLICATE:
       if (!is_own) {
-        break;  // Submitted as a witness; the tokens are in the account of the dead holder.
+        break;  // Submitted as a witness; the tokens are in the account of the
+                // dead holder.
       }
       this->allowances.Restore(team, entry.bill().tokens());
       this->ServeWaiters(now, team, this->fetches[team]);
@@ -451,9 +459,11 @@
   if (fetch.holders_deadline && now >= *fetch.holders_deadline) {
     this->FinishAskingHolders(now, team, fetch);
   }
-  const bool keeper_is_late = !fetch.open_op.empty() &&
-                              now >= fetch.asked_keeper_at + kKeeperWait;
-  if (!fetch.waiters.empty() && !fetch.holders_deadline && keeper_is_late) {
+  const bool keeper_is_late =
+      !fetch.open_op.empty() && now >= fetch.asked_keeper_at + kKeeperWait;
+  const bool may_ask_holders =
+      !fetch.holders_deadline && now >= fetch.next_holders_ask;
+  if (!fetch.waiters.empty() && may_ask_holders && keeper_is_late) {
     this->AskHolders(now, team, fetch, this->likely_holders(team));
   }
   std::erase_if(fetch.waiters, [&](const Waiter& waiter) {
@@ -469,9 +479,9 @@
     fetch.next_surplus_check = now + kSurplusInterval;
     HolderDemand demand = this->DemandOf(now, team, 0);
     const Tokens free = std::exchange(demand.free, 0);
-    const Tokens target = std::visit(
-        [&](const auto& chosen) { return chosen.Wanted(demand); },
-        this->policy);
+    const Tokens target =
+        std::visit([&](const auto& chosen) { return chosen.Wanted(demand); },
+                   this->policy);
     if (target > 0 && free > kSurplusFactor * target) {
       this->ReturnTokens(now, team, fetch, free - target);
     }
--- a/modules/al_budget/allowance/budget_coordinator.h
+++ b/modules/al_budget/allowance/budget_coordinator.h
@@ -29,12 +29,14 @@
   RefusalCode refusal = RefusalCode::kBudgetExhausted;  ///< Where not reserved.
 };
 
-/** The holder's side of the budgets: reserves, settles, and comes by more tokens in time.
+/** The holder's side of the budgets: reserves, settles, and comes by more
+   tokens in time.
 
-    A request whose tokens are in hand is reserved at once and waits for nobody. Otherwise it
-    waits while the coordinator asks the partition's keeper for a grant, and, where the budget has
-    nothing left or the keeper does not answer, asks other holders for transfers. A request is
-    refused for its budget only when both ways are exhausted.
+    A request whose tokens are in hand is reserved at once and waits for nobody.
+   Otherwise it waits while the coordinator asks the partition's keeper for a
+   grant, and, where the budget has nothing left or the keeper does not answer,
+   asks other holders for transfers. A request is refused for its budget only
+   when both ways are exhausted.
 
     Thread safety: none; used on one thread.
 
@@ -42,7 +44,8 @@
 */
 class BudgetCoordinator {
  public:
-  /** Names routers that may hold tokens of a team when the keeper does not say who does. */
+  /** Names routers that may hold tokens of a team when the keeper does not say
+   * who does. */
   using LikelyHolders =
       std::function<std::vector<RouterId>(const TeamId& team)>;
 
@@ -65,7 +68,8 @@
   /** Changes the policy for the asks from now on. */
   auto SetPolicy(AnyAllowancePolicy new_policy) -> void;
 
-  /** Reserves `upper` tokens for a request. kWaiting: TakeDecisions() tells the end later.
+  /** Reserves `upper` tokens for a request. kWaiting: TakeDecisions() tells the
+     end later.
       @pre upper >= 0; `handle` has no other reservation under way. */
   auto Reserve(Instant now,
                RequestHandle handle,
@@ -79,12 +83,13 @@
   /** Ends a reservation of which nothing was spent. */
   auto Release(Instant now, const TeamId& team, Tokens reserved) -> void;
 
-  /** Ends a reservation and bills what was spent. @return the bill, which is on its way to the
-      keeper; empty for a request that spent nothing. */
-  auto Settle(Instant now, const SettledRequest& request) -> std::optional<wire::LedgerEntry>;
+  /** Ends a reservation and bills what was spent. @return the bill, which is on
+     its way to the keeper; empty for a request that spent nothing. */
+  auto Settle(Instant now, const SettledRequest& request)
+      -> std::optional<wire::LedgerEntry>;
 
-  /** Handles the verdict on an entry that this coordinator submitted: a grant, return,
-      transfer or bill. */
+  /** Handles the verdict on an entry that this coordinator submitted: a grant,
+     return, transfer or bill. */
   auto OnVerdict(Instant now,
                  const wire::LedgerEntry& entry,
                  const wire::EntryVerdict& verdict) -> void;
@@ -113,10 +118,13 @@
   //============================================================================
   // Queries
 
-  [[nodiscard]] auto book() const -> const AllowanceBook& { return this->allowances; }
+  [[nodiscard]] auto book() const -> const AllowanceBook& {
+    return this->allowances;
+  }
   [[nodiscard]] auto WaitingCount() const -> std::size_t;
 
-  /** Bills whose requests were issued before the horizon; their tokens stay out. */
+  /** Bills whose requests were issued before the horizon; their tokens stay
+   * out. */
   [[nodiscard]] auto too_old_bills() const -> std::uint64_t {
     return this->bills_too_old;
   }
@@ -130,29 +138,34 @@
   struct TeamFetch {
     std::vector<Waiter> waiters;
     std::uint64_t op_seq = 0;
-    std::string open_op;          ///< Entry id of the grant or return under way.
+    std::string open_op;  ///< Entry id of the grant or return under way.
     Instant asked_keeper_at;
     Instant next_refill_at;
     Duration refill_hold{0};
     Instant next_surplus_check;
     bool keeper_has_none = false;
-    Instant exhausted_until;      ///< Asking again earlier would not help.
+    Instant exhausted_until;  ///< Asking again earlier would not help.
     std::optional<Instant> holders_deadline;  ///< Set while holders are asked.
+    Instant next_holders_ask;
     std::size_t open_asks = 0;
     std::uint64_t ask_id = 0;
   };
 
-  [[nodiscard]] auto DemandOf(Instant now, const TeamId& team, Tokens need) const
-      -> HolderDemand;
-  [[nodiscard]] auto NeedOf(const TeamId& team, const TeamFetch& fetch) const -> Tokens;
+  [[nodiscard]] auto DemandOf(Instant now,
+                              const TeamId& team,
+                              Tokens need) const -> HolderDemand;
+  [[nodiscard]] auto NeedOf(const TeamId& team, const TeamFetch& fetch) const
+      -> Tokens;
   auto AskKeeper(Instant now, const TeamId& team, TeamFetch& fetch) -> void;
   auto AskHolders(Instant now,
                   const TeamId& team,
                   TeamFetch& fetch,
                   std::vector<RouterId> holders) -> void;
   auto ServeWaiters(Instant now, const TeamId& team, TeamFetch& fetch) -> void;
-  auto RefuseWaiters(const TeamId& team, TeamFetch& fetch, RefusalCode code) -> void;
-  auto FinishAskingHolders(Instant now, const TeamId& team, TeamFetch& fetch) -> void;
+  auto RefuseWaiters(const TeamId& team, TeamFetch& fetch, RefusalCode code)
+      -> void;
+  auto FinishAskingHolders(Instant now, const TeamId& team, TeamFetch& fetch)
+      -> void;
   auto OnGrantVerdict(Instant now,
                       const wire::Grant& grant,
                       const wire::EntryVerdict& verdict) -> void;
@@ -160,9 +173,14 @@
                      const wire::LedgerEntry& entry,
                      const wire::EntryVerdict& verdict) -> void;
   auto TickTeam(Instant now, const TeamId& team, TeamFetch& fetch) -> void;
-  auto ReturnTokens(Instant now, const TeamId& team, TeamFetch& fetch, Tokens tokens) -> void;
-  auto Submit(Instant now, const TeamId& team, wire::LedgerEntry entry, Urgency urgency)
-      -> void;
+  auto ReturnTokens(Instant now,
+                    const TeamId& team,
+                    TeamFetch& fetch,
+                    Tokens tokens) -> void;
+  auto Submit(Instant now,
+              const TeamId& team,
+              wire::LedgerEntry entry,
+              Urgency urgency) -> void;
 
   IncarnationId self;
   PartitionMap partitions;
--- a/modules/al_budget/allowance/transfer_desk.h
+++ b/modules/al_budget/allowance/transfer_desk.h
@@ -14,12 +14,14 @@
 
 namespace auburnloft {
 
-/** The messages of transfers between holders: at least once on the way, credited once.
+/** The messages of transfers between holders: at least once on the way,
+   credited once.
 
-    A gift is sent again until the receiver acknowledges it. The receiver credits each transfer id
-    once, and only where the gift names its own incarnation: a new process at the same address
-    acknowledges the gift to its predecessor without taking it, since the ledger will credit the
-    predecessor's account.
+    A gift is sent again until the receiver acknowledges it. The receiver
+   credits each transfer id once, and only where the gift names its own
+   incarnation: a new process at the same address acknowledges the gift to its
+   predecessor without taking it, since the ledger will credit the predecessor's
+   account.
 
     Thread safety: none; used on one thread.
 
@@ -40,7 +42,8 @@
   /** Asks `holder` for tokens; false where its address is unknown. */
   auto Ask(const RouterId& holder, const wire::TransferAsk& ask) -> bool;
 
-  /** Sends `tokens`, which the caller has debited, and repeats it until acknowledged.
+  /** Sends `tokens`, which the caller has debited, and repeats it until
+     acknowledged.
       @return the id of the transfer. */
   auto Give(Instant now,
             const IncarnationId& to,
@@ -49,11 +52,13 @@
             Tokens tokens) -> std::string;
 
   /** Tells an asker that there is nothing to give. */
-  auto GiveNothing(const PeerAddress& to_address, const wire::TransferAsk& ask) -> void;
+  auto GiveNothing(const PeerAddress& to_address, const wire::TransferAsk& ask)
+      -> void;
 
-  /** Acknowledges a gift. @return true where it is for this incarnation and new. */
-  [[nodiscard]] auto Accept(const PeerAddress& from_address, const wire::TransferGive& give)
-      -> bool;
+  /** Acknowledges a gift. @return true where it is for this incarnation and
+   * new. */
+  [[nodiscard]] auto Accept(const PeerAddress& from_address,
+                            const wire::TransferGive& give) -> bool;
 
   auto OnAck(const wire::TransferAck& ack) -> void;
 
@@ -64,7 +69,9 @@
   // Queries
 
   /** Gifts that are not acknowledged yet. */
-  [[nodiscard]] auto open_gifts() const -> std::size_t { return this->gifts.size(); }
+  [[nodiscard]] auto open_gifts() const -> std::size_t {
+    return this->gifts.size();
+  }
 
  private:
   struct Gift {
--- a/modules/al_budget/keeper/keeper_directory.cc
+++ b/modules/al_budget/keeper/keeper_directory.cc
@@ -8,8 +8,9 @@
 
 namespace {
 
-/** A keeper without an answer for this long is passed by, and each candidate after it: longer
-    than a commit on a slow log, short against the patience of callers. */
+/** A keeper without an answer for this long is passed by, and each candidate
+   after it: longer than a commit on a slow log, short against the patience of
+   callers. */
 constexpr Duration kSuspectAfter = std::chrono::milliseconds(2500);
 
 }  // namespace
--- a/modules/al_budget/keeper/keeper_directory.h
+++ b/modules/al_budget/keeper/keeper_directory.h
@@ -15,13 +15,15 @@
 /** Where a submission goes. */
 struct KeeperTarget {
   RouterId router;
-  std::uint64_t suspected_epoch = 0;  ///< Of a keeper that does not answer; else 0.
+  std::uint64_t suspected_epoch =
+      0;  ///< Of a keeper that does not answer; else 0.
 };
 
-/** Who is believed to keep each partition, and whom to turn to when it does not answer.
+/** Who is believed to keep each partition, and whom to turn to when it does not
+   answer.
 
-    A belief only: the ledger's fold decides who the keeper is. A wrong belief costs a message,
-    never money.
+    A belief only: the ledger's fold decides who the keeper is. A wrong belief
+   costs a message, never money.
 
     Thread safety: none; used on one thread.
 
@@ -37,8 +39,11 @@
   //============================================================================
   // Commands
 
-  /** Learns that `keeper` keeps `partition` since `epoch`. @return true where that is news. */
-  auto Learn(PartitionIndex partition, const IncarnationId& keeper, std::uint64_t epoch) -> bool;
+  /** Learns that `keeper` keeps `partition` since `epoch`. @return true where
+   * that is news. */
+  auto Learn(PartitionIndex partition,
+             const IncarnationId& keeper,
+             std::uint64_t epoch) -> bool;
 
   /** Notes a submission that waits for an answer. */
   auto NoteSent(Instant now, PartitionIndex partition) -> void;
@@ -49,22 +54,25 @@
   //============================================================================
   // Queries
 
-  /** Where to send entries of `partition`. `live` are the routers that may keep partitions;
-      empty where there are none. */
+  /** Where to send entries of `partition`. `live` are the routers that may keep
+     partitions; empty where there are none. */
   [[nodiscard]] auto Target(Instant now,
                             PartitionIndex partition,
                             std::span<const RouterId> live) const
       -> std::optional<KeeperTarget>;
 
   /** What is known of `partition`; empty where nothing is. */
-  [[nodiscard]] auto Find(PartitionIndex partition) const -> std::optional<Known>;
+  [[nodiscard]] auto Find(PartitionIndex partition) const
+      -> std::optional<Known>;
 
   [[nodiscard]] auto all() const -> const std::map<PartitionIndex, Known>& {
     return this->known;
   }
 
-  /** The routers of `live` in the order in which they should keep `partition`. */
-  [[nodiscard]] static auto Rank(PartitionIndex partition, std::span<const RouterId> live)
+  /** The routers of `live` in the order in which they should keep `partition`.
+   */
+  [[nodiscard]] static auto Rank(PartitionIndex partition,
+                                 std::span<const RouterId> live)
       -> std::vector<RouterId>;
 
  private:
--- a/modules/al_budget/keeper/keeper_host.h
+++ b/modules/al_budget/keeper/keeper_host.h
@@ -36,7 +36,8 @@
   /** Changes the settings of all keepers, from their next commit on. */
   auto SetSettings(KeeperSettings new_settings) -> void;
 
-  /** Handles entries for a partition: as its keeper, by taking it over, or by naming the keeper.
+  /** Handles entries for a partition: as its keeper, by taking it over, or by
+     naming the keeper.
       @param may_take_over  false for a draining router. */
   auto OnSubmit(Instant now,
                 const PeerAddress& from_address,
@@ -50,17 +51,25 @@
 
   auto Tick(Instant now) -> void;
 
-  /** Marks executions that dead holders left in progress as of unknown outcome. */
-  auto OnHoldersDead(Instant now, const std::function<bool(const IncarnationId&)>& is_dead) -> void;
+  /** Marks executions that dead holders left in progress as of unknown outcome.
+   */
+  auto OnHoldersDead(Instant now,
+                     const std::function<bool(const IncarnationId&)>& is_dead)
+      -> void;
 
   /** Asks the next candidate to take over what this router keeps. */
-  auto HandOver(Instant now, std::span<const RouterId> live,
-                const std::function<std::optional<PeerAddress>(const RouterId&)>& address_of) -> void;
+  auto HandOver(
+      Instant now,
+      std::span<const RouterId> live,
+      const std::function<std::optional<PeerAddress>(const RouterId&)>&
+          address_of) -> void;
 
   //============================================================================
   // Queries
 
-  [[nodiscard]] auto keepers() const -> const Keepers& { return this->all_keepers; }
+  [[nodiscard]] auto keepers() const -> const Keepers& {
+    return this->all_keepers;
+  }
   [[nodiscard]] auto log() -> LogPort& { return this->log_port; }
 
   /** The partitions whose keeper this router is, as far as it has read. */
--- a/modules/al_budget/keeper/keeper_settings.h
+++ b/modules/al_budget/keeper/keeper_settings.h
@@ -11,11 +11,12 @@
 
 /** How a keeper works. */
 struct KeeperSettings {
-  /** Two appends of one partition are at least this far apart: the partitions together stay
-      under the log's rate. */
+  /** Two appends of one partition are at least this far apart: the partitions
+     together stay under the log's rate. */
   Duration commit_interval = std::chrono::milliseconds(50);
 
-  /** A snapshot is written after this many records; a reader starts that far from the end. */
+  /** A snapshot is written after this many records; a reader starts that far
+   * from the end. */
   std::uint64_t snapshot_every = 500;
 
   LedgerRules rules;
--- a/modules/al_budget/keeper/log_port.h
+++ b/modules/al_budget/keeper/log_port.h
@@ -35,7 +35,8 @@
     return tag;
   }
 
-  /** The stream of an answered call, which is closed thereby; empty for an unknown tag. */
+  /** The stream of an answered call, which is closed thereby; empty for an
+   * unknown tag. */
   auto Close(LogTag tag) -> std::optional<StreamId> {
     const auto found = this->open_calls.find(tag);
     if (found == this->open_calls.end()) {
--- a/modules/al_budget/keeper/partition_keeper.cc
+++ b/modules/al_budget/keeper/partition_keeper.cc
@@ -16,17 +16,20 @@
 constexpr Duration kFirstBackoff = std::chrono::milliseconds(100);
 constexpr Duration kLongestBackoff = std::chrono::seconds(2);
 
-/** A keeper whose log calls have failed for this long says that it is stalled. */
+/** A keeper whose log calls have failed for this long says that it is stalled.
+ */
 constexpr Duration kStalledAfter = std::chrono::seconds(2);
 
-/** How often an idle keeper looks for records of operators and of a successor. */
+/** How often an idle keeper looks for records of operators and of a successor.
+ */
 constexpr Duration kPollInterval = std::chrono::seconds(2);
 
-/** One record holds at most this many entries; a larger one delays all that wait for it. */
+/** One record holds at most this many entries; a larger one delays all that
+ * wait for it. */
 constexpr std::size_t kMostEntriesPerRecord = 500;
 
-/** A grant that the state does not cover waits for a read of the stream that is at most this
-    old, since a top-up may stand there. */
+/** A grant that the state does not cover waits for a read of the stream that is
+   at most this old, since a top-up may stand there. */
 constexpr Duration kFreshRead = std::chrono::milliseconds(50);
 
 /** So many holders are named to a router that may ask them for tokens. */
@@ -94,8 +97,8 @@
     return;
   }
   this->FinishIo(now);
-  const bool cut_off = this->start_is_placed &&
-                       records.oldest > this->fold.next_offset();
+  const bool cut_off =
+      this->start_is_placed && records.oldest > this->fold.next_offset();
   if (!this->start_is_placed || cut_off) {
     this->PlaceStart(now, records);
     return;
@@ -179,9 +182,9 @@
   this->io_deadline = now + kLogTimeout;
   this->read_wanted = false;
   this->io_started = now;
-  this->io_tag =
-      this->log.Read(PartitionMap::StreamOf(this->partition),
-                     this->start_is_placed ? this->fold.next_offset() : kEndOfStream);
+  this->io_tag = this->log.Read(
+      PartitionMap::StreamOf(this->partition),
+      this->start_is_placed ? this->fold.next_offset() : kEndOfStream);
 }
 
 auto PartitionKeeper::StartAppend(Instant now, std::string bytes) -> void {
@@ -351,8 +354,7 @@
   batch.set_written_at_ms(ToUnixMillis(now));
   std::map<std::string, Tokens> taken;
   std::deque<QueuedEntry> held;
-  while (!this->queue.empty() &&
-         this->sent.size() < kMostEntriesPerRecord) {
+  while (!this->queue.empty() && this->sent.size() < kMostEntriesPerRecord) {
     QueuedEntry item = std::move(this->queue.front());
     this->queue.pop_front();
     if (this->AnswerFromState(item)) {
@@ -420,9 +422,9 @@
   request.topped_up = team->account.topped_up();
   request.received = balance.received;
   request.routers = this->settings.routers;
-  const Tokens tokens = std::visit(
-      [&](const auto& policy) { return policy.Shape(request); },
-      this->settings.policy);
+  const Tokens tokens =
+      std::visit([&](const auto& policy) { return policy.Shape(request); },
+                 this->settings.policy);
   if (tokens <= 0) {
     return false;
   }
--- a/modules/al_budget/keeper/partition_keeper.h
+++ b/modules/al_budget/keeper/partition_keeper.h
@@ -18,13 +18,14 @@
 
 /** Writes one ledger partition on behalf of all routers.
 
-    It takes over by a record that starts the next epoch, gathers submitted entries into one
-    record at a time (group commit), and answers each submitter only after it has read the record
-    back as valid. When an append gets no answer, it reads the stream to its end and appends the
-    same record again where it is missing; the fold drops a repeat.
+    It takes over by a record that starts the next epoch, gathers submitted
+   entries into one record at a time (group commit), and answers each submitter
+   only after it has read the record back as valid. When an append gets no
+   answer, it reads the stream to its end and appends the same record again
+   where it is missing; the fold drops a repeat.
 
-    Being late is harmless: whatever a deposed keeper appends is void, and it learns so when it
-    reads it back.
+    Being late is harmless: whatever a deposed keeper appends is void, and it
+   learns so when it reads it back.
 
     Thread safety: none; used on one thread.
 
@@ -36,7 +37,7 @@
     kIdle,        ///< Does not keep the partition.
     kCatchingUp,  ///< Reads the stream to its end before it takes over.
     kTakingOver,  ///< Has appended its take-over and waits to read it back.
-    kKeeping,     ///< Is the keeper of the current epoch, as far as it has read.
+    kKeeping,  ///< Is the keeper of the current epoch, as far as it has read.
   };
 
   PartitionKeeper(PartitionIndex partition,
@@ -74,11 +75,18 @@
   // Queries
 
   [[nodiscard]] auto role() const -> Role { return this->current_role; }
-  [[nodiscard]] auto ledger() const -> const PartitionLedger& { return this->fold; }
-  [[nodiscard]] auto pending() const -> std::size_t { return this->queue.size() + this->sent.size(); }
-  [[nodiscard]] auto appends() const -> std::uint64_t { return this->append_count; }
-
-  /** True while the log has not answered for longer than a submitter should rely on. */
+  [[nodiscard]] auto ledger() const -> const PartitionLedger& {
+    return this->fold;
+  }
+  [[nodiscard]] auto pending() const -> std::size_t {
+    return this->queue.size() + this->sent.size();
+  }
+  [[nodiscard]] auto appends() const -> std::uint64_t {
+    return this->append_count;
+  }
+
+  /** True while the log has not answered for longer than a submitter should
+   * rely on. */
   [[nodiscard]] auto IsStalled(Instant now) const -> bool;
 
  private:
@@ -101,7 +109,9 @@
   auto AppendTakeOver(Instant now) -> void;
   auto Commit(Instant now) -> void;
   auto BuildBatch(Instant now) -> wire::LedgerBatch;
-  [[nodiscard]] auto ShapeGrant(wire::Grant& grant, std::map<std::string, Tokens>& taken) const -> bool;
+  [[nodiscard]] auto ShapeGrant(wire::Grant& grant,
+                                std::map<std::string, Tokens>& taken) const
+      -> bool;
   auto AnswerFromState(const QueuedEntry& item) -> bool;
   auto RefuseGrant(const QueuedEntry& item) -> void;
   auto AddReply(const PeerAddress& to, wire::EntryVerdict verdict) -> void;
@@ -122,7 +132,7 @@
   Io io = Io::kNone;
   LogTag io_tag = 0;
   Instant io_deadline;
-  Instant next_io;          ///< No call to the log before this, after a failure.
+  Instant next_io;  ///< No call to the log before this, after a failure.
   Duration backoff{0};
   Instant failing_since;
   bool failing = false;
@@ -130,7 +140,8 @@
   bool start_is_placed = false;
   LogOffset start_distance = 0;
   Instant io_started;
-  Instant last_full_read;   ///< When the last call that showed the stream's end was begun.
+  Instant last_full_read;  ///< When the last call that showed the stream's end
+                           ///< was begun.
   bool read_wanted = false;
 
   std::deque<QueuedEntry> queue;
--- a/modules/al_budget/outbox/entry_outbox.cc
+++ b/modules/al_budget/outbox/entry_outbox.cc
@@ -69,9 +69,8 @@
       }
       const bool sent_before = item.interval > Duration{0};
       batch.is_repeat = batch.is_repeat || sent_before;
-      item.interval = sent_before
-                          ? std::min(item.interval * 2, kLongestRepeat)
-                          : kFirstRepeat;
+      item.interval = sent_before ? std::min(item.interval * 2, kLongestRepeat)
+                                  : kFirstRepeat;
       item.due = now + item.interval;
       batch.entries.push_back(item.entry);
     }
@@ -94,7 +93,8 @@
   }
   found->second.window = std::min(found->second.window * 2, kLargestWindow);
   for (auto& [order, item] : found->second.items) {
-    // Entries that back off after a silence go out again at once; fresh ones keep their time.
+    // Entries that back off after a silence go out again at once; fresh ones
+    // keep their time.
     if (item.interval > kFirstRepeat) {
       item.interval = Duration{0};
       item.due = now;
--- a/modules/al_budget/outbox/entry_outbox.h
+++ b/modules/al_budget/outbox/entry_outbox.h
@@ -23,10 +23,10 @@
 
 /** Ledger entries on their way to the keepers of their partitions.
 
-    An entry stays here, and is sent again at growing intervals, until Remove() is called for the
-    keeper's verdict. All entries are idempotent, so a repeat does no harm. While a partition's
-    keeper does not answer, only the first few entries are sent again; the window grows with each
-    answer.
+    An entry stays here, and is sent again at growing intervals, until Remove()
+   is called for the keeper's verdict. All entries are idempotent, so a repeat
+   does no harm. While a partition's keeper does not answer, only the first few
+   entries are sent again; the window grows with each answer.
 
     Entries of one partition are sent in the order in which they were added.
 
@@ -46,7 +46,8 @@
   /** Bills wait this long for others, so that a message carries several. */
   static constexpr Duration kBatchDelay = std::chrono::milliseconds(200);
 
-  /** An entry whose cover is not recorded yet waits this long before it is tried again. */
+  /** An entry whose cover is not recorded yet waits this long before it is
+   * tried again. */
   static constexpr Duration kLaterDelay = std::chrono::seconds(4);
 
   //============================================================================
@@ -58,18 +59,20 @@
            wire::LedgerEntry entry,
            Urgency urgency) -> void;
 
-  /** Takes out the entry with a verdict; empty where it is not here (a repeated verdict). */
+  /** Takes out the entry with a verdict; empty where it is not here (a repeated
+   * verdict). */
   auto Remove(std::string_view entry_id) -> std::optional<wire::LedgerEntry>;
 
   /** The entries to be sent now, marked as sent at `now`. */
   auto TakeDue(Instant now) -> std::vector<DueBatch>;
 
-  /** Notes that the keeper of `partition` answered: widens the window, and makes its entries
-      due at once where `has_verdicts`. */
+  /** Notes that the keeper of `partition` answered: widens the window, and
+     makes its entries due at once where `has_verdicts`. */
   auto NoteAnswer(Instant now, PartitionIndex partition, bool has_verdicts)
       -> void;
 
-  /** Makes all entries of `partition` due at once, as after a change of keeper. */
+  /** Makes all entries of `partition` due at once, as after a change of keeper.
+   */
   auto ResendNow(Instant now, PartitionIndex partition) -> void;
 
   //============================================================================
@@ -78,7 +81,8 @@
   [[nodiscard]] auto size() const -> std::size_t { return this->places.size(); }
   [[nodiscard]] auto Contains(std::string_view entry_id) const -> bool;
 
-  /** All entries, in order within each partition. Valid until the next command. */
+  /** All entries, in order within each partition. Valid until the next command.
+   */
   [[nodiscard]] auto Entries() const -> std::vector<const wire::LedgerEntry*>;
 
   /** The time at which the next entry is due; empty where there is none. */
--- a/modules/al_budget/policy/allowance_policy.h
+++ b/modules/al_budget/policy/allowance_policy.h
@@ -14,7 +14,8 @@
 
 /** Decides the size of allowances.
 
-    - Wanted(): what a holder asks for, above `need`, given its demand; 0 asks for nothing.
+    - Wanted(): what a holder asks for, above `need`, given its demand; 0 asks
+   for nothing.
     - Shape(): what the keeper grants of a request. At most `unallocated`.
     - transfers(): whether holders move tokens to each other.
 */
--- a/modules/al_budget/policy/demand_led_policy.cc
+++ b/modules/al_budget/policy/demand_led_policy.cc
@@ -6,12 +6,16 @@
 
 namespace {
 
-/** A holder keeps at least room for this many of its largest requests, so that the first few
-    requests of an idle team do not wait for a grant each. */
+/** A holder keeps at least room for this many of its largest requests, so that
+   the first few requests of an idle team do not wait for a grant each. */
 constexpr Tokens kRequestsInHand = 4;
 
-/** A speculative grant takes at most this fraction of what is unallocated, divided by the
-    number of routers that could ask next. */
+/** A refill goes this part beyond the target, so that refills are some minutes
+ * apart. */
+constexpr Tokens kFillPart = 2;
+
+/** A speculative grant takes at most this fraction of what is unallocated,
+   divided by the number of routers that could ask next. */
 constexpr Tokens kUnallocatedDivisor = 2;
 
 }  // namespace
@@ -24,10 +28,11 @@
 
 auto DemandLedPolicy::Wanted(const HolderDemand& demand) const -> Tokens {
   const Tokens target = this->Target(demand);
+  const Tokens filled = target + target / kFillPart;
   if (demand.need > 0) {
-    return std::max(demand.need, target - demand.free);
+    return std::max(demand.need, filled - demand.free);
   }
-  return demand.free < target / 2 ? target - demand.free : 0;
+  return demand.free < target ? filled - demand.free : 0;
 }
 
 auto DemandLedPolicy::Shape(const GrantRequest& request) const -> Tokens {
--- a/modules/al_budget/policy/demand_led_policy.h
+++ b/modules/al_budget/policy/demand_led_policy.h
@@ -6,19 +6,22 @@
 
 namespace auburnloft {
 
-/** Sizes allowances by the holder's demand, and shrinks them as the budget runs low.
+/** Sizes allowances by the holder's demand, and shrinks them as the budget runs
+   low.
 
-    A holder asks for what it spends in `cover`, and again when half of that is gone. The keeper
-    grants at most a fraction of what is unallocated, so that the last tokens are not taken by
-    one holder while another needs them; a holder whose requests wait gets its need in full
-    where the budget has it.
+    A holder asks for half as much again as it spends in `cover`, and once more
+   when it holds less than `cover` needs: it can go on for at least that long
+   without the log. The keeper grants at most a fraction of what is unallocated,
+   so that the last tokens are not taken by one holder while another needs them;
+   a holder whose requests wait gets its need in full where the budget has it.
 
-    `cover` is the one setting between users: a long one rides out a long partition, a short one
-    leaves fewer tokens with a router that dies.
+    `cover` is the one setting between users: a long one rides out a long
+   partition, a short one leaves fewer tokens with a router that dies.
 */
 class DemandLedPolicy {
  public:
-  /** @param cover      how long an allowance lasts at the present rate; > 0.
+  /** @param cover      how long an allowance lasts at the present rate, at
+     least; > 0.
       @param transfers  whether holders move tokens to each other. */
   DemandLedPolicy(Duration cover, bool transfers)
       : cover(cover), moves_tokens(transfers) {}
--- a/modules/al_budget/policy/fixed_split_policy.cc
+++ b/modules/al_budget/policy/fixed_split_policy.cc
@@ -13,8 +13,8 @@
 
 auto FixedSplitPolicy::Shape(const GrantRequest& request) const -> Tokens {
   const auto share =
-      request.topped_up / static_cast<Tokens>(std::max<std::size_t>(
-                              1, request.routers));
+      request.topped_up /
+      static_cast<Tokens>(std::max<std::size_t>(1, request.routers));
   const Tokens left_of_share = std::max<Tokens>(0, share - request.received);
   return std::min({request.want, left_of_share, request.unallocated});
 }
--- a/modules/al_budget/policy/policy_inputs.h
+++ b/modules/al_budget/policy/policy_inputs.h
@@ -19,11 +19,11 @@
 /** What a keeper knows when it answers a request for tokens. */
 struct GrantRequest {
   Tokens want = 0;
-  Tokens need = 0;           ///< The least that helps the holder; may be 0.
-  Tokens unallocated = 0;    ///< Left in the budget.
-  Tokens topped_up = 0;      ///< All top-ups so far.
-  Tokens received = 0;       ///< By this holder, cumulative.
-  std::size_t routers = 1;   ///< In the fleet.
+  Tokens need = 0;          ///< The least that helps the holder; may be 0.
+  Tokens unallocated = 0;   ///< Left in the budget.
+  Tokens topped_up = 0;     ///< All top-ups so far.
+  Tokens received = 0;      ///< By this holder, cumulative.
+  std::size_t routers = 1;  ///< In the fleet.
 };
 
 }  // namespace auburnloft
--- a/modules/al_budget/witness/witness_desk.cc
+++ b/modules/al_budget/witness/witness_desk.cc
@@ -6,11 +6,12 @@
 
 namespace {
 
-/** How long an answer waits for its witness: some round trips between failure domains, and one
-    repeat of a lost message. */
+/** How long an answer waits for its witness: some round trips between failure
+   domains, and one repeat of a lost message. */
 constexpr Duration kWitnessWait = std::chrono::milliseconds(45);
 
-/** A copy is sent again at these intervals, before and after its answer was released. */
+/** A copy is sent again at these intervals, before and after its answer was
+ * released. */
 constexpr Duration kRepeatWhileHeld = std::chrono::milliseconds(15);
 constexpr Duration kRepeat = std::chrono::milliseconds(500);
 
@@ -168,8 +169,7 @@
 
 //==============================================================================
 
-auto WitnessDesk::HeldEntries() const
-    -> std::vector<const wire::LedgerEntry*> {
+auto WitnessDesk::HeldEntries() const -> std::vector<const wire::LedgerEntry*> {
   std::vector<const wire::LedgerEntry*> entries;
   for (const auto& [key, copy] : this->copies) {
     for (const wire::LedgerEntry& entry : copy.entries) {
--- a/modules/al_budget/witness/witness_desk.h
+++ b/modules/al_budget/witness/witness_desk.h
@@ -18,13 +18,14 @@
 
 namespace auburnloft {
 
-/** Keeps a copy of unrecorded bills at a second router, so that a router that dies after an
-    answer does not leave it unbilled.
-
-    As sender: the final part of an answer is held back until a witness in another failure domain
-    has a copy of its bill, or until a short time limit, since a caller must not wait for a
-    witness that is cut off. As witness: entries that their sender does not report as recorded are
-    submitted by this router. Entries are idempotent, so this needs no proof that the sender is
+/** Keeps a copy of unrecorded bills at a second router, so that a router that
+   dies after an answer does not leave it unbilled.
+
+    As sender: the final part of an answer is held back until a witness in
+   another failure domain has a copy of its bill, or until a short time limit,
+   since a caller must not wait for a witness that is cut off. As witness:
+   entries that their sender does not report as recorded are submitted by this
+   router. Entries are idempotent, so this needs no proof that the sender is
     dead. Copies help to bill; no promise about overspend rests on them.
 
     Thread safety: none; used on one thread.
@@ -33,7 +34,8 @@
 */
 class WitnessDesk {
  public:
-  /** Where the witness of this router listens; empty where no other router is heard of. */
+  /** Where the witness of this router listens; empty where no other router is
+   * heard of. */
   using WitnessAddress = std::function<std::optional<PeerAddress>()>;
 
   WitnessDesk(PartitionMap partitions,
@@ -50,8 +52,11 @@
   /** Copies an entry to the witness, without an answer that waits for it. */
   auto Copy(Instant now, const wire::LedgerEntry& entry) -> void;
 
-  /** Copies `entries` to the witness and releases the answer of `handle` once they are there. */
-  auto Protect(Instant now, RequestHandle handle, std::vector<wire::LedgerEntry> entries) -> void;
+  /** Copies `entries` to the witness and releases the answer of `handle` once
+   * they are there. */
+  auto Protect(Instant now,
+               RequestHandle handle,
+               std::vector<wire::LedgerEntry> entries) -> void;
 
   auto OnAck(const wire::EntryNoteAck& ack) -> void;
 
@@ -66,21 +71,29 @@
               const PeerAddress& from_address,
               const wire::EntryNote& note) -> void;
 
-  auto OnDone(const IncarnationId& from, const wire::EntryNoteDone& done) -> void;
+  auto OnDone(const IncarnationId& from, const wire::EntryNoteDone& done)
+      -> void;
 
   /** Submits at once what a dead router left here. */
-  auto OnHolderDead(Instant now, const std::function<bool(const IncarnationId&)>& is_dead) -> void;
+  auto OnHolderDead(Instant now,
+                    const std::function<bool(const IncarnationId&)>& is_dead)
+      -> void;
 
   //============================================================================
 
-  /** Releases answers whose witness is late, and submits copies whose time has come. */
+  /** Releases answers whose witness is late, and submits copies whose time has
+   * come. */
   auto Tick(Instant now) -> void;
 
-  /** All entries that are held for other routers. Valid until the next command. */
-  [[nodiscard]] auto HeldEntries() const -> std::vector<const wire::LedgerEntry*>;
+  /** All entries that are held for other routers. Valid until the next command.
+   */
+  [[nodiscard]] auto HeldEntries() const
+      -> std::vector<const wire::LedgerEntry*>;
 
   /** Copies held for other routers. */
-  [[nodiscard]] auto copies_held() const -> std::size_t { return this->copies.size(); }
+  [[nodiscard]] auto copies_held() const -> std::size_t {
+    return this->copies.size();
+  }
 
   /** Answers that were released without a copy of their bill. */
   [[nodiscard]] auto released_unprotected() const -> std::uint64_t {
--- a/modules/al_config/al_config.h
+++ b/modules/al_config/al_config.h
@@ -1,11 +1,15 @@
-/** Module al_config: the fleet's configuration, its checks, and its versions on the log.
+/** Module al_config: the fleet's configuration, its checks, and its versions on
+   the log.
 
     Depends on: al_core, al_actions, nlohmann-json, protobuf (records).
 
     Parts:
-    - model/     Configuration: the typed configuration that the other modules read
-    - check/     ConfigurationParser and JsonReader: from JSON to the model, with all findings
-    - fold/      ConfigFold (versions as a fold over the stream) and ConfigFollower (its reader)
+    - model/     Configuration: the typed configuration that the other modules
+   read
+    - check/     ConfigurationParser and JsonReader: from JSON to the model,
+   with all findings
+    - fold/      ConfigFold (versions as a fold over the stream) and
+   ConfigFollower (its reader)
 */
 #ifndef AL_CONFIG_AL_CONFIG_H_
 #define AL_CONFIG_AL_CONFIG_H_
--- a/modules/al_config/check/configuration_parser.cc
+++ b/modules/al_config/check/configuration_parser.cc
@@ -17,8 +17,8 @@
 
 auto ReadAllowance(JsonReader& reader) -> AllowanceSettings {
   AllowanceSettings settings;
-  settings.policy = static_cast<AllowancePolicyKind>(reader.Choice(
-      "policy", 0, {"demand_led", "fixed_chunk", "fixed_split"}));
+  settings.policy = static_cast<AllowancePolicyKind>(
+      reader.Choice("policy", 0, {"demand_led", "fixed_chunk", "fixed_split"}));
   settings.cover =
       std::chrono::seconds(reader.Whole("cover_seconds", 600, 1, kDaySeconds));
   settings.chunk = reader.Whole("chunk_tokens", 10'000, 1, kMostTokens);
@@ -45,9 +45,8 @@
   reader.Object("allowance", [&](JsonReader& item) {
     defaults.allowance = ReadAllowance(item);
   });
-  reader.Object("ledger", [&](JsonReader& item) {
-    defaults.ledger = ReadLedger(item);
-  });
+  reader.Object("ledger",
+                [&](JsonReader& item) { defaults.ledger = ReadLedger(item); });
   reader.Object("retry", [&](JsonReader& item) {
     defaults.retry.budget_ratio = item.Fraction("budget_ratio", 0.1, 0.0, 1.0);
     defaults.retry.most_attempts =
@@ -60,9 +59,8 @@
         std::chrono::seconds(item.Whole("hold_seconds", 20, 1, 3600));
   });
   reader.Object("traffic", [&](JsonReader& item) {
-    defaults.traffic.chooser = static_cast<ChooserKind>(
-        item.Choice("chooser", 0,
-                    {"scored", "random", "round_robin", "least_in_flight"}));
+    defaults.traffic.chooser = static_cast<ChooserKind>(item.Choice(
+        "chooser", 0, {"scored", "random", "round_robin", "least_in_flight"}));
     defaults.traffic.patient_share =
         item.Fraction("patient_share", 0.7, 0.05, 1.0);
   });
@@ -89,10 +87,9 @@
   Team team;
   team.id = TeamId(name);
   team.key_sha256 = reader.RequiredText("key_sha256");
-  const bool is_digest =
-      team.key_sha256.size() == kSha256HexSize &&
-      team.key_sha256.find_first_not_of("0123456789abcdef") ==
-          std::string::npos;
+  const bool is_digest = team.key_sha256.size() == kSha256HexSize &&
+                         team.key_sha256.find_first_not_of(
+                             "0123456789abcdef") == std::string::npos;
   if (!is_digest) {
     reader.Note("key_sha256",
                 "is not a SHA-256 digest in lower-case hexadecimal");
@@ -216,9 +213,9 @@
       const bool unknown = !upstream.service.empty() &&
                            !this->configuration.HasService(upstream.service);
       if (unknown) {
-        this->findings.Add("$.upstreams." + upstream.id.value(),
-                           "service \"" + upstream.service +
-                               "\" does not exist");
+        this->findings.Add(
+            "$.upstreams." + upstream.id.value(),
+            "service \"" + upstream.service + "\" does not exist");
       }
     }
   }
@@ -229,8 +226,8 @@
           this->configuration.teams,
           [&](const Team& team) { return team.id == item.team; });
       if (!known && !item.team.empty()) {
-        this->findings.Add("$.exceptions", "team \"" + item.team.value() +
-                                               "\" does not exist");
+        this->findings.Add("$.exceptions",
+                           "team \"" + item.team.value() + "\" does not exist");
       }
       this->CheckClass("$.exceptions", item.chat_class.value_or(""));
     }
@@ -253,15 +250,17 @@
   reader.ForEachNamed("teams", [&](std::string_view name, JsonReader& item) {
     configuration.teams.push_back(ReadTeam(name, item));
   });
-  reader.ForEachNamed("upstreams", [&](std::string_view name, JsonReader& item) {
-    configuration.upstreams.push_back(ReadUpstream(name, item));
-  });
+  reader.ForEachNamed(
+      "upstreams", [&](std::string_view name, JsonReader& item) {
+        configuration.upstreams.push_back(ReadUpstream(name, item));
+      });
   reader.ForEachNamed("services", [&](std::string_view name, JsonReader& item) {
     configuration.services.push_back(ReadService(name, item));
   });
-  reader.ForEachNamed("exceptions", [&](std::string_view name, JsonReader& item) {
-    configuration.exceptions.push_back(ReadException(name, item));
-  });
+  reader.ForEachNamed(
+      "exceptions", [&](std::string_view name, JsonReader& item) {
+        configuration.exceptions.push_back(ReadException(name, item));
+      });
   reader.Finish();
   return configuration;
 }
--- a/modules/al_config/check/configuration_parser.h
+++ b/modules/al_config/check/configuration_parser.h
@@ -11,9 +11,9 @@
 
 /** Parses and checks the JSON text of a configuration.
 
-    @return the configuration, or empty where `findings` is not: a syntax error with its line, or
-            every fault with its JSON path.
-    Thread safety: safe on any thread; touches only its arguments.
+    @return the configuration, or empty where `findings` is not: a syntax error
+   with its line, or every fault with its JSON path. Thread safety: safe on any
+   thread; touches only its arguments.
 
     @see docs/CONFIGURATION.md
 */
--- a/modules/al_config/check/json_reader.h
+++ b/modules/al_config/check/json_reader.h
@@ -14,15 +14,16 @@
 
 /** Reads the members of one JSON object and notes every fault with its path.
 
-    Each read names a member, its limits and what stands for it when it is absent. Finish()
-    reports the members that no read asked for, so that a misspelt setting is not passed over.
+    Each read names a member, its limits and what stands for it when it is
+   absent. Finish() reports the members that no read asked for, so that a
+   misspelt setting is not passed over.
 
     Thread safety: none; used on one thread.
 */
 class JsonReader {
  public:
-  /** @param json  an object; anything else is noted as a finding and read as empty.
-      Both references must outlive the reader. */
+  /** @param json  an object; anything else is noted as a finding and read as
+     empty. Both references must outlive the reader. */
   JsonReader(const nlohmann::json& json, std::string path, Findings& findings);
 
   //============================================================================
@@ -36,8 +37,10 @@
              std::int64_t fallback,
              std::int64_t least,
              std::int64_t most) -> std::int64_t;
-  auto Fraction(std::string_view name, double fallback, double least, double most)
-      -> double;
+  auto Fraction(std::string_view name,
+                double fallback,
+                double least,
+                double most) -> double;
 
   /** One of `choices`; its index. Another value is a finding. */
   auto Choice(std::string_view name,
@@ -48,12 +51,15 @@
   auto ForEach(std::string_view name,
                const std::function<void(JsonReader& item)>& read) -> void;
 
-  /** Calls `read` for each member of an object member, with the member's name. */
-  auto ForEachNamed(std::string_view name,
-                    const std::function<void(std::string_view key, JsonReader& item)>& read)
+  /** Calls `read` for each member of an object member, with the member's name.
+   */
+  auto ForEachNamed(
+      std::string_view name,
+      const std::function<void(std::string_view key, JsonReader& item)>& read)
       -> void;
 
-  /** Calls `read` with an object member, or with an empty object where it is absent. */
+  /** Calls `read` with an object member, or with an empty object where it is
+   * absent. */
   auto Object(std::string_view name,
               const std::function<void(JsonReader& item)>& read) -> void;
 
--- a/modules/al_config/fold/config_fold.cc
+++ b/modules/al_config/fold/config_fold.cc
@@ -99,7 +99,8 @@
   }
   for (const Change& change : changes) {
     if (change.version != this->newest + 1 || !this->ApplyChange(change)) {
-      this->has_state = false;  // Half of a list is no version; a snapshot mends it.
+      this->has_state =
+          false;  // Half of a list is no version; a snapshot mends it.
       return false;
     }
   }
--- a/modules/al_config/fold/config_fold.h
+++ b/modules/al_config/fold/config_fold.h
@@ -18,15 +18,16 @@
   kNone,
   kUnreadable,  ///< Not a record, or its patch is no JSON.
   kLostRace,    ///< Based on a version that is no longer the newest.
-  kMisplaced,   ///< A snapshot that does not stand at the offset that it states.
-  kNoState,     ///< The reader has not met a snapshot yet.
+  kMisplaced,  ///< A snapshot that does not stand at the offset that it states.
+  kNoState,    ///< The reader has not met a snapshot yet.
 };
 
 /** The versions of the configuration: the fold over its stream.
 
-    A change is valid where it is based on the newest version (compare and set): of two operators
-    who race, the first in the log wins. Whether a document makes sense is not part of the fold,
-    so that routers of different releases count the same versions.
+    A change is valid where it is based on the newest version (compare and set):
+   of two operators who race, the first in the log wins. Whether a document
+   makes sense is not part of the fold, so that routers of different releases
+   count the same versions.
 
     Thread safety: none; used on one thread.
 
@@ -42,7 +43,8 @@
     std::string reason;
   };
 
-  /** Changes kept for neighbours; one that lags more gets the whole document. */
+  /** Changes kept for neighbours; one that lags more gets the whole document.
+   */
   static constexpr std::size_t kKeptChanges = 64;
 
   //============================================================================
@@ -54,12 +56,17 @@
   /** Applies the record at next_offset(). */
   auto ApplyBytes(std::string_view bytes) -> ConfigVoid;
 
-  /** Takes over a neighbour's state, where it is newer. @return true where it was. */
-  auto Adopt(std::uint64_t new_version, LogOffset next_offset, std::string_view document) -> bool;
+  /** Takes over a neighbour's state, where it is newer. @return true where it
+   * was. */
+  auto Adopt(std::uint64_t new_version,
+             LogOffset next_offset,
+             std::string_view document) -> bool;
 
-  /** Applies changes that a neighbour passes on, where they follow on this state.
+  /** Applies changes that a neighbour passes on, where they follow on this
+     state.
       @param next_offset  of the neighbour's state after the last of them. */
-  auto AdoptChanges(std::span<const Change> changes, LogOffset next_offset) -> bool;
+  auto AdoptChanges(std::span<const Change> changes, LogOffset next_offset)
+      -> bool;
 
   //============================================================================
   // Queries
@@ -67,8 +74,12 @@
   [[nodiscard]] auto ready() const -> bool { return this->has_state; }
   [[nodiscard]] auto version() const -> std::uint64_t { return this->newest; }
   [[nodiscard]] auto next_offset() const -> LogOffset { return this->next; }
-  [[nodiscard]] auto document() const -> const nlohmann::json& { return this->json; }
-  [[nodiscard]] auto changes() const -> const std::deque<Change>& { return this->recent; }
+  [[nodiscard]] auto document() const -> const nlohmann::json& {
+    return this->json;
+  }
+  [[nodiscard]] auto changes() const -> const std::deque<Change>& {
+    return this->recent;
+  }
   [[nodiscard]] auto records_since_snapshot() const -> std::uint64_t {
     return this->since_snapshot;
   }
--- a/modules/al_config/fold/config_follower.cc
+++ b/modules/al_config/fold/config_follower.cc
@@ -9,8 +9,9 @@
 
 namespace {
 
-/** How often the stream is read. Neighbours pass a change on within a heartbeat or two, so that
-    the fleet is on it well within seven seconds however few routers reach the log. */
+/** How often the stream is read. Neighbours pass a change on within a heartbeat
+   or two, so that the fleet is on it well within seven seconds however few
+   routers reach the log. */
 constexpr Duration kReadInterval = std::chrono::milliseconds(2000);
 constexpr Duration kReadJitter = std::chrono::milliseconds(500);
 constexpr Duration kReadTimeout = std::chrono::seconds(3);
@@ -19,7 +20,8 @@
 /** Pulls from neighbours are at least this far apart. */
 constexpr Duration kPullInterval = std::chrono::milliseconds(300);
 
-/** A snapshot is written after this many records, and tried again after the interval. */
+/** A snapshot is written after this many records, and tried again after the
+ * interval. */
 constexpr std::uint64_t kSnapshotEvery = 50;
 constexpr Duration kSnapshotInterval = std::chrono::seconds(5);
 
@@ -120,8 +122,8 @@
   push.set_version(this->state.version());
   push.set_next_offset(this->state.next_offset());
   const std::deque<ConfigFold::Change>& changes = this->state.changes();
-  const bool has_all = !changes.empty() && changes.front().version <=
-                                               pull.have_version() + 1;
+  const bool has_all =
+      !changes.empty() && changes.front().version <= pull.have_version() + 1;
   if (!has_all || pull.have_version() == 0) {
     push.set_document(this->state.document().dump());
   } else {
--- a/modules/al_config/fold/config_follower.h
+++ b/modules/al_config/fold/config_follower.h
@@ -13,12 +13,14 @@
 
 namespace auburnloft {
 
-/** Keeps a router on the newest configuration: from the log, or from neighbours.
+/** Keeps a router on the newest configuration: from the log, or from
+   neighbours.
 
-    Reads the stream at intervals. A heartbeat with a newer version leads to a pull from that
-    neighbour, so that a router cut off from the log follows too. The version in force never goes
-    back. A document that this release does not understand leaves the last good configuration in
-    force, and its findings in the state dump.
+    Reads the stream at intervals. A heartbeat with a newer version leads to a
+   pull from that neighbour, so that a router cut off from the log follows too.
+   The version in force never goes back. A document that this release does not
+   understand leaves the last good configuration in force, and its findings in
+   the state dump.
 
     Thread safety: none; used on one thread.
 
@@ -37,11 +39,14 @@
   //============================================================================
   // Commands
 
-  /** Reads the stream when its time has come. @param open_read  queues a read of the stream and
-      returns its tag. @param may_snapshot  whether this router is the one to write snapshots;
-      `open_append` queues the append of one. */
+  /** Reads the stream when its time has come. @param open_read  queues a read
+     of the stream and returns its tag. @param may_snapshot  whether this router
+     is the one to write snapshots; `open_append` queues the append of one. */
   template <typename OpenRead, typename OpenAppend>
-  auto Tick(Instant now, bool may_snapshot, OpenRead open_read, OpenAppend open_append) -> void {
+  auto Tick(Instant now,
+            bool may_snapshot,
+            OpenRead open_read,
+            OpenAppend open_append) -> void {
     if (this->read_tag && now >= this->read_deadline) {
       this->OnFailed(now, LogFailed{*this->read_tag});
     }
@@ -52,7 +57,8 @@
       open_append(this->state.ToSnapshot().SerializeAsString());
       this->NoteSnapshot(now);
     }
-    this->read_tag = open_read(this->is_placed ? this->state.next_offset() : kEndOfStream);
+    this->read_tag =
+        open_read(this->is_placed ? this->state.next_offset() : kEndOfStream);
     this->NoteRead(now);
   }
 
@@ -70,14 +76,17 @@
   //============================================================================
   // Queries
 
-  /** The configuration in force; null until there is one. Valid until the next command. */
+  /** The configuration in force; null until there is one. Valid until the next
+   * command. */
   [[nodiscard]] auto configuration() const -> const Configuration* {
     return this->in_force ? &*this->in_force : nullptr;
   }
   [[nodiscard]] auto fold() const -> const ConfigFold& { return this->state; }
 
   /** What is wrong with the newest document; empty where it is in force. */
-  [[nodiscard]] auto findings() const -> const Findings& { return this->newest_findings; }
+  [[nodiscard]] auto findings() const -> const Findings& {
+    return this->newest_findings;
+  }
 
  private:
   auto PlaceStart(const LogRecords& records) -> void;
--- a/modules/al_config/model/configuration.cc
+++ b/modules/al_config/model/configuration.cc
@@ -40,8 +40,9 @@
                              std::string_view method,
                              std::string_view path) const
     -> const ServiceCall* {
-  const Service* const owner = FindIn(
-      this->services, [&](const Service& item) { return item.name == service; });
+  const Service* const owner = FindIn(this->services, [&](const Service& item) {
+    return item.name == service;
+  });
   if (owner == nullptr) {
     return nullptr;
   }
--- a/modules/al_config/model/configuration.h
+++ b/modules/al_config/model/configuration.h
@@ -20,9 +20,9 @@
 struct RequestClass {
   std::string name;
   Patience patience = Patience::kQuick;
-  int priority = 0;              ///< Passed to engines; higher goes first.
-  Duration queue_limit{0};       ///< The longest wait for an upstream.
-  Duration deadline{0};          ///< The longest time to the last piece.
+  int priority = 0;         ///< Passed to engines; higher goes first.
+  Duration queue_limit{0};  ///< The longest wait for an upstream.
+  Duration deadline{0};     ///< The longest time to the last piece.
 };
 
 /** What answers requests behind the routers. */
@@ -31,12 +31,12 @@
 struct Upstream {
   UpstreamId id;
   UpstreamKind kind = UpstreamKind::kEngine;
-  std::string address;              ///< `ip:port`.
+  std::string address;  ///< `ip:port`.
   DomainId domain;
   std::vector<std::string> models;  ///< Engines only.
   std::string service;              ///< Services only.
   std::uint32_t slots = 1;          ///< Requests that it runs at once.
-  bool checks_fencing = false;      ///< Refuses orders with an old fencing number.
+  bool checks_fencing = false;  ///< Refuses orders with an old fencing number.
 };
 
 /** One kind of call of a plain service. */
@@ -131,7 +131,8 @@
   [[nodiscard]] auto FindUpstream(const UpstreamId& id) const
       -> const Upstream*;
 
-  /** The call of `service` that matches; the longest prefix wins. Null where none does. */
+  /** The call of `service` that matches; the longest prefix wins. Null where
+   * none does. */
   [[nodiscard]] auto FindCall(std::string_view service,
                               std::string_view method,
                               std::string_view path) const
--- a/modules/al_core/al_core.h
+++ b/modules/al_core/al_core.h
@@ -1,10 +1,13 @@
-/** Module al_core: identifiers, time, findings and hashing shared by all other modules.
+/** Module al_core: identifiers, time, findings and hashing shared by all other
+   modules.
 
-    Depends on: xxHash, OpenSSL (digests and secure random numbers), the C++ standard library.
+    Depends on: xxHash, OpenSSL (digests and secure random numbers), the C++
+   standard library.
 
     Parts:
     - ids/      strong identifier types and the shape of a router's incarnation
-    - time/     instants and durations of the decision code, which never reads a clock
+    - time/     instants and durations of the decision code, which never reads a
+   clock
     - errors/   findings of a check, collected with their place
     - text/     small text helpers: digests, hexadecimal, formatting
     - random/   seeded random numbers for jitter and choice
--- a/modules/al_core/errors/findings.h
+++ b/modules/al_core/errors/findings.h
@@ -18,8 +18,8 @@
 
 /** Collects what a check finds, so that all of it is reported together.
 
-    A check adds every fault that it sees and goes on; the caller rejects the input when
-    empty() is false at the end.
+    A check adds every fault that it sees and goes on; the caller rejects the
+   input when empty() is false at the end.
 
     Thread safety: none; used on one thread.
 */
--- a/modules/al_core/ids/ids.h
+++ b/modules/al_core/ids/ids.h
@@ -13,7 +13,8 @@
 /** A router VM by its stable name, whichever process runs on it. */
 using RouterId = StrongId<struct RouterTag>;
 
-/** One life of a router process; the unit that holds allowances and writes records. */
+/** One life of a router process; the unit that holds allowances and writes
+ * records. */
 using IncarnationId = StrongId<struct IncarnationTag>;
 
 /** A model engine or plain service behind the routers. */
--- a/modules/al_core/ids/strong_id.h
+++ b/modules/al_core/ids/strong_id.h
@@ -12,8 +12,9 @@
 
 /** A string identifier whose type tells what it names.
 
-    Two identifiers of different kinds do not compare or convert to each other, so that a team
-    is never passed where an upstream is expected. `Tag` is an empty struct.
+    Two identifiers of different kinds do not compare or convert to each other,
+   so that a team is never passed where an upstream is expected. `Tag` is an
+   empty struct.
 
     Thread safety: as std::string.
 
@@ -27,7 +28,8 @@
   explicit StrongId(std::string_view text) : text(text) {}
   explicit StrongId(const char* text) : text(text) {}
 
-  /** The identifier as it is written on the wire. Valid while this object lives. */
+  /** The identifier as it is written on the wire. Valid while this object
+   * lives. */
   [[nodiscard]] auto value() const -> const std::string& { return this->text; }
 
   /** True for the default identifier, which names nothing. */
--- a/modules/al_core/random/random_source.h
+++ b/modules/al_core/random/random_source.h
@@ -9,9 +9,9 @@
 
 /** Seeded random numbers that are the same on every machine.
 
-    The decision code takes one of these from outside, so that a test can replay its choices.
-    std::mt19937_64 is specified bit by bit; the standard distributions are not, and so the
-    ranges are drawn here.
+    The decision code takes one of these from outside, so that a test can replay
+   its choices. std::mt19937_64 is specified bit by bit; the standard
+   distributions are not, and so the ranges are drawn here.
 
     Thread safety: none; one source a thread.
 */
--- a/modules/al_core/text/base64.h
+++ b/modules/al_core/text/base64.h
@@ -11,7 +11,8 @@
 [[nodiscard]] auto ToBase64(std::string_view bytes) -> std::string;
 
 /** Decodes base64 with padding; empty where `text` is none. */
-[[nodiscard]] auto FromBase64(std::string_view text) -> std::optional<std::string>;
+[[nodiscard]] auto FromBase64(std::string_view text)
+    -> std::optional<std::string>;
 
 }  // namespace auburnloft
 
--- a/modules/al_core/time/instant.h
+++ b/modules/al_core/time/instant.h
@@ -11,7 +11,8 @@
 
 /** The clock of the decision code: whoever calls it passes the time in.
 
-    It has no `now()`: a daemon maps its steady clock to it, a test counts it up by hand.
+    It has no `now()`: a daemon maps its steady clock to it, a test counts it up
+   by hand.
 */
 struct VirtualClock {
   using duration = Duration;
--- a/modules/al_edge/al_edge.h
+++ b/modules/al_edge/al_edge.h
@@ -1,13 +1,16 @@
-/** Module al_edge: the sockets, timers and settings of a process, all on one loop and one thread.
+/** Module al_edge: the sockets, timers and settings of a process, all on one
+   loop and one thread.
 
-    Depends on: al_core, libwebsockets (HTTP server and client, the loop), ZeroMQ and protobuf
-    (messages between routers), Boost.Histogram (metrics), TCLAP (flags), log4cplus (logs).
+    Depends on: al_core, libwebsockets (HTTP server and client, the loop),
+   ZeroMQ and protobuf (messages between routers), Boost.Histogram (metrics),
+   TCLAP (flags), log4cplus (logs).
 
     Parts:
     - loop/       EventLoop: timers, posted calls and watched descriptors
     - http/       HttpServer, HttpExchange, HttpClient, SseParser
     - peer/       PeerSocket
-    - settings/   SettingsReader: flags and environment variables, checked together
+    - settings/   SettingsReader: flags and environment variables, checked
+   together
     - metrics/    LatencyHistogram and the text that /metrics serves
 */
 #ifndef AL_EDGE_AL_EDGE_H_
--- a/modules/al_edge/http/http_client.cc
+++ b/modules/al_edge/http/http_client.cc
@@ -161,9 +161,9 @@
       return 0;
     case LWS_CALLBACK_CLIENT_CONNECTION_ERROR:
       if (!handle->starting) {
-        Fail(*handle, in == nullptr ? std::string_view("connection failed")
-                                    : std::string_view(
-                                          static_cast<const char*>(in)));
+        Fail(*handle, in == nullptr
+                          ? std::string_view("connection failed")
+                          : std::string_view(static_cast<const char*>(in)));
       }
       return 0;
     case LWS_CALLBACK_CLOSED_CLIENT_HTTP:
@@ -241,8 +241,8 @@
     }
   }
   if (handle.call.on_head) {
-    handle.call.on_head(
-        static_cast<int>(lws_http_client_http_response(wsi)), headers);
+    handle.call.on_head(static_cast<int>(lws_http_client_http_response(wsi)),
+                        headers);
   }
 }
 
--- a/modules/al_edge/http/http_client.h
+++ b/modules/al_edge/http/http_client.h
@@ -33,7 +33,8 @@
   /** The answer is whole. */
   std::function<void()> on_end;
 
-  /** The call failed or the answer broke off. `sent`: the server may have got the request. */
+  /** The call failed or the answer broke off. `sent`: the server may have got
+   * the request. */
   std::function<void(bool sent, std::string_view text)> on_error;
 };
 
@@ -57,7 +58,8 @@
   bool starting = true;
 };
 
-/** An HTTP/1.1 client; each call has a connection of its own, so that none waits behind another.
+/** An HTTP/1.1 client; each call has a connection of its own, so that none
+   waits behind another.
 
     Thread safety: none; used on the loop's thread.
 */
@@ -69,7 +71,8 @@
   HttpClient(const HttpClient&) = delete;
   auto operator=(const HttpClient&) -> HttpClient& = delete;
 
-  /** Starts a call. Its functions are called from the loop, never before Send() returns. */
+  /** Starts a call. Its functions are called from the loop, never before Send()
+   * returns. */
   auto Send(HttpCall call) -> std::shared_ptr<HttpCallHandle>;
 
   /** The lws protocol of clients, for EventLoop. */
@@ -77,7 +80,10 @@
 
  private:
   static auto OnEvent(lws* wsi, int reason, void* in, std::size_t size) -> int;
-  static auto OnHandshake(HttpCallHandle& handle, lws* wsi, void* in, std::size_t size) -> int;
+  static auto OnHandshake(HttpCallHandle& handle,
+                          lws* wsi,
+                          void* in,
+                          std::size_t size) -> int;
   static auto OnWritable(HttpCallHandle& handle, lws* wsi) -> int;
   static auto OnHead(HttpCallHandle& handle, lws* wsi) -> void;
   static auto Fail(HttpCallHandle& handle, std::string_view text) -> void;
--- a/modules/al_edge/http/http_exchange.cc
+++ b/modules/al_edge/http/http_exchange.cc
@@ -109,9 +109,8 @@
   unsigned char* const start = buffer.data() + LWS_PRE;
   unsigned char* at = start;
   unsigned char* const end = buffer.data() + buffer.size();
-  if (lws_add_http_header_status(this->wsi,
-                                 static_cast<unsigned int>(this->status), &at,
-                                 end) != 0) {
+  if (lws_add_http_header_status(
+          this->wsi, static_cast<unsigned int>(this->status), &at, end) != 0) {
     return -1;
   }
   HttpHeaders headers = this->head;
@@ -122,8 +121,7 @@
   }
   for (const HttpHeader& header : headers) {
     const std::string name = header.name + ":";
-    if (lws_add_http_header_by_name(this->wsi, Bytes(name),
-                                    Bytes(header.value),
+    if (lws_add_http_header_by_name(this->wsi, Bytes(name), Bytes(header.value),
                                     static_cast<int>(header.value.size()), &at,
                                     end) != 0) {
       return -1;
--- a/modules/al_edge/http/http_exchange.h
+++ b/modules/al_edge/http/http_exchange.h
@@ -14,8 +14,8 @@
 
 /** One request to an HttpServer and its answer.
 
-    Answer with Respond(), or with BeginStream(), any number of Write() and End(). After the
-    connection is gone all of these do nothing.
+    Answer with Respond(), or with BeginStream(), any number of Write() and
+   End(). After the connection is gone all of these do nothing.
 
     Thread safety: none; used on the loop's thread.
 
@@ -40,7 +40,9 @@
                HttpHeaders extra = {}) -> void;
 
   /** Begins an answer of unknown length. @pre nothing was answered before. */
-  auto BeginStream(int status, std::string_view content_type, HttpHeaders extra = {}) -> void;
+  auto BeginStream(int status,
+                   std::string_view content_type,
+                   HttpHeaders extra = {}) -> void;
 
   /** Adds to the answer. @pre BeginStream() was called, End() was not. */
   auto Write(std::string_view data) -> void;
@@ -52,25 +54,34 @@
   auto Abort() -> void;
 
   /** Calls `callback` when the connection goes before the answer has ended. */
-  auto SetOnGone(Callback callback) -> void { this->on_gone = std::move(callback); }
+  auto SetOnGone(Callback callback) -> void {
+    this->on_gone = std::move(callback);
+  }
 
   /** Calls `callback` whenever all that was written has been sent. */
-  auto SetOnDrained(Callback callback) -> void { this->on_drained = std::move(callback); }
+  auto SetOnDrained(Callback callback) -> void {
+    this->on_drained = std::move(callback);
+  }
 
   //============================================================================
   // Queries
 
-  [[nodiscard]] auto request() const -> const HttpRequest& { return this->received; }
+  [[nodiscard]] auto request() const -> const HttpRequest& {
+    return this->received;
+  }
   [[nodiscard]] auto IsOpen() const -> bool { return this->wsi != nullptr; }
   [[nodiscard]] auto HasBegun() const -> bool { return this->begun; }
 
   /** Bytes that were written and not yet sent. */
-  [[nodiscard]] auto Buffered() const -> std::size_t { return this->out.size() - this->out_sent; }
+  [[nodiscard]] auto Buffered() const -> std::size_t {
+    return this->out.size() - this->out_sent;
+  }
 
  private:
   friend class HttpServer;
 
-  auto Begin(int status, std::string_view content_type, HttpHeaders extra) -> void;
+  auto Begin(int status, std::string_view content_type, HttpHeaders extra)
+      -> void;
   auto WantWrite() -> void;
 
   /** Sends what it can. @return nonzero where the connection must close. */
--- a/modules/al_edge/http/http_server.cc
+++ b/modules/al_edge/http/http_server.cc
@@ -43,8 +43,7 @@
   if (name == "authorization") {
     return WSI_TOKEN_HTTP_AUTHORIZATION;
   }
-  return name == "content-type" ? WSI_TOKEN_HTTP_CONTENT_TYPE
-                                : WSI_TOKEN_COUNT;
+  return name == "content-type" ? WSI_TOKEN_HTTP_CONTENT_TYPE : WSI_TOKEN_COUNT;
 }
 
 auto MayHaveBody(std::string_view method) -> bool {
@@ -126,9 +125,9 @@
   }
   std::array<char, 1024> argument{};
   for (int i = 0;; ++i) {
-    const int size = lws_hdr_copy_fragment(
-        wsi, argument.data(), static_cast<int>(argument.size()),
-        WSI_TOKEN_HTTP_URI_ARGS, i);
+    const int size = lws_hdr_copy_fragment(wsi, argument.data(),
+                                           static_cast<int>(argument.size()),
+                                           WSI_TOKEN_HTTP_URI_ARGS, i);
     if (size <= 0) {
       break;
     }
@@ -161,8 +160,7 @@
     if (size > this->options.most_body) {
       return this->Fail(added, 413,
                         "the body is longer than " +
-                            std::to_string(this->options.most_body) +
-                            " bytes");
+                            std::to_string(this->options.most_body) + " bytes");
     }
     if (size > 0) {
       return 0;
@@ -221,8 +219,8 @@
     -> int {
   const std::string body = this->error_body ? this->error_body(status, text)
                                             : std::string(text) + "\n";
-  exchange.Respond(status,
-                   this->error_body ? "application/json" : "text/plain", body);
+  exchange.Respond(status, this->error_body ? "application/json" : "text/plain",
+                   body);
   return 0;
 }
 
--- a/modules/al_edge/http/http_server.h
+++ b/modules/al_edge/http/http_server.h
@@ -19,8 +19,8 @@
 
 /** An HTTP/1.1 server on one address.
 
-    A body over the limit is refused with 413 before it is read; a request with a body of unknown
-    length with 411.
+    A body over the limit is refused with 413 before it is read; a request with
+   a body of unknown length with 411.
 
     Thread safety: none; used on the loop's thread.
 
@@ -44,9 +44,13 @@
   /** Starts to listen. @return false where the address is taken or invalid. */
   [[nodiscard]] auto Listen() -> bool;
 
-  /** Answers with a JSON error that the server itself finds; replaces the plain default. */
-  using ErrorBody = std::function<std::string(int status, std::string_view text)>;
-  auto SetErrorBody(ErrorBody body) -> void { this->error_body = std::move(body); }
+  /** Answers with a JSON error that the server itself finds; replaces the plain
+   * default. */
+  using ErrorBody =
+      std::function<std::string(int status, std::string_view text)>;
+  auto SetErrorBody(ErrorBody body) -> void {
+    this->error_body = std::move(body);
+  }
 
  private:
   static auto OnEvent(lws* wsi, int reason, void* in, std::size_t size) -> int;
--- a/modules/al_edge/http/http_types.h
+++ b/modules/al_edge/http/http_types.h
@@ -15,8 +15,8 @@
 using HttpHeaders = std::vector<HttpHeader>;
 
 /** The value of a header, or an empty text where it is absent. */
-[[nodiscard]] inline auto HeaderValue(const HttpHeaders& headers, std::string_view name)
-    -> std::string {
+[[nodiscard]] inline auto HeaderValue(const HttpHeaders& headers,
+                                      std::string_view name) -> std::string {
   for (const HttpHeader& header : headers) {
     if (header.name == name) {
       return header.value;
--- a/modules/al_edge/http/sse_parser.cc
+++ b/modules/al_edge/http/sse_parser.cc
@@ -38,8 +38,8 @@
   std::size_t begin = 0;
   for (std::size_t end = this->pending.find(kEventEnd);
        end != std::string::npos; end = this->pending.find(kEventEnd, begin)) {
-    on_event(ParseEvent(
-        std::string_view(this->pending).substr(begin, end - begin)));
+    on_event(
+        ParseEvent(std::string_view(this->pending).substr(begin, end - begin)));
     begin = end + kEventEnd.size();
   }
   this->pending.erase(0, begin);
--- a/modules/al_edge/http/sse_parser.h
+++ b/modules/al_edge/http/sse_parser.h
@@ -15,8 +15,8 @@
 
 /** Cuts a byte stream into server-sent events, however the bytes are divided.
 
-    Source: the HTML standard, section 9.2. Events with several data lines are not used by the
-    interfaces spoken here; their last data line counts.
+    Source: the HTML standard, section 9.2. Events with several data lines are
+   not used by the interfaces spoken here; their last data line counts.
 
     Thread safety: none.
 */
@@ -29,7 +29,8 @@
 
   /** Takes in bytes and calls `on_event` for each event that they complete.
       @return false where an event is too long. */
-  [[nodiscard]] auto Feed(std::string_view bytes, const OnEvent& on_event) -> bool;
+  [[nodiscard]] auto Feed(std::string_view bytes, const OnEvent& on_event)
+      -> bool;
 
  private:
   std::string pending;
--- a/modules/al_edge/loop/event_loop.cc
+++ b/modules/al_edge/loop/event_loop.cc
@@ -14,7 +14,8 @@
 
 namespace {
 
-/** lws must not end long answers or slow engines by itself: the decisions have deadlines. */
+/** lws must not end long answers or slow engines by itself: the decisions have
+ * deadlines. */
 constexpr unsigned int kNoTimeoutSeconds = 86'400;
 
 /** How long a connection may take to be established. */
--- a/modules/al_edge/loop/event_loop.h
+++ b/modules/al_edge/loop/event_loop.h
@@ -13,9 +13,11 @@
 
 namespace auburnloft {
 
-/** The one loop of a process. Everything of al_edge runs on the thread that calls Run().
+/** The one loop of a process. Everything of al_edge runs on the thread that
+   calls Run().
 
-    Wraps a libwebsockets context. Stop() alone may be called from a signal handler.
+    Wraps a libwebsockets context. Stop() alone may be called from a signal
+   handler.
 
     @see HttpServer, HttpClient, PeerSocket
 */
@@ -42,7 +44,8 @@
   /** Makes Run() return. Safe in a signal handler and on any thread. */
   auto Stop() -> void;
 
-  /** Makes Run() return on SIGINT, and calls `on_terminate` on the loop after a SIGTERM. */
+  /** Makes Run() return on SIGINT, and calls `on_terminate` on the loop after a
+   * SIGTERM. */
   auto HandleSignals(Callback on_terminate) -> void;
 
   /** Calls `callback` every `interval` until the loop ends. */
@@ -54,14 +57,16 @@
   /** Calls `callback` once, after the current event. */
   auto Post(Callback callback) -> void;
 
-  /** Calls `on_readable` whenever the descriptor can be read. It is not closed by the loop.
+  /** Calls `on_readable` whenever the descriptor can be read. It is not closed
+     by the loop.
       @return false where the loop cannot watch it. */
   auto WatchReadable(int descriptor, Callback on_readable) -> bool;
 
   //============================================================================
   // Queries
 
-  /** The present time, from a steady clock that was set to the wall clock at the start. */
+  /** The present time, from a steady clock that was set to the wall clock at
+   * the start. */
   [[nodiscard]] auto Now() const -> Instant;
 
   /** For the parts of this module. */
--- a/modules/al_edge/metrics/latency_histogram.cc
+++ b/modules/al_edge/metrics/latency_histogram.cc
@@ -14,7 +14,8 @@
 constexpr double kLeastSeconds = 1e-5;
 constexpr double kMostSeconds = 1e3;
 
-/** Every so many bins one edge is printed: ten a decade are enough for a chart. */
+/** Every so many bins one edge is printed: ten a decade are enough for a chart.
+ */
 constexpr int kPrintedEvery = 2;
 
 using Axis = bh::axis::regular<double, bh::axis::transform::log>;
@@ -71,8 +72,8 @@
           << bin.bin().upper() << "\"} " << seen << "\n";
     }
   }
-  out << name << "_bucket{" << labels << comma << "le=\"+Inf\"} "
-      << this->total << "\n"
+  out << name << "_bucket{" << labels << comma << "le=\"+Inf\"} " << this->total
+      << "\n"
       << name << "_sum{" << labels << "} " << this->sum_seconds << "\n"
       << name << "_count{" << labels << "} " << this->total << "\n";
   return out.str();
--- a/modules/al_edge/metrics/latency_histogram.h
+++ b/modules/al_edge/metrics/latency_histogram.h
@@ -9,7 +9,8 @@
 
 namespace auburnloft {
 
-/** Durations in logarithmic bins from 10 microseconds to 1000 seconds, by Boost.Histogram.
+/** Durations in logarithmic bins from 10 microseconds to 1000 seconds, by
+   Boost.Histogram.
 
     Thread safety: none; used on one thread.
 */
@@ -27,13 +28,14 @@
   /** The number of durations so far. */
   [[nodiscard]] auto count() const -> std::uint64_t { return this->total; }
 
-  /** The upper edge of the bin in which the given part of all durations is reached, in seconds.
-      0 where there is none. @pre 0 <= part <= 1. */
+  /** The upper edge of the bin in which the given part of all durations is
+     reached, in seconds. 0 where there is none. @pre 0 <= part <= 1. */
   [[nodiscard]] auto QuantileSeconds(double part) const -> double;
 
-  /** The histogram as Prometheus text. Source: the Prometheus exposition format 0.0.4. */
-  [[nodiscard]] auto ToPrometheus(std::string_view name, std::string_view labels) const
-      -> std::string;
+  /** The histogram as Prometheus text. Source: the Prometheus exposition format
+   * 0.0.4. */
+  [[nodiscard]] auto ToPrometheus(std::string_view name,
+                                  std::string_view labels) const -> std::string;
 
  private:
   struct Bins;
--- a/modules/al_edge/peer/peer_socket.cc
+++ b/modules/al_edge/peer/peer_socket.cc
@@ -7,7 +7,8 @@
 
 namespace {
 
-/** Messages that wait for a peer that is not connected; more are dropped and repeated later. */
+/** Messages that wait for a peer that is not connected; more are dropped and
+ * repeated later. */
 constexpr int kQueueLength = 256;
 
 /** The waits between attempts to connect to a peer, in milliseconds. */
--- a/modules/al_edge/peer/peer_socket.h
+++ b/modules/al_edge/peer/peer_socket.h
@@ -13,10 +13,12 @@
 
 namespace auburnloft {
 
-/** The messages between routers: one ZeroMQ socket that receives, and one for each peer that is
-    spoken to. Messages may be lost; the protocols repeat what matters.
+/** The messages between routers: one ZeroMQ socket that receives, and one for
+   each peer that is spoken to. Messages may be lost; the protocols repeat what
+   matters.
 
-    Thread safety: none; used on the loop's thread. ZeroMQ's own I/O thread is hidden inside.
+    Thread safety: none; used on the loop's thread. ZeroMQ's own I/O thread is
+   hidden inside.
 */
 class PeerSocket {
  public:
@@ -31,7 +33,8 @@
   //============================================================================
   // Commands
 
-  /** Binds the address, `ip:port`. @return false where it is taken or invalid. */
+  /** Binds the address, `ip:port`. @return false where it is taken or invalid.
+   */
   [[nodiscard]] auto Bind(const PeerAddress& address) -> bool;
 
   /** Sends a message; it is dropped where the peer's queue is full. */
@@ -43,9 +46,15 @@
   //============================================================================
   // Queries
 
-  [[nodiscard]] auto bytes_sent() const -> std::uint64_t { return this->sent_bytes; }
-  [[nodiscard]] auto bytes_received() const -> std::uint64_t { return this->received_bytes; }
-  [[nodiscard]] auto dropped() const -> std::uint64_t { return this->dropped_messages; }
+  [[nodiscard]] auto bytes_sent() const -> std::uint64_t {
+    return this->sent_bytes;
+  }
+  [[nodiscard]] auto bytes_received() const -> std::uint64_t {
+    return this->received_bytes;
+  }
+  [[nodiscard]] auto dropped() const -> std::uint64_t {
+    return this->dropped_messages;
+  }
 
  private:
   struct Sockets;
--- a/modules/al_edge/settings/settings_reader.cc
+++ b/modules/al_edge/settings/settings_reader.cc
@@ -18,10 +18,9 @@
 auto EnvironmentNameOf(std::string_view name) -> std::string {
   std::string variable(kEnvironmentPrefix);
   for (const char letter : name) {
-    variable += letter == '-'
-                    ? '_'
-                    : static_cast<char>(
-                          std::toupper(static_cast<unsigned char>(letter)));
+    variable += letter == '-' ? '_'
+                              : static_cast<char>(std::toupper(
+                                    static_cast<unsigned char>(letter)));
   }
   return variable;
 }
@@ -61,11 +60,10 @@
 // Declarations
 
 auto SettingsReader::Declare(Setting setting, std::string_view help) -> void {
-  const std::string text = std::string(help) + " [" +
-                           EnvironmentNameOf(setting.name) + "]" +
-                           (setting.value.empty()
-                                ? std::string()
-                                : " (default: " + setting.value + ")");
+  const std::string text =
+      std::string(help) + " [" + EnvironmentNameOf(setting.name) + "]" +
+      (setting.value.empty() ? std::string()
+                             : " (default: " + setting.value + ")");
   if (setting.kind == Kind::kSwitch) {
     this->arguments.push_back(std::make_unique<TCLAP::SwitchArg>(
         "", setting.name, text, *this->line));
@@ -80,9 +78,9 @@
 auto SettingsReader::DeclareText(std::string_view name,
                                  std::string_view help,
                                  std::string_view fallback) -> void {
-  this->Declare({std::string(name), Kind::kText, false, 0, 0,
-                 std::string(fallback)},
-                help);
+  this->Declare(
+      {std::string(name), Kind::kText, false, 0, 0, std::string(fallback)},
+      help);
 }
 
 auto SettingsReader::DeclareRequiredText(std::string_view name,
@@ -112,9 +110,8 @@
 
 auto SettingsReader::DeclareWords(std::string_view name, std::string_view help)
     -> void {
-  this->word_argument =
-      std::make_unique<TCLAP::UnlabeledMultiArg<std::string>>(
-          std::string(name), std::string(help), false, "word", *this->line);
+  this->word_argument = std::make_unique<TCLAP::UnlabeledMultiArg<std::string>>(
+      std::string(name), std::string(help), false, "word", *this->line);
 }
 
 //==============================================================================
@@ -133,8 +130,8 @@
     const char* const variable =
         std::getenv(EnvironmentNameOf(setting.name).c_str());
     if (this->arguments[i]->isSet()) {
-      const auto* const text = dynamic_cast<TCLAP::ValueArg<std::string>*>(
-          this->arguments[i].get());
+      const auto* const text =
+          dynamic_cast<TCLAP::ValueArg<std::string>*>(this->arguments[i].get());
       setting.value = text == nullptr ? "true" : text->getValue();
     } else if (variable != nullptr) {
       setting.value = variable;
@@ -166,8 +163,7 @@
 // Queries
 
 auto SettingsReader::Find(std::string_view name) const -> const Setting& {
-  const auto setting =
-      std::ranges::find(this->settings, name, &Setting::name);
+  const auto setting = std::ranges::find(this->settings, name, &Setting::name);
   assert(setting != this->settings.end());
   return *setting;
 }
--- a/modules/al_edge/settings/settings_reader.h
+++ b/modules/al_edge/settings/settings_reader.h
@@ -16,10 +16,12 @@
 
 namespace auburnloft {
 
-/** Declares the settings of a process and reads them from flags and environment variables.
+/** Declares the settings of a process and reads them from flags and environment
+   variables.
 
-    A flag `--log-address` can also be given as AUBURNLOFT_LOG_ADDRESS; the flag goes first. All
-    faults are collected and reported together. `--help` and `--version` are answered by Read().
+    A flag `--log-address` can also be given as AUBURNLOFT_LOG_ADDRESS; the flag
+   goes first. All faults are collected and reported together. `--help` and
+   `--version` are answered by Read().
 
     Declare all settings, call Read(), then ask for their values.
 
@@ -38,8 +40,11 @@
   // Declarations
 
   /** A text. A setting without a fallback is required. */
-  auto DeclareText(std::string_view name, std::string_view help, std::string_view fallback) -> void;
-  auto DeclareRequiredText(std::string_view name, std::string_view help) -> void;
+  auto DeclareText(std::string_view name,
+                   std::string_view help,
+                   std::string_view fallback) -> void;
+  auto DeclareRequiredText(std::string_view name, std::string_view help)
+      -> void;
 
   /** `ip:port`, required. */
   auto DeclareAddress(std::string_view name, std::string_view help) -> void;
@@ -58,8 +63,8 @@
 
   //============================================================================
 
-  /** Reads and checks everything. @return false where findings() is not empty. Ends the process
-      after `--help` and `--version`. */
+  /** Reads and checks everything. @return false where findings() is not empty.
+     Ends the process after `--help` and `--version`. */
   [[nodiscard]] auto Read(int argc, char** argv) -> bool;
 
   //============================================================================
--- a/modules/al_fleet/al_fleet.h
+++ b/modules/al_fleet/al_fleet.h
@@ -1,10 +1,11 @@
-/** Module al_fleet: which routers there are, what they tell each other, and which of them callers
-    use.
+/** Module al_fleet: which routers there are, what they tell each other, and
+   which of them callers use.
 
     Depends on: al_core, al_actions, the peer messages.
 
     Parts:
-    - membership/   VmList, Membership (who lives, who is dead for a fact), RumorBoard, Neighbours
+    - membership/   VmList, Membership (who lives, who is dead for a fact),
+   RumorBoard, Neighbours
     - entries/      EntryPlanner: the addresses that callers are told
 */
 #ifndef AL_FLEET_AL_FLEET_H_
--- a/modules/al_fleet/entries/entry_planner.cc
+++ b/modules/al_fleet/entries/entry_planner.cc
@@ -9,7 +9,8 @@
 
 namespace {
 
-/** The listed routers that take callers, by descending rendezvous weight for `team`. */
+/** The listed routers that take callers, by descending rendezvous weight for
+ * `team`. */
 auto RankedRouters(const TeamId& team, const Membership& membership)
     -> std::vector<Vm> {
   std::vector<Vm> ranked;
--- a/modules/al_fleet/membership/membership.h
+++ b/modules/al_fleet/membership/membership.h
@@ -13,11 +13,13 @@
 
 namespace auburnloft {
 
-/** The routers of the fleet, from the VM list and from what they tell each other.
+/** The routers of the fleet, from the VM list and from what they tell each
+   other.
 
-    Silence is not death: a router that is cut off or paused may still hold tokens and wake up.
-    An incarnation is dead only for a fact: its VM was listed here and is gone from the list, or a
-    later incarnation of the same router has bound its address.
+    Silence is not death: a router that is cut off or paused may still hold
+   tokens and wake up. An incarnation is dead only for a fact: its VM was listed
+   here and is gone from the list, or a later incarnation of the same router has
+   bound its address.
 
     Thread safety: none; used on one thread.
 
@@ -30,7 +32,7 @@
     IncarnationId incarnation;  ///< The latest heard of; empty where none was.
     Instant last_heard;
     std::uint32_t open_requests = 0;
-    bool draining = false;      ///< By its own word, or the VM is leaving.
+    bool draining = false;  ///< By its own word, or the VM is leaving.
   };
 
   Membership(IncarnationId self, Vm self_vm);
@@ -38,21 +40,26 @@
   //============================================================================
   // Commands
 
-  /** Takes in a VM list that was read at `now`. @return routers that it proves dead. */
+  /** Takes in a VM list that was read at `now`. @return routers that it proves
+   * dead. */
   auto OnVmList(Instant now, const VmList& list) -> std::vector<RouterId>;
 
-  /** Notes that `incarnation` spoke. @return true where that proves an earlier one dead. */
+  /** Notes that `incarnation` spoke. @return true where that proves an earlier
+   * one dead. */
   auto OnHeard(Instant now, const IncarnationId& incarnation) -> bool;
 
   /** Notes the load that a router reports, and whether it drains. */
-  auto OnHeartbeat(const IncarnationId& incarnation, std::uint32_t open_requests, bool is_draining)
-      -> void;
+  auto OnHeartbeat(const IncarnationId& incarnation,
+                   std::uint32_t open_requests,
+                   bool is_draining) -> void;
 
-  /** Learns that all incarnations of `router` that started before `before_ms` are dead.
+  /** Learns that all incarnations of `router` that started before `before_ms`
+     are dead.
       @return true where that is news. */
   auto LearnDead(const RouterId& router, std::int64_t before_ms) -> bool;
 
-  /** Learns that `incarnation` takes no new callers. @return true where that is news. */
+  /** Learns that `incarnation` takes no new callers. @return true where that is
+   * news. */
   auto LearnDraining(const IncarnationId& incarnation) -> bool;
 
   //============================================================================
@@ -61,8 +68,10 @@
   /** True where a fact says that `incarnation` is dead. */
   [[nodiscard]] auto IsDead(const IncarnationId& incarnation) const -> bool;
 
-  /** For each router the time before which its incarnations are dead, in Unix milliseconds. */
-  [[nodiscard]] auto dead_before() const -> const std::map<RouterId, std::int64_t>& {
+  /** For each router the time before which its incarnations are dead, in Unix
+   * milliseconds. */
+  [[nodiscard]] auto dead_before() const
+      -> const std::map<RouterId, std::int64_t>& {
     return this->dead;
   }
 
@@ -71,13 +80,16 @@
     return this->all;
   }
 
-  /** The listed routers that do not drain, with this one where it does not, in order. */
+  /** The listed routers that do not drain, with this one where it does not, in
+   * order. */
   [[nodiscard]] auto Live() const -> std::vector<RouterId>;
 
-  [[nodiscard]] auto AddressOf(const RouterId& router) const -> std::optional<PeerAddress>;
+  [[nodiscard]] auto AddressOf(const RouterId& router) const
+      -> std::optional<PeerAddress>;
 
   /** True where the VM list marks the upstream of that name as leaving. */
-  [[nodiscard]] auto IsUpstreamLeaving(const UpstreamId& upstream) const -> bool;
+  [[nodiscard]] auto IsUpstreamLeaving(const UpstreamId& upstream) const
+      -> bool;
 
   /** True where the list was read and marks this router's own VM as leaving. */
   [[nodiscard]] auto IsSelfLeaving() const -> bool;
--- a/modules/al_fleet/membership/neighbours.cc
+++ b/modules/al_fleet/membership/neighbours.cc
@@ -16,13 +16,12 @@
   std::ranges::sort(ring, {}, [](const RouterId& router) {
     return StableHash(router.value());
   });
-  const auto own = static_cast<std::size_t>(
-      std::ranges::find(ring, self) - ring.begin());
+  const auto own =
+      static_cast<std::size_t>(std::ranges::find(ring, self) - ring.begin());
   std::vector<RouterId> neighbours;
   // A small fleet is a full mesh; a large one is a ring with chords.
   const bool is_small = ring.size() <= most + 1;
-  for (std::size_t step = 1;
-       step < ring.size() && neighbours.size() < most;
+  for (std::size_t step = 1; step < ring.size() && neighbours.size() < most;
        step = is_small ? step + 1 : step * 2) {
     neighbours.push_back(ring[(own + step) % ring.size()]);
   }
--- a/modules/al_fleet/membership/rumor_board.cc
+++ b/modules/al_fleet/membership/rumor_board.cc
@@ -6,7 +6,8 @@
 
 namespace {
 
-/** Whether two facts are about the same thing, so that the newer replaces the older. */
+/** Whether two facts are about the same thing, so that the newer replaces the
+ * older. */
 auto IsSameSubject(const wire::Rumor& left, const wire::Rumor& right) -> bool {
   if (left.kind() != right.kind()) {
     return false;
--- a/modules/al_fleet/membership/rumor_board.h
+++ b/modules/al_fleet/membership/rumor_board.h
@@ -8,7 +8,8 @@
 
 namespace auburnloft {
 
-/** Facts on their way through the fleet, each passed on with a bounded number of heartbeats.
+/** Facts on their way through the fleet, each passed on with a bounded number
+   of heartbeats.
 
     Thread safety: none; used on one thread.
 
@@ -16,8 +17,9 @@
 */
 class RumorBoard {
  public:
-  /** A fact is passed on with this many rounds of heartbeats: twice the diameter of the
-      neighbour graph at 420 routers, so that lost messages do not stop it. */
+  /** A fact is passed on with this many rounds of heartbeats: twice the
+     diameter of the neighbour graph at 420 routers, so that lost messages do
+     not stop it. */
   static constexpr int kRounds = 18;
 
   /** A heartbeat carries at most this many facts; the newest go first. */
--- a/modules/al_fleet/membership/vm_list.h
+++ b/modules/al_fleet/membership/vm_list.h
@@ -14,16 +14,18 @@
 
 /** One row of the platform's VM list. */
 struct Vm {
-  std::string name;          ///< Of a router, or of an upstream.
-  std::string role;          ///< `router` or `upstream`.
+  std::string name;  ///< Of a router, or of an upstream.
+  std::string role;  ///< `router` or `upstream`.
   DomainId domain;
-  std::string http_address;  ///< Where callers connect, as `ip:port`; routers only.
+  std::string
+      http_address;  ///< Where callers connect, as `ip:port`; routers only.
   PeerAddress peer_address;  ///< Where peers connect; routers only.
   VmState state = VmState::kLive;
 };
 
-/** The platform's list of VMs. It lags: a VM that is gone may still stand in it. The platform
-    lists a VM before its processes start, and never drops one that lives. */
+/** The platform's list of VMs. It lags: a VM that is gone may still stand in
+   it. The platform lists a VM before its processes start, and never drops one
+   that lives. */
 using VmList = std::vector<Vm>;
 
 }  // namespace auburnloft
--- a/modules/al_ledger/al_ledger.h
+++ b/modules/al_ledger/al_ledger.h
@@ -1,8 +1,10 @@
-/** Module al_ledger: the ledger of prepaid budgets as a fold over streams of the log.
+/** Module al_ledger: the ledger of prepaid budgets as a fold over streams of
+   the log.
 
-    The ledger is cut into partitions by team. Each partition is one stream, and its state is a
-    pure function of the stream's records: every reader that has read as far holds the same
-    state. A record that is not valid at its place is void for every reader.
+    The ledger is cut into partitions by team. Each partition is one stream, and
+   its state is a pure function of the stream's records: every reader that has
+   read as far holds the same state. A record that is not valid at its place is
+   void for every reader.
 
     Depends on: al_core, protobuf (records).
 
--- a/modules/al_ledger/fold/key_digest.h
+++ b/modules/al_ledger/fold/key_digest.h
@@ -7,7 +7,8 @@
 
 namespace auburnloft {
 
-/** A 128-bit digest under which a billed request is remembered in place of its key. */
+/** A 128-bit digest under which a billed request is remembered in place of its
+ * key. */
 struct KeyDigest {
   std::uint64_t high = 0;
   std::uint64_t low = 0;
@@ -21,7 +22,8 @@
 /** The 16 bytes of `digest` as snapshots carry them. */
 [[nodiscard]] auto ToBytes(const KeyDigest& digest) -> std::string;
 
-/** The digest whose bytes are `bytes`; the zero digest where the length is not 16. */
+/** The digest whose bytes are `bytes`; the zero digest where the length is
+ * not 16. */
 [[nodiscard]] auto DigestFromBytes(std::string_view bytes) -> KeyDigest;
 
 /** Hash functor for unordered containers: a digest is uniform already. */
--- a/modules/al_ledger/fold/ledger_rules.h
+++ b/modules/al_ledger/fold/ledger_rules.h
@@ -7,14 +7,16 @@
 
 namespace auburnloft {
 
-/** The constants of the fold. All readers of a stream must use the same ones. */
+/** The constants of the fold. All readers of a stream must use the same ones.
+ */
 struct LedgerRules {
-  /** Bills of requests issued earlier than this are void: their keys are forgotten.
-      Six hours outlast the longest partition that a budget is sized for. */
+  /** Bills of requests issued earlier than this are void: their keys are
+     forgotten. Six hours outlast the longest partition that a budget is sized
+     for. */
   Duration bill_horizon = std::chrono::hours(6);
 
-  /** Claims of requests issued earlier than this are void. A day covers the working day in
-      which a caller would still repeat a payout or a booking. */
+  /** Claims of requests issued earlier than this are void. A day covers the
+     working day in which a caller would still repeat a payout or a booking. */
   Duration claim_horizon = std::chrono::hours(24);
 };
 
--- a/modules/al_ledger/fold/partition_ledger.cc
+++ b/modules/al_ledger/fold/partition_ledger.cc
@@ -6,8 +6,8 @@
 
 namespace {
 
-/** Forgotten keys are dropped at each multiple of this in the ledger's time, so that a reader
-    that started from a snapshot drops them at the same records. */
+/** Forgotten keys are dropped at each multiple of this in the ledger's time, so
+   that a reader that started from a snapshot drops them at the same records. */
 constexpr std::int64_t kForgetIntervalMs = 60'000;
 
 auto ToMillis(Duration duration) -> std::int64_t {
@@ -140,8 +140,8 @@
   this->clock = snapshot.clock_ms();
   for (const wire::TeamSnapshot& team : snapshot.teams()) {
     const TeamId id(team.team());
-    Team& state =
-        this->all_teams.try_emplace(id, Team{TeamAccount(id), {}}).first->second;
+    Team& state = this->all_teams.try_emplace(id, Team{TeamAccount(id), {}})
+                      .first->second;
     state.account.Load(team);
     state.claims.Load(team);
   }
--- a/modules/al_ledger/fold/partition_ledger.h
+++ b/modules/al_ledger/fold/partition_ledger.h
@@ -24,8 +24,8 @@
   kRepeated,      ///< It was appended twice; the first one counted.
   kOutOfOrder,    ///< A record of the same writer is missing before it.
   kLostTakeOver,  ///< Another take-over of the same epoch came first.
-  kMisplaced,     ///< A snapshot that does not stand at the offset that it states.
-  kNoState,       ///< The reader has not met a snapshot yet.
+  kMisplaced,  ///< A snapshot that does not stand at the offset that it states.
+  kNoState,    ///< The reader has not met a snapshot yet.
 };
 
 /** What a record did to the ledger. */
@@ -36,11 +36,12 @@
 
 /** One partition of the ledger: the fold over the records of its stream.
 
-    Feed it every record from offset 0, or from any offset at which a snapshot stands. Records
-    are applied by Apply() in the order of their offsets; the state after a record is the same
-    for every reader. Fencing is part of the fold: a take-over record starts the next epoch and
-    voids whatever an earlier epoch's keeper appends after it. No clock is read: the ledger's
-    time is the latest time that a record states.
+    Feed it every record from offset 0, or from any offset at which a snapshot
+   stands. Records are applied by Apply() in the order of their offsets; the
+   state after a record is the same for every reader. Fencing is part of the
+   fold: a take-over record starts the next epoch and voids whatever an earlier
+   epoch's keeper appends after it. No clock is read: the ledger's time is the
+   latest time that a record states.
 
     Thread safety: none; used on one thread.
 
@@ -59,11 +60,12 @@
   //============================================================================
   // Commands
 
-  /** Prepares for a stream whose oldest record left is at `oldest` > 0: records have no effect
-      until a snapshot is met. */
+  /** Prepares for a stream whose oldest record left is at `oldest` > 0: records
+     have no effect until a snapshot is met. */
   auto StartAt(LogOffset oldest) -> void;
 
-  /** Applies the record at next_offset().  @param bytes  a serialized LedgerBatch. */
+  /** Applies the record at next_offset().  @param bytes  a serialized
+   * LedgerBatch. */
   auto ApplyBytes(std::string_view bytes) -> BatchResult;
 
   /** Applies the record at next_offset(). */
@@ -72,7 +74,8 @@
   //============================================================================
   // Queries
 
-  /** True once the state is known; false after StartAt() until a snapshot was met. */
+  /** True once the state is known; false after StartAt() until a snapshot was
+   * met. */
   [[nodiscard]] auto ready() const -> bool { return this->has_state; }
   [[nodiscard]] auto next_offset() const -> LogOffset { return this->next; }
   [[nodiscard]] auto epoch() const -> std::uint64_t {
@@ -90,11 +93,12 @@
   [[nodiscard]] auto clock_ms() const -> std::int64_t { return this->clock; }
   [[nodiscard]] auto teams() const -> const Teams& { return this->all_teams; }
 
-  /** The team's part of the ledger; null where it has none. Valid until the next command. */
+  /** The team's part of the ledger; null where it has none. Valid until the
+   * next command. */
   [[nodiscard]] auto Find(const TeamId& team) const -> const Team*;
 
-  /** Whether top-ups = billed + allowances out + unallocated, and none is negative, for every
-      team. */
+  /** Whether top-ups = billed + allowances out + unallocated, and none is
+     negative, for every team. */
   [[nodiscard]] auto SumRuleHolds() const -> bool;
 
   /** The whole state, valid as a record at next_offset(). */
--- a/modules/al_ledger/fold/team_account.h
+++ b/modules/al_ledger/fold/team_account.h
@@ -14,26 +14,28 @@
 
 namespace auburnloft {
 
-/** The tokens of one holder within a team's budget, as the ledger records them. */
+/** The tokens of one holder within a team's budget, as the ledger records them.
+ */
 struct HolderBalance {
-  Tokens tokens = 0;         ///< Out with the holder and not yet billed; negative
-                             ///< while a transfer to it is not recorded yet.
-  Tokens received = 0;       ///< Cumulative grants and transfers in.
-  Tokens last_grant = 0;     ///< The amount of the grant with number `op_seq`.
+  Tokens tokens = 0;      ///< Out with the holder and not yet billed; negative
+                          ///< while a transfer to it is not recorded yet.
+  Tokens received = 0;    ///< Cumulative grants and transfers in.
+  Tokens last_grant = 0;  ///< The amount of the grant with number `op_seq`.
   std::uint64_t op_seq = 0;  ///< The last grant or return that took effect.
-  bool closed = false;       ///< The holder is dead; it receives no more grants.
+  bool closed = false;  ///< The holder is dead; it receives no more grants.
 };
 
 /** The money of one team: top-ups, allowances out, bills.
 
-    A part of the fold: applies one entry at a time and answers whether it was valid at its
-    place. In every state topped_up() == billed() + unallocated() + AllowancesOut(), and none of
-    them is negative, so that bills never exceed the top-ups.
+    A part of the fold: applies one entry at a time and answers whether it was
+   valid at its place. In every state topped_up() == billed() + unallocated() +
+   AllowancesOut(), and none of them is negative, so that bills never exceed the
+   top-ups.
 
-    Holders move tokens to each other before the ledger hears of it, and the records of that may
-    come late, in any order, or never, when all who had a copy died. A bill is therefore covered by
-    all allowances together: the account of one holder may be negative until the transfer to it is
-    recorded.
+    Holders move tokens to each other before the ledger hears of it, and the
+   records of that may come late, in any order, or never, when all who had a
+   copy died. A bill is therefore covered by all allowances together: the
+   account of one holder may be negative until the transfer to it is recorded.
 
     Thread safety: none; used on one thread.
 
@@ -56,7 +58,8 @@
   /** @param oldest_ms  requests issued before this are too old to be billed. */
   auto Apply(const wire::Bill& entry, std::int64_t oldest_ms) -> wire::Verdict;
 
-  /** Returns to the budget what a dead holder did not draw, and closes its account. */
+  /** Returns to the budget what a dead holder did not draw, and closes its
+   * account. */
   auto Apply(const wire::Reclaim& entry) -> wire::Verdict;
 
   /** Forgets bills of requests issued before `oldest_ms`. */
@@ -80,7 +83,9 @@
   }
 
   /** The sum over all holders. */
-  [[nodiscard]] auto AllowancesOut() const -> Tokens { return this->out_tokens; }
+  [[nodiscard]] auto AllowancesOut() const -> Tokens {
+    return this->out_tokens;
+  }
 
   /** The balance of `holder`; an empty one where it never held tokens. */
   [[nodiscard]] auto BalanceOf(const IncarnationId& holder) const
--- a/modules/al_ledger/fold/team_claims.cc
+++ b/modules/al_ledger/fold/team_claims.cc
@@ -35,8 +35,7 @@
 
 auto TeamClaims::Apply(const wire::Outcome& entry) -> wire::Verdict {
   const auto found = this->claims.find(RequestKey(entry.request_key()));
-  if (found == this->claims.end() ||
-      found->second.run_id() != entry.run_id()) {
+  if (found == this->claims.end() || found->second.run_id() != entry.run_id()) {
     return wire::VERDICT_STALE;
   }
   wire::ClaimState& claim = found->second;
--- a/modules/al_ledger/fold/team_claims.h
+++ b/modules/al_ledger/fold/team_claims.h
@@ -10,11 +10,13 @@
 
 namespace auburnloft {
 
-/** The at-most-once executions of one team: who may run what, and how each one ended.
+/** The at-most-once executions of one team: who may run what, and how each one
+   ended.
 
-    A part of the fold. The first valid claim on a key holds it; a later claim is void unless
-    the execution under the earlier one is recorded as not run. An execution whose outcome is
-    unknown is never claimed again until an operator resolves it.
+    A part of the fold. The first valid claim on a key holds it; a later claim
+   is void unless the execution under the earlier one is recorded as not run. An
+   execution whose outcome is unknown is never claimed again until an operator
+   resolves it.
 
     Thread safety: none; used on one thread.
 
@@ -27,13 +29,14 @@
   //============================================================================
   // Commands: each applies one entry and returns the verdict on it.
 
-  /** @param oldest_ms  requests issued before this are too old to be claimed. */
+  /** @param oldest_ms  requests issued before this are too old to be claimed.
+   */
   auto Apply(const wire::Claim& entry, std::int64_t oldest_ms) -> wire::Verdict;
   auto Apply(const wire::Outcome& entry) -> wire::Verdict;
   auto Apply(const wire::Resolve& entry) -> wire::Verdict;
 
-  /** Forgets ended executions of requests issued before `oldest_ms`. Those in progress or of
-      unknown outcome stay until an operator resolves them. */
+  /** Forgets ended executions of requests issued before `oldest_ms`. Those in
+     progress or of unknown outcome stay until an operator resolves them. */
   auto Forget(std::int64_t oldest_ms) -> void;
 
   auto Load(const wire::TeamSnapshot& snapshot) -> void;
@@ -41,7 +44,8 @@
   //============================================================================
   // Queries
 
-  /** The standing claim on `key`; null where there is none. Valid until the next command. */
+  /** The standing claim on `key`; null where there is none. Valid until the
+   * next command. */
   [[nodiscard]] auto Find(const RequestKey& key) const
       -> const wire::ClaimState*;
 
--- a/modules/al_ledger/records/partition_map.h
+++ b/modules/al_ledger/records/partition_map.h
@@ -7,8 +7,8 @@
 
 /** Where a team's part of the ledger is kept.
 
-    The count of partitions is fixed when a fleet is created: changing it would move teams
-    between streams.
+    The count of partitions is fixed when a fleet is created: changing it would
+   move teams between streams.
 
     Thread safety: immutable.
 */
--- a/modules/al_operator/al_operator.h
+++ b/modules/al_operator/al_operator.h
@@ -3,7 +3,8 @@
     Depends on: al_platform, al_config, al_ledger.
 
     Parts:
-    - session/   OperatorSession: reads folds, publishes changes, submits operators' entries
+    - session/   OperatorSession: reads folds, publishes changes, submits
+   operators' entries
 */
 #ifndef AL_OPERATOR_AL_OPERATOR_H_
 #define AL_OPERATOR_AL_OPERATOR_H_
--- a/modules/al_operator/session/operator_session.cc
+++ b/modules/al_operator/session/operator_session.cc
@@ -12,7 +12,8 @@
 
 constexpr Duration kCallTimeout = std::chrono::seconds(10);
 
-/** An append without an answer is looked for in the stream and tried again this many times. */
+/** An append without an answer is looked for in the stream and tried again this
+ * many times. */
 constexpr int kMostAppends = 5;
 constexpr Duration kRetryWait = std::chrono::milliseconds(300);
 
@@ -24,8 +25,9 @@
                                  std::string operator_name)
     : operator_name(std::move(operator_name)),
       http(loop),
-      log(http, std::move(platform_address), "operator:" + this->operator_name) {
-}
+      log(http,
+          std::move(platform_address),
+          "operator:" + this->operator_name) {}
 
 //==============================================================================
 // The log
@@ -172,10 +174,9 @@
       return accepted;
     }
     if (fold.version() != base_version) {
-      this->reason = "the change is based on version " +
-                     std::to_string(base_version) +
-                     ", but the newest version is " +
-                     std::to_string(fold.version());
+      this->reason =
+          "the change is based on version " + std::to_string(base_version) +
+          ", but the newest version is " + std::to_string(fold.version());
       return std::nullopt;
     }
     this->loop.RunUntil([] { return false; }, kRetryWait);
--- a/modules/al_operator/session/operator_session.h
+++ b/modules/al_operator/session/operator_session.h
@@ -20,7 +20,8 @@
   std::string body;
 };
 
-/** An operator's connection to the platform's log and to routers, one call after another.
+/** An operator's connection to the platform's log and to routers, one call
+   after another.
 
     A method that fails returns empty; last_reason() tells why.
 
@@ -35,7 +36,9 @@
 
   OperatorSession(std::string platform_address, std::string operator_name);
 
-  [[nodiscard]] auto last_reason() const -> const std::string& { return this->reason; }
+  [[nodiscard]] auto last_reason() const -> const std::string& {
+    return this->reason;
+  }
 
   //============================================================================
   // Queries
@@ -44,34 +47,42 @@
   [[nodiscard]] auto ReadConfig() -> std::optional<ConfigFold>;
 
   /** A ledger partition at the end of its stream.
-      @param bills  gets the valid bills of the records that the log still keeps; may be null. */
-  [[nodiscard]] auto ReadLedger(PartitionIndex partition, std::vector<Bill>* bills)
+      @param bills  gets the valid bills of the records that the log still
+     keeps; may be null. */
+  [[nodiscard]] auto ReadLedger(PartitionIndex partition,
+                                std::vector<Bill>* bills)
       -> std::optional<PartitionLedger>;
 
   //============================================================================
   // Commands
 
-  /** Publishes a change based on `base_version`. @return the version that it became; empty where
-      another change came first or the log does not answer. */
+  /** Publishes a change based on `base_version`. @return the version that it
+     became; empty where another change came first or the log does not answer.
+   */
   [[nodiscard]] auto PublishConfig(std::uint64_t base_version,
                                    const nlohmann::json& merge_patch,
-                                   const std::string& reason) -> std::optional<std::uint64_t>;
+                                   const std::string& reason)
+      -> std::optional<std::uint64_t>;
 
   /** Appends an operator's entry and reads its verdict back. */
-  [[nodiscard]] auto SubmitEntry(PartitionIndex partition, wire::LedgerEntry entry)
+  [[nodiscard]] auto SubmitEntry(PartitionIndex partition,
+                                 wire::LedgerEntry entry)
       -> std::optional<wire::Verdict>;
 
   /** Calls a router. */
   [[nodiscard]] auto Call(HttpCall call) -> std::optional<HttpAnswer>;
 
  private:
-  using OnRecord = std::function<void(LogOffset offset, const std::string& bytes)>;
+  using OnRecord =
+      std::function<void(LogOffset offset, const std::string& bytes)>;
 
-  auto Append(const StreamId& stream, const std::string& bytes) -> std::optional<LogOffset>;
+  auto Append(const StreamId& stream, const std::string& bytes)
+      -> std::optional<LogOffset>;
   auto ReadStream(const StreamId& stream,
                   const std::function<void(LogOffset oldest)>& on_start,
                   const OnRecord& on_record) -> bool;
-  auto ReadOnce(const StreamId& stream, LogOffset from) -> std::optional<LogRecords>;
+  auto ReadOnce(const StreamId& stream, LogOffset from)
+      -> std::optional<LogRecords>;
 
   std::string operator_name;
   EventLoop loop;
--- a/modules/al_platform/al_platform.h
+++ b/modules/al_platform/al_platform.h
@@ -1,9 +1,10 @@
 /** Module al_platform: the platform's services over HTTP.
 
-    Another platform's protocol is another module like this one: the decisions know only the
-    actions and events of al_actions.
+    Another platform's protocol is another module like this one: the decisions
+   know only the actions and events of al_actions.
 
-    Depends on: al_edge, al_actions, al_fleet (the rows of the VM list), nlohmann-json.
+    Depends on: al_edge, al_actions, al_fleet (the rows of the VM list),
+   nlohmann-json.
 
     Parts:
     - log/   LogClient
--- a/modules/al_platform/log/log_client.cc
+++ b/modules/al_platform/log/log_client.cc
@@ -59,11 +59,10 @@
   call.method = "POST";
   call.path = RecordsPath(stream);
   call.body = std::move(bytes);
-  this->Send(std::move(call),
-             [on_appended = std::move(on_appended)](
-                 const std::optional<std::string>& body) {
-               on_appended(body ? ParseOffset(*body) : std::nullopt);
-             });
+  this->Send(std::move(call), [on_appended = std::move(on_appended)](
+                                  const std::optional<std::string>& body) {
+    on_appended(body ? ParseOffset(*body) : std::nullopt);
+  });
 }
 
 auto LogClient::Read(const StreamId& stream,
@@ -71,11 +70,10 @@
                      OnRecords on_records) -> void {
   HttpCall call;
   call.path = RecordsPath(stream) + "?from=" + std::to_string(from);
-  this->Send(std::move(call),
-             [on_records = std::move(on_records)](
-                 const std::optional<std::string>& body) {
-               on_records(body ? ParseRecords(*body) : std::nullopt);
-             });
+  this->Send(std::move(call), [on_records = std::move(on_records)](
+                                  const std::optional<std::string>& body) {
+    on_records(body ? ParseRecords(*body) : std::nullopt);
+  });
 }
 
 auto LogClient::Send(HttpCall call,
--- a/modules/al_platform/log/log_client.h
+++ b/modules/al_platform/log/log_client.h
@@ -12,7 +12,8 @@
 
 /** The platform's log service over HTTP.
 
-    A call without an answer reports empty; an append may have taken effect all the same.
+    A call without an answer reports empty; an append may have taken effect all
+   the same.
 
     Thread safety: none; used on the loop's thread.
 */
@@ -21,17 +22,21 @@
   using OnAppended = std::function<void(std::optional<LogOffset> offset)>;
   using OnRecords = std::function<void(std::optional<LogRecords> records)>;
 
-  /** @param address  of the platform, `ip:port`.  @param client_name  sent with each call. */
+  /** @param address  of the platform, `ip:port`.  @param client_name  sent with
+   * each call. */
   LogClient(HttpClient& http, std::string address, std::string client_name);
 
   /** Appends one record. */
-  auto Append(const StreamId& stream, std::string bytes, OnAppended on_appended) -> void;
+  auto Append(const StreamId& stream, std::string bytes, OnAppended on_appended)
+      -> void;
 
   /** Reads records from an offset on. */
-  auto Read(const StreamId& stream, LogOffset from, OnRecords on_records) -> void;
+  auto Read(const StreamId& stream, LogOffset from, OnRecords on_records)
+      -> void;
 
  private:
-  auto Send(HttpCall call, std::function<void(std::optional<std::string>)> on_body) -> void;
+  auto Send(HttpCall call,
+            std::function<void(std::optional<std::string>)> on_body) -> void;
 
   HttpClient& http;
   std::string address;
--- a/modules/al_platform/vms/vm_list_client.h
+++ b/modules/al_platform/vms/vm_list_client.h
@@ -24,7 +24,8 @@
   auto Fetch(OnList on_list) -> void;
 
   /** Parses the list's JSON; empty where it is malformed. */
-  [[nodiscard]] static auto Parse(std::string_view body) -> std::optional<VmList>;
+  [[nodiscard]] static auto Parse(std::string_view body)
+      -> std::optional<VmList>;
 
  private:
   HttpClient& http;
--- a/modules/al_router/al_router.h
+++ b/modules/al_router/al_router.h
@@ -1,13 +1,17 @@
-/** Module al_router: the decisions of one router, from a caller's request to its bill.
+/** Module al_router: the decisions of one router, from a caller's request to
+   its bill.
 
-    RouterCore takes events and the time and queues actions; it owns no socket, no clock and no
-    random source. A daemon, a golden session and a bench run the same code.
+    RouterCore takes events and the time and queues actions; it owns no socket,
+   no clock and no random source. A daemon, a golden session and a bench run the
+   same code.
 
-    Depends on: al_core, al_actions, al_ledger, al_budget, al_config, al_traffic, al_fleet.
+    Depends on: al_core, al_actions, al_ledger, al_budget, al_config,
+   al_traffic, al_fleet.
 
     Parts:
     - front/      FrontDoor: from an HTTP request to a checked ArrivingRequest
-    - requests/   RequestDesk: the life of a request (tokens, claim, upstream, bill)
+    - requests/   RequestDesk: the life of a request (tokens, claim, upstream,
+   bill)
     - core/       RouterCore: all parts of a router wired together
     - state/      the state dump
 */
--- a/modules/al_router/core/fleet_voice.cc
+++ b/modules/al_router/core/fleet_voice.cc
@@ -8,8 +8,8 @@
 
 namespace {
 
-/** The time between two heartbeats: a change of configuration passes nine hops, the diameter of
-    420 routers, within the seven seconds that it has. */
+/** The time between two heartbeats: a change of configuration passes nine hops,
+   the diameter of 420 routers, within the seven seconds that it has. */
 constexpr Duration kHeartbeatInterval = std::chrono::milliseconds(700);
 
 /** Neighbours of one router; the ring with chords of 420 routers has nine. */
--- a/modules/al_router/core/fleet_voice.h
+++ b/modules/al_router/core/fleet_voice.h
@@ -10,10 +10,12 @@
 
 namespace auburnloft {
 
-/** What a router tells its neighbours at each heartbeat, and learns from theirs.
+/** What a router tells its neighbours at each heartbeat, and learns from
+   theirs.
 
-    Each router speaks to a fixed small number of neighbours, so that its control traffic does not
-    grow with the fleet. Facts travel as rumors: who keeps a partition, who drains, who is dead.
+    Each router speaks to a fixed small number of neighbours, so that its
+   control traffic does not grow with the fleet. Facts travel as rumors: who
+   keeps a partition, who drains, who is dead.
 
     Thread safety: none; used on one thread.
 
@@ -39,15 +41,17 @@
                    const PeerAddress& from_address,
                    const wire::Heartbeat& heartbeat) -> void;
 
-  /** Notes that a router spoke; a new incarnation proves the earlier one dead. */
+  /** Notes that a router spoke; a new incarnation proves the earlier one dead.
+   */
   auto OnHeard(Instant now, const IncarnationId& from) -> void;
 
   /** Passes on that all earlier incarnations of a router are dead. */
   auto TellDead(const RouterId& router) -> void;
 
   /** Learns who keeps a partition, and passes it on where it is news. */
-  auto LearnKeeper(PartitionIndex partition, const IncarnationId& keeper, std::uint64_t epoch)
-      -> void;
+  auto LearnKeeper(PartitionIndex partition,
+                   const IncarnationId& keeper,
+                   std::uint64_t epoch) -> void;
 
   /** Passes on that this router drains. */
   auto TellDraining() -> void;
--- a/modules/al_router/core/router_core.cc
+++ b/modules/al_router/core/router_core.cc
@@ -9,23 +9,27 @@
 
 namespace {
 
-/** How often dead holders are looked for in the ledgers that this router keeps. */
+/** How often dead holders are looked for in the ledgers that this router keeps.
+ */
 constexpr Duration kDeadCheckInterval = std::chrono::seconds(2);
 
-/** How often a witness is chosen anew, and one that has fallen silent is given up. */
+/** How often a witness is chosen anew, and one that has fallen silent is given
+ * up. */
 constexpr Duration kWitnessChoiceInterval = std::chrono::milliseconds(500);
 
-/** A draining router asks again this often that its partitions be taken over. */
+/** A draining router asks again this often that its partitions be taken over.
+ */
 constexpr Duration kHandOverInterval = std::chrono::seconds(2);
 
 /** A witness has spoken within this time. */
 constexpr Duration kWitnessFreshness = std::chrono::milliseconds(2500);
 
-/** A draining router that cannot record what it holds, as in an outage of the log, waits this
-    long for it beyond its last request. */
+/** A draining router that cannot record what it holds, as in an outage of the
+   log, waits this long for it beyond its last request. */
 constexpr Duration kDrainPatience = std::chrono::seconds(30);
 
-/** Messages that a router sends itself are delivered in at most this many turns of one event. */
+/** Messages that a router sends itself are delivered in at most this many turns
+ * of one event. */
 constexpr int kMostSelfDeliveries = 16;
 
 auto PolicyOf(const AllowanceSettings& settings) -> AnyAllowancePolicy {
@@ -43,9 +47,9 @@
 auto KeeperSettingsOf(const Defaults& defaults, std::size_t routers)
     -> KeeperSettings {
   KeeperSettings settings;
-  settings.commit_interval =
-      Duration(std::chrono::seconds(1)) * defaults.ledger.partitions /
-      defaults.ledger.appends_per_second;
+  settings.commit_interval = Duration(std::chrono::seconds(1)) *
+                             defaults.ledger.partitions /
+                             defaults.ledger.appends_per_second;
   settings.snapshot_every = defaults.ledger.snapshot_every;
   settings.policy = PolicyOf(defaults.allowance);
   settings.routers = routers;
@@ -98,9 +102,8 @@
                            RequestHandle handle,
                            ArrivingRequest arrival) -> void {
   if (this->ledgered == nullptr || !this->TakesRequests(now)) {
-    const RefusalCode code = this->ledgered == nullptr
-                                 ? RefusalCode::kNotReady
-                                 : RefusalCode::kDraining;
+    const RefusalCode code = this->ledgered == nullptr ? RefusalCode::kNotReady
+                                                       : RefusalCode::kDraining;
     this->queue.Push(RefuseRequest{
         handle,
         {code, RunState::kNo,
@@ -308,9 +311,9 @@
 auto RouterCore::ApplyConfiguration() -> void {
   const Configuration* const current = this->config.configuration();
   const std::size_t routers = this->fleet.routers().size();
-  const bool is_applied =
-      current != nullptr && current->version == this->applied_version &&
-      routers == this->applied_routers;
+  const bool is_applied = current != nullptr &&
+                          current->version == this->applied_version &&
+                          routers == this->applied_routers;
   if (current == nullptr || is_applied) {
     return;
   }
@@ -541,9 +544,9 @@
   const bool is_clean = this->entries.size() == 0 && !has_tokens &&
                         this->transfers.open_gifts() == 0;
   const Configuration* const current = this->config.configuration();
-  const bool waited_enough =
-      now >= *this->drain_began + current->defaults.entries.hold +
-                 kDrainPatience;
+  const bool waited_enough = now >= *this->drain_began +
+                                        current->defaults.entries.hold +
+                                        kDrainPatience;
   return this->ledgered->desk.open() == 0 && (is_clean || waited_enough);
 }
 
--- a/modules/al_router/core/router_core.h
+++ b/modules/al_router/core/router_core.h
@@ -21,8 +21,9 @@
 
 /** All decisions of one router.
 
-    Pass it events with the time, then carry out TakeActions(). Until a first configuration has
-    come it takes no requests: the ledger's partitions are not known before.
+    Pass it events with the time, then carry out TakeActions(). Until a first
+   configuration has come it takes no requests: the ledger's partitions are not
+   known before.
 
     Thread safety: none; used on one thread.
 
@@ -39,11 +40,14 @@
   // Commands: events of callers and upstreams
 
   /** Takes in a checked request; answers with actions for `handle`. */
-  auto OnRequest(Instant now, RequestHandle handle, ArrivingRequest arrival) -> void;
+  auto OnRequest(Instant now, RequestHandle handle, ArrivingRequest arrival)
+      -> void;
   auto OnUpstreamDone(Instant now, const UpstreamDone& done) -> void;
   auto OnUpstreamFailed(Instant now, const UpstreamFailed& failed) -> void;
   auto OnCallerGone(Instant now, const CallerGone& gone) -> void;
-  auto OnLoadReport(Instant now, const UpstreamId& upstream, const LoadReport& report) -> void;
+  auto OnLoadReport(Instant now,
+                    const UpstreamId& upstream,
+                    const LoadReport& report) -> void;
   auto OnCacheEvent(const UpstreamId& upstream,
                     std::span<const PrefixDigest> cached,
                     std::span<const PrefixDigest> dropped) -> void;
@@ -61,7 +65,8 @@
   auto Tick(Instant now) -> void;
   static constexpr Duration kTickInterval = std::chrono::milliseconds(20);
 
-  /** Begins to drain: out of the entry lists, then no new requests, allowances back. */
+  /** Begins to drain: out of the entry lists, then no new requests, allowances
+   * back. */
   auto BeginDrain(Instant now) -> void;
 
   /** The actions that the events so far have led to. */
@@ -70,25 +75,40 @@
   //============================================================================
   // Queries
 
-  [[nodiscard]] auto settings() const -> const RouterSettings& { return this->own; }
+  [[nodiscard]] auto settings() const -> const RouterSettings& {
+    return this->own;
+  }
   [[nodiscard]] auto configuration() const -> const Configuration* {
     return this->config.configuration();
   }
-  [[nodiscard]] auto config_follower() const -> const ConfigFollower& { return this->config; }
-  [[nodiscard]] auto membership() const -> const Membership& { return this->fleet; }
-  [[nodiscard]] auto pool() const -> const UpstreamPool& { return this->upstreams; }
-  [[nodiscard]] auto directory() const -> const KeeperDirectory& { return this->keeper_directory; }
+  [[nodiscard]] auto config_follower() const -> const ConfigFollower& {
+    return this->config;
+  }
+  [[nodiscard]] auto membership() const -> const Membership& {
+    return this->fleet;
+  }
+  [[nodiscard]] auto pool() const -> const UpstreamPool& {
+    return this->upstreams;
+  }
+  [[nodiscard]] auto directory() const -> const KeeperDirectory& {
+    return this->keeper_directory;
+  }
 
   /** Null before the first configuration. */
   [[nodiscard]] auto desk() const -> const RequestDesk*;
   [[nodiscard]] auto budget() const -> const BudgetCoordinator*;
-  [[nodiscard]] auto outbox() const -> const EntryOutbox* { return &this->entries; }
+  [[nodiscard]] auto outbox() const -> const EntryOutbox* {
+    return &this->entries;
+  }
   [[nodiscard]] auto keepers() const -> const KeeperHost& { return this->host; }
   [[nodiscard]] auto witness() const -> const WitnessDesk*;
 
-  [[nodiscard]] auto IsDraining() const -> bool { return this->drain_began.has_value(); }
+  [[nodiscard]] auto IsDraining() const -> bool {
+    return this->drain_began.has_value();
+  }
 
-  /** True while a draining router still takes requests of callers with an old entry list. */
+  /** True while a draining router still takes requests of callers with an old
+   * entry list. */
   [[nodiscard]] auto TakesRequests(Instant now) const -> bool;
 
   /** True once a draining router has nothing left to do and may exit. */
@@ -116,7 +136,8 @@
   auto Deliver(Instant now) -> void;
   auto PublishKeepers() -> void;
   auto ChooseWitness(Instant now) -> void;
-  [[nodiscard]] auto LikelyHolders(const TeamId& team) const -> std::vector<RouterId>;
+  [[nodiscard]] auto LikelyHolders(const TeamId& team) const
+      -> std::vector<RouterId>;
 
   RouterSettings own;
   RandomSource random;
--- a/modules/al_router/front/caller_request.h
+++ b/modules/al_router/front/caller_request.h
@@ -5,15 +5,17 @@
 
 namespace auburnloft {
 
-/** A caller's HTTP request, as far as decisions need it. Absent headers are empty. */
+/** A caller's HTTP request, as far as decisions need it. Absent headers are
+ * empty. */
 struct CallerRequest {
   std::string method;
-  std::string path;             ///< Without the query.
+  std::string path;  ///< Without the query.
   std::string authorization;
   std::string idempotency_key;
-  std::string issued_at;        ///< Header Idempotency-Issued-At, in Unix milliseconds.
+  std::string
+      issued_at;  ///< Header Idempotency-Issued-At, in Unix milliseconds.
   std::string last_event_id;
-  std::string request_class;    ///< Header Auburnloft-Class.
+  std::string request_class;  ///< Header Auburnloft-Class.
   std::string content_type;
   std::string body;
 };
--- a/modules/al_router/front/front_door.cc
+++ b/modules/al_router/front/front_door.cc
@@ -16,11 +16,13 @@
 constexpr std::string_view kServicesPath = "/v1/services/";
 constexpr std::string_view kBearer = "Bearer ";
 
-/** Tokens that a chat template adds to each message and to the prompt, at most. */
+/** Tokens that a chat template adds to each message and to the prompt, at most.
+ */
 constexpr Tokens kTemplatePerMessage = 8;
 constexpr Tokens kTemplatePerPrompt = 16;
 
-/** Characters of a token on average, for the estimate of a prompt that was not counted. */
+/** Characters of a token on average, for the estimate of a prompt that was not
+ * counted. */
 constexpr Tokens kCharactersPerToken = 4;
 
 constexpr std::int64_t kMostOutputTokens = 1'000'000;
@@ -96,8 +98,8 @@
         return false;
       }
       const nlohmann::json& content = message["content"];
-      body.prompt += content.is_string() ? content.get<std::string>()
-                                         : content.dump();
+      body.prompt +=
+          content.is_string() ? content.get<std::string>() : content.dump();
       body.prompt += '\n';
       ++body.messages;
     }
@@ -112,7 +114,8 @@
   std::string reason;
 };
 
-/** The most tokens that a chat request can cost: a token covers at least one byte. */
+/** The most tokens that a chat request can cost: a token covers at least one
+ * byte. */
 auto UpperBoundOf(const ChatBody& body) -> Tokens {
   return static_cast<Tokens>(body.prompt.size()) +
          kTemplatePerMessage * static_cast<Tokens>(body.messages) +
@@ -151,9 +154,8 @@
   } else if (request.path.starts_with(kServicesPath)) {
     result = this->AdmitService(configuration, request, std::move(admitted));
   } else {
-    return this->Refuse(RefusalCode::kNotFound, "there is no " +
-                                                    request.method + " " +
-                                                    request.path);
+    return this->Refuse(RefusalCode::kNotFound,
+                        "there is no " + request.method + " " + request.path);
   }
   if (result && (!this->SetIdentity(now, request, result->arrival) ||
                  !this->SetResume(configuration, request, result->arrival))) {
@@ -186,8 +188,7 @@
     class_name = exception->chat_class.value_or("");
   }
   class_name = class_name.empty() ? defaults.chat_class : class_name;
-  const RequestClass* const request_class =
-      configuration.FindClass(class_name);
+  const RequestClass* const request_class = configuration.FindClass(class_name);
   if (request_class == nullptr) {
     return this->Refuse(RefusalCode::kBadRequest,
                         "class \"" + class_name + "\" does not exist");
@@ -211,8 +212,8 @@
   body->json["max_tokens"] = body->max_tokens;
   body->json.erase("max_completion_tokens");
   body->json["priority"] = request_class->priority;
-  admitted.upstream_body = body->json.dump(
-      -1, ' ', false, nlohmann::json::error_handler_t::replace);
+  admitted.upstream_body =
+      body->json.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
   return admitted;
 }
 
@@ -258,8 +259,7 @@
                  "this call runs at most once and needs an Idempotency-Key");
     return false;
   }
-  std::optional<std::int64_t> issued =
-      IssueTimeOfUuid(request.idempotency_key);
+  std::optional<std::int64_t> issued = IssueTimeOfUuid(request.idempotency_key);
   if (!request.issued_at.empty()) {
     issued = ParseIssueTime(request.issued_at);
     if (!issued) {
@@ -290,9 +290,9 @@
                  "keys; nothing of it was run now");
     return false;
   }
-  arrival.key = RequestKey(request.idempotency_key.empty()
-                               ? "auto-" + SecureRandomHex(16)
-                               : request.idempotency_key);
+  arrival.key =
+      RequestKey(request.idempotency_key.empty() ? "auto-" + SecureRandomHex(16)
+                                                 : request.idempotency_key);
   return true;
 }
 
@@ -308,10 +308,10 @@
   std::uint64_t sequence = 0;
   const bool has_parts = first != std::string_view::npos && first < last;
   const std::string_view digits = has_parts ? id.substr(last + 1) : "";
-  const auto [end, error] = std::from_chars(
-      digits.data(), digits.data() + digits.size(), sequence);
-  const bool is_number = has_parts && error == std::errc() &&
-                         end == digits.data() + digits.size();
+  const auto [end, error] =
+      std::from_chars(digits.data(), digits.data() + digits.size(), sequence);
+  const bool is_number =
+      has_parts && error == std::errc() && end == digits.data() + digits.size();
   if (!is_number || request.idempotency_key.empty()) {
     this->Refuse(RefusalCode::kBadRequest,
                  "Last-Event-ID is not an id of this interface, or comes "
--- a/modules/al_router/front/front_door.h
+++ b/modules/al_router/front/front_door.h
@@ -22,11 +22,13 @@
   std::string content_type;
   bool is_chat = false;
   bool wants_stream = false;
-  bool wants_usage = false;    ///< In a stream; a whole answer always tells it.
-  Tokens prompt_estimate = 0;  ///< Billed with the pieces where a caller leaves early.
+  bool wants_usage = false;  ///< In a stream; a whole answer always tells it.
+  Tokens prompt_estimate =
+      0;  ///< Billed with the pieces where a caller leaves early.
 };
 
-/** Checks callers' requests against the configuration and turns them into decisions' terms.
+/** Checks callers' requests against the configuration and turns them into
+   decisions' terms.
 
     Nothing of a request that fails a check reaches an upstream or the ledger.
 
@@ -37,26 +39,36 @@
 class FrontDoor {
  public:
   /** The reason of the last Admit() that returned empty. */
-  [[nodiscard]] auto last_refusal() const -> const Refusal& { return this->refusal; }
+  [[nodiscard]] auto last_refusal() const -> const Refusal& {
+    return this->refusal;
+  }
 
-  /** Checks a request. @return empty where it is refused; last_refusal() tells why. */
+  /** Checks a request. @return empty where it is refused; last_refusal() tells
+   * why. */
   [[nodiscard]] auto Admit(Instant now,
                            const Configuration& configuration,
                            const CallerRequest& request)
       -> std::optional<AdmittedRequest>;
 
-  /** Longest accepted key, in bytes: room for any customary form, bounded for the ledger. */
+  /** Longest accepted key, in bytes: room for any customary form, bounded for
+   * the ledger. */
   static constexpr std::size_t kMostKeySize = 128;
 
  private:
   using Admitted = std::optional<AdmittedRequest>;
 
-  auto AdmitChat(const Configuration& configuration, const CallerRequest& request, AdmittedRequest admitted)
-      -> Admitted;
-  auto AdmitService(const Configuration& configuration, const CallerRequest& request, AdmittedRequest admitted)
-      -> Admitted;
-  auto SetIdentity(Instant now, const CallerRequest& request, ArrivingRequest& arrival) -> bool;
-  auto SetResume(const Configuration& configuration, const CallerRequest& request, ArrivingRequest& arrival) -> bool;
+  auto AdmitChat(const Configuration& configuration,
+                 const CallerRequest& request,
+                 AdmittedRequest admitted) -> Admitted;
+  auto AdmitService(const Configuration& configuration,
+                    const CallerRequest& request,
+                    AdmittedRequest admitted) -> Admitted;
+  auto SetIdentity(Instant now,
+                   const CallerRequest& request,
+                   ArrivingRequest& arrival) -> bool;
+  auto SetResume(const Configuration& configuration,
+                 const CallerRequest& request,
+                 ArrivingRequest& arrival) -> bool;
   auto Refuse(RefusalCode code, std::string text) -> Admitted;
 
   LedgerRules rules;
--- a/modules/al_router/requests/arriving_request.h
+++ b/modules/al_router/requests/arriving_request.h
@@ -16,8 +16,8 @@
 /** Where a stream that a caller has begun to receive can be taken up again. */
 struct ResumePoint {
   UpstreamId upstream;
-  std::string stream;         ///< The upstream's name of the stream.
-  std::uint64_t sequence = 0; ///< Of the last piece that the caller has.
+  std::string stream;          ///< The upstream's name of the stream.
+  std::uint64_t sequence = 0;  ///< Of the last piece that the caller has.
 };
 
 /** A checked request, ready to be decided on. */
@@ -27,9 +27,9 @@
   std::int64_t issued_at_ms = 0;
   bool at_most_once = false;
   RequestClass request_class;
-  std::string model;          ///< For engines.
-  std::string service;        ///< For services; empty for engines.
-  Tokens upper = 0;           ///< The most that it can cost.
+  std::string model;    ///< For engines.
+  std::string service;  ///< For services; empty for engines.
+  Tokens upper = 0;     ///< The most that it can cost.
   std::vector<PrefixDigest> prefix;
   std::optional<ResumePoint> resume;
 };
--- a/modules/al_router/requests/request_desk.cc
+++ b/modules/al_router/requests/request_desk.cc
@@ -9,7 +9,8 @@
 
 namespace {
 
-/** How long an at-most-once request waits for its claim: several commits of a slow log. */
+/** How long an at-most-once request waits for its claim: several commits of a
+ * slow log. */
 constexpr Duration kClaimWait = std::chrono::seconds(3);
 
 /** A broken stream is taken up again this many times at most. */
@@ -20,7 +21,8 @@
 constexpr Duration kRetryAfterBusy = std::chrono::seconds(2);
 constexpr Duration kRetryAfterLedger = std::chrono::seconds(3);
 
-/** The answer of an at-most-once request is kept for repeats up to this size. */
+/** The answer of an at-most-once request is kept for repeats up to this size.
+ */
 constexpr std::size_t kMostKeptBody = 4096;
 
 }  // namespace
@@ -56,7 +58,8 @@
   ++this->counts.arrived;
   OpenRequest& request = this->requests[handle];
   request.arrival = std::move(arrival);
-  request.run = RunId(this->self.value() + "/" + std::to_string(this->next_run++));
+  request.run =
+      RunId(this->self.value() + "/" + std::to_string(this->next_run++));
   this->handle_of_run[request.run.value()] = handle;
   request.deadline = now + request.arrival.request_class.deadline;
   const Instant give_up_at = now + request.arrival.request_class.queue_limit;
@@ -124,7 +127,8 @@
                        verdict.verdict() == wire::VERDICT_REPEATED;
   if (handle == this->handle_of_run.end()) {
     if (granted) {
-      // The request was refused as not run while the ledger was late; free its key.
+      // The request was refused as not run while the ledger was late; free its
+      // key.
       OpenRequest ended;
       ended.arrival.team = TeamId(claim.team());
       ended.arrival.key = RequestKey(claim.request_key());
@@ -149,10 +153,11 @@
                                const wire::EntryVerdict& verdict) -> void {
   const wire::ClaimState& standing = verdict.claim();
   if (verdict.verdict() == wire::VERDICT_TOO_OLD) {
-    this->Refuse(now, handle,
-                 {RefusalCode::kKeyExpired, RunState::kUnknown,
-                  "the request was issued before the horizon of remembered keys",
-                  Duration{0}});
+    this->Refuse(
+        now, handle,
+        {RefusalCode::kKeyExpired, RunState::kUnknown,
+         "the request was issued before the horizon of remembered keys",
+         Duration{0}});
     return;
   }
   if (standing.state() == wire::OUTCOME_RAN) {
@@ -237,8 +242,7 @@
   request.upstream = request.arrival.resume->upstream;
   request.attempt = 1;
   this->pool.Acquire(request.upstream, request.arrival.request_class.patience);
-  this->actions.Push(
-      ResumeUpstream{handle, request.upstream, request.attempt});
+  this->actions.Push(ResumeUpstream{handle, request.upstream, request.attempt});
 }
 
 auto RequestDesk::FindRunning(RequestHandle handle, int attempt)
@@ -265,8 +269,8 @@
   this->ReleaseUpstream(*request);
   const std::optional<wire::LedgerEntry> bill = this->budget.Settle(
       now, {request->arrival.team, request->arrival.key, request->run,
-            request->arrival.request_class.name,
-            request->arrival.issued_at_ms, request->arrival.upper, done.spent});
+            request->arrival.request_class.name, request->arrival.issued_at_ms,
+            request->arrival.upper, done.spent});
   if (bill) {
     copies.push_back(*bill);
   }
@@ -280,8 +284,7 @@
   if (request == nullptr) {
     return;
   }
-  request->ever_sent =
-      request->ever_sent || (failed.sent && !failed.refused);
+  request->ever_sent = request->ever_sent || (failed.sent && !failed.refused);
   if (this->TryResume(now, failed, *request)) {
     return;
   }
@@ -309,8 +312,7 @@
 auto RequestDesk::TryResume(Instant now,
                             const UpstreamFailed& failed,
                             OpenRequest& request) -> bool {
-  const bool may_resume = failed.can_resume &&
-                          !request.arrival.at_most_once &&
+  const bool may_resume = failed.can_resume && !request.arrival.at_most_once &&
                           request.resumptions < kMostResumptions &&
                           now < request.deadline;
   if (!may_resume) {
@@ -329,8 +331,7 @@
                            const UpstreamFailed& failed,
                            OpenRequest& request) -> bool {
   const bool may_retry = request.attempt < this->retry.most_attempts &&
-                         now < request.deadline &&
-                         this->retry_budget.TryTake();
+                         now < request.deadline && this->retry_budget.TryTake();
   if (!may_retry) {
     return false;
   }
@@ -343,10 +344,10 @@
                                  const UpstreamFailed& failed,
                                  OpenRequest& request) -> void {
   this->SubmitOutcome(now, request, wire::OUTCOME_UNKNOWN, nullptr);
-  this->Refuse(now, failed.handle,
-               {RefusalCode::kOutcomeUnknown, RunState::kUnknown,
-                "the request was sent and not answered: " + failed.text,
-                Duration{0}});
+  this->Refuse(
+      now, failed.handle,
+      {RefusalCode::kOutcomeUnknown, RunState::kUnknown,
+       "the request was sent and not answered: " + failed.text, Duration{0}});
 }
 
 auto RequestDesk::SubmitOutcome(Instant now,
@@ -387,7 +388,8 @@
     return;
   }
   OpenRequest& request = found->second;
-  // What must not repeat runs to its end: its outcome is wanted for the caller's retry.
+  // What must not repeat runs to its end: its outcome is wanted for the
+  // caller's retry.
   if (request.stage == Stage::kRunning && request.arrival.at_most_once) {
     return;
   }
@@ -428,9 +430,8 @@
 
 auto RequestDesk::Tick(Instant now) -> void {
   this->TakeDecisions(now);
-  this->queue.Offer([&](RequestHandle handle) {
-    return this->TryDispatch(now, handle);
-  });
+  this->queue.Offer(
+      [&](RequestHandle handle) { return this->TryDispatch(now, handle); });
   this->EndLate(now);
   this->TakeDecisions(now);
 }
@@ -495,12 +496,12 @@
     if (unknown) {
       this->SubmitOutcome(now, request, wire::OUTCOME_UNKNOWN, nullptr);
     }
-    this->Refuse(now, handle,
-                 {unknown ? RefusalCode::kOutcomeUnknown
-                          : RefusalCode::kDeadlineExceeded,
-                  unknown ? RunState::kUnknown : RunState::kYes,
-                  "the upstream did not finish within the deadline",
-                  kRetryAfterBusy});
+    this->Refuse(
+        now, handle,
+        {unknown ? RefusalCode::kOutcomeUnknown
+                 : RefusalCode::kDeadlineExceeded,
+         unknown ? RunState::kUnknown : RunState::kYes,
+         "the upstream did not finish within the deadline", kRetryAfterBusy});
   }
 }
 
--- a/modules/al_router/requests/request_desk.h
+++ b/modules/al_router/requests/request_desk.h
@@ -22,10 +22,11 @@
 
 /** The life of each request at this router.
 
-    A request first reserves its tokens; an at-most-once one then claims its key in the ledger;
-    then it waits for an upstream, is sent, and settles for what it cost. "Not run" is said only of
-    a request of which nothing was sent. An at-most-once request that was sent and not answered is
-    never sent again: its outcome is recorded as unknown.
+    A request first reserves its tokens; an at-most-once one then claims its key
+   in the ledger; then it waits for an upstream, is sent, and settles for what
+   it cost. "Not run" is said only of a request of which nothing was sent. An
+   at-most-once request that was sent and not answered is never sent again: its
+   outcome is recorded as unknown.
 
     Thread safety: none; used on one thread.
 
@@ -51,25 +52,34 @@
   auto SetRetry(const RetrySettings& settings) -> void;
 
   /** Takes in a request. @pre `handle` is new. */
-  auto OnRequest(Instant now, RequestHandle handle, ArrivingRequest arrival) -> void;
+  auto OnRequest(Instant now, RequestHandle handle, ArrivingRequest arrival)
+      -> void;
 
   auto OnDone(Instant now, const UpstreamDone& done) -> void;
   auto OnFailed(Instant now, const UpstreamFailed& failed) -> void;
   auto OnCallerGone(Instant now, const CallerGone& gone) -> void;
 
   /** Handles the verdict on a claim or an outcome. */
-  auto OnVerdict(Instant now, const wire::LedgerEntry& entry, const wire::EntryVerdict& verdict)
-      -> void;
+  auto OnVerdict(Instant now,
+                 const wire::LedgerEntry& entry,
+                 const wire::EntryVerdict& verdict) -> void;
 
-  /** Goes on with requests whose tokens have come, offers the queue, and ends what is late. */
+  /** Goes on with requests whose tokens have come, offers the queue, and ends
+   * what is late. */
   auto Tick(Instant now) -> void;
 
   //============================================================================
   // Queries
 
-  [[nodiscard]] auto open() const -> std::size_t { return this->requests.size(); }
-  [[nodiscard]] auto queued() const -> std::size_t { return this->queue.size(); }
-  [[nodiscard]] auto counters() const -> const RequestCounters& { return this->counts; }
+  [[nodiscard]] auto open() const -> std::size_t {
+    return this->requests.size();
+  }
+  [[nodiscard]] auto queued() const -> std::size_t {
+    return this->queue.size();
+  }
+  [[nodiscard]] auto counters() const -> const RequestCounters& {
+    return this->counts;
+  }
 
  private:
   enum class Stage { kWaitingTokens, kWaitingClaim, kQueued, kRunning };
@@ -87,17 +97,26 @@
   };
   using Requests = std::map<RequestHandle, OpenRequest>;
 
-  auto OnTokens(Instant now, RequestHandle handle, OpenRequest& request) -> void;
-  auto Claim(Instant now, RequestHandle handle, OpenRequest& request) -> void;
-  auto OnClaimVerdict(Instant now, const wire::Claim& claim, const wire::EntryVerdict& verdict)
+  auto OnTokens(Instant now, RequestHandle handle, OpenRequest& request)
       -> void;
-  auto OnClaimTaken(Instant now, RequestHandle handle, const wire::EntryVerdict& verdict) -> void;
+  auto Claim(Instant now, RequestHandle handle, OpenRequest& request) -> void;
+  auto OnClaimVerdict(Instant now,
+                      const wire::Claim& claim,
+                      const wire::EntryVerdict& verdict) -> void;
+  auto OnClaimTaken(Instant now,
+                    RequestHandle handle,
+                    const wire::EntryVerdict& verdict) -> void;
   auto Enqueue(Instant now, RequestHandle handle, OpenRequest& request) -> void;
   auto TryDispatch(Instant now, RequestHandle handle) -> bool;
   auto ResumeElsewhere(RequestHandle handle, OpenRequest& request) -> void;
-  auto TryResume(Instant now, const UpstreamFailed& failed, OpenRequest& request) -> bool;
-  auto TryRetry(Instant now, const UpstreamFailed& failed, OpenRequest& request) -> bool;
-  auto FailAtMostOnce(Instant now, const UpstreamFailed& failed, OpenRequest& request) -> void;
+  auto TryResume(Instant now,
+                 const UpstreamFailed& failed,
+                 OpenRequest& request) -> bool;
+  auto TryRetry(Instant now, const UpstreamFailed& failed, OpenRequest& request)
+      -> bool;
+  auto FailAtMostOnce(Instant now,
+                      const UpstreamFailed& failed,
+                      OpenRequest& request) -> void;
   auto Refuse(Instant now, RequestHandle handle, Refusal refusal) -> void;
   [[nodiscard]] static auto RunStateOf(const OpenRequest& request) -> RunState;
   auto TakeDecisions(Instant now) -> void;
--- a/modules/al_router/requests/upstream_events.h
+++ b/modules/al_router/requests/upstream_events.h
@@ -11,7 +11,7 @@
 struct UpstreamDone {
   RequestHandle handle = 0;
   int attempt = 0;
-  Tokens spent = 0;          ///< As the upstream counts.
+  Tokens spent = 0;  ///< As the upstream counts.
   int http_status = 200;
   std::string content_type;  ///< Of an at-most-once answer, which is kept.
   std::string body;
@@ -21,10 +21,12 @@
 struct UpstreamFailed {
   RequestHandle handle = 0;
   int attempt = 0;
-  bool sent = true;      ///< Any byte of the request may have reached the upstream.
-  bool relayed = false;  ///< The caller has a part of the answer.
-  bool can_resume = false;  ///< The upstream named the stream, so that it can be taken up again.
-  bool refused = false;  ///< The upstream answered that it did not take the request.
+  bool sent = true;  ///< Any byte of the request may have reached the upstream.
+  bool relayed = false;     ///< The caller has a part of the answer.
+  bool can_resume = false;  ///< The upstream named the stream, so that it can
+                            ///< be taken up again.
+  bool refused =
+      false;  ///< The upstream answered that it did not take the request.
   std::string text;
 };
 
--- a/modules/al_router/state/state_dump.cc
+++ b/modules/al_router/state/state_dump.cc
@@ -30,7 +30,8 @@
       core.configuration() == nullptr ? 0 : core.configuration()->version;
   out["findings"] = json::array();
   for (const Finding& finding : follower.findings().all()) {
-    out["findings"].push_back({{"place", finding.place}, {"text", finding.text}});
+    out["findings"].push_back(
+        {{"place", finding.place}, {"text", finding.text}});
   }
   return out;
 }
--- a/modules/al_router/state/state_dump.h
+++ b/modules/al_router/state/state_dump.h
@@ -11,7 +11,8 @@
 
     Holds no bearer keys and no bodies of requests.
 */
-[[nodiscard]] auto DumpState(Instant now, const RouterCore& core) -> std::string;
+[[nodiscard]] auto DumpState(Instant now, const RouterCore& core)
+    -> std::string;
 
 }  // namespace auburnloft
 
--- a/modules/al_traffic/al_traffic.h
+++ b/modules/al_traffic/al_traffic.h
@@ -1,12 +1,16 @@
-/** Module al_traffic: which upstream serves a request, in which order, and when to try again.
+/** Module al_traffic: which upstream serves a request, in which order, and when
+   to try again.
 
     Depends on: al_core, al_config (the model of upstreams and classes).
 
     Parts:
-    - choice/      UpstreamChooser: the concept, the scored choice and three baselines
-    - upstreams/   UpstreamPool (load, health, shares) and PrefixBeliefs (what caches may hold)
+    - choice/      UpstreamChooser: the concept, the scored choice and three
+   baselines
+    - upstreams/   UpstreamPool (load, health, shares) and PrefixBeliefs (what
+   caches may hold)
     - retry/       RetryBudget
-    - queue/       DispatchQueue: requests that wait for an upstream, by patience
+    - queue/       DispatchQueue: requests that wait for an upstream, by
+   patience
 */
 #ifndef AL_TRAFFIC_AL_TRAFFIC_H_
 #define AL_TRAFFIC_AL_TRAFFIC_H_
--- a/modules/al_traffic/choice/scored_chooser.cc
+++ b/modules/al_traffic/choice/scored_chooser.cc
@@ -6,7 +6,8 @@
 
 namespace {
 
-/** Candidates drawn at random: two already avoid the herd, three cost little more. */
+/** Candidates drawn at random: two already avoid the herd, three cost little
+ * more. */
 constexpr std::size_t kDrawn = 3;
 
 /** What a wholly cached prompt is worth, in units of an engine's load. */
@@ -31,8 +32,8 @@
 
 auto ScoredChooser::Choose(std::span<const Candidate> candidates,
                            RandomSource& random) -> std::size_t {
-  const auto by_prefix = std::ranges::max_element(
-      candidates, {}, &Candidate::prefix_match);
+  const auto by_prefix =
+      std::ranges::max_element(candidates, {}, &Candidate::prefix_match);
   auto best = static_cast<std::size_t>(by_prefix - candidates.begin());
   if (by_prefix->prefix_match <= 0.0) {
     best = random.Below(candidates.size());
--- a/modules/al_traffic/choice/scored_chooser.h
+++ b/modules/al_traffic/choice/scored_chooser.h
@@ -11,9 +11,10 @@
 
 /** Compares a few candidates by a score and takes the best of them.
 
-    The score is the expected load, less what a cached prefix saves, plus a little for another
-    failure domain. A few random candidates and the one with the best prefix are compared rather
-    than all: reports lag, and routers that all see the same best upstream would all pick it.
+    The score is the expected load, less what a cached prefix saves, plus a
+   little for another failure domain. A few random candidates and the one with
+   the best prefix are compared rather than all: reports lag, and routers that
+   all see the same best upstream would all pick it.
 */
 class ScoredChooser {
  public:
--- a/modules/al_traffic/queue/dispatch_queue.cc
+++ b/modules/al_traffic/queue/dispatch_queue.cc
@@ -15,18 +15,16 @@
 
 auto DispatchQueue::Remove(RequestHandle handle) -> void {
   for (std::deque<Item>* items : {&this->quick, &this->patient}) {
-    std::erase_if(*items, [handle](const Item& item) {
-      return item.handle == handle;
-    });
+    std::erase_if(*items,
+                  [handle](const Item& item) { return item.handle == handle; });
   }
 }
 
 auto DispatchQueue::Offer(
     const std::function<bool(RequestHandle)>& try_dispatch) -> void {
   for (std::deque<Item>* items : {&this->quick, &this->patient}) {
-    std::erase_if(*items, [&](const Item& item) {
-      return try_dispatch(item.handle);
-    });
+    std::erase_if(*items,
+                  [&](const Item& item) { return try_dispatch(item.handle); });
   }
 }
 
--- a/modules/al_traffic/queue/dispatch_queue.h
+++ b/modules/al_traffic/queue/dispatch_queue.h
@@ -12,10 +12,11 @@
 
 namespace auburnloft {
 
-/** Requests that wait for an upstream: quick and patient ones apart, each in order of arrival.
+/** Requests that wait for an upstream: quick and patient ones apart, each in
+   order of arrival.
 
-    Quick requests are always offered first. A request that no upstream can take does not hold up
-    those behind it, which may want another model.
+    Quick requests are always offered first. A request that no upstream can take
+   does not hold up those behind it, which may want another model.
 
     Thread safety: none; used on one thread.
 
@@ -24,19 +25,25 @@
 class DispatchQueue {
  public:
   /** Adds a request that leaves the queue at `give_up_at` at the latest. */
-  auto Add(RequestHandle handle, Patience patience, Instant arrived, Instant give_up_at) -> void;
+  auto Add(RequestHandle handle,
+           Patience patience,
+           Instant arrived,
+           Instant give_up_at) -> void;
 
   /** Forgets a request, as when its caller has gone. */
   auto Remove(RequestHandle handle) -> void;
 
-  /** Offers each request to `try_dispatch`; one for which it returns true leaves the queue. */
+  /** Offers each request to `try_dispatch`; one for which it returns true
+   * leaves the queue. */
   auto Offer(const std::function<bool(RequestHandle)>& try_dispatch) -> void;
 
   /** The requests whose time is up; they leave the queue. */
   [[nodiscard]] auto TakeExpired(Instant now) -> std::vector<RequestHandle>;
 
-  /** How long a new request would wait, by the age of the oldest one that waits. */
-  [[nodiscard]] auto ExpectedWait(Instant now, Patience patience) const -> Duration;
+  /** How long a new request would wait, by the age of the oldest one that
+   * waits. */
+  [[nodiscard]] auto ExpectedWait(Instant now, Patience patience) const
+      -> Duration;
 
   [[nodiscard]] auto size() const -> std::size_t {
     return this->quick.size() + this->patient.size();
--- a/modules/al_traffic/retry/retry_budget.h
+++ b/modules/al_traffic/retry/retry_budget.h
@@ -3,8 +3,8 @@
 
 namespace auburnloft {
 
-/** Bounds the retries of a router by a share of its requests, so that failing upstreams do not
-    multiply the load.
+/** Bounds the retries of a router by a share of its requests, so that failing
+   upstreams do not multiply the load.
 
     Thread safety: none; used on one thread.
 */
@@ -23,7 +23,8 @@
   [[nodiscard]] auto TryTake() -> bool;
 
  private:
-  /** Retries that may be saved up: enough for the requests of one failed upstream. */
+  /** Retries that may be saved up: enough for the requests of one failed
+   * upstream. */
   static constexpr double kMostSaved = 10.0;
 
   double ratio;
--- a/modules/al_traffic/upstreams/prefix_beliefs.cc
+++ b/modules/al_traffic/upstreams/prefix_beliefs.cc
@@ -8,10 +8,12 @@
 
 namespace {
 
-/** Characters of a block: some 64 tokens, the granularity at which engines share prefixes. */
+/** Characters of a block: some 64 tokens, the granularity at which engines
+ * share prefixes. */
 constexpr std::size_t kBlockSize = 256;
 
-/** Blocks of a prompt that are looked at; a longer common beginning adds nothing to a choice. */
+/** Blocks of a prompt that are looked at; a longer common beginning adds
+ * nothing to a choice. */
 constexpr std::size_t kMostBlocks = 32;
 
 }  // namespace
@@ -63,8 +65,7 @@
     return 0.0;
   }
   std::size_t matched = 0;
-  while (matched < digests.size() &&
-         this->places.contains(digests[matched])) {
+  while (matched < digests.size() && this->places.contains(digests[matched])) {
     ++matched;
   }
   return static_cast<double>(matched) / static_cast<double>(digests.size());
--- a/modules/al_traffic/upstreams/prefix_beliefs.h
+++ b/modules/al_traffic/upstreams/prefix_beliefs.h
@@ -13,15 +13,17 @@
 /** The digest of a prompt's beginning, up to the end of one block. */
 using PrefixDigest = std::uint64_t;
 
-/** The digests of all beginnings of `prompt` that end with a block; the longest last. */
+/** The digests of all beginnings of `prompt` that end with a block; the longest
+ * last. */
 [[nodiscard]] auto PrefixDigestsOf(std::string_view prompt)
     -> std::vector<PrefixDigest>;
 
 /** What one engine's prefix cache is believed to hold.
 
-    Learns from the requests sent there and from the engine's cache events, which come late and
-    with gaps; forgets the least recently used beyond its capacity, as the engine does. A belief
-    only: a wrong one costs time, never correctness.
+    Learns from the requests sent there and from the engine's cache events,
+   which come late and with gaps; forgets the least recently used beyond its
+   capacity, as the engine does. A belief only: a wrong one costs time, never
+   correctness.
 
     Thread safety: none; used on one thread.
 */
@@ -30,7 +32,8 @@
   /** Blocks remembered of one engine; bounds the memory of a router. */
   static constexpr std::size_t kCapacity = 2048;
 
-  /** Notes that a prompt with these beginnings was sent there, or reported as cached. */
+  /** Notes that a prompt with these beginnings was sent there, or reported as
+   * cached. */
   auto NoteCached(std::span<const PrefixDigest> digests) -> void;
 
   /** Notes that the engine reports a block as dropped. */
--- a/modules/al_traffic/upstreams/upstream_pool.cc
+++ b/modules/al_traffic/upstreams/upstream_pool.cc
@@ -20,7 +20,8 @@
 /** An upstream that comes back takes its whole load only after this time. */
 constexpr Duration kEaseIn = std::chrono::seconds(5);
 
-/** Quick work may stand before an engine's slots by this factor: the engine takes it first. */
+/** Quick work may stand before an engine's slots by this factor: the engine
+ * takes it first. */
 constexpr double kQuickOvercommit = 1.5;
 
 auto ChooserFor(ChooserKind kind) -> AnyUpstreamChooser {
@@ -57,8 +58,8 @@
   std::vector<Member> next;
   for (const Upstream& upstream : configuration.upstreams) {
     Member* const known = this->Find(upstream.id);
-    Member& member = next.emplace_back(known == nullptr ? Member{}
-                                                        : std::move(*known));
+    Member& member =
+        next.emplace_back(known == nullptr ? Member{} : std::move(*known));
     if (member.upstream.address != upstream.address) {
       member.prefixes.Clear();
     }
@@ -120,8 +121,8 @@
   if (member == nullptr) {
     return;
   }
-  std::uint32_t& count = patience == Patience::kQuick ? member->own_quick
-                                                      : member->own_patient;
+  std::uint32_t& count =
+      patience == Patience::kQuick ? member->own_quick : member->own_patient;
   count -= std::min<std::uint32_t>(count, 1);
 }
 
@@ -190,9 +191,8 @@
 }
 
 auto UpstreamPool::Serves(const UpstreamQuery& query) const -> bool {
-  return std::ranges::any_of(this->all, [&](const Member& member) {
-    return Matches(member, query);
-  });
+  return std::ranges::any_of(
+      this->all, [&](const Member& member) { return Matches(member, query); });
 }
 
 auto UpstreamPool::OthersInFlight(Instant now, const Member& member) const
@@ -218,8 +218,8 @@
 auto UpstreamPool::MayTake(Instant now,
                            const Member& member,
                            const UpstreamQuery& query) const -> bool {
-  const bool avoided = query.avoid != nullptr &&
-                       query.avoid->contains(member.upstream.id);
+  const bool avoided =
+      query.avoid != nullptr && query.avoid->contains(member.upstream.id);
   if (member.leaving || avoided || now < member.ejected_until) {
     return false;
   }
@@ -233,7 +233,8 @@
       query.patience == Patience::kQuick) {
     return total < slots * kQuickOvercommit;
   }
-  // Patient work keeps to its share of the engine; each router to its part of that share.
+  // Patient work keeps to its share of the engine; each router to its part of
+  // that share.
   const double share = slots * this->patient_share;
   const double own_share =
       std::max(1.0, share / static_cast<double>(this->routers) * 2.0);
--- a/modules/al_traffic/upstreams/upstream_pool.h
+++ b/modules/al_traffic/upstreams/upstream_pool.h
@@ -30,7 +30,8 @@
   std::string service;  ///< For services; empty for engines.
   Patience patience = Patience::kQuick;
   std::span<const PrefixDigest> prefix;
-  const std::set<UpstreamId>* avoid = nullptr;  ///< Upstreams that failed this request.
+  const std::set<UpstreamId>* avoid =
+      nullptr;  ///< Upstreams that failed this request.
 };
 
 /** The upstreams that this router uses: their load, health and shares.
@@ -48,10 +49,10 @@
     LoadReport report;
     std::uint32_t own_at_report = 0;
     Instant reported_at;
-    bool leaving = false;           ///< By the VM list, its own word, or an operator.
+    bool leaving = false;  ///< By the VM list, its own word, or an operator.
     int failures_in_row = 0;
     Instant ejected_until;
-    Instant eased_in_since;         ///< When it last came back.
+    Instant eased_in_since;  ///< When it last came back.
     PrefixBeliefs prefixes;
   };
 
@@ -60,18 +61,24 @@
   //============================================================================
   // Commands
 
-  /** Takes over the upstreams of a configuration; what is known of those that stay is kept.
+  /** Takes over the upstreams of a configuration; what is known of those that
+     stay is kept.
       @param routers  in the fleet, which share the engines. */
-  auto SetConfiguration(const Configuration& configuration, std::size_t routers) -> void;
+  auto SetConfiguration(const Configuration& configuration, std::size_t routers)
+      -> void;
 
   /** Marks upstreams as leaving by the VM list. */
-  auto SetLeaving(Instant now, const std::function<bool(const UpstreamId&)>& is_leaving) -> void;
+  auto SetLeaving(Instant now,
+                  const std::function<bool(const UpstreamId&)>& is_leaving)
+      -> void;
 
-  /** Picks an upstream for a request and counts the request there. Empty where none may take it
-      now. */
-  [[nodiscard]] auto TryAcquire(Instant now, const UpstreamQuery& query) -> std::optional<UpstreamId>;
+  /** Picks an upstream for a request and counts the request there. Empty where
+     none may take it now. */
+  [[nodiscard]] auto TryAcquire(Instant now, const UpstreamQuery& query)
+      -> std::optional<UpstreamId>;
 
-  /** Counts a request at an upstream that is given, as for a stream that is taken up again. */
+  /** Counts a request at an upstream that is given, as for a stream that is
+   * taken up again. */
   auto Acquire(const UpstreamId& upstream, Patience patience) -> void;
 
   /** Ends a request that TryAcquire() or Acquire() counted. */
@@ -81,14 +88,19 @@
   auto NoteSuccess(const UpstreamId& upstream) -> void;
   auto NoteFailure(Instant now, const UpstreamId& upstream) -> void;
 
-  auto NoteReport(Instant now, const UpstreamId& upstream, const LoadReport& report) -> void;
-  auto NoteCached(const UpstreamId& upstream, std::span<const PrefixDigest> digests) -> void;
+  auto NoteReport(Instant now,
+                  const UpstreamId& upstream,
+                  const LoadReport& report) -> void;
+  auto NoteCached(const UpstreamId& upstream,
+                  std::span<const PrefixDigest> digests) -> void;
   auto NoteDropped(const UpstreamId& upstream, PrefixDigest digest) -> void;
 
   //============================================================================
   // Queries
 
-  [[nodiscard]] auto members() const -> std::span<const Member> { return this->all; }
+  [[nodiscard]] auto members() const -> std::span<const Member> {
+    return this->all;
+  }
 
   /** Whether any upstream serves such requests, busy or not. */
   [[nodiscard]] auto Serves(const UpstreamQuery& query) const -> bool;
@@ -98,10 +110,15 @@
 
  private:
   auto Find(const UpstreamId& upstream) -> Member*;
-  [[nodiscard]] static auto Matches(const Member& member, const UpstreamQuery& query) -> bool;
-  [[nodiscard]] auto MayTake(Instant now, const Member& member, const UpstreamQuery& query) const -> bool;
-  [[nodiscard]] auto OthersInFlight(Instant now, const Member& member) const -> double;
-  [[nodiscard]] auto EaseLimit(Instant now, const Member& member) const -> double;
+  [[nodiscard]] static auto Matches(const Member& member,
+                                    const UpstreamQuery& query) -> bool;
+  [[nodiscard]] auto MayTake(Instant now,
+                             const Member& member,
+                             const UpstreamQuery& query) const -> bool;
+  [[nodiscard]] auto OthersInFlight(Instant now, const Member& member) const
+      -> double;
+  [[nodiscard]] auto EaseLimit(Instant now, const Member& member) const
+      -> double;
 
   DomainId own_domain;
   RandomSource& random;
--- a/programs/ctl/commands.cc
+++ b/programs/ctl/commands.cc
@@ -11,8 +11,8 @@
 #include "al_config/check/configuration_parser.h"
 #include "al_core/text/digest.h"
 #include "al_ledger/records/partition_map.h"
-#include "ctl/json_diff.h"
 #include "al_operator/session/operator_session.h"
+#include "ctl/json_diff.h"
 
 namespace auburnloft {
 
@@ -60,8 +60,8 @@
     const std::int64_t wanted = this->settings.Whole("base");
     const std::uint64_t base =
         wanted < 0 ? fold->version() : static_cast<std::uint64_t>(wanted);
-    return this->Publish(base,
-                         MergePatchBetween(fold->document(), json::parse(text)));
+    return this->Publish(
+        base, MergePatchBetween(fold->document(), json::parse(text)));
   }
 
   auto CreateTeam(Words words) -> CtlExit {
@@ -248,8 +248,8 @@
   }
 
   auto Publish(std::uint64_t base, const json& patch) -> CtlExit {
-    const std::optional<std::uint64_t> version = this->session.PublishConfig(
-        base, patch, this->settings.Text("reason"));
+    const std::optional<std::uint64_t> version =
+        this->session.PublishConfig(base, patch, this->settings.Text("reason"));
     if (!version) {
       std::cerr << this->session.last_reason() << "\n";
       return CtlExit::kRefused;
@@ -287,8 +287,8 @@
     if (!verdict) {
       return this->Fail();
     }
-    const bool done = *verdict == wire::VERDICT_VALID ||
-                      *verdict == wire::VERDICT_REPEATED;
+    const bool done =
+        *verdict == wire::VERDICT_VALID || *verdict == wire::VERDICT_REPEATED;
     std::cout << (*verdict == wire::VERDICT_VALID      ? "recorded"
                   : *verdict == wire::VERDICT_REPEATED ? "was recorded before"
                                                        : "void: ")
--- a/programs/ctl/commands.h
+++ b/programs/ctl/commands.h
@@ -12,16 +12,19 @@
 /** Exit codes of auburnloft-ctl. */
 enum class CtlExit {
   kDone = 0,
-  kRefused = 1,  ///< The system answered no: a lost race, a fault in a document.
-  kUsage = 2,    ///< The command line is wrong, or the platform does not answer.
+  kRefused =
+      1,       ///< The system answered no: a lost race, a fault in a document.
+  kUsage = 2,  ///< The command line is wrong, or the platform does not answer.
 };
 
-/** Runs one command of auburnloft-ctl, such as `balance TEAM`, and prints its result.
+/** Runs one command of auburnloft-ctl, such as `balance TEAM`, and prints its
+   result.
 
-    @param words  the command and its arguments.  @param settings  the flags, read.
+    @param words  the command and its arguments.  @param settings  the flags,
+   read.
 */
-[[nodiscard]] auto RunCommand(std::span<const std::string> words, const SettingsReader& settings)
-    -> CtlExit;
+[[nodiscard]] auto RunCommand(std::span<const std::string> words,
+                              const SettingsReader& settings) -> CtlExit;
 
 /** The list of commands, for `--help` and for usage errors. */
 [[nodiscard]] auto CommandHelp() -> std::string_view;
--- a/programs/load/audit.cc
+++ b/programs/load/audit.cc
@@ -34,14 +34,13 @@
   const json ledger = fold->document()
                           .value("defaults", json::object())
                           .value("ledger", json::object());
-  return PartitionMap(ledger.value(
-                          "partitions",
+  return PartitionMap(
+             ledger.value("partitions",
                           static_cast<int>(LedgerSettings{}.partitions)))
       .PartitionOf(team);
 }
 
-auto Audit::Budgets(std::span<const TeamId> teams)
-    -> std::map<TeamId, Tokens> {
+auto Audit::Budgets(std::span<const TeamId> teams) -> std::map<TeamId, Tokens> {
   std::map<TeamId, Tokens> budgets;
   for (const TeamId& team : teams) {
     const std::optional<PartitionIndex> partition = this->PartitionOf(team);
@@ -121,8 +120,7 @@
     }
   }
   const Tokens spent = std::max(served, found->account.billed());
-  report.overspend +=
-      std::max<Tokens>(0, spent - found->account.topped_up());
+  report.overspend += std::max<Tokens>(0, spent - found->account.topped_up());
   for (const auto& [holder, balance] : found->account.holders()) {
     report.stranded += live.contains(holder.value()) ? 0 : balance.tokens;
   }
@@ -137,8 +135,7 @@
     call.path = "/state";
     const std::optional<HttpAnswer> answer =
         this->session.Call(std::move(call));
-    const json state =
-        json::parse(answer ? answer->body : "", nullptr, false);
+    const json state = json::parse(answer ? answer->body : "", nullptr, false);
     if (state.is_object()) {
       live.insert(state.value("incarnation", ""));
     }
@@ -154,8 +151,7 @@
     call.path = "/executions";
     const std::optional<HttpAnswer> answer =
         this->session.Call(std::move(call));
-    const json counts =
-        json::parse(answer ? answer->body : "", nullptr, false);
+    const json counts = json::parse(answer ? answer->body : "", nullptr, false);
     if (!counts.is_object()) {
       continue;
     }
--- a/programs/load/audit.h
+++ b/programs/load/audit.h
@@ -14,34 +14,39 @@
 
 namespace auburnloft::load {
 
-/** What the ledger and the services say of a run, against what the callers saw. */
+/** What the ledger and the services say of a run, against what the callers saw.
+ */
 struct AuditReport {
-  bool complete = false;      ///< Everything could be read.
-  Tokens overspend = 0;       ///< Billed, or served, beyond the top-ups.
+  bool complete = false;  ///< Everything could be read.
+  Tokens overspend = 0;   ///< Billed, or served, beyond the top-ups.
   std::uint64_t double_billed = 0;
   std::uint64_t unbilled = 0;
   std::uint64_t wrong_amount = 0;
   std::uint64_t double_run = 0;
-  Tokens stranded = 0;        ///< Out with holders that no longer live.
-  bool adds_up = false;       ///< Top-ups = billed + allowances out + unallocated.
+  Tokens stranded = 0;   ///< Out with holders that no longer live.
+  bool adds_up = false;  ///< Top-ups = billed + allowances out + unallocated.
 };
 
-/** Compares a run with the ledger and with the executions that the services counted.
+/** Compares a run with the ledger and with the executions that the services
+   counted.
 
     Thread safety: none.
 */
 class Audit {
  public:
   /** @param routers  addresses to ask which incarnations live.
-      @param services  addresses of stand-in services to ask for their executions. */
+      @param services  addresses of stand-in services to ask for their
+     executions. */
   Audit(std::string platform_address,
         std::vector<std::string> routers,
         std::vector<std::string> services);
 
   /** What each team may still spend: its top-ups less its bills. */
-  [[nodiscard]] auto Budgets(std::span<const TeamId> teams) -> std::map<TeamId, Tokens>;
+  [[nodiscard]] auto Budgets(std::span<const TeamId> teams)
+      -> std::map<TeamId, Tokens>;
 
-  /** Waits until no answered request is unbilled, at most `patience`, and reports. */
+  /** Waits until no answered request is unbilled, at most `patience`, and
+   * reports. */
   [[nodiscard]] auto Run(std::span<const TeamId> teams,
                          std::span<const RequestResult> results,
                          Duration patience) -> AuditReport;
@@ -50,8 +55,11 @@
   using BillsByKey = std::map<std::string, std::vector<Tokens>>;
 
   auto PartitionOf(const TeamId& team) -> std::optional<PartitionIndex>;
-  auto ReadOnce(std::span<const TeamId> teams, std::span<const RequestResult> results) -> AuditReport;
-  auto ReadTeam(const TeamId& team, const std::set<std::string>& live, AuditReport& report) -> BillsByKey;
+  auto ReadOnce(std::span<const TeamId> teams,
+                std::span<const RequestResult> results) -> AuditReport;
+  auto ReadTeam(const TeamId& team,
+                const std::set<std::string>& live,
+                AuditReport& report) -> BillsByKey;
   auto LiveIncarnations() -> std::set<std::string>;
   auto CountDoubleRuns() -> std::uint64_t;
 
--- a/programs/load/caller.cc
+++ b/programs/load/caller.cc
@@ -15,10 +15,12 @@
 constexpr int kOk = 200;
 constexpr Duration kRetryWait = std::chrono::milliseconds(150);
 
-/** As docs/API.md states the bound of a chat: bytes of the prompt, template, and output. */
+/** As docs/API.md states the bound of a chat: bytes of the prompt, template,
+ * and output. */
 constexpr Tokens kTemplateTokens = 24;
 
-/** Codes after which a caller comes back with the same key rather than give up. */
+/** Codes after which a caller comes back with the same key rather than give up.
+ */
 auto ComesBack(std::string_view code) -> bool {
   return code == "draining" || code == "not_ready" || code == "in_progress";
 }
@@ -40,8 +42,9 @@
   this->result.kind_name = kind.name;
   this->result.key = this->request.key;
   this->result.is_service = !kind.service.empty();
-  this->prompt = std::string(kind.shared_characters, 's') + "[pieces=" +
-                 std::to_string(kind.pieces) + "] " + this->request.filler;
+  this->prompt = std::string(kind.shared_characters, 's') +
+                 "[pieces=" + std::to_string(kind.pieces) + "] " +
+                 this->request.filler;
   if (this->prompt.size() < kind.prompt_characters) {
     this->prompt.append(kind.prompt_characters - this->prompt.size(), '.');
   }
