--- a/programs/load/caller.h
+++ b/programs/load/caller.h
@@ -14,8 +14,8 @@
 
 namespace auburnloft::load {
 
-/** One request as a careful caller sends it: with a key, checked byte for byte, and sent again with
-    the same key when its connection breaks.
+/** One request as a careful caller sends it: with a key, checked byte for byte,
+   and sent again with the same key when its connection breaks.
 
     Thread safety: none; used on the loop's thread.
 */
@@ -27,12 +27,16 @@
     const TeamLoad* team = nullptr;
     const RequestKind* kind = nullptr;
     std::string model;
-    std::string key;      ///< A UUID of version 7.
-    std::string filler;   ///< Makes the prompt this request's own.
+    std::string key;     ///< A UUID of version 7.
+    std::string filler;  ///< Makes the prompt this request's own.
     int most_attempts = 6;
   };
 
-  Caller(EventLoop& loop, HttpClient& http, EntryBook& entries, Request request, OnResult on_result);
+  Caller(EventLoop& loop,
+         HttpClient& http,
+         EntryBook& entries,
+         Request request,
+         OnResult on_result);
 
   Caller(const Caller&) = delete;
   auto operator=(const Caller&) -> Caller& = delete;
--- a/programs/load/entry_book.h
+++ b/programs/load/entry_book.h
@@ -13,7 +13,8 @@
 
 namespace auburnloft::load {
 
-/** The addresses that callers use: asked for at any router, kept for as long as the answer holds.
+/** The addresses that callers use: asked for at any router, kept for as long as
+   the answer holds.
 
     Thread safety: none; used on the loop's thread.
 */
@@ -21,14 +22,20 @@
  public:
   using OnAddress = std::function<void(std::string address)>;
 
-  /** @param bootstrap  routers to ask at first.  @param follows_lists  false keeps to them. */
-  EntryBook(EventLoop& loop, HttpClient& http, RandomSource& random,
-            std::vector<std::string> bootstrap, bool follows_lists);
+  /** @param bootstrap  routers to ask at first.  @param follows_lists  false
+   * keeps to them. */
+  EntryBook(EventLoop& loop,
+            HttpClient& http,
+            RandomSource& random,
+            std::vector<std::string> bootstrap,
+            bool follows_lists);
 
-  /** Gives an address for a request of `team`, asking for a new list where the old one has run
-      out. @param avoid  an address that just failed. */
-  auto Pick(const TeamId& team, const std::string& key, const std::string& avoid, OnAddress on_address)
-      -> void;
+  /** Gives an address for a request of `team`, asking for a new list where the
+     old one has run out. @param avoid  an address that just failed. */
+  auto Pick(const TeamId& team,
+            const std::string& key,
+            const std::string& avoid,
+            OnAddress on_address) -> void;
 
   /** Makes the next Pick() of `team` ask anew. */
   auto Expire(const TeamId& team) -> void;
@@ -42,7 +49,8 @@
   };
 
   auto Ask(const TeamId& team, const std::string& key, int attempt) -> void;
-  auto Answer(List& list, const std::string& avoid, const OnAddress& on_address) -> void;
+  auto Answer(List& list, const std::string& avoid, const OnAddress& on_address)
+      -> void;
 
   EventLoop& loop;
   HttpClient& http;
--- a/programs/load/load_run.cc
+++ b/programs/load/load_run.cc
@@ -46,21 +46,22 @@
   this->end_at = start + this->options.duration;
   this->ScheduleNext();
   this->loop.RunUntil(
-      [this] { return this->all_sent && this->done.size() == this->sent_count; },
+      [this] {
+        return this->all_sent && this->done.size() == this->sent_count;
+      },
       this->options.duration + this->options.grace);
   this->elapsed_seconds = ToSeconds(this->loop.Now() - start);
 }
 
 auto LoadRun::ScheduleNext() -> void {
   const double gap = -std::log(1.0 - this->random.Unit()) / this->options.rate;
-  this->next_at += std::chrono::duration_cast<Duration>(
-      std::chrono::duration<double>(gap));
+  this->next_at +=
+      std::chrono::duration_cast<Duration>(std::chrono::duration<double>(gap));
   if (this->next_at >= this->end_at) {
     this->all_sent = true;
     return;
   }
-  const Duration wait =
-      std::max(Duration{0}, this->next_at - this->loop.Now());
+  const Duration wait = std::max(Duration{0}, this->next_at - this->loop.Now());
   this->loop.After(wait, [this] {
     this->SendOne();
     this->ScheduleNext();
@@ -69,12 +70,14 @@
 
 auto LoadRun::NewKey() -> std::string {
   // RFC 9562, section 5.7: 48 bits of time, the version, and random bits.
-  const auto millis = static_cast<std::uint64_t>(ToUnixMillis(this->loop.Now()));
+  const auto millis =
+      static_cast<std::uint64_t>(ToUnixMillis(this->loop.Now()));
   constexpr std::uint64_t kLow16 = 0xffff;
   constexpr std::uint64_t kLow12 = 0xfff;
   constexpr std::uint64_t kLow48 = 0xffff'ffff'ffff;
   std::array<char, 96> text{};
-  std::snprintf(text.data(), text.size(), "%08llx-%04llx-7%03llx-8%03llx-%012llx",
+  std::snprintf(text.data(), text.size(),
+                "%08llx-%04llx-7%03llx-8%03llx-%012llx",
                 static_cast<unsigned long long>(millis >> 16U),
                 static_cast<unsigned long long>(millis & kLow16),
                 static_cast<unsigned long long>(this->random.Below(kLow12)),
@@ -104,8 +107,8 @@
   team.reserved -= result.upper;
   team.used += result.used;
   const auto budget = this->options.budgets.find(result.team);
-  const bool for_budget = result.code == "budget_exhausted" ||
-                          result.code == "budget_unavailable";
+  const bool for_budget =
+      result.code == "budget_exhausted" || result.code == "budget_unavailable";
   if (for_budget && budget != this->options.budgets.end()) {
     result.false_refusal =
         budget->second - team.used - team.reserved >= result.upper;
--- a/programs/load/load_run.h
+++ b/programs/load/load_run.h
@@ -16,7 +16,8 @@
 
 namespace auburnloft::load {
 
-/** Plays the callers of a workload for a while, at a rate that does not wait for answers.
+/** Plays the callers of a workload for a while, at a rate that does not wait
+   for answers.
 
     Thread safety: none.
 */
@@ -25,11 +26,13 @@
   struct Options {
     std::vector<std::string> bootstrap;
     bool follows_lists = true;
-    double rate = 10.0;        ///< Requests a second.
+    double rate = 10.0;  ///< Requests a second.
     Duration duration = std::chrono::seconds(10);
-    Duration grace = std::chrono::seconds(30);  ///< For answers after the last request.
+    Duration grace =
+        std::chrono::seconds(30);  ///< For answers after the last request.
     std::uint64_t seed = 1;
-    std::map<TeamId, Tokens> budgets;  ///< Top-ups less bills at the start; may be empty.
+    std::map<TeamId, Tokens>
+        budgets;  ///< Top-ups less bills at the start; may be empty.
   };
 
   LoadRun(Workload workload, Options options);
@@ -40,7 +43,9 @@
   /** Sends all requests and waits for their ends. */
   auto Run() -> void;
 
-  [[nodiscard]] auto results() const -> const std::vector<RequestResult>& { return this->done; }
+  [[nodiscard]] auto results() const -> const std::vector<RequestResult>& {
+    return this->done;
+  }
   [[nodiscard]] auto sent() const -> std::uint64_t { return this->sent_count; }
   [[nodiscard]] auto seconds() const -> double { return this->elapsed_seconds; }
 
--- a/programs/load/main.cc
+++ b/programs/load/main.cc
@@ -32,8 +32,8 @@
                          "send to --routers themselves, without entry lists");
   settings.DeclareWhole("rate", "requests a second", 20, 1, 100'000);
   settings.DeclareWhole("seconds", "how long to send", 10, 1, 86'400);
-  settings.DeclareWhole("grace-seconds", "how long to wait for the last answers",
-                        30, 1, 3600);
+  settings.DeclareWhole("grace-seconds",
+                        "how long to wait for the last answers", 30, 1, 3600);
   settings.DeclareWhole("seed", "seed of the schedule", 1, 0, 1'000'000'000);
   settings.DeclareText("platform-address",
                        "the log, for the audit of bills; empty for none", "");
@@ -89,18 +89,19 @@
   const std::string all_routers = settings.Text("all-routers");
   std::optional<Audit> audit;
   if (!settings.Text("platform-address").empty()) {
-    audit.emplace(settings.Text("platform-address"),
-                  all_routers.empty() ? options.bootstrap
-                                      : SplitList(all_routers),
-                  SplitList(settings.Text("services")));
+    audit.emplace(
+        settings.Text("platform-address"),
+        all_routers.empty() ? options.bootstrap : SplitList(all_routers),
+        SplitList(settings.Text("services")));
     options.budgets = audit->Budgets(teams);
   }
   LoadRun run(*workload, std::move(options));
   run.Run();
   std::optional<AuditReport> audited;
   if (audit) {
-    audited = audit->Run(teams, run.results(),
-                         std::chrono::seconds(settings.Whole("settle-seconds")));
+    audited =
+        audit->Run(teams, run.results(),
+                   std::chrono::seconds(settings.Whole("settle-seconds")));
   }
   const nlohmann::json report =
       ReportOf(settings.Text("name"), run, audited ? &*audited : nullptr);
--- a/programs/load/report.cc
+++ b/programs/load/report.cc
@@ -121,9 +121,9 @@
   const json all_times = report.value("times", json::object());
   for (const auto& [kind, times] : all_times.items()) {
     out << kind << ": " << times["answered"].dump()
-        << " answered; first piece p50/p95/p99 "
-        << times["first_ms_p50"].dump() << "/" << times["first_ms_p95"].dump()
-        << "/" << times["first_ms_p99"].dump() << " ms; whole p50/p99 "
+        << " answered; first piece p50/p95/p99 " << times["first_ms_p50"].dump()
+        << "/" << times["first_ms_p95"].dump() << "/"
+        << times["first_ms_p99"].dump() << " ms; whole p50/p99 "
         << times["total_ms_p50"].dump() << "/" << times["total_ms_p99"].dump()
         << " ms\n";
   }
--- a/programs/load/report.h
+++ b/programs/load/report.h
@@ -10,9 +10,11 @@
 
 namespace auburnloft::load {
 
-/** The outcome of a run as JSON: counts, promises kept or broken, and times by kind. */
-[[nodiscard]] auto ReportOf(std::string_view name, const LoadRun& run, const AuditReport* audit)
-    -> nlohmann::json;
+/** The outcome of a run as JSON: counts, promises kept or broken, and times by
+ * kind. */
+[[nodiscard]] auto ReportOf(std::string_view name,
+                            const LoadRun& run,
+                            const AuditReport* audit) -> nlohmann::json;
 
 /** The same as a table for people. */
 [[nodiscard]] auto TableOf(const nlohmann::json& report) -> std::string;
--- a/programs/load/request_result.h
+++ b/programs/load/request_result.h
@@ -10,11 +10,11 @@
 
 /** How a request ended for its caller. */
 enum class ResultKind {
-  kWhole,      ///< The whole answer, checked.
-  kWrong,      ///< An answer that is not its own.
-  kRefused,    ///< An error that says that nothing was run.
-  kUnknown,    ///< An error that says that it may have run.
-  kFailed,     ///< An error that says that it was run, or no answer at all.
+  kWhole,    ///< The whole answer, checked.
+  kWrong,    ///< An answer that is not its own.
+  kRefused,  ///< An error that says that nothing was run.
+  kUnknown,  ///< An error that says that it may have run.
+  kFailed,   ///< An error that says that it was run, or no answer at all.
 };
 
 /** What a caller saw of one request. */
@@ -24,12 +24,12 @@
   std::string kind_name;
   std::string key;
   bool is_service = false;
-  std::string code;          ///< Of an error.
+  std::string code;  ///< Of an error.
   bool false_refusal = false;
-  Tokens upper = 0;          ///< The most that it can cost.
-  Tokens used = 0;           ///< As the answer tells.
+  Tokens upper = 0;  ///< The most that it can cost.
+  Tokens used = 0;   ///< As the answer tells.
   int attempts = 0;
-  int breaks = 0;            ///< Connections that broke after the first piece.
+  int breaks = 0;  ///< Connections that broke after the first piece.
   std::uint64_t pieces = 0;
   Duration first_piece{0};
   Duration total{0};
--- a/programs/load/workload.h
+++ b/programs/load/workload.h
@@ -15,15 +15,17 @@
 struct RequestKind {
   std::string name;
   double weight = 1.0;
-  std::string service;         ///< Empty for chat.
+  std::string service;  ///< Empty for chat.
   std::string method = "POST";
-  std::string path;            ///< Of a service call.
-  std::string request_class;   ///< Of a chat; empty for the default.
+  std::string path;           ///< Of a service call.
+  std::string request_class;  ///< Of a chat; empty for the default.
   std::size_t prompt_characters = 200;
-  std::size_t shared_characters = 0;  ///< Of the prompt, common to all requests of the kind.
+  std::size_t shared_characters =
+      0;  ///< Of the prompt, common to all requests of the kind.
   std::size_t pieces = 16;
   bool stream = true;
-  std::size_t read_bytes_per_second = 0;  ///< Of a slow caller; 0 reads as fast as it comes.
+  std::size_t read_bytes_per_second =
+      0;  ///< Of a slow caller; 0 reads as fast as it comes.
 };
 
 /** A team and its callers. */
--- a/programs/router/error_body.cc
+++ b/programs/router/error_body.cc
@@ -22,8 +22,8 @@
   if (refusal.retry_after <= Duration{0}) {
     return {};
   }
-  const auto seconds = std::chrono::ceil<std::chrono::seconds>(
-      refusal.retry_after);
+  const auto seconds =
+      std::chrono::ceil<std::chrono::seconds>(refusal.retry_after);
   return {{"retry-after", std::to_string(seconds.count())}};
 }
 
--- a/programs/router/request_relay.cc
+++ b/programs/router/request_relay.cc
@@ -20,7 +20,8 @@
 constexpr int kServerError = 500;
 constexpr int kUnavailable = 503;
 
-/** Bytes that may wait for a slow caller before its upstream is not read any further. */
+/** Bytes that may wait for a slow caller before its upstream is not read any
+ * further. */
 constexpr std::size_t kPauseAbove = 262'144;
 
 }  // namespace
@@ -40,11 +41,10 @@
     this->last_sequence = this->request.arrival.resume->sequence;
   }
   this->exchange->SetOnGone([this] {
-    const Tokens delivered =
-        this->piece_count == 0
-            ? 0
-            : this->request.prompt_estimate +
-                  static_cast<Tokens>(this->piece_count);
+    const Tokens delivered = this->piece_count == 0
+                                 ? 0
+                                 : this->request.prompt_estimate +
+                                       static_cast<Tokens>(this->piece_count);
     this->events.on_gone({this->handle, delivered});
   });
   this->exchange->SetOnDrained([this] {
@@ -178,7 +178,8 @@
   }
   const std::size_t slash = event.id.rfind('/');
   if (slash == std::string_view::npos) {
-    // An upstream without event ids: pieces are counted, and the stream cannot be taken up again.
+    // An upstream without event ids: pieces are counted, and the stream cannot
+    // be taken up again.
     this->OnPiece(event, this->last_sequence + 1);
     return;
   }
@@ -242,9 +243,9 @@
   const bool ran_nothing =
       this->run_denied || (is_busy && !this->request.arrival.at_most_once);
   if (ran_nothing || this->status >= kServerError) {
-    this->Fail(true, ran_nothing,
-               "the upstream answered with status " +
-                   std::to_string(this->status));
+    this->Fail(
+        true, ran_nothing,
+        "the upstream answered with status " + std::to_string(this->status));
     return;
   }
   if (this->resumed && this->status != kOk) {
@@ -271,7 +272,8 @@
 auto RequestRelay::OnError(bool sent, std::string_view text) -> void {
   if (this->stream_ended) {
     // Everything was there before the connection broke.
-    this->events.on_done({this->handle, this->attempt, this->spent, kOk, "", ""});
+    this->events.on_done(
+        {this->handle, this->attempt, this->spent, kOk, "", ""});
     return;
   }
   this->Fail(sent, false, text);
--- a/programs/router/request_relay.h
+++ b/programs/router/request_relay.h
@@ -15,11 +15,12 @@
 
 namespace auburnloft {
 
-/** Carries one request between its caller and the upstreams that the decisions name.
+/** Carries one request between its caller and the upstreams that the decisions
+   name.
 
-    Relays pieces as they come, drops late and repeated ones by their sequence, and holds back the
-    end of the answer until Release(). A caller that reads slowly stops the reading of its
-    upstream, not that of others.
+    Relays pieces as they come, drops late and repeated ones by their sequence,
+   and holds back the end of the answer until Release(). A caller that reads
+   slowly stops the reading of its upstream, not that of others.
 
     Thread safety: none; used on the loop's thread.
 
@@ -33,7 +34,8 @@
     std::function<void(const UpstreamFailed&)> on_failed;
     std::function<void(const CallerGone&)> on_gone;
     std::function<void()> on_first_piece;
-    std::function<void()> on_closed;  ///< Nothing more will happen; the relay may go.
+    std::function<void()>
+        on_closed;  ///< Nothing more will happen; the relay may go.
   };
 
   RequestRelay(HttpClient& http,
@@ -59,8 +61,12 @@
   //============================================================================
   // Queries
 
-  [[nodiscard]] auto pieces() const -> std::uint64_t { return this->piece_count; }
-  [[nodiscard]] auto admitted() const -> const AdmittedRequest& { return this->request; }
+  [[nodiscard]] auto pieces() const -> std::uint64_t {
+    return this->piece_count;
+  }
+  [[nodiscard]] auto admitted() const -> const AdmittedRequest& {
+    return this->request;
+  }
 
  private:
   auto Send(HttpCall call) -> void;
@@ -87,17 +93,17 @@
   std::shared_ptr<HttpCallHandle> call;
   int status = 0;
   std::string content_type;
-  bool run_denied = false;      ///< The upstream says that it ran nothing.
-  std::string body;             ///< Of answers that are not streams.
+  bool run_denied = false;  ///< The upstream says that it ran nothing.
+  std::string body;         ///< Of answers that are not streams.
   SseParser parser;
-  std::string stream;           ///< The upstream's name of the stream.
+  std::string stream;  ///< The upstream's name of the stream.
   std::uint64_t last_sequence = 0;
   bool resumed = false;
-  bool gap = false;             ///< Pieces are missing; the stream must be taken up again.
+  bool gap = false;  ///< Pieces are missing; the stream must be taken up again.
   bool stream_ended = false;
   std::uint64_t piece_count = 0;
-  std::string content;          ///< Joined pieces, for callers who want the whole.
-  std::string usage;            ///< The usage chunk as the upstream sent it.
+  std::string content;  ///< Joined pieces, for callers who want the whole.
+  std::string usage;    ///< The usage chunk as the upstream sent it.
   Tokens spent = 0;
   bool closed = false;
 };
--- a/programs/router/router_daemon.cc
+++ b/programs/router/router_daemon.cc
@@ -48,8 +48,8 @@
   getrusage(RUSAGE_SELF, &usage);
   constexpr double kMicro = 1e-6;
   return static_cast<double>(usage.ru_utime.tv_sec + usage.ru_stime.tv_sec) +
-         kMicro *
-             static_cast<double>(usage.ru_utime.tv_usec + usage.ru_stime.tv_usec);
+         kMicro * static_cast<double>(usage.ru_utime.tv_usec +
+                                      usage.ru_stime.tv_usec);
 }
 
 /** The resident memory of this process, in bytes. */
@@ -161,10 +161,9 @@
 auto RouterDaemon::OnWork(const Exchange& exchange) -> void {
   const Configuration* const configuration = this->core.configuration();
   if (configuration == nullptr) {
-    this->RespondRefusal(
-        *exchange, {RefusalCode::kNotReady, RunState::kNo,
-                    "this router has no configuration yet",
-                    std::chrono::seconds(1)});
+    this->RespondRefusal(*exchange, {RefusalCode::kNotReady, RunState::kNo,
+                                     "this router has no configuration yet",
+                                     std::chrono::seconds(1)});
     return;
   }
   const Instant now = this->loop.Now();
@@ -177,15 +176,14 @@
   const RequestHandle handle = this->next_handle++;
   ArrivingRequest arrival = admitted->arrival;
   this->arrivals[handle] = now;
-  this->relays[handle] = std::make_unique<RequestRelay>(
-      this->http, exchange, std::move(*admitted), handle,
-      this->RelayEventsOf(handle));
+  this->relays[handle] =
+      std::make_unique<RequestRelay>(this->http, exchange, std::move(*admitted),
+                                     handle, this->RelayEventsOf(handle));
   this->core.OnRequest(now, handle, std::move(arrival));
   this->Pump();
 }
 
-auto RouterDaemon::RelayEventsOf(RequestHandle handle)
-    -> RequestRelay::Events {
+auto RouterDaemon::RelayEventsOf(RequestHandle handle) -> RequestRelay::Events {
   RequestRelay::Events events;
   events.on_done = [this](const UpstreamDone& done) {
     this->core.OnUpstreamDone(this->loop.Now(), done);
@@ -233,13 +231,13 @@
         Sha256Hex(authorization.substr(kBearer.size())));
     team = found == nullptr ? TeamId() : found->id;
     const Exception* const exception = configuration->ExceptionOf(team);
-    count = exception == nullptr ? count
-                                 : exception->entry_count.value_or(count);
+    count =
+        exception == nullptr ? count : exception->entry_count.value_or(count);
   }
   json entries = json::array();
   for (const Vm& vm : PlanEntries(team, this->core.membership(), count)) {
-    entries.push_back({{"address", vm.http_address},
-                       {"failure_domain", vm.domain.value()}});
+    entries.push_back(
+        {{"address", vm.http_address}, {"failure_domain", vm.domain.value()}});
   }
   const auto hold =
       std::chrono::duration_cast<std::chrono::seconds>(defaults.entries.hold);
@@ -252,10 +250,9 @@
   std::ostringstream out;
   out << "auburnloft_cpu_seconds_total " << ProcessorSeconds() << "\n"
       << "auburnloft_resident_bytes " << ResidentBytes() << "\n"
-      << "auburnloft_peer_sent_bytes_total " << this->peers.bytes_sent()
+      << "auburnloft_peer_sent_bytes_total " << this->peers.bytes_sent() << "\n"
+      << "auburnloft_peer_received_bytes_total " << this->peers.bytes_received()
       << "\n"
-      << "auburnloft_peer_received_bytes_total "
-      << this->peers.bytes_received() << "\n"
       << "auburnloft_peer_dropped_total " << this->peers.dropped() << "\n"
       << "auburnloft_pieces_relayed_total " << this->pieces_relayed << "\n"
       << "auburnloft_log_appends_total " << this->core.keepers().AppendCount()
@@ -287,14 +284,12 @@
       Sha256Hex(authorization) ==
           Sha256Hex(std::string(kBearer) + this->options.admin_key);
   if (!allowed || exchange->request().method != "POST") {
-    this->RespondRefusal(*exchange,
-                         {RefusalCode::kUnauthorized, RunState::kNo,
-                          "draining needs POST and the admin key",
-                          Duration{0}});
+    this->RespondRefusal(
+        *exchange, {RefusalCode::kUnauthorized, RunState::kNo,
+                    "draining needs POST and the admin key", Duration{0}});
     return;
   }
-  exchange->Respond(200, "application/json",
-                    json{{"draining", true}}.dump());
+  exchange->Respond(200, "application/json", json{{"draining", true}}.dump());
   this->Drain();
 }
 
@@ -302,8 +297,8 @@
 // Actions
 
 auto RouterDaemon::Pump() -> void {
-  for (std::vector<Action> actions = this->core.TakeActions();
-       !actions.empty(); actions = this->core.TakeActions()) {
+  for (std::vector<Action> actions = this->core.TakeActions(); !actions.empty();
+       actions = this->core.TakeActions()) {
     for (Action& action : actions) {
       std::visit([this](auto& item) { this->CarryOut(item); }, action);
     }
--- a/programs/router/router_daemon.h
+++ b/programs/router/router_daemon.h
@@ -31,7 +31,8 @@
   struct Options {
     RouterSettings router;
     std::string platform_address;
-    std::string admin_key;     ///< For POST /admin/drain; empty: not to be had by HTTP.
+    std::string
+        admin_key;  ///< For POST /admin/drain; empty: not to be had by HTTP.
     std::size_t most_body = 1'048'576;
     bool polls_upstreams = true;
   };
@@ -41,7 +42,8 @@
   RouterDaemon(const RouterDaemon&) = delete;
   auto operator=(const RouterDaemon&) -> RouterDaemon& = delete;
 
-  /** Binds the addresses and starts the timers. @return false where an address is taken. */
+  /** Binds the addresses and starts the timers. @return false where an address
+   * is taken. */
   [[nodiscard]] auto Start() -> bool;
 
   /** Begins to drain; the loop stops when all is done. */
--- a/programs/router/state_log.h
+++ b/programs/router/state_log.h
@@ -8,7 +8,8 @@
 
 namespace auburnloft {
 
-/** Writes a log line for each change of a router's state, and none for its requests.
+/** Writes a log line for each change of a router's state, and none for its
+   requests.
 
     Thread safety: none; used on the loop's thread.
 */
--- a/programs/router/upstream_poller.cc
+++ b/programs/router/upstream_poller.cc
@@ -16,10 +16,9 @@
   if (!report.is_object()) {
     return std::nullopt;
   }
-  return LoadReport{report.value("running", 0U),
-                    report.value("patient_running", 0U),
-                    report.value("waiting", 0U),
-                    report.value("leaving", false)};
+  return LoadReport{
+      report.value("running", 0U), report.value("patient_running", 0U),
+      report.value("waiting", 0U), report.value("leaving", false)};
 }
 
 auto ParseDigest(const json& event) -> PrefixDigest {
@@ -34,9 +33,7 @@
 UpstreamPoller::UpstreamPoller(HttpClient& http,
                                OnLoad on_load,
                                OnCache on_cache)
-    : http(http),
-      on_load(std::move(on_load)),
-      on_cache(std::move(on_cache)) {}
+    : http(http), on_load(std::move(on_load)), on_cache(std::move(on_cache)) {}
 
 auto UpstreamPoller::Poll(const Configuration& configuration) -> void {
   for (const Upstream& upstream : configuration.upstreams) {
@@ -50,23 +47,22 @@
       continue;
     }
     const std::string after = std::to_string(this->cache_sequence[id]);
-    this->Get(upstream, "/cache-events?after=" + after,
-              [this, id](std::string_view body) {
-                const json answer = json::parse(body, nullptr, false);
-                if (!answer.is_object()) {
-                  return;
-                }
-                CacheChange change;
-                change.upstream = id;
-                for (const json& event :
-                     answer.value("events", json::array())) {
-                  (event.value("stored", true) ? change.cached : change.dropped)
-                      .push_back(ParseDigest(event));
-                }
-                this->cache_sequence[id] =
-                    answer.value("next", std::uint64_t{0});
-                this->on_cache(change);
-              });
+    this->Get(
+        upstream, "/cache-events?after=" + after,
+        [this, id](std::string_view body) {
+          const json answer = json::parse(body, nullptr, false);
+          if (!answer.is_object()) {
+            return;
+          }
+          CacheChange change;
+          change.upstream = id;
+          for (const json& event : answer.value("events", json::array())) {
+            (event.value("stored", true) ? change.cached : change.dropped)
+                .push_back(ParseDigest(event));
+          }
+          this->cache_sequence[id] = answer.value("next", std::uint64_t{0});
+          this->on_cache(change);
+        });
   }
 }
 
--- a/standins/common/answer_script.h
+++ b/standins/common/answer_script.h
@@ -8,8 +8,8 @@
 
 namespace auburnloft::standins {
 
-/** The answer that the stand-in engine gives to a prompt: the same in every process, so that the
-    load tool can check an answer byte for byte.
+/** The answer that the stand-in engine gives to a prompt: the same in every
+   process, so that the load tool can check an answer byte for byte.
 
     A prompt may hold `[pieces=N]` to say how long its answer is.
 
@@ -30,7 +30,8 @@
   [[nodiscard]] auto Whole() const -> std::string;
 
   /** The tokens of a prompt as the stand-in counts them. */
-  [[nodiscard]] static auto PromptTokens(std::string_view prompt) -> std::size_t;
+  [[nodiscard]] static auto PromptTokens(std::string_view prompt)
+      -> std::size_t;
 
  private:
   std::uint64_t digest;
--- a/standins/common/json_http.h
+++ b/standins/common/json_http.h
@@ -11,7 +11,8 @@
 namespace auburnloft::standins {
 
 /** Answers with a JSON document. */
-auto RespondJson(HttpExchange& exchange, int status, const nlohmann::json& body) -> void;
+auto RespondJson(HttpExchange& exchange, int status, const nlohmann::json& body)
+    -> void;
 
 /** The JSON object of a request's body; an empty object where it is none. */
 [[nodiscard]] auto BodyOf(const HttpExchange& exchange) -> nlohmann::json;
--- a/standins/engine/engine_server.cc
+++ b/standins/engine/engine_server.cc
@@ -28,8 +28,7 @@
   std::string prompt;
   for (const json& message : body.value("messages", json::array())) {
     const json& content = message["content"];
-    prompt +=
-        content.is_string() ? content.get<std::string>() : content.dump();
+    prompt += content.is_string() ? content.get<std::string>() : content.dump();
     prompt += '\n';
   }
   return prompt;
@@ -106,9 +105,8 @@
                      ? left_priority < right_priority
                      : left.arrived > right.arrived;
         });
-    const std::size_t cached_tokens =
-        this->cache.Use(first->prefix) * kCharactersPerBlock /
-        kCharactersPerToken;
+    const std::size_t cached_tokens = this->cache.Use(first->prefix) *
+                                      kCharactersPerBlock / kCharactersPerToken;
     const std::size_t tokens =
         first->prompt_tokens - std::min(first->prompt_tokens, cached_tokens);
     const double slow = this->faults.slow_factor;
@@ -177,8 +175,9 @@
     const std::uint64_t number =
         body.value("fencing", static_cast<std::uint64_t>(0));
     if (this->options.checks_fencing && number < this->fencing) {
-      RespondJson(*exchange, 409, {{"error", "old fencing number"},
-                                   {"fencing", this->fencing}});
+      RespondJson(
+          *exchange, 409,
+          {{"error", "old fencing number"}, {"fencing", this->fencing}});
       return;
     }
     this->fencing = std::max(this->fencing, number);
@@ -217,8 +216,8 @@
   for (const PrefixCache::Event& event : this->cache.EventsAfter(after)) {
     next = event.sequence;
     if (event.sequence % kGapEvery != 0) {
-      events.push_back({{"stored", event.stored},
-                        {"digest", std::to_string(event.digest)}});
+      events.push_back(
+          {{"stored", event.stored}, {"digest", std::to_string(event.digest)}});
     }
   }
   RespondJson(*exchange, 200, {{"next", next}, {"events", std::move(events)}});
@@ -231,7 +230,8 @@
   this->faults.leaving = body.value("leaving", false);
   this->faults.slow_factor = body.value("slow_factor", 1.0);
   this->faults.cut_streams = body.value("cut_streams", 0);
-  this->faults.cut_after = body.value("cut_after", static_cast<std::uint64_t>(3));
+  this->faults.cut_after =
+      body.value("cut_after", static_cast<std::uint64_t>(3));
   RespondJson(*exchange, 200, json::object());
 }
 
--- a/standins/engine/engine_server.h
+++ b/standins/engine/engine_server.h
@@ -16,16 +16,20 @@
 
 namespace auburnloft::standins {
 
-/** A model engine with continuous batching, a prefix cache, priorities and streams that can be
-    taken up again.
+/** A model engine with continuous batching, a prefix cache, priorities and
+   streams that can be taken up again.
 
-    - `POST /v1/chat/completions` as an OpenAI client sends it; always streams. `priority` in the
-      body goes before arrival.
-    - `GET /v1/streams/NAME?after=N` takes a stream up again; `DELETE` cancels it
-    - `GET /load`, as it was a lag ago; `GET /cache-events?after=N`, late and with gaps
-    - `POST /orders` with `order`, `model` or `role`, and `fencing`; `GET /orders` tells the state
-    - `POST /faults` takes any of `outage`, `slow_factor`, `refuse`, `cut_streams` (how many of the
-      next streams break off, once each, after `cut_after` pieces), `leaving`
+    - `POST /v1/chat/completions` as an OpenAI client sends it; always streams.
+   `priority` in the body goes before arrival.
+    - `GET /v1/streams/NAME?after=N` takes a stream up again; `DELETE` cancels
+   it
+    - `GET /load`, as it was a lag ago; `GET /cache-events?after=N`, late and
+   with gaps
+    - `POST /orders` with `order`, `model` or `role`, and `fencing`; `GET
+   /orders` tells the state
+    - `POST /faults` takes any of `outage`, `slow_factor`, `refuse`,
+   `cut_streams` (how many of the next streams break off, once each, after
+   `cut_after` pieces), `leaving`
 
     Thread safety: none; used on the loop's thread.
 */
--- a/standins/engine/generation.h
+++ b/standins/engine/generation.h
@@ -11,14 +11,17 @@
 
 namespace auburnloft::standins {
 
-/** One answer that the stand-in engine generates. It goes on for a while when its reader leaves,
-    so that the stream can be taken up again.
+/** One answer that the stand-in engine generates. It goes on for a while when
+   its reader leaves, so that the stream can be taken up again.
 
     Thread safety: none; used on the loop's thread.
 */
 class Generation {
  public:
-  Generation(std::string name, AnswerScript script, std::size_t prompt_tokens, int priority);
+  Generation(std::string name,
+             AnswerScript script,
+             std::size_t prompt_tokens,
+             int priority);
 
   //============================================================================
   // Commands
@@ -27,7 +30,8 @@
   auto Start(Instant first_piece_at, Duration piece_interval) -> void;
 
   /** Sends pieces after `sequence` to a new reader. */
-  auto SetReader(std::shared_ptr<HttpExchange> exchange, std::uint64_t after) -> void;
+  auto SetReader(std::shared_ptr<HttpExchange> exchange, std::uint64_t after)
+      -> void;
 
   /** Sends the pieces that are due. */
   auto Advance(Instant now) -> void;
@@ -40,13 +44,17 @@
   //============================================================================
   // Queries
 
-  [[nodiscard]] auto name() const -> const std::string& { return this->stream_name; }
+  [[nodiscard]] auto name() const -> const std::string& {
+    return this->stream_name;
+  }
   [[nodiscard]] auto priority() const -> int { return this->order; }
   [[nodiscard]] auto IsFinished() const -> bool;
 
   /** When its reader left; the epoch while it has one. */
   [[nodiscard]] auto reader_left_at() const -> Instant { return this->left_at; }
-  [[nodiscard]] auto HasReader() const -> bool { return this->reader != nullptr && this->reader->IsOpen(); }
+  [[nodiscard]] auto HasReader() const -> bool {
+    return this->reader != nullptr && this->reader->IsOpen();
+  }
 
  private:
   auto SendUpTo(std::uint64_t count) -> void;
--- a/standins/engine/prefix_cache.h
+++ b/standins/engine/prefix_cache.h
@@ -10,8 +10,9 @@
 
 namespace auburnloft::standins {
 
-/** The prompt-prefix cache of the stand-in engine: blocks in a memory of limited size, the least
-    recently used dropped first, with the events that an engine publishes about it.
+/** The prompt-prefix cache of the stand-in engine: blocks in a memory of
+   limited size, the least recently used dropped first, with the events that an
+   engine publishes about it.
 
     Thread safety: none; used on one thread.
 */
@@ -25,15 +26,19 @@
 
   explicit PrefixCache(std::size_t capacity) : capacity(capacity) {}
 
-  /** Uses the blocks of a prompt: counts those cached from the start, and stores the rest.
+  /** Uses the blocks of a prompt: counts those cached from the start, and
+     stores the rest.
       @return the number of blocks that were cached. */
   auto Use(std::span<const std::uint64_t> digests) -> std::size_t;
 
   /** The events after `sequence`, as far as they are still kept. */
-  [[nodiscard]] auto EventsAfter(std::uint64_t sequence) const -> std::vector<Event>;
+  [[nodiscard]] auto EventsAfter(std::uint64_t sequence) const
+      -> std::vector<Event>;
 
   [[nodiscard]] auto hits() const -> std::uint64_t { return this->hit_blocks; }
-  [[nodiscard]] auto lookups() const -> std::uint64_t { return this->used_blocks; }
+  [[nodiscard]] auto lookups() const -> std::uint64_t {
+    return this->used_blocks;
+  }
 
  private:
   auto Note(bool stored, std::uint64_t digest) -> void;
--- a/standins/platform/log_store.cc
+++ b/standins/platform/log_store.cc
@@ -6,8 +6,7 @@
 
 auto LogStore::Append(Instant now, std::string_view stream, std::string record)
     -> LogOffset {
-  Stream& target =
-      this->streams.try_emplace(std::string(stream)).first->second;
+  Stream& target = this->streams.try_emplace(std::string(stream)).first->second;
   ++this->append_count;
   this->byte_count += record.size();
   target.records.push_back({now, std::move(record)});
--- a/standins/platform/log_store.h
+++ b/standins/platform/log_store.h
@@ -14,7 +14,8 @@
 
 namespace auburnloft::standins {
 
-/** The streams of the stand-in log: append-only, with offsets, for a limited time and number.
+/** The streams of the stand-in log: append-only, with offsets, for a limited
+   time and number.
 
     Thread safety: none; used on one thread.
 */
@@ -35,15 +36,20 @@
   explicit LogStore(Retention retention) : retention(retention) {}
 
   /** Appends a record. @return its offset. */
-  auto Append(Instant now, std::string_view stream, std::string record) -> LogOffset;
+  auto Append(Instant now, std::string_view stream, std::string record)
+      -> LogOffset;
 
   /** Drops what is older than the retention allows. */
   auto Forget(Instant now) -> void;
 
   /** At most `most` records from `from` on. */
-  [[nodiscard]] auto Read(std::string_view stream, LogOffset from, std::size_t most) const -> Slice;
+  [[nodiscard]] auto Read(std::string_view stream,
+                          LogOffset from,
+                          std::size_t most) const -> Slice;
 
-  [[nodiscard]] auto appends() const -> std::uint64_t { return this->append_count; }
+  [[nodiscard]] auto appends() const -> std::uint64_t {
+    return this->append_count;
+  }
   [[nodiscard]] auto bytes() const -> std::uint64_t { return this->byte_count; }
 
  private:
--- a/standins/platform/main.cc
+++ b/standins/platform/main.cc
@@ -29,7 +29,8 @@
       static_cast<double>(settings.Whole("append-rate"));
   options.retention.records =
       static_cast<std::size_t>(settings.Whole("retain-records"));
-  options.retention.age = std::chrono::seconds(settings.Whole("retain-seconds"));
+  options.retention.age =
+      std::chrono::seconds(settings.Whole("retain-seconds"));
   options.vm_lag = std::chrono::milliseconds(settings.Whole("vm-lag-ms"));
   options.weight_bytes_per_second =
       static_cast<double>(settings.Whole("weight-rate"));
--- a/standins/platform/platform_server.cc
+++ b/standins/platform/platform_server.cc
@@ -77,8 +77,7 @@
 auto PlatformServer::HandleStream(const Exchange& exchange) -> void {
   const HttpRequest& request = exchange->request();
   const std::string stream = request.path.substr(
-      kStreams.size(),
-      request.path.size() - kStreams.size() - kRecords.size());
+      kStreams.size(), request.path.size() - kStreams.size() - kRecords.size());
   if (request.method == "POST") {
     this->Append(exchange, stream);
     return;
@@ -142,9 +141,9 @@
     RespondJson(*exchange, 200, {{"vms", std::move(rows)}});
     return;
   }
-  const std::string name =
-      request.path.size() > kVms.size() ? request.path.substr(kVms.size() + 1)
-                                        : std::string();
+  const std::string name = request.path.size() > kVms.size()
+                               ? request.path.substr(kVms.size() + 1)
+                               : std::string();
   VmVersion version;
   if (!this->vm_versions.empty()) {
     version = this->vm_versions.back();
@@ -162,8 +161,8 @@
 }
 
 auto PlatformServer::HandleWeights(const Exchange& exchange) -> void {
-  const auto bytes = static_cast<double>(
-      QueryNumber(exchange->request().query, "bytes", 1));
+  const auto bytes =
+      static_cast<double>(QueryNumber(exchange->request().query, "bytes", 1));
   const bool taken = this->weight_limit.TryTake(this->loop.Now(), bytes);
   RespondJson(*exchange, taken ? 200 : 429, json::object());
 }
--- a/standins/platform/platform_server.h
+++ b/standins/platform/platform_server.h
@@ -16,14 +16,18 @@
 
 namespace auburnloft::standins {
 
-/** The platform's services in one small server: log, VM list, weight store, and their faults.
+/** The platform's services in one small server: log, VM list, weight store, and
+   their faults.
 
-    - `POST /streams/NAME/records` appends the body as one record: `{"offset": N}`
-    - `GET /streams/NAME/records?from=N&max=M`: `{"first", "next", "oldest", "records": [base64]}`
+    - `POST /streams/NAME/records` appends the body as one record: `{"offset":
+   N}`
+    - `GET /streams/NAME/records?from=N&max=M`: `{"first", "next", "oldest",
+   "records": [base64]}`
     - `GET /vms`, `PUT /vms/NAME`, `DELETE /vms/NAME`
     - `GET /weights/NAME?bytes=N`: 200, or 429 above the rate
-    - `GET /stats`; `POST /faults` with any of `outage`, `slow_ms`, `lose_replies` (probability),
-      `late_appends_ms`, `block_clients` (values of the header x-client)
+    - `GET /stats`; `POST /faults` with any of `outage`, `slow_ms`,
+   `lose_replies` (probability), `late_appends_ms`, `block_clients` (values of
+   the header x-client)
 
     Thread safety: none; used on the loop's thread.
 */
--- a/standins/service/service_server.cc
+++ b/standins/service/service_server.cc
@@ -17,8 +17,7 @@
       random(seed),
       server(loop,
              {std::move(address), {"idempotency-key", "content-type"}},
-             [this](const Exchange& exchange) { this->OnRequest(exchange); }) {
-}
+             [this](const Exchange& exchange) { this->OnRequest(exchange); }) {}
 
 auto ServiceServer::OnRequest(const Exchange& exchange) -> void {
   const std::string& path = exchange->request().path;
--- a/standins/service/service_server.h
+++ b/standins/service/service_server.h
@@ -13,16 +13,19 @@
 
 /** A plain service that counts how often each key was executed.
 
-    Any call with an `idempotency-key` is an execution and answers `{"done": KEY}`. `GET
-    /executions` tells the counts, `GET /load` the load. `POST /faults` takes any of `outage`,
-    `slow_ms`, `lose_replies` (probability that the answer is lost after the execution) and
-    `leaving`.
+    Any call with an `idempotency-key` is an execution and answers `{"done":
+   KEY}`. `GET /executions` tells the counts, `GET /load` the load. `POST
+   /faults` takes any of `outage`, `slow_ms`, `lose_replies` (probability that
+   the answer is lost after the execution) and `leaving`.
 
     Thread safety: none; used on the loop's thread.
 */
 class ServiceServer {
  public:
-  ServiceServer(EventLoop& loop, std::string address, Duration work, std::uint64_t seed);
+  ServiceServer(EventLoop& loop,
+                std::string address,
+                Duration work,
+                std::uint64_t seed);
 
   ServiceServer(const ServiceServer&) = delete;
   auto operator=(const ServiceServer&) -> ServiceServer& = delete;
--- a/tests/support/event_queue.h
+++ b/tests/support/event_queue.h
@@ -9,7 +9,8 @@
 
 namespace auburnloft::testing {
 
-/** Events in virtual time; those of one instant run in the order in which they were added. */
+/** Events in virtual time; those of one instant run in the order in which they
+ * were added. */
 class EventQueue {
  public:
   using Event = std::function<void()>;
@@ -20,11 +21,15 @@
 
   /** Adds an event.  @pre at >= Now(). */
   auto At(Instant at, Event event) -> void {
-    this->events.emplace(std::make_pair(at, this->next_order++), std::move(event));
+    this->events.emplace(std::make_pair(at, this->next_order++),
+                         std::move(event));
+  }
+  auto After(Duration delay, Event event) -> void {
+    this->At(this->current + delay, std::move(event));
   }
-  auto After(Duration delay, Event event) -> void { this->At(this->current + delay, std::move(event)); }
 
-  /** Runs the next event, where it is due by `limit`. @return false where none is. */
+  /** Runs the next event, where it is due by `limit`. @return false where none
+   * is. */
   auto Step(Instant limit) -> bool {
     if (this->events.empty() || this->events.begin()->first.first > limit) {
       this->current = std::max(this->current, limit);
--- a/tests/support/fake_log.cc
+++ b/tests/support/fake_log.cc
@@ -9,7 +9,8 @@
 }  // namespace
 
 auto FakeLog::Delay() -> Duration {
-  return std::chrono::milliseconds(3) + Duration(static_cast<std::int64_t>(this->random.Below(4000))) +
+  return std::chrono::milliseconds(3) +
+         Duration(static_cast<std::int64_t>(this->random.Below(4000))) +
          this->faults.slow;
 }
 
@@ -24,34 +25,44 @@
   return target.oldest + target.records.size() - 1;
 }
 
-auto FakeLog::Append(const StreamId& stream, std::string bytes, OnAppended done, OnFailed failed) -> void {
+auto FakeLog::Append(const StreamId& stream,
+                     std::string bytes,
+                     OnAppended done,
+                     OnFailed failed) -> void {
   const Duration delay = this->Delay();
   if (this->faults.outage) {
     this->queue.After(delay, std::move(failed));
     return;
   }
   if (this->random.Chance(this->faults.late_append)) {
-    const Duration late = std::chrono::milliseconds(500 + this->random.Below(8000));
-    this->queue.After(late, [this, stream, bytes] { this->Store(stream, bytes); });
+    const Duration late =
+        std::chrono::milliseconds(500 + this->random.Below(8000));
+    this->queue.After(late,
+                      [this, stream, bytes] { this->Store(stream, bytes); });
     this->queue.After(delay, std::move(failed));
     return;
   }
   const bool lost = this->random.Chance(this->faults.lose_reply);
   const bool repeated = this->random.Chance(this->faults.repeat);
-  this->queue.After(delay / 2, [=, this, done = std::move(done), failed = std::move(failed)] {
-    const LogOffset offset = this->Store(stream, bytes);
-    if (repeated) {
-      this->queue.After(delay * 3, [this, stream, bytes] { this->Store(stream, bytes); });
-    }
-    if (lost) {
-      this->queue.After(delay / 2, failed);
-    } else {
-      this->queue.After(delay / 2, [done, offset] { done(offset); });
-    }
-  });
+  this->queue.After(
+      delay / 2, [=, this, done = std::move(done), failed = std::move(failed)] {
+        const LogOffset offset = this->Store(stream, bytes);
+        if (repeated) {
+          this->queue.After(
+              delay * 3, [this, stream, bytes] { this->Store(stream, bytes); });
+        }
+        if (lost) {
+          this->queue.After(delay / 2, failed);
+        } else {
+          this->queue.After(delay / 2, [done, offset] { done(offset); });
+        }
+      });
 }
 
-auto FakeLog::Read(const StreamId& stream, LogOffset from, OnRecords done, OnFailed failed) -> void {
+auto FakeLog::Read(const StreamId& stream,
+                   LogOffset from,
+                   OnRecords done,
+                   OnFailed failed) -> void {
   const Duration delay = this->Delay();
   if (this->faults.outage) {
     this->queue.After(delay, std::move(failed));
@@ -64,7 +75,8 @@
     reply.next = source.oldest + source.records.size();
     reply.first = std::clamp(from, reply.oldest, reply.next);
     for (LogOffset offset = reply.first;
-         offset < reply.next && reply.records.size() < kMostRecordsPerRead; ++offset) {
+         offset < reply.next && reply.records.size() < kMostRecordsPerRead;
+         ++offset) {
       reply.records.push_back(source.records[offset - source.oldest]);
     }
     this->queue.After(delay / 2, [done, reply] { done(reply); });
@@ -75,7 +87,9 @@
   for (auto& [name, stream] : this->streams) {
     if (stream.records.size() > count) {
       const std::size_t drop = stream.records.size() - count;
-      stream.records.erase(stream.records.begin(), stream.records.begin() + static_cast<std::ptrdiff_t>(drop));
+      stream.records.erase(
+          stream.records.begin(),
+          stream.records.begin() + static_cast<std::ptrdiff_t>(drop));
       stream.oldest += drop;
     }
   }
--- a/tests/support/fake_log.h
+++ b/tests/support/fake_log.h
@@ -12,14 +12,16 @@
 
 namespace auburnloft::testing {
 
-/** The log in virtual time, with its faults: outage, lost replies, late and repeated appends. */
+/** The log in virtual time, with its faults: outage, lost replies, late and
+ * repeated appends. */
 class FakeLog {
  public:
   struct Faults {
     bool outage = false;
-    double lose_reply = 0.0;   ///< The append takes effect, the reply is lost.
-    double late_append = 0.0;  ///< The reply is lost, the append takes effect seconds later.
-    double repeat = 0.0;       ///< The append takes effect twice.
+    double lose_reply = 0.0;  ///< The append takes effect, the reply is lost.
+    double late_append =
+        0.0;  ///< The reply is lost, the append takes effect seconds later.
+    double repeat = 0.0;  ///< The append takes effect twice.
     Duration slow{0};
   };
   using OnAppended = std::function<void(LogOffset)>;
@@ -27,23 +29,36 @@
   using OnFailed = std::function<void()>;
   using OnStored = std::function<void(const StreamId&, const std::string&)>;
 
-  FakeLog(EventQueue& queue, RandomSource& random) : queue(queue), random(random) {}
+  FakeLog(EventQueue& queue, RandomSource& random)
+      : queue(queue), random(random) {}
 
-  auto Append(const StreamId& stream, std::string bytes, OnAppended done, OnFailed failed) -> void;
-  auto Read(const StreamId& stream, LogOffset from, OnRecords done, OnFailed failed) -> void;
+  auto Append(const StreamId& stream,
+              std::string bytes,
+              OnAppended done,
+              OnFailed failed) -> void;
+  auto Read(const StreamId& stream,
+            LogOffset from,
+            OnRecords done,
+            OnFailed failed) -> void;
 
   /** Appends at once, as an operator's tool on a healthy path does. */
   auto Store(const StreamId& stream, std::string bytes) -> LogOffset;
 
   /** Called for each record that takes effect, in order. */
-  auto SetOnStored(OnStored callback) -> void { this->on_stored = std::move(callback); }
+  auto SetOnStored(OnStored callback) -> void {
+    this->on_stored = std::move(callback);
+  }
 
   /** Keeps only the newest `count` records of each stream. */
   auto Retain(std::size_t count) -> void;
 
   Faults faults;
-  [[nodiscard]] auto appends() const -> std::uint64_t { return this->append_count; }
-  [[nodiscard]] auto ledger_bytes() const -> std::uint64_t { return this->byte_count; }
+  [[nodiscard]] auto appends() const -> std::uint64_t {
+    return this->append_count;
+  }
+  [[nodiscard]] auto ledger_bytes() const -> std::uint64_t {
+    return this->byte_count;
+  }
 
  private:
   struct Stream {
--- a/tests/support/fake_upstreams.cc
+++ b/tests/support/fake_upstreams.cc
@@ -4,9 +4,14 @@
 
 namespace auburnloft::testing {
 
-auto FakeUpstreams::Send(RequestHandle handle, int attempt, const ArrivingRequest& arrival,
-                         std::function<void()> on_executed, OnDone done, OnFailed failed) -> void {
-  const Duration travel = std::chrono::microseconds(300 + this->random.Below(2000));
+auto FakeUpstreams::Send(RequestHandle handle,
+                         int attempt,
+                         const ArrivingRequest& arrival,
+                         std::function<void()> on_executed,
+                         OnDone done,
+                         OnFailed failed) -> void {
+  const Duration travel =
+      std::chrono::microseconds(300 + this->random.Below(2000));
   UpstreamFailed failure;
   failure.handle = handle;
   failure.attempt = attempt;
@@ -17,11 +22,16 @@
     return;
   }
   const bool lost = this->random.Chance(this->faults.lose_answer);
-  const Duration took = this->work / 2 + Duration(static_cast<std::int64_t>(
-                                             this->random.Below(static_cast<std::uint64_t>(this->work.count()) + 1)));
-  // The true cost is a function of the key, so that each run of a request costs the same.
+  const Duration took =
+      this->work / 2 +
+      Duration(static_cast<std::int64_t>(this->random.Below(
+          static_cast<std::uint64_t>(this->work.count()) + 1)));
+  // The true cost is a function of the key, so that each run of a request costs
+  // the same.
   const auto half = static_cast<std::uint64_t>(arrival.upper / 2 + 1);
-  const auto spent = static_cast<Tokens>(StableHash(arrival.key.value()) % half) + arrival.upper - static_cast<Tokens>(half) + 1;
+  const auto spent =
+      static_cast<Tokens>(StableHash(arrival.key.value()) % half) +
+      arrival.upper - static_cast<Tokens>(half) + 1;
   const std::string key = arrival.team.value() + "/" + arrival.key.value();
   this->queue.After(travel, [=, this] {
     ++this->counts[key];
--- a/tests/support/fake_upstreams.h
+++ b/tests/support/fake_upstreams.h
@@ -12,7 +12,8 @@
 
 namespace auburnloft::testing {
 
-/** Engines and services in virtual time; they count the executions of each key. */
+/** Engines and services in virtual time; they count the executions of each key.
+ */
 class FakeUpstreams {
  public:
   struct Faults {
@@ -22,15 +23,23 @@
   using OnDone = std::function<void(UpstreamDone)>;
   using OnFailed = std::function<void(UpstreamFailed)>;
 
-  FakeUpstreams(EventQueue& queue, RandomSource& random) : queue(queue), random(random) {}
+  FakeUpstreams(EventQueue& queue, RandomSource& random)
+      : queue(queue), random(random) {}
 
-  /** Executes a request and reports. @param on_executed  called when it takes effect. */
-  auto Send(RequestHandle handle, int attempt, const ArrivingRequest& arrival,
-            std::function<void()> on_executed, OnDone done, OnFailed failed) -> void;
+  /** Executes a request and reports. @param on_executed  called when it takes
+   * effect. */
+  auto Send(RequestHandle handle,
+            int attempt,
+            const ArrivingRequest& arrival,
+            std::function<void()> on_executed,
+            OnDone done,
+            OnFailed failed) -> void;
 
   Faults faults;
   Duration work = std::chrono::milliseconds(20);
-  [[nodiscard]] auto executions() const -> const std::map<std::string, int>& { return this->counts; }
+  [[nodiscard]] auto executions() const -> const std::map<std::string, int>& {
+    return this->counts;
+  }
 
  private:
   EventQueue& queue;
--- a/tests/support/fault_schedule.cc
+++ b/tests/support/fault_schedule.cc
@@ -70,20 +70,26 @@
 auto FaultSchedule::SendRequest() -> void {
   const std::string team = kTeams.at(this->chance.Below(kTeams.size()));
   const bool once = team == "payer";
-  const std::string key = (once ? "once-" : "key-") + std::to_string(this->next_key++);
-  const Tokens upper = once ? 1 : static_cast<Tokens>(5 + this->chance.Below(40));
-  const ArrivingRequest arrival = this->fleet.MakeRequest(team, key, upper, once);
+  const std::string key =
+      (once ? "once-" : "key-") + std::to_string(this->next_key++);
+  const Tokens upper =
+      once ? 1 : static_cast<Tokens>(5 + this->chance.Below(40));
+  const ArrivingRequest arrival =
+      this->fleet.MakeRequest(team, key, upper, once);
   const std::size_t node = this->chance.Below(kRouters);
   this->fleet.Send(node, arrival);
-  if (this->chance.Chance(0.1)) {  // An impatient caller: the same request elsewhere as well.
+  if (this->chance.Chance(
+          0.1)) {  // An impatient caller: the same request elsewhere as well.
     const Duration wait = std::chrono::milliseconds(this->chance.Below(400));
     const std::size_t other = this->chance.Below(kRouters);
-    this->fleet.queue.After(wait, [this, other, arrival] { this->fleet.Send(other, arrival); });
+    this->fleet.queue.After(
+        wait, [this, other, arrival] { this->fleet.Send(other, arrival); });
   }
 }
 
 auto FaultSchedule::ScheduleFault() -> void {
-  const Duration gap = std::chrono::milliseconds(300 + this->chance.Below(1500));
+  const Duration gap =
+      std::chrono::milliseconds(300 + this->chance.Below(1500));
   this->fleet.queue.After(gap, [this] {
     if (this->fleet.queue.Now() < this->faults_end) {
       this->InjectFault();
@@ -94,8 +100,10 @@
 
 auto FaultSchedule::InjectFault() -> void {
   const std::size_t node = this->chance.Below(kRouters);
-  const std::size_t other = (node + 1 + this->chance.Below(kRouters - 1)) % kRouters;
-  const Duration span = std::chrono::milliseconds(200 + this->chance.Below(9000));
+  const std::size_t other =
+      (node + 1 + this->chance.Below(kRouters - 1)) % kRouters;
+  const Duration span =
+      std::chrono::milliseconds(200 + this->chance.Below(9000));
   const std::string who = " router " + std::to_string(node);
   EventQueue& queue = this->fleet.queue;
   switch (this->chance.Below(13)) {
@@ -128,7 +136,8 @@
       queue.After(span * 2, [this, node] { this->fleet.Wake(node); });
       break;
     case 4:
-      this->Note("cut" + who + " off from router " + std::to_string(other) + ", one way");
+      this->Note("cut" + who + " off from router " + std::to_string(other) +
+                 ", one way");
       this->fleet.CutLink(node, other);
       queue.After(span, [this] { this->fleet.HealCuts(); });
       break;
@@ -160,7 +169,8 @@
       queue.After(span, [this] { this->fleet.log.faults = {}; });
       break;
     case 9:
-      this->Note("messages are lost and repeated; upstreams refuse and lose answers");
+      this->Note(
+          "messages are lost and repeated; upstreams refuse and lose answers");
       this->fleet.lose_message = 0.2;
       this->fleet.repeat_message = 0.2;
       this->fleet.upstreams.faults = {0.1, 0.1};
@@ -189,8 +199,10 @@
           newest = std::max(newest, item.core->configuration()->version);
         }
       }
-      this->fleet.Publish(newest, {{"defaults", {{"max_output_tokens", 100 + newest}}}});
-      this->fleet.Publish(newest, {{"defaults", {{"max_output_tokens", 5000 + newest}}}});
+      this->fleet.Publish(
+          newest, {{"defaults", {{"max_output_tokens", 100 + newest}}}});
+      this->fleet.Publish(
+          newest, {{"defaults", {{"max_output_tokens", 5000 + newest}}}});
       break;
     }
   }
--- a/tests/support/fault_schedule.h
+++ b/tests/support/fault_schedule.h
@@ -9,17 +9,19 @@
 
 namespace auburnloft::testing {
 
-/** A run of a fleet under faults that a seed decides, with all promises checked after each event.
-
-    Faults of all kinds come every second or so, each for a while, so that two or more overlap:
-    death, replacement, pauses, partitions between routers and from the log, each way on its own,
-    outages, lost, late and repeated appends, lost, repeated and reordered messages, retention,
-    top-ups and racing operators.
+/** A run of a fleet under faults that a seed decides, with all promises checked
+   after each event.
+
+    Faults of all kinds come every second or so, each for a while, so that two
+   or more overlap: death, replacement, pauses, partitions between routers and
+   from the log, each way on its own, outages, lost, late and repeated appends,
+   lost, repeated and reordered messages, retention, top-ups and racing
+   operators.
 */
 class FaultSchedule {
  public:
   struct Outcome {
-    std::string violation;      ///< Empty where every promise held.
+    std::string violation;  ///< Empty where every promise held.
     std::uint64_t steps = 0;
     std::size_t requests = 0;
     std::size_t answered = 0;
--- a/tests/support/promise_checker.cc
+++ b/tests/support/promise_checker.cc
@@ -5,7 +5,8 @@
 namespace auburnloft::testing {
 
 PromiseChecker::PromiseChecker(VirtualFleet& fleet) : fleet(fleet) {
-  // Records from before the checker was there are read back from the log's start.
+  // Records from before the checker was there are read back from the log's
+  // start.
   for (const StreamId& stream : {StreamId("ledger-0"), StreamId("ledger-1")}) {
     fleet.log.Read(
         stream, 0,
@@ -17,11 +18,12 @@
         [] {});
   }
   fleet.RunFor(std::chrono::milliseconds(10));
-  fleet.log.SetOnStored([this](const StreamId& stream, const std::string& bytes) {
-    if (stream != ConfigFollower::Stream()) {
-      this->OnStored(stream, bytes);
-    }
-  });
+  fleet.log.SetOnStored(
+      [this](const StreamId& stream, const std::string& bytes) {
+        if (stream != ConfigFollower::Stream()) {
+          this->OnStored(stream, bytes);
+        }
+      });
 }
 
 auto PromiseChecker::Fail(std::string text) -> void {
@@ -30,18 +32,24 @@
   }
 }
 
-auto PromiseChecker::OnStored(const StreamId& stream, const std::string& bytes) -> void {
+auto PromiseChecker::OnStored(const StreamId& stream, const std::string& bytes)
+    -> void {
   PartitionLedger& ledger = this->folds[stream];
   const BatchResult result = ledger.ApplyBytes(bytes);
   wire::LedgerBatch batch;
   batch.ParseFromString(bytes);
   for (std::size_t i = 0; i < result.verdicts.size(); ++i) {
     const wire::LedgerEntry& entry = batch.entries(static_cast<int>(i));
-    if (entry.has_top_up() && this->top_up_ids.insert(entry.top_up().team() + "/" + entry.top_up().top_up_id()).second) {
+    if (entry.has_top_up() &&
+        this->top_up_ids
+            .insert(entry.top_up().team() + "/" + entry.top_up().top_up_id())
+            .second) {
       this->topped_up[entry.top_up().team()] += entry.top_up().tokens();
     }
-    if (entry.has_bill() && result.verdicts[i].verdict() == wire::VERDICT_VALID) {
-      const std::string key = entry.bill().team() + "/" + entry.bill().request_key();
+    if (entry.has_bill() &&
+        result.verdicts[i].verdict() == wire::VERDICT_VALID) {
+      const std::string key =
+          entry.bill().team() + "/" + entry.bill().request_key();
       this->billed[entry.bill().team()] += entry.bill().tokens();
       this->billed_runs.insert(entry.bill().run_id());
       if (++this->bills[key] > 1) {
@@ -50,20 +58,23 @@
     }
   }
   if (!ledger.SumRuleHolds()) {
-    this->Fail("stream " + stream.value() + ": top-ups differ from billed + allowances + unallocated");
+    this->Fail("stream " + stream.value() +
+               ": top-ups differ from billed + allowances + unallocated");
   }
 }
 
-auto PromiseChecker::CommittedBy(const RouterCore& core, const TeamId& team) const -> Tokens {
+auto PromiseChecker::CommittedBy(const RouterCore& core,
+                                 const TeamId& team) const -> Tokens {
   if (core.budget() == nullptr) {
     return 0;
   }
   const TeamAllowance allowance = core.budget()->book().Of(team);
   Tokens committed = allowance.free + allowance.reserved;
   for (const wire::LedgerEntry* const entry : core.outbox()->Entries()) {
-    const bool counts = entry->has_bill() && entry->bill().team() == team.value() &&
-                        entry->bill().holder() == core.settings().incarnation.value() &&
-                        !this->billed_runs.contains(entry->bill().run_id());
+    const bool counts =
+        entry->has_bill() && entry->bill().team() == team.value() &&
+        entry->bill().holder() == core.settings().incarnation.value() &&
+        !this->billed_runs.contains(entry->bill().run_id());
     committed += counts ? entry->bill().tokens() : 0;
   }
   return committed;
@@ -74,11 +85,13 @@
     const TeamId team(name);
     Tokens committed = this->billed[name];
     for (const VirtualFleet::Node& node : this->fleet.nodes) {
-      committed += node.core == nullptr ? 0 : this->CommittedBy(*node.core, team);
+      committed +=
+          node.core == nullptr ? 0 : this->CommittedBy(*node.core, team);
     }
     if (committed > total) {
       std::ostringstream text;
-      text << "team " << name << " can spend " << committed << " of " << total << " tokens";
+      text << "team " << name << " can spend " << committed << " of " << total
+           << " tokens";
       this->Fail(text.str());
     }
   }
@@ -86,8 +99,10 @@
 
 auto PromiseChecker::CheckCallers() -> void {
   for (const CallerRecord& caller : this->fleet.callers) {
-    if (caller.refusal && caller.refusal->run == RunState::kNo && caller.sent_now) {
-      this->Fail("request " + caller.arrival.key.value() + " was refused as not run, but was sent");
+    if (caller.refusal && caller.refusal->run == RunState::kNo &&
+        caller.sent_now) {
+      this->Fail("request " + caller.arrival.key.value() +
+                 " was refused as not run, but was sent");
     }
   }
   for (const auto& [key, count] : this->fleet.upstreams.executions()) {
@@ -106,7 +121,8 @@
     std::uint64_t& last = this->versions[{i, node.life}];
     const std::uint64_t now = node.core->configuration()->version;
     if (now < last) {
-      this->Fail("router " + node.name.value() + " went back from configuration " + std::to_string(last));
+      this->Fail("router " + node.name.value() +
+                 " went back from configuration " + std::to_string(last));
     }
     last = now;
   }
@@ -121,11 +137,13 @@
   return this->found.empty();
 }
 
-auto PromiseChecker::BillsHeldBy(const RouterCore& core) -> std::set<std::string> {
+auto PromiseChecker::BillsHeldBy(const RouterCore& core)
+    -> std::set<std::string> {
   std::set<std::string> held;
   std::vector<const wire::LedgerEntry*> entries = core.outbox()->Entries();
   if (core.witness() != nullptr) {
-    const std::vector<const wire::LedgerEntry*> copies = core.witness()->HeldEntries();
+    const std::vector<const wire::LedgerEntry*> copies =
+        core.witness()->HeldEntries();
     entries.insert(entries.end(), copies.begin(), copies.end());
   }
   for (const wire::LedgerEntry* const entry : entries) {
@@ -143,7 +161,8 @@
   std::set<std::string> alone = BillsHeldBy(*this->fleet.nodes[index].core);
   for (std::size_t other = 0; other < this->fleet.nodes.size(); ++other) {
     if (other != index && this->fleet.nodes[other].core != nullptr) {
-      for (const std::string& key : BillsHeldBy(*this->fleet.nodes[other].core)) {
+      for (const std::string& key :
+           BillsHeldBy(*this->fleet.nodes[other].core)) {
         alone.erase(key);
       }
     }
@@ -154,7 +173,8 @@
 auto PromiseChecker::Unbilled() const -> std::set<std::string> {
   std::set<std::string> missing;
   for (const CallerRecord& caller : this->fleet.callers) {
-    const std::string key = caller.arrival.team.value() + "/" + caller.arrival.key.value();
+    const std::string key =
+        caller.arrival.team.value() + "/" + caller.arrival.key.value();
     if (caller.answered && !this->bills.contains(key)) {
       missing.insert(key);
     }
@@ -169,7 +189,8 @@
       for (const auto& [holder, balance] : team.account.holders()) {
         bool lives = false;
         for (const VirtualFleet::Node& node : this->fleet.nodes) {
-          lives = lives || (node.core != nullptr && node.core->settings().incarnation == holder);
+          lives = lives || (node.core != nullptr &&
+                            node.core->settings().incarnation == holder);
         }
         stranded += lives ? 0 : balance.tokens;
       }
@@ -190,23 +211,30 @@
     if (node.core == nullptr) {
       continue;
     }
-    for (const wire::LedgerEntry* const entry : node.core->outbox()->Entries()) {
-      // A holder asks for a refill now and then for as long as its budget is spent.
+    for (const wire::LedgerEntry* const entry :
+         node.core->outbox()->Entries()) {
+      // A holder asks for a refill now and then for as long as its budget is
+      // spent.
       const bool is_refill = entry->has_grant() && entry->grant().need() == 0;
       if (!is_refill) {
-        this->Fail("router " + node.name.value() + " still has " + entry->ShortDebugString());
+        this->Fail("router " + node.name.value() + " still has " +
+                   entry->ShortDebugString());
       }
     }
   }
   for (const std::string& key : this->Unbilled()) {
     if (!this->last_copy_died.contains(key)) {
-      this->Fail("request " + key + " is answered and not billed, and its bill did not die with a router");
+      this->Fail("request " + key +
+                 " is answered and not billed, and its bill did not die with a "
+                 "router");
     }
   }
-  const std::uint64_t newest = this->fleet.nodes.front().core->configuration()->version;
+  const std::uint64_t newest =
+      this->fleet.nodes.front().core->configuration()->version;
   for (const VirtualFleet::Node& node : this->fleet.nodes) {
     if (node.core->configuration()->version != newest) {
-      this->Fail("router " + node.name.value() + " is not on the newest configuration");
+      this->Fail("router " + node.name.value() +
+                 " is not on the newest configuration");
     }
   }
   return this->found.empty();
--- a/tests/support/promise_checker.h
+++ b/tests/support/promise_checker.h
@@ -13,8 +13,8 @@
 
 /** Watches a VirtualFleet and finds any broken promise of the product.
 
-    It folds the ledger's records for itself, and counts bills, executions and refusals apart from
-    the fold, so that a fault in the fold shows too.
+    It folds the ledger's records for itself, and counts bills, executions and
+   refusals apart from the fold, so that a fault in the fold shows too.
 */
 class PromiseChecker {
  public:
@@ -23,17 +23,25 @@
   PromiseChecker(const PromiseChecker&) = delete;
   auto operator=(const PromiseChecker&) -> PromiseChecker& = delete;
 
-  /** Checks the promises that hold in every state. @return false where one is broken. */
+  /** Checks the promises that hold in every state. @return false where one is
+   * broken. */
   auto Check() -> bool;
 
-  /** Checks, after faults have healed and all is quiet, that nothing is left over. */
+  /** Checks, after faults have healed and all is quiet, that nothing is left
+   * over. */
   auto CheckEnd() -> bool;
 
-  /** Notes the bills of which a router that is about to die has the last copy. */
+  /** Notes the bills of which a router that is about to die has the last copy.
+   */
   auto BeforeKill(std::size_t node) -> void;
 
-  [[nodiscard]] auto violation() const -> const std::string& { return this->found; }
-  [[nodiscard]] auto ledgers() const -> const std::map<StreamId, PartitionLedger>& { return this->folds; }
+  [[nodiscard]] auto violation() const -> const std::string& {
+    return this->found;
+  }
+  [[nodiscard]] auto ledgers() const
+      -> const std::map<StreamId, PartitionLedger>& {
+    return this->folds;
+  }
 
   /** Answered requests that no bill stands for, by team and key. */
   [[nodiscard]] auto Unbilled() const -> std::set<std::string>;
@@ -47,12 +55,14 @@
   auto CheckCallers() -> void;
   auto CheckConfig() -> void;
   auto Fail(std::string text) -> void;
-  [[nodiscard]] static auto BillsHeldBy(const RouterCore& core) -> std::set<std::string>;
-  [[nodiscard]] auto CommittedBy(const RouterCore& core, const TeamId& team) const -> Tokens;
+  [[nodiscard]] static auto BillsHeldBy(const RouterCore& core)
+      -> std::set<std::string>;
+  [[nodiscard]] auto CommittedBy(const RouterCore& core,
+                                 const TeamId& team) const -> Tokens;
 
   VirtualFleet& fleet;
   std::map<StreamId, PartitionLedger> folds;
-  std::map<std::string, int> bills;           ///< Valid bills by team and key.
+  std::map<std::string, int> bills;  ///< Valid bills by team and key.
   std::set<std::string> billed_runs;
   std::map<std::string, Tokens> topped_up;
   std::set<std::string> top_up_ids;
--- /dev/null
+++ b/tests/support/session_recorder.cc
@@ -0,0 +1,115 @@
+#include "support/session_recorder.h"
+
+#include <array>
+#include <cstdio>
+#include <cstdlib>
+#include <fstream>
+#include <sstream>
+
+namespace auburnloft::testing {
+
+namespace {
+
+/** The text of one action; empty for those that are left out. */
+class ActionText {
+ public:
+  auto operator()(const SendPeer& action) const -> std::string {
+    wire::PeerMessage body = action.message;
+    if (body.has_heartbeat() || body.has_config_pull() ||
+        body.has_config_push()) {
+      return {};
+    }
+    body.clear_from();
+    body.clear_from_address();
+    return "to " + action.to.value() + ": " + body.ShortDebugString();
+  }
+  auto operator()(const AppendRecord& action) const -> std::string {
+    wire::LedgerBatch batch;
+    batch.ParseFromString(action.bytes);
+    batch.clear_written_at_ms();
+    return "append to " + action.stream.value() + ": " +
+           batch.ShortDebugString();
+  }
+  auto operator()(const ReadRecords& /*action*/) const -> std::string {
+    return {};
+  }
+  auto operator()(const StartUpstream& action) const -> std::string {
+    return "request " + std::to_string(action.handle) + ": send to upstream " +
+           action.upstream.value();
+  }
+  auto operator()(const ResumeUpstream& action) const -> std::string {
+    return "request " + std::to_string(action.handle) + ": take up at " +
+           action.upstream.value();
+  }
+  auto operator()(const CancelUpstream& action) const -> std::string {
+    return "request " + std::to_string(action.handle) + ": cancel";
+  }
+  auto operator()(const RefuseRequest& action) const -> std::string {
+    return "request " + std::to_string(action.handle) + ": refuse, " +
+           std::string(ToText(action.refusal.code)) + ", run " +
+           std::string(ToText(action.refusal.run));
+  }
+  auto operator()(const ReplayAnswer& action) const -> std::string {
+    return "request " + std::to_string(action.handle) + ": replay " +
+           action.body;
+  }
+  auto operator()(const ReleaseAnswer& action) const -> std::string {
+    return "request " + std::to_string(action.handle) + ": answer";
+  }
+};
+
+}  // namespace
+
+SessionRecorder::SessionRecorder(VirtualFleet& fleet)
+    : fleet(fleet), start(fleet.queue.Now()) {
+  fleet.on_action = [this](std::size_t node, const Action& action) {
+    const std::string text = std::visit(ActionText{}, action);
+    if (!text.empty()) {
+      this->recorded.push_back(
+          this->Stamp() + this->fleet.nodes[node].name.value() + " " + text);
+    }
+  };
+}
+
+auto SessionRecorder::Stamp() const -> std::string {
+  std::array<char, 32> text{};
+  std::snprintf(text.data(), text.size(), "%9.4f ",
+                ToSeconds(this->fleet.queue.Now() - this->start));
+  return text.data();
+}
+
+auto SessionRecorder::Note(std::string_view text) -> void {
+  this->recorded.push_back(this->Stamp() + "== " + std::string(text));
+}
+
+auto SessionRecorder::CompareWith(const std::string& path) const
+    -> std::string {
+  if (std::getenv("AUBURNLOFT_UPDATE_GOLDEN") != nullptr) {
+    std::ofstream file(path);
+    for (const std::string& line : this->recorded) {
+      file << line << "\n";
+    }
+    return {};
+  }
+  std::ifstream file(path);
+  std::vector<std::string> expected;
+  for (std::string line; std::getline(file, line);) {
+    expected.push_back(line);
+  }
+  for (std::size_t i = 0; i < std::max(expected.size(), this->recorded.size());
+       ++i) {
+    const std::string want = i < expected.size() ? expected[i] : "(end)";
+    const std::string have =
+        i < this->recorded.size() ? this->recorded[i] : "(end)";
+    if (want != have) {
+      std::ostringstream text;
+      text << path << ":" << i + 1 << "\n"
+           << (i > 0 ? "  " + expected[i - 1] + "\n" : "") << "- " << want
+           << "\n+ " << have << "\nregenerate: scripts/test --update-golden";
+      return text.str();
+    }
+  }
+  return {};
+}
+
+}  // namespace auburnloft::testing
--- a/tests/support/virtual_fleet.cc
+++ b/tests/support/virtual_fleet.cc
@@ -45,8 +45,9 @@
     teams.push_back(team);
   }
   json document = DefaultConfiguration(teams);
-  document.merge_patch(this->options.configuration.is_object() ? this->options.configuration
-                                                               : json::object());
+  document.merge_patch(this->options.configuration.is_object()
+                           ? this->options.configuration
+                           : json::object());
   this->Publish(0, document);
   for (const auto& [team, tokens] : this->options.budgets) {
     if (tokens > 0) {
@@ -77,7 +78,8 @@
   const std::uint64_t life = ++node.life;
   RouterSettings settings;
   settings.name = node.name;
-  settings.incarnation = MakeIncarnation(node.name, ToUnixMillis(this->queue.Now()), std::to_string(life));
+  settings.incarnation = MakeIncarnation(
+      node.name, ToUnixMillis(this->queue.Now()), std::to_string(life));
   settings.vm = node.vm;
   settings.seed = this->random.Below(1'000'000);
   node.core = std::make_unique<RouterCore>(settings);
@@ -92,7 +94,8 @@
   Node& node = this->nodes[index];
   ++node.life;
   node.core.reset();
-  const std::map<RequestHandle, std::size_t> open = std::exchange(node.handles, {});
+  const std::map<RequestHandle, std::size_t> open =
+      std::exchange(node.handles, {});
   for (const auto& [handle, caller] : open) {
     this->queue.After(kCallerWait, [this, caller = caller] {
       this->Try(caller, this->random.Below(this->nodes.size()));
@@ -124,11 +127,14 @@
   this->cut_logs.clear();
 }
 
-auto VirtualFleet::TopUp(const TeamId& team, Tokens tokens, const std::string& id) -> void {
-  const json configured = this->options.configuration.is_object()
-                              ? this->options.configuration.value("defaults", json::object())
-                                    .value("ledger", json::object())
-                              : json::object();
+auto VirtualFleet::TopUp(const TeamId& team,
+                         Tokens tokens,
+                         const std::string& id) -> void {
+  const json configured =
+      this->options.configuration.is_object()
+          ? this->options.configuration.value("defaults", json::object())
+                .value("ledger", json::object())
+          : json::object();
   const PartitionMap partitions(configured.value("partitions", 2U));
   wire::LedgerBatch batch;
   batch.set_kind(wire::BATCH_OPERATOR);
@@ -138,7 +144,8 @@
   entry.mutable_top_up()->set_team(team.value());
   entry.mutable_top_up()->set_top_up_id(id);
   entry.mutable_top_up()->set_tokens(tokens);
-  this->log.Store(PartitionMap::StreamOf(partitions.PartitionOf(team)), batch.SerializeAsString());
+  this->log.Store(PartitionMap::StreamOf(partitions.PartitionOf(team)),
+                  batch.SerializeAsString());
 }
 
 auto VirtualFleet::Publish(std::uint64_t base, const json& patch) -> void {
@@ -163,21 +170,25 @@
 //==============================================================================
 // Callers
 
-auto VirtualFleet::MakeRequest(const std::string& team, const std::string& key, Tokens upper,
+auto VirtualFleet::MakeRequest(const std::string& team,
+                               const std::string& key,
+                               Tokens upper,
                                bool at_most_once) -> ArrivingRequest {
   ArrivingRequest arrival;
   arrival.team = TeamId(team);
   arrival.key = RequestKey(key);
   arrival.issued_at_ms = ToUnixMillis(this->queue.Now());
   arrival.at_most_once = at_most_once;
-  arrival.request_class = {"quick", Patience::kQuick, 0, std::chrono::seconds(4), std::chrono::seconds(30)};
+  arrival.request_class = {"quick", Patience::kQuick, 0,
+                           std::chrono::seconds(4), std::chrono::seconds(30)};
   arrival.model = at_most_once ? "" : "m";
   arrival.service = at_most_once ? "pay" : "";
   arrival.upper = upper;
   return arrival;
 }
 
-auto VirtualFleet::Send(std::size_t node, ArrivingRequest arrival) -> std::size_t {
+auto VirtualFleet::Send(std::size_t node, ArrivingRequest arrival)
+    -> std::size_t {
   CallerRecord& caller = this->callers.emplace_back();
   caller.arrival = std::move(arrival);
   caller.began = this->queue.Now();
@@ -203,10 +214,11 @@
   caller.sent_now = false;
   const RequestHandle handle = this->next_handle++;
   node.handles[handle] = number;
-  this->Deliver(index, node.life, [this, index, handle, arrival = caller.arrival] {
-    this->nodes[index].core->OnRequest(this->queue.Now(), handle, arrival);
-    this->Pump(index);
-  });
+  this->Deliver(
+      index, node.life, [this, index, handle, arrival = caller.arrival] {
+        this->nodes[index].core->OnRequest(this->queue.Now(), handle, arrival);
+        this->Pump(index);
+      });
 }
 
 //==============================================================================
@@ -221,13 +233,16 @@
   }
 }
 
-auto VirtualFleet::Deliver(std::size_t index, std::uint64_t life, EventQueue::Event event) -> void {
+auto VirtualFleet::Deliver(std::size_t index,
+                           std::uint64_t life,
+                           EventQueue::Event event) -> void {
   Node& node = this->nodes[index];
   if (node.life != life || node.core == nullptr) {
     return;
   }
   if (node.paused) {
-    node.inbox.push_back([this, index, life, event] { this->Deliver(index, life, event); });
+    node.inbox.push_back(
+        [this, index, life, event] { this->Deliver(index, life, event); });
     return;
   }
   event();
@@ -241,7 +256,8 @@
     this->nodes[index].core->Tick(this->queue.Now());
     this->Pump(index);
   }
-  this->queue.After(RouterCore::kTickInterval, [this, index, life] { this->Tick(index, life); });
+  this->queue.After(RouterCore::kTickInterval,
+                    [this, index, life] { this->Tick(index, life); });
 }
 
 auto VirtualFleet::FetchVms(std::size_t index, std::uint64_t life) -> void {
@@ -260,7 +276,8 @@
       this->Pump(index);
     });
   }
-  this->queue.After(kVmInterval, [this, index, life] { this->FetchVms(index, life); });
+  this->queue.After(kVmInterval,
+                    [this, index, life] { this->FetchVms(index, life); });
 }
 
 //==============================================================================
@@ -274,7 +291,8 @@
       if (this->on_action) {
         this->on_action(index, action);
       }
-      std::visit([&](const auto& item) { this->CarryOut(index, item); }, action);
+      std::visit([&](const auto& item) { this->CarryOut(index, item); },
+                 action);
     }
   }
 }
@@ -285,13 +303,16 @@
     if (this->nodes[to].vm.peer_address != action.to) {
       continue;
     }
-    if (this->cut_links.contains({index, to}) || this->random.Chance(this->lose_message)) {
+    if (this->cut_links.contains({index, to}) ||
+        this->random.Chance(this->lose_message)) {
       return;
     }
     const int copies = this->random.Chance(this->repeat_message) ? 2 : 1;
     for (int i = 0; i < copies; ++i) {
       // Each message has a delay of its own: they overtake each other.
-      const Duration delay = this->link_delay + Duration(static_cast<std::int64_t>(this->random.Below(2000)));
+      const Duration delay =
+          this->link_delay +
+          Duration(static_cast<std::int64_t>(this->random.Below(2000)));
       this->queue.After(delay, [this, to, message = action.message] {
         this->Deliver(to, this->nodes[to].life, [this, to, message] {
           this->nodes[to].core->OnPeer(this->queue.Now(), message);
@@ -302,17 +323,22 @@
   }
 }
 
-auto VirtualFleet::TellLogFailed(std::size_t index, std::uint64_t life, LogTag tag) -> void {
+auto VirtualFleet::TellLogFailed(std::size_t index,
+                                 std::uint64_t life,
+                                 LogTag tag) -> void {
   this->Deliver(index, life, [this, index, tag] {
     this->nodes[index].core->OnLogFailed(this->queue.Now(), {tag});
     this->Pump(index);
   });
 }
 
-auto VirtualFleet::CarryOut(std::size_t index, const AppendRecord& action) -> void {
+auto VirtualFleet::CarryOut(std::size_t index, const AppendRecord& action)
+    -> void {
   const std::uint64_t life = this->nodes[index].life;
   const LogTag tag = action.tag;
-  const auto failed = [this, index, life, tag] { this->TellLogFailed(index, life, tag); };
+  const auto failed = [this, index, life, tag] {
+    this->TellLogFailed(index, life, tag);
+  };
   if (this->cut_logs.contains(index)) {
     this->queue.After(this->link_delay, failed);
     return;
@@ -321,17 +347,21 @@
       action.stream, action.bytes,
       [this, index, life, tag](LogOffset offset) {
         this->Deliver(index, life, [this, index, tag, offset] {
-          this->nodes[index].core->OnLogAppended(this->queue.Now(), {tag, offset});
+          this->nodes[index].core->OnLogAppended(this->queue.Now(),
+                                                 {tag, offset});
           this->Pump(index);
         });
       },
       failed);
 }
 
-auto VirtualFleet::CarryOut(std::size_t index, const ReadRecords& action) -> void {
+auto VirtualFleet::CarryOut(std::size_t index, const ReadRecords& action)
+    -> void {
   const std::uint64_t life = this->nodes[index].life;
   const LogTag tag = action.tag;
-  const auto failed = [this, index, life, tag] { this->TellLogFailed(index, life, tag); };
+  const auto failed = [this, index, life, tag] {
+    this->TellLogFailed(index, life, tag);
+  };
   if (this->cut_logs.contains(index)) {
     this->queue.After(this->link_delay, failed);
     return;
@@ -348,7 +378,8 @@
       failed);
 }
 
-auto VirtualFleet::CarryOut(std::size_t index, const StartUpstream& action) -> void {
+auto VirtualFleet::CarryOut(std::size_t index, const StartUpstream& action)
+    -> void {
   const std::uint64_t life = this->nodes[index].life;
   const std::size_t number = this->nodes[index].handles.at(action.handle);
   const CallerRecord& caller = this->callers[number];
@@ -370,11 +401,14 @@
       });
 }
 
-auto VirtualFleet::CarryOut(std::size_t /*node*/, const ResumeUpstream& /*action*/) -> void {}
+auto VirtualFleet::CarryOut(std::size_t /*node*/,
+                            const ResumeUpstream& /*action*/) -> void {}
 
-auto VirtualFleet::CarryOut(std::size_t /*node*/, const CancelUpstream& /*action*/) -> void {}
+auto VirtualFleet::CarryOut(std::size_t /*node*/,
+                            const CancelUpstream& /*action*/) -> void {}
 
-auto VirtualFleet::EndCaller(std::size_t index, RequestHandle handle) -> CallerRecord* {
+auto VirtualFleet::EndCaller(std::size_t index, RequestHandle handle)
+    -> CallerRecord* {
   Node& node = this->nodes[index];
   const auto found = node.handles.find(handle);
   if (found == node.handles.end()) {
@@ -387,20 +421,23 @@
   return &caller;
 }
 
-auto VirtualFleet::CarryOut(std::size_t index, const RefuseRequest& action) -> void {
+auto VirtualFleet::CarryOut(std::size_t index, const RefuseRequest& action)
+    -> void {
   if (CallerRecord* const caller = this->EndCaller(index, action.handle)) {
     caller->refusal = action.refusal;
   }
 }
 
-auto VirtualFleet::CarryOut(std::size_t index, const ReplayAnswer& action) -> void {
+auto VirtualFleet::CarryOut(std::size_t index, const ReplayAnswer& action)
+    -> void {
   if (CallerRecord* const caller = this->EndCaller(index, action.handle)) {
     caller->answered = true;
     caller->replayed = true;
   }
 }
 
-auto VirtualFleet::CarryOut(std::size_t index, const ReleaseAnswer& action) -> void {
+auto VirtualFleet::CarryOut(std::size_t index, const ReleaseAnswer& action)
+    -> void {
   if (CallerRecord* const caller = this->EndCaller(index, action.handle)) {
     caller->answered = true;
   }
--- a/tests/support/virtual_fleet.h
+++ b/tests/support/virtual_fleet.h
@@ -34,7 +34,8 @@
 
 /** Routers with their real decision code in virtual time, between small fakes.
 
-    Routers can be cut off, paused, killed and replaced. All chance comes from one seed.
+    Routers can be cut off, paused, killed and replaced. All chance comes from
+   one seed.
 */
 class VirtualFleet {
  public:
@@ -73,7 +74,9 @@
   auto SetListed(std::size_t node, bool listed) -> void;
 
   /** Drops messages from one router to another. */
-  auto CutLink(std::size_t from, std::size_t to) -> void { this->cut_links.insert({from, to}); }
+  auto CutLink(std::size_t from, std::size_t to) -> void {
+    this->cut_links.insert({from, to});
+  }
   auto CutLog(std::size_t node) -> void { this->cut_logs.insert(node); }
   auto HealCuts() -> void;
   auto TopUp(const TeamId& team, Tokens tokens, const std::string& id) -> void;
@@ -84,11 +87,14 @@
   //============================================================================
   // Callers
 
-  /** Sends a request to a router; a caller whose router dies tries another. @return its number. */
+  /** Sends a request to a router; a caller whose router dies tries another.
+   * @return its number. */
   auto Send(std::size_t node, ArrivingRequest arrival) -> std::size_t;
 
   /** A request of a team, with the key given. */
-  [[nodiscard]] auto MakeRequest(const std::string& team, const std::string& key, Tokens upper,
+  [[nodiscard]] auto MakeRequest(const std::string& team,
+                                 const std::string& key,
+                                 Tokens upper,
                                  bool at_most_once) -> ArrivingRequest;
 
   //============================================================================
@@ -96,7 +102,9 @@
 
   /** Runs all events up to `end`. */
   auto RunUntil(Instant end) -> void;
-  auto RunFor(Duration span) -> void { this->RunUntil(this->queue.Now() + span); }
+  auto RunFor(Duration span) -> void {
+    this->RunUntil(this->queue.Now() + span);
+  }
 
   /** Called after each event; returns false to stop the run. */
   std::function<bool()> after_step;
@@ -121,7 +129,8 @@
 
  private:
   auto ListVms() -> VmList;
-  auto Deliver(std::size_t node, std::uint64_t life, EventQueue::Event event) -> void;
+  auto Deliver(std::size_t node, std::uint64_t life, EventQueue::Event event)
+      -> void;
   auto Tick(std::size_t node, std::uint64_t life) -> void;
   auto FetchVms(std::size_t node, std::uint64_t life) -> void;
   auto Pump(std::size_t node) -> void;
--- /dev/null
+++ b/tests/unit/config_test.cc
@@ -0,0 +1,124 @@
+#include "al_config/al_config.h"
+#include "support/test_harness.h"
+
+using namespace auburnloft;  // NOLINT(google-build-using-namespace)
+
+namespace {
+
+constexpr std::string_view kGood = R"({
+  "defaults": {"chat_class": "quick"},
+  "classes": {"quick": {"patience": "quick"}},
+  "teams": {"blue": {"key_sha256": "0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef"}},
+  "upstreams": {"e1": {"address": "10.0.0.1:80", "domain": "a", "models": ["m"]}},
+  "exceptions": {"blue": {"reason": "long reports", "set": {"max_output_tokens": 9}}}
+})";
+
+auto Record(std::uint64_t base, const std::string& patch) -> std::string {
+  wire::ConfigRecord record;
+  record.set_base_version(base);
+  record.set_merge_patch(patch);
+  return record.SerializeAsString();
+}
+
+}  // namespace
+
+TEST_GROUP(ConfigCheck){};
+
+TEST(ConfigCheck, AcceptsAGoodDocument) {
+  Findings findings;
+  const std::optional<Configuration> parsed =
+      ParseConfiguration(kGood, findings);
+  CHECK_TRUE(parsed.has_value());
+  CHECK_EQUAL(9U, *parsed->ExceptionOf(TeamId("blue"))->max_output_tokens);
+}
+
+TEST(ConfigCheck, ReportsEveryFindingWithItsPath) {
+  Findings findings;
+  const std::optional<Configuration> parsed = ParseConfiguration(R"({
+    "defaults": {"chat_class": "none", "max_output_tokens": -1, "colour": "red"},
+    "classes": {"quick": {"patience": "hasty"}},
+    "teams": {"blue": {"key_sha256": "short"}},
+    "upstreams": {"e1": {"address": "nowhere", "domain": "a"}},
+    "exceptions": {"ghost": {"reason": "", "set": {}}}
+  })",
+                                                                 findings);
+  CHECK_FALSE(parsed.has_value());
+  const std::string text = findings.ToText();
+  for (const char* const expected :
+       {"$.defaults.max_output_tokens: is not a whole number from 1 to 1000000",
+        "$.defaults.colour: is not a known setting",
+        "$.defaults.chat_class: class \"none\" does not exist",
+        "$.classes.quick.patience: \"hasty\" is none of: quick, patient",
+        "$.teams.blue.key_sha256: is not a SHA-256 digest in lower-case "
+        "hexadecimal",
+        "$.upstreams.e1.address: \"nowhere\" is not ip:port",
+        "$.upstreams.e1.models: is required for an engine",
+        "$.exceptions.ghost.reason: is required and must not be empty",
+        "$.exceptions: team \"ghost\" does not exist"}) {
+    CHECK_TRUE_TEXT(text.find(expected) != std::string::npos,
+                    (std::string(expected) + "\n" + text).c_str());
+  }
+}
+
+TEST(ConfigCheck, NamesTheLineOfASyntaxError) {
+  Findings findings;
+  CHECK_FALSE(ParseConfiguration("{\n\"a\": 1,\n}", findings).has_value());
+  CHECK_EQUAL(std::string("line 3"), findings.all().front().place);
+}
+
+TEST_GROUP(ConfigFold) {
+  ConfigFold fold;
+};
+
+TEST(ConfigFold, LetsTheFirstOfTwoRacingOperatorsWin) {
+  CHECK_TRUE(this->fold.ApplyBytes(Record(0, R"({"a":1})")) ==
+             ConfigVoid::kNone);
+  CHECK_TRUE(this->fold.ApplyBytes(Record(1, R"({"a":2})")) ==
+             ConfigVoid::kNone);
+  CHECK_TRUE(this->fold.ApplyBytes(Record(1, R"({"a":3})")) ==
+             ConfigVoid::kLostRace);
+  CHECK_EQUAL(2U, this->fold.version());
+  CHECK_EQUAL(2, this->fold.document()["a"].get<int>());
+}
+
+TEST(ConfigFold, IgnoresARepeatAndRubbish) {
+  this->fold.ApplyBytes(Record(0, R"({"a":1})"));
+  CHECK_TRUE(this->fold.ApplyBytes(Record(0, R"({"a":1})")) ==
+             ConfigVoid::kLostRace);
+  CHECK_TRUE(this->fold.ApplyBytes("\xff") == ConfigVoid::kUnreadable);
+  CHECK_TRUE(this->fold.ApplyBytes(Record(1, "not json")) ==
+             ConfigVoid::kUnreadable);
+  CHECK_EQUAL(1U, this->fold.version());
+}
+
+TEST(ConfigFold, StartsFromASnapshotThatStandsWhereItSays) {
+  this->fold.ApplyBytes(Record(0, R"({"a":1})"));
+  const std::string good = this->fold.ToSnapshot().SerializeAsString();
+  ConfigFold reader;
+  reader.StartAt(1);
+  CHECK_TRUE(reader.ApplyBytes(Record(1, R"({"a":2})")) ==
+             ConfigVoid::kNoState);
+  CHECK_TRUE(reader.ApplyBytes(good) == ConfigVoid::kMisplaced);
+  ConfigFold second;
+  second.StartAt(1);
+  CHECK_TRUE(second.ApplyBytes(good) == ConfigVoid::kNone);
+  CHECK_EQUAL(1U, second.version());
+}
+
+TEST(ConfigFold, NeverGoesBackForAPeer) {
+  this->fold.ApplyBytes(Record(0, R"({"a":1})"));
+  this->fold.ApplyBytes(Record(1, R"({"a":2})"));
+  CHECK_FALSE(this->fold.Adopt(1, 1, R"({"a":1})"));
+  CHECK_EQUAL(2U, this->fold.version());
+  CHECK_TRUE(this->fold.Adopt(5, 9, R"({"a":5})"));
+  CHECK_EQUAL(9U, this->fold.next_offset());
+}
+
+TEST(ConfigFold, TrustsNoChangeAfterAGapInTheStream) {
+  this->fold.ApplyBytes(Record(0, R"({"a":1})"));
+  this->fold.StartAt(
+      7);  // The log forgot records 1 to 6 before they were read.
+  CHECK_TRUE(this->fold.ApplyBytes(Record(1, R"({"a":9})")) ==
+             ConfigVoid::kNoState);
+  CHECK_EQUAL(1, this->fold.document()["a"].get<int>());
+}
--- /dev/null
+++ b/tests/unit/schedule_test.cc
@@ -0,0 +1,30 @@
+#include "support/fault_schedule.h"
+#include "support/test_harness.h"
+
+using auburnloft::testing::FaultSchedule;
+
+TEST_GROUP(FaultSchedules){};
+
+/** Every promise holds under many schedules of overlapping faults; a failing
+ * seed can be replayed. */
+TEST(FaultSchedules, HoldForEverySeed) {
+  constexpr std::uint64_t kSeeds = 60;
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    const FaultSchedule::Outcome outcome = FaultSchedule(seed).Run();
+    const std::string text =
+        outcome.violation +
+        "\nreplay: build/release/auburnloft-schedule --faults --seed " +
+        std::to_string(seed);
+    CHECK_TRUE_TEXT(outcome.violation.empty(), text.c_str());
+    CHECK_TRUE(outcome.answered > outcome.requests / 4);
+  }
+}
+
+/** The same seed gives the same run, to the step. */
+TEST(FaultSchedules, AreTheSameEveryTime) {
+  const FaultSchedule::Outcome first = FaultSchedule(7).Run();
+  const FaultSchedule::Outcome second = FaultSchedule(7).Run();
+  CHECK_EQUAL(first.steps, second.steps);
+  CHECK_EQUAL(first.answered, second.answered);
+  CHECK_TRUE(first.faults == second.faults);
+}
--- /dev/null
+++ b/tests/unit/traffic_test.cc
@@ -0,0 +1,155 @@
+#include "al_traffic/al_traffic.h"
+#include "support/test_harness.h"
+
+using namespace auburnloft;  // NOLINT(google-build-using-namespace)
+
+TEST_GROUP(Traffic) {
+  RandomSource random{7};
+  UpstreamPool pool{DomainId("a"), random};
+  Configuration configuration;
+  Instant now = FromUnixMillis(1'700'000'000'000);
+  UpstreamQuery quick;
+  UpstreamQuery patient;
+
+  auto setup()->void override {
+    for (const char* const name : {"e1", "e2", "e3"}) {
+      Upstream engine;
+      engine.id = UpstreamId(name);
+      engine.domain = DomainId("a");
+      engine.models = {"m"};
+      engine.slots = 4;
+      this->configuration.upstreams.push_back(engine);
+    }
+    this->configuration.defaults.traffic.patient_share = 0.5;
+    this->pool.SetConfiguration(this->configuration, 1);
+    this->quick.model = "m";
+    this->patient.model = "m";
+    this->patient.patience = Patience::kPatient;
+  }
+};
+
+TEST(Traffic, KeepsPatientWorkToItsShareSoThatQuickWorkFindsRoom) {
+  int taken = 0;
+  while (this->pool.TryAcquire(this->now, this->patient)) {
+    ++taken;
+  }
+  CHECK_EQUAL(3 * 2, taken);
+  CHECK_TRUE(this->pool.TryAcquire(this->now, this->quick).has_value());
+}
+
+TEST(Traffic, GivesNothingNewToALeavingUpstream) {
+  this->pool.SetLeaving(
+      this->now, [](const UpstreamId& id) { return id.value() != "e2"; });
+  for (int i = 0; i < 5; ++i) {
+    CHECK_EQUAL(std::string("e2"),
+                this->pool.TryAcquire(this->now, this->quick)->value());
+  }
+  LoadReport report;
+  report.leaving = true;
+  this->pool.NoteReport(this->now, UpstreamId("e2"), report);
+  CHECK_FALSE(this->pool.TryAcquire(this->now, this->quick).has_value());
+}
+
+TEST(Traffic, EasesInAnUpstreamThatComesBack) {
+  const auto only_e1_left = [](const UpstreamId& id) {
+    return id.value() != "e1";
+  };
+  this->pool.SetLeaving(this->now, [](const UpstreamId&) { return true; });
+  this->pool.SetLeaving(this->now, only_e1_left);
+  int at_once = 0;
+  while (this->pool.TryAcquire(this->now, this->quick)) {
+    ++at_once;
+  }
+  CHECK_EQUAL(1, at_once);
+  int later = 0;
+  while (this->pool.TryAcquire(this->now + std::chrono::seconds(10),
+                               this->quick)) {
+    ++later;
+  }
+  CHECK_TRUE(later >= 4);
+}
+
+TEST(Traffic, EjectsAnUpstreamAfterFailuresInARow) {
+  for (int i = 0; i < 3; ++i) {
+    this->pool.NoteFailure(this->now, UpstreamId("e1"));
+  }
+  std::set<std::string> used;
+  for (int i = 0; i < 12; ++i) {
+    if (const std::optional<UpstreamId> id =
+            this->pool.TryAcquire(this->now, this->quick)) {
+      used.insert(id->value());
+    }
+  }
+  CHECK_FALSE(used.contains("e1"));
+  CHECK_TRUE(used.contains("e2"));
+}
+
+TEST(Traffic, FollowsABelievedPrefixUntilTheUpstreamIsBusy) {
+  const std::string prompt(1024, 'p');
+  const std::vector<PrefixDigest> digests = PrefixDigestsOf(prompt);
+  CHECK_EQUAL(4U, digests.size());
+  this->pool.NoteCached(UpstreamId("e3"), digests);
+  this->quick.prefix = digests;
+  CHECK_EQUAL(std::string("e3"),
+              this->pool.TryAcquire(this->now, this->quick)->value());
+  LoadReport busy;
+  busy.running = 4;
+  busy.waiting = 4;
+  this->pool.NoteReport(this->now, UpstreamId("e3"), busy);
+  CHECK_TRUE(this->pool.TryAcquire(this->now, this->quick)->value() != "e3");
+}
+
+TEST(Traffic, LetsAnOldLoadReportDecay) {
+  LoadReport busy;
+  busy.running = 50;
+  for (const char* const name : {"e1", "e2", "e3"}) {
+    this->pool.NoteReport(this->now, UpstreamId(name), busy);
+  }
+  CHECK_FALSE(this->pool.TryAcquire(this->now, this->quick).has_value());
+  CHECK_TRUE(
+      this->pool.TryAcquire(this->now + std::chrono::seconds(30), this->quick)
+          .has_value());
+}
+
+TEST(Traffic, ForgetsTheLeastRecentlyUsedPrefix) {
+  PrefixBeliefs beliefs;
+  const std::vector<PrefixDigest> old{1};
+  beliefs.NoteCached(old);
+  for (PrefixDigest digest = 2; digest < 2 + PrefixBeliefs::kCapacity;
+       ++digest) {
+    const std::vector<PrefixDigest> next{digest};
+    beliefs.NoteCached(next);
+  }
+  DOUBLES_EQUAL(0.0, beliefs.MatchOf(old), 0.0);
+  CHECK_EQUAL(PrefixBeliefs::kCapacity, beliefs.size());
+}
+
+TEST(Traffic, BoundsRetriesByAShareOfTheRequests) {
+  RetryBudget budget(0.1);
+  int retries = 0;
+  for (int request = 0; request < 1000; ++request) {
+    budget.NoteRequest();
+    retries += budget.TryTake() ? 1 : 0;  // Every request fails.
+  }
+  CHECK_TRUE(retries <= 110);
+  CHECK_TRUE(retries >= 100);
+}
+
+TEST(Traffic, OffersQuickRequestsFirstAndPassesByWhatFindsNoUpstream) {
+  DispatchQueue queue;
+  queue.Add(1, Patience::kPatient, this->now,
+            this->now + std::chrono::seconds(9));
+  queue.Add(2, Patience::kQuick, this->now,
+            this->now + std::chrono::seconds(1));
+  queue.Add(3, Patience::kQuick, this->now,
+            this->now + std::chrono::seconds(1));
+  std::vector<RequestHandle> order;
+  queue.Offer([&](RequestHandle handle) {
+    order.push_back(handle);
+    return handle == 3;
+  });
+  CHECK_TRUE((order == std::vector<RequestHandle>{2, 3, 1}));
+  CHECK_TRUE((queue.TakeExpired(this->now + std::chrono::seconds(1)) ==
+              std::vector<RequestHandle>{2}));
+  CHECK_EQUAL(1U, queue.size());
+}
