--- /dev/null
+++ b/bench/policy_main.cc
@@ -0,0 +1,93 @@
+#include <fstream>
+#include <iomanip>
+#include <iostream>
+#include <sstream>
+
+#include "al_edge/settings/settings_reader.h"
+#include "bench/policy_bench.h"
+
+namespace {
+
+using namespace auburnloft;         // NOLINT(google-build-using-namespace)
+using namespace auburnloft::bench;  // NOLINT(google-build-using-namespace)
+
+auto Policies() -> std::vector<PolicyCase> {
+  const auto demand = [](int cover, bool transfers) {
+    return nlohmann::json{{"policy", "demand_led"},
+                          {"cover_seconds", cover},
+                          {"transfers", transfers}};
+  };
+  return {
+      {"fixed split (baseline)", {{"policy", "fixed_split"}}, true},
+      {"fixed chunk of 10,000",
+       {{"policy", "fixed_chunk"}, {"chunk_tokens", 10'000}},
+       false},
+      {"demand-led 60 s", demand(60, false), false},
+      {"demand-led 60 s + transfers", demand(60, true), false},
+      {"demand-led 600 s + transfers", demand(600, true), false},
+      {"demand-led 3600 s + transfers", demand(3600, true), false},
+  };
+}
+
+auto Situations() -> std::vector<Situation> {
+  std::vector<Situation> all;
+  all.push_back({"calm", std::chrono::minutes(10), 3.0, false, false, false});
+  all.push_back(
+      {"following the sun", std::chrono::minutes(10), 1.5, true, false, false});
+  all.push_back({"one-hour partition", std::chrono::minutes(90), 3.0, false,
+                 true, false});
+  all.push_back({"2% of budget left", std::chrono::minutes(10), 0.06, false,
+                 false, false});
+  all.push_back({"a router dies each minute", std::chrono::minutes(10), 1.5,
+                 false, false, true});
+  return all;
+}
+
+auto Row(const Situation& situation,
+         const PolicyCase& policy,
+         const PolicyBench::Result& result) -> std::string {
+  std::ostringstream out;
+  out << std::fixed << std::setprecision(1) << "| " << situation.name << " | "
+      << policy.name << " | " << result.overspend << " | "
+      << result.false_refusals_per_10k << " | " << result.stranded_share * 100.0
+      << "% | " << result.peer_bytes_per_node_second << " | "
+      << result.appends_per_second << " |"
+      << (result.violation.empty() ? "" : " " + result.violation);
+  return out.str();
+}
+
+}  // namespace
+
+/** Prints the table of allowance policies and situations of docs/DESIGN.md. */
+auto main(int argc, char** argv) -> int {
+  SettingsReader settings("Compares allowance policies in virtual time.");
+  settings.DeclareWhole("seed", "seed of the schedule", 1, 0, 1'000'000'000);
+  settings.DeclareWhole(
+      "situation", "one situation by its number from 0; -1 for all", -1, -1, 4);
+  if (!settings.Read(argc, argv)) {
+    std::cerr << settings.findings().ToText();
+    return 2;
+  }
+  const auto seed = static_cast<std::uint64_t>(settings.Whole("seed"));
+  const std::int64_t only = settings.Whole("situation");
+  const std::vector<Situation> situations = Situations();
+  bool held = true;
+  if (only <= 0) {
+    std::cout
+        << "| situation | policy | overspend | false refusals per 10,000 | "
+           "stranded | "
+           "peer bytes/s a node | appends/s |\n|---|---|---|---|---|---|---|\n";
+  }
+  for (std::size_t i = 0; i < situations.size(); ++i) {
+    if (only >= 0 && static_cast<std::size_t>(only) != i) {
+      continue;
+    }
+    for (const PolicyCase& policy : Policies()) {
+      PolicyBench bench(policy, situations[i], seed);
+      const PolicyBench::Result result = bench.Run();
+      held = held && result.violation.empty() && result.overspend == 0;
+      std::cout << Row(situations[i], policy, result) << std::endl;
+    }
+  }
+  return held ? 0 : 1;
+}
--- a/modules/al_budget/keeper/keeper_directory.cc
+++ b/modules/al_budget/keeper/keeper_directory.cc
@@ -8,10 +8,15 @@
 
 namespace {
 
-/** A keeper without an answer for this long is passed by, and each candidate
-   after it: longer than a commit on a slow log, short against the patience of
-   callers. */
-constexpr Duration kSuspectAfter = std::chrono::milliseconds(2500);
+/** A router without a word for this long is passed by, and each candidate after
+   it. A keeper acknowledges a repeat, which comes after half a second, even
+   while the log is slow. */
+constexpr Duration kSilentAfter = std::chrono::milliseconds(800);
+
+/** A keeper that says that it is stalled is passed by after this: another
+   router may reach the log. In an outage of the log the next one cannot take
+   over either, and nothing is lost. */
+constexpr Duration kStalledAfter = std::chrono::milliseconds(2500);
 
 }  // namespace
 
@@ -23,16 +28,37 @@
     return false;
   }
   entry = {keeper, epoch};
-  this->unanswered_since.erase(partition);
+  this->waiting.erase(partition);
   return true;
 }
 
-auto KeeperDirectory::NoteSent(Instant now, PartitionIndex partition) -> void {
-  this->unanswered_since.try_emplace(partition, now);
+auto KeeperDirectory::NoteSent(Instant now,
+                               PartitionIndex partition,
+                               const KeeperTarget& target) -> void {
+  Waiting& place = this->waiting[partition];
+  if (place.target.router != target.router) {
+    place = {target, now, now};
+  }
 }
 
-auto KeeperDirectory::NoteAnswer(PartitionIndex partition) -> void {
-  this->unanswered_since.erase(partition);
+auto KeeperDirectory::NoteAnswer(Instant now,
+                                 PartitionIndex partition,
+                                 bool stalled) -> void {
+  const auto place = this->waiting.find(partition);
+  if (place == this->waiting.end()) {
+    return;
+  }
+  if (stalled) {
+    place->second.silent_since = now;
+  } else {
+    this->waiting.erase(place);
+  }
+}
+
+auto KeeperDirectory::LastTarget(PartitionIndex partition) const -> RouterId {
+  const auto place = this->waiting.find(partition);
+  return place == this->waiting.end() ? RouterId()
+                                      : place->second.target.router;
 }
 
 auto KeeperDirectory::Target(Instant now,
@@ -44,22 +70,23 @@
   }
   const Known entry = this->Find(partition).value_or(Known{});
   const RouterId keeper = RouterOf(entry.keeper);
-  const bool keeper_is_live =
-      !keeper.empty() && std::ranges::find(live, keeper) != live.end();
-  const auto since = this->unanswered_since.find(partition);
-  const std::size_t silences =
-      since == this->unanswered_since.end()
-          ? 0
-          : static_cast<std::size_t>((now - since->second) / kSuspectAfter);
-  if (keeper_is_live && silences == 0) {
-    return KeeperTarget{keeper, 0};
-  }
   std::vector<RouterId> candidates = Rank(partition, live);
-  if (candidates.size() > 1) {
-    std::erase(candidates, keeper);
+  // The keeper goes first; a router that is no longer listed is asked nothing.
+  std::ranges::stable_partition(
+      candidates, [&](const RouterId& router) { return router == keeper; });
+  const auto asked = this->waiting.find(partition);
+  auto next = candidates.begin();
+  if (asked != this->waiting.end()) {
+    const Waiting& place = asked->second;
+    const bool is_given_up = now >= place.silent_since + kSilentAfter ||
+                             now >= place.unserved_since + kStalledAfter;
+    next = std::ranges::find(candidates, place.target.router);
+    if (next != candidates.end() && is_given_up) {
+      ++next;
+    }
+    next = next == candidates.end() ? candidates.begin() : next;
   }
-  const std::size_t attempt = keeper_is_live ? silences - 1 : silences;
-  return KeeperTarget{candidates[attempt % candidates.size()], entry.epoch};
+  return KeeperTarget{*next, *next == keeper ? 0 : entry.epoch};
 }
 
 auto KeeperDirectory::Find(PartitionIndex partition) const
--- a/modules/al_budget/keeper/keeper_directory.h
+++ b/modules/al_budget/keeper/keeper_directory.h
@@ -45,11 +45,14 @@
              const IncarnationId& keeper,
              std::uint64_t epoch) -> bool;
 
-  /** Notes a submission that waits for an answer. */
-  auto NoteSent(Instant now, PartitionIndex partition) -> void;
+  /** Notes a submission to `target` that waits for an answer. */
+  auto NoteSent(Instant now,
+                PartitionIndex partition,
+                const KeeperTarget& target) -> void;
 
-  /** Notes an answer of a working keeper; the suspicion ends. */
-  auto NoteAnswer(PartitionIndex partition) -> void;
+  /** Notes a word from the router that was asked; of a stalled keeper where
+   * `stalled`. */
+  auto NoteAnswer(Instant now, PartitionIndex partition, bool stalled) -> void;
 
   //============================================================================
   // Queries
@@ -61,6 +64,10 @@
                             std::span<const RouterId> live) const
       -> std::optional<KeeperTarget>;
 
+  /** The router that the last submission went to; empty where none waits for an
+   * answer. */
+  [[nodiscard]] auto LastTarget(PartitionIndex partition) const -> RouterId;
+
   /** What is known of `partition`; empty where nothing is. */
   [[nodiscard]] auto Find(PartitionIndex partition) const
       -> std::optional<Known>;
@@ -76,8 +83,14 @@
       -> std::vector<RouterId>;
 
  private:
+  struct Waiting {
+    KeeperTarget target;
+    Instant silent_since;    ///< No word at all since then.
+    Instant unserved_since;  ///< No word of a working keeper since then.
+  };
+
   std::map<PartitionIndex, Known> known;
-  std::map<PartitionIndex, Instant> unanswered_since;
+  std::map<PartitionIndex, Waiting> waiting;
 };
 
 }  // namespace auburnloft
--- a/modules/al_budget/keeper/keeper_host.cc
+++ b/modules/al_budget/keeper/keeper_host.cc
@@ -9,19 +9,19 @@
                        PeerAddress self_address,
                        ActionQueue& actions,
                        KeeperDirectory& directory,
-                       KeeperSettings settings)
+                       const KeeperSettings& settings)
     : self(std::move(self)),
       self_address(std::move(self_address)),
       actions(actions),
       directory(directory),
-      settings(std::move(settings)),
+      settings(settings),
       log_port(actions) {}
 
 //==============================================================================
 // Commands
 
-auto KeeperHost::SetSettings(KeeperSettings new_settings) -> void {
-  this->settings = std::move(new_settings);
+auto KeeperHost::SetSettings(const KeeperSettings& new_settings) -> void {
+  this->settings = new_settings;
 }
 
 auto KeeperHost::KeeperOf(PartitionIndex partition) -> PartitionKeeper& {
--- a/modules/al_budget/keeper/keeper_host.h
+++ b/modules/al_budget/keeper/keeper_host.h
@@ -25,7 +25,7 @@
              PeerAddress self_address,
              ActionQueue& actions,
              KeeperDirectory& directory,
-             KeeperSettings settings);
+             const KeeperSettings& settings);
 
   KeeperHost(const KeeperHost&) = delete;
   auto operator=(const KeeperHost&) -> KeeperHost& = delete;
@@ -34,7 +34,7 @@
   // Commands
 
   /** Changes the settings of all keepers, from their next commit on. */
-  auto SetSettings(KeeperSettings new_settings) -> void;
+  auto SetSettings(const KeeperSettings& new_settings) -> void;
 
   /** Handles entries for a partition: as its keeper, by taking it over, or by
      naming the keeper.
--- a/modules/al_budget/keeper/partition_keeper.cc
+++ b/modules/al_budget/keeper/partition_keeper.cc
@@ -167,7 +167,10 @@
       this->Commit(now);
     }
   }
-  this->FlushReplies(this->IsStalled(now));
+  // A router that is about to take over has nothing to say for a working
+  // keeper.
+  this->FlushReplies(this->IsStalled(now) ||
+                     this->current_role != Role::kKeeping);
 }
 
 auto PartitionKeeper::IsStalled(Instant now) const -> bool {
--- a/modules/al_budget/outbox/entry_outbox.cc
+++ b/modules/al_budget/outbox/entry_outbox.cc
@@ -117,6 +117,14 @@
   return this->places.contains(std::string(entry_id));
 }
 
+auto EntryOutbox::Partitions() const -> std::vector<PartitionIndex> {
+  std::vector<PartitionIndex> indices;
+  for (const auto& [index, partition] : this->partitions) {
+    indices.push_back(index);
+  }
+  return indices;
+}
+
 auto EntryOutbox::Entries() const -> std::vector<const wire::LedgerEntry*> {
   std::vector<const wire::LedgerEntry*> entries;
   for (const auto& [index, partition] : this->partitions) {
--- a/modules/al_budget/outbox/entry_outbox.h
+++ b/modules/al_budget/outbox/entry_outbox.h
@@ -81,6 +81,9 @@
   [[nodiscard]] auto size() const -> std::size_t { return this->places.size(); }
   [[nodiscard]] auto Contains(std::string_view entry_id) const -> bool;
 
+  /** The partitions that have entries. */
+  [[nodiscard]] auto Partitions() const -> std::vector<PartitionIndex>;
+
   /** All entries, in order within each partition. Valid until the next command.
    */
   [[nodiscard]] auto Entries() const -> std::vector<const wire::LedgerEntry*>;
--- a/modules/al_budget/witness/witness_desk.h
+++ b/modules/al_budget/witness/witness_desk.h
@@ -71,7 +71,7 @@
               const PeerAddress& from_address,
               const wire::EntryNote& note) -> void;
 
-  auto OnDone(const IncarnationId& from, const wire::EntryNoteDone& done)
+  auto OnDone(const IncarnationId& from, const wire::EntryNoteDone& recorded)
       -> void;
 
   /** Submits at once what a dead router left here. */
--- a/modules/al_config/check/json_reader.cc
+++ b/modules/al_config/check/json_reader.cc
@@ -24,7 +24,7 @@
 }
 
 auto JsonReader::RequiredText(std::string_view name) -> std::string {
-  const std::string text = this->Text(name, "");
+  std::string text = this->Text(name, "");
   if (text.empty()) {
     this->Note(name, "is required and must not be empty");
   }
--- a/modules/al_core/ids/strong_id.h
+++ b/modules/al_core/ids/strong_id.h
@@ -35,7 +35,8 @@
   /** True for the default identifier, which names nothing. */
   [[nodiscard]] auto empty() const -> bool { return this->text.empty(); }
 
-  auto operator<=>(const StrongId&) const = default;
+  auto operator<=>(const StrongId&) const =
+      default;  // NOLINT(modernize-use-nullptr)
 
  private:
   std::string text;
--- a/modules/al_edge/http/http_server.cc
+++ b/modules/al_edge/http/http_server.cc
@@ -74,14 +74,14 @@
                            void* /*user*/, void* in, size_t size) -> int {
     return OnEvent(wsi, reason, in, size);
   };
-  static const std::array<lws_protocols, 2> protocols = {{
+  static const std::array<lws_protocols, 2> kProtocols = {{
       {"http", on_event, 0, 0, 0, nullptr, 0},
       {nullptr, nullptr, 0, 0, 0, nullptr, 0},
   }};
   lws_context_creation_info info{};
   info.port = port;
   info.iface = interfaces.back()->c_str();
-  info.protocols = protocols.data();
+  info.protocols = kProtocols.data();
   info.user = this;
   info.vhost_name = this->options.address.c_str();
   info.timeout_secs = 86'400;
--- a/modules/al_edge/loop/event_loop.cc
+++ b/modules/al_edge/loop/event_loop.cc
@@ -81,12 +81,12 @@
   if (this->lws == nullptr) {
     throw std::runtime_error("the event loop cannot be created");
   }
-  static const std::array<lws_protocols, 3> protocols = {{
+  static const std::array<lws_protocols, 3> kProtocols = {{
       HttpClient::Protocol(),
       {kWatchProtocol, OnWatched, 0, 0, 0, nullptr, 0},
       {nullptr, nullptr, 0, 0, 0, nullptr, 0},
   }};
-  info.protocols = protocols.data();
+  info.protocols = kProtocols.data();
   info.vhost_name = "client";
   this->vhost = lws_create_vhost(this->lws, &info);
 }
--- a/modules/al_edge/settings/settings_reader.h
+++ b/modules/al_edge/settings/settings_reader.h
@@ -9,7 +9,7 @@
 
 #include "al_core/errors/findings.h"
 
-namespace TCLAP {
+namespace TCLAP {  // NOLINT(readability-identifier-naming)
 class CmdLine;
 class Arg;
 }  // namespace TCLAP
--- a/modules/al_ledger/fold/partition_ledger.h
+++ b/modules/al_ledger/fold/partition_ledger.h
@@ -107,7 +107,8 @@
  private:
   auto ApplyTakeOver(const wire::LedgerBatch& batch) -> BatchVoid;
   auto ApplySnapshot(const wire::LedgerSnapshot& snapshot) -> BatchVoid;
-  auto CheckWriter(const wire::LedgerBatch& batch) const -> BatchVoid;
+  [[nodiscard]] auto CheckWriter(const wire::LedgerBatch& batch) const
+      -> BatchVoid;
   auto ApplyEntry(const wire::LedgerEntry& entry, bool by_operator)
       -> wire::EntryVerdict;
   auto ApplyToTeam(const wire::LedgerEntry& entry, Team& team)
--- a/modules/al_router/core/router_core.cc
+++ b/modules/al_router/core/router_core.cc
@@ -188,7 +188,7 @@
   const PeerAddress from_address(message.from_address());
   switch (message.body_case()) {
     case wire::PeerMessage::kVerdicts:
-      this->OnVerdicts(now, message.verdicts());
+      this->OnVerdicts(now, from, message.verdicts());
       break;
     case wire::PeerMessage::kNotKeeper:
       this->OnNotKeeper(now, message.not_keeper());
@@ -219,11 +219,13 @@
   }
 }
 
-auto RouterCore::OnVerdicts(Instant now, const wire::Verdicts& verdicts)
-    -> void {
+auto RouterCore::OnVerdicts(Instant now,
+                            const IncarnationId& from,
+                            const wire::Verdicts& verdicts) -> void {
   const PartitionIndex partition = verdicts.partition();
+  this->keeper_directory.NoteAnswer(now, partition, verdicts.stalled());
   if (!verdicts.stalled()) {
-    this->keeper_directory.NoteAnswer(partition);
+    this->voice.LearnKeeper(partition, from, verdicts.epoch());
   }
   for (const wire::EntryVerdict& verdict : verdicts.verdicts()) {
     const std::optional<wire::LedgerEntry> entry =
@@ -334,6 +336,7 @@
 
 auto RouterCore::Tick(Instant now) -> void {
   this->TickConfig(now);
+  this->TickOutbox(now);
   this->ChooseWitness(now);
   this->host.Tick(now);
   if (this->ledgered != nullptr) {
@@ -434,6 +437,18 @@
   this->voice.TellDraining();
 }
 
+auto RouterCore::TickOutbox(Instant now) -> void {
+  const std::vector<RouterId> live = this->fleet.Live();
+  for (const PartitionIndex partition : this->entries.Partitions()) {
+    const RouterId asked = this->keeper_directory.LastTarget(partition);
+    const std::optional<KeeperTarget> target =
+        this->keeper_directory.Target(now, partition, live);
+    if (!asked.empty() && target && target->router != asked) {
+      this->entries.ResendNow(now, partition);
+    }
+  }
+}
+
 auto RouterCore::SendOutbox(Instant now) -> void {
   const std::vector<RouterId> live = this->fleet.Live();
   for (EntryOutbox::DueBatch& batch : this->entries.TakeDue(now)) {
@@ -451,7 +466,7 @@
     for (wire::LedgerEntry& entry : batch.entries) {
       *submit.add_entries() = std::move(entry);
     }
-    this->keeper_directory.NoteSent(now, batch.partition);
+    this->keeper_directory.NoteSent(now, batch.partition, *target);
     this->queue.Push(SendPeer{*address, std::move(message)});
   }
 }
--- a/modules/al_router/core/router_core.h
+++ b/modules/al_router/core/router_core.h
@@ -125,9 +125,12 @@
   };
 
   auto ApplyConfiguration() -> void;
-  auto OnVerdicts(Instant now, const wire::Verdicts& verdicts) -> void;
+  auto OnVerdicts(Instant now,
+                  const IncarnationId& from,
+                  const wire::Verdicts& verdicts) -> void;
   auto OnNotKeeper(Instant now, const wire::NotKeeper& not_keeper) -> void;
   auto OnLedgerMessage(Instant now, const wire::PeerMessage& message) -> void;
+  auto TickOutbox(Instant now) -> void;
   auto SendOutbox(Instant now) -> void;
   auto TickConfig(Instant now) -> void;
   auto TickDead(Instant now) -> void;
--- a/modules/al_traffic/upstreams/upstream_pool.h
+++ b/modules/al_traffic/upstreams/upstream_pool.h
@@ -63,9 +63,9 @@
 
   /** Takes over the upstreams of a configuration; what is known of those that
      stay is kept.
-      @param routers  in the fleet, which share the engines. */
-  auto SetConfiguration(const Configuration& configuration, std::size_t routers)
-      -> void;
+      @param router_count  in the fleet, which share the engines. */
+  auto SetConfiguration(const Configuration& configuration,
+                        std::size_t router_count) -> void;
 
   /** Marks upstreams as leaving by the VM list. */
   auto SetLeaving(Instant now,
--- a/tests/support/virtual_fleet.cc
+++ b/tests/support/virtual_fleet.cc
@@ -378,26 +378,45 @@
       failed);
 }
 
+auto VirtualFleet::ReportDone(std::size_t index,
+                              std::uint64_t life,
+                              const UpstreamDone& done) -> void {
+  this->Deliver(index, life, [this, index, done] {
+    const auto caller = this->nodes[index].handles.find(done.handle);
+    if (caller != this->nodes[index].handles.end()) {
+      this->callers[caller->second].spent = done.spent;
+    }
+    this->nodes[index].core->OnUpstreamDone(this->queue.Now(), done);
+    this->Pump(index);
+  });
+}
+
+auto VirtualFleet::ReportFailed(std::size_t index,
+                                std::uint64_t life,
+                                const UpstreamFailed& failed) -> void {
+  this->Deliver(index, life, [this, index, failed] {
+    this->nodes[index].core->OnUpstreamFailed(this->queue.Now(), failed);
+    this->Pump(index);
+  });
+}
+
 auto VirtualFleet::CarryOut(std::size_t index, const StartUpstream& action)
     -> void {
   const std::uint64_t life = this->nodes[index].life;
   const std::size_t number = this->nodes[index].handles.at(action.handle);
-  const CallerRecord& caller = this->callers[number];
+  const ArrivingRequest& arrival = this->callers[number].arrival;
+  if (this->send_upstream) {
+    this->send_upstream(index, action, arrival);
+    return;
+  }
   this->upstreams.Send(
-      action.handle, action.attempt, caller.arrival,
+      action.handle, action.attempt, arrival,
       [this, number] { this->callers[number].sent_now = true; },
-      [this, index, life, number](const UpstreamDone& done) {
-        this->Deliver(index, life, [this, index, number, done] {
-          this->callers[number].spent = done.spent;
-          this->nodes[index].core->OnUpstreamDone(this->queue.Now(), done);
-          this->Pump(index);
-        });
+      [this, index, life](const UpstreamDone& done) {
+        this->ReportDone(index, life, done);
       },
       [this, index, life](const UpstreamFailed& failed) {
-        this->Deliver(index, life, [this, index, failed] {
-          this->nodes[index].core->OnUpstreamFailed(this->queue.Now(), failed);
-          this->Pump(index);
-        });
+        this->ReportFailed(index, life, failed);
       });
 }
 
@@ -421,10 +440,17 @@
   return &caller;
 }
 
+auto VirtualFleet::TellEnd(const CallerRecord& caller) -> void {
+  if (this->on_end) {
+    this->on_end(caller);
+  }
+}
+
 auto VirtualFleet::CarryOut(std::size_t index, const RefuseRequest& action)
     -> void {
   if (CallerRecord* const caller = this->EndCaller(index, action.handle)) {
     caller->refusal = action.refusal;
+    this->TellEnd(*caller);
   }
 }
 
@@ -433,6 +459,7 @@
   if (CallerRecord* const caller = this->EndCaller(index, action.handle)) {
     caller->answered = true;
     caller->replayed = true;
+    this->TellEnd(*caller);
   }
 }
 
@@ -440,6 +467,7 @@
     -> void {
   if (CallerRecord* const caller = this->EndCaller(index, action.handle)) {
     caller->answered = true;
+    this->TellEnd(*caller);
   }
 }
 
--- a/tests/support/virtual_fleet.h
+++ b/tests/support/virtual_fleet.h
@@ -109,11 +109,29 @@
   /** Called after each event; returns false to stop the run. */
   std::function<bool()> after_step;
 
+  /** Called when a request ends for its caller. */
+  std::function<void(const CallerRecord& caller)> on_end;
+
+  /** Takes the place of the simple upstreams, as a model of busy engines does.
+   */
+  std::function<void(std::size_t node,
+                     const StartUpstream& action,
+                     const ArrivingRequest& arrival)>
+      send_upstream;
+
   /** Called with each action that a router takes, for golden sessions. */
   std::function<void(std::size_t node, const Action& action)> on_action;
 
   //============================================================================
 
+  /** Reports of upstreams that are modelled elsewhere. */
+  auto ReportDone(std::size_t node,
+                  std::uint64_t life,
+                  const UpstreamDone& done) -> void;
+  auto ReportFailed(std::size_t node,
+                    std::uint64_t life,
+                    const UpstreamFailed& failed) -> void;
+
   EventQueue queue;
   RandomSource random;
   FakeLog log;
@@ -143,6 +161,7 @@
   auto CarryOut(std::size_t node, const RefuseRequest& action) -> void;
   auto CarryOut(std::size_t node, const ReplayAnswer& action) -> void;
   auto CarryOut(std::size_t node, const ReleaseAnswer& action) -> void;
+  auto TellEnd(const CallerRecord& caller) -> void;
   auto Try(std::size_t caller, std::size_t node) -> void;
   auto EndCaller(std::size_t node, RequestHandle handle) -> CallerRecord*;
   auto TellLogFailed(std::size_t node, std::uint64_t life, LogTag tag) -> void;
