Reclaim dead routers' allowances through witnessed draw limits; share patient slots among routers

Change: a grant names two witnesses in the ledger; a holder draws no further than one of them has acknowledged; the keeper of a partition asks both after a death and returns the rest. Gifts wait for the witness too. Each router owns some of an engine's patient slots by rendezvous hashing.

--- a/bench/policy_main.cc
+++ b/bench/policy_main.cc
@@ -12,20 +12,27 @@
 using namespace auburnloft::bench;  // NOLINT(google-build-using-namespace)
 
 auto Policies() -> std::vector<PolicyCase> {
-  const auto demand = [](int cover, bool transfers) {
+  const auto demand = [](int cover, bool transfers, bool reclaim) {
     return nlohmann::json{{"policy", "demand_led"},
                           {"cover_seconds", cover},
-                          {"transfers", transfers}};
+                          {"transfers", transfers},
+                          {"reclaim", reclaim}};
   };
   return {
-      {"fixed split (baseline)", {{"policy", "fixed_split"}}, true},
+      {"fixed split (baseline)",
+       {{"policy", "fixed_split"}, {"reclaim", false}},
+       true},
       {"fixed chunk of 10,000",
-       {{"policy", "fixed_chunk"}, {"chunk_tokens", 10'000}},
+       {{"policy", "fixed_chunk"},
+        {"chunk_tokens", 10'000},
+        {"reclaim", false}},
        false},
-      {"demand-led 60 s", demand(60, false), false},
-      {"demand-led 60 s + transfers", demand(60, true), false},
-      {"demand-led 600 s + transfers", demand(600, true), false},
-      {"demand-led 3600 s + transfers", demand(3600, true), false},
+      {"demand 60 s", demand(60, false, false), false},
+      {"demand 60 s, transfers", demand(60, true, false), false},
+      {"demand 3600 s, transfers", demand(3600, true, false), false},
+      {"demand 60 s, transfers, reclaim", demand(60, true, true), false},
+      {"demand 600 s, transfers, reclaim", demand(600, true, true), false},
+      {"demand 3600 s, transfers, reclaim", demand(3600, true, true), false},
   };
 }
 
--- a/bench/traffic_main.cc
+++ b/bench/traffic_main.cc
@@ -199,6 +199,7 @@
 auto main(int argc, char** argv) -> int {
   SettingsReader settings("Compares the choice of upstreams in virtual time.");
   settings.DeclareWhole("seed", "seed of the schedule", 1, 0, 1'000'000'000);
+  settings.DeclareText("chooser", "one chooser; else all", "");
   if (!settings.Read(argc, argv)) {
     std::cerr << settings.findings().ToText();
     return 2;
@@ -209,6 +210,10 @@
   for (const Load& load : Loads()) {
     for (const char* const chooser :
          {"scored", "random", "round_robin", "least_in_flight"}) {
+      const std::string only = settings.Text("chooser");
+      if (!only.empty() && only != chooser) {
+        continue;
+      }
       TrafficBench bench(chooser, load,
                          static_cast<std::uint64_t>(settings.Whole("seed")));
       const Times times = bench.Run();
--- a/modules/al_budget/al_budget.h
+++ b/modules/al_budget/al_budget.h
@@ -24,8 +24,10 @@
 #include "al_budget/keeper/keeper_directory.h"
 #include "al_budget/keeper/keeper_host.h"
 #include "al_budget/keeper/partition_keeper.h"
+#include "al_budget/keeper/reclaim_desk.h"
 #include "al_budget/outbox/entry_outbox.h"
 #include "al_budget/policy/allowance_policy.h"
+#include "al_budget/witness/draw_limit_desk.h"
 #include "al_budget/witness/witness_desk.h"
 
 #endif  // AL_BUDGET_AL_BUDGET_H_
--- a/modules/al_budget/allowance/allowance_book.cc
+++ b/modules/al_budget/allowance/allowance_book.cc
@@ -35,7 +35,7 @@
 auto AllowanceBook::TryReserve(const TeamId& team, Tokens tokens) -> bool {
   TeamAllowance& allowance = this->all_teams[team];
   allowance.largest_reserve = std::max(allowance.largest_reserve, tokens);
-  if (allowance.free < tokens) {
+  if (allowance.Spendable() < tokens) {
     return false;
   }
   allowance.free -= tokens;
@@ -58,14 +58,28 @@
 }
 
 auto AllowanceBook::TryDebit(const TeamId& team, Tokens tokens) -> bool {
+  const auto found = this->all_teams.find(team);
+  if (found == this->all_teams.end() || found->second.Spendable() < tokens) {
+    return false;
+  }
+  found->second.free -= tokens;
+  return true;
+}
+
+auto AllowanceBook::TryReturn(const TeamId& team, Tokens tokens) -> bool {
   const auto found = this->all_teams.find(team);
   if (found == this->all_teams.end() || found->second.free < tokens) {
     return false;
   }
   found->second.free -= tokens;
+  found->second.received -= tokens;
   return true;
 }
 
+auto AllowanceBook::SetDrawLimit(const TeamId& team, Tokens limit) -> void {
+  this->all_teams[team].draw_limit = limit;
+}
+
 auto AllowanceBook::Of(const TeamId& team) const -> TeamAllowance {
   const auto found = this->all_teams.find(team);
   return found == this->all_teams.end() ? TeamAllowance{} : found->second;
--- a/modules/al_budget/allowance/allowance_book.h
+++ b/modules/al_budget/allowance/allowance_book.h
@@ -1,6 +1,8 @@
 #ifndef AL_BUDGET_ALLOWANCE_ALLOWANCE_BOOK_H_
 #define AL_BUDGET_ALLOWANCE_ALLOWANCE_BOOK_H_
 
+#include <algorithm>
+#include <limits>
 #include <map>
 
 #include "al_core/ids/ids.h"
@@ -10,12 +12,27 @@
 
 /** The tokens of one team in the hands of this router. */
 struct TeamAllowance {
+  static constexpr Tokens kNoLimit = std::numeric_limits<Tokens>::max();
+
   Tokens free = 0;
   Tokens reserved = 0;  ///< Upper bounds of requests that are running.
-  Tokens received = 0;  ///< Cumulative grants and transfers in.
+  Tokens received = 0;  ///< Cumulative grants and transfers in, less returns.
+  Tokens draw_limit = kNoLimit;  ///< Of `received`, what may leave `free`.
   Tokens largest_reserve = 0;
   double tokens_per_second = 0.0;  ///< Smoothed rate of spending.
   Instant rate_updated;
+
+  /** What is reserved, spent or given away of all that was received. */
+  [[nodiscard]] auto Drawn() const -> Tokens {
+    return this->received - this->free;
+  }
+
+  /** What may be taken of the free tokens now. */
+  [[nodiscard]] auto Spendable() const -> Tokens {
+    return this->draw_limit == kNoLimit
+               ? this->free
+               : std::min(this->free, this->draw_limit - this->Drawn());
+  }
 };
 
 /** All allowances of one router, and the spending from them.
@@ -50,9 +67,15 @@
   auto Settle(Instant now, const TeamId& team, Tokens reserved, Tokens spent)
       -> void;
 
-  /** Takes free tokens out, for a transfer or a return. */
+  /** Takes free tokens out, for a transfer. */
   [[nodiscard]] auto TryDebit(const TeamId& team, Tokens tokens) -> bool;
 
+  /** Takes free tokens out, for a return; they count as never received. */
+  [[nodiscard]] auto TryReturn(const TeamId& team, Tokens tokens) -> bool;
+
+  /** Sets how far the allowance may be drawn on. */
+  auto SetDrawLimit(const TeamId& team, Tokens limit) -> void;
+
   //============================================================================
   // Queries
 
--- a/modules/al_budget/allowance/budget_coordinator.cc
+++ b/modules/al_budget/allowance/budget_coordinator.cc
@@ -36,11 +36,22 @@
  * more. */
 constexpr Duration kSurplusInterval = std::chrono::seconds(10);
 
+/** A draw limit is raised this far ahead of the present rate, and by so many of the largest
+    requests: what a dead router strands is about this much. */
+constexpr Duration kDrawStep = std::chrono::seconds(10);
+constexpr Tokens kDrawStepRequests = 4;
+
+/** After a raise was in vain for this long, other witnesses are asked for. */
+constexpr Duration kRaiseWait = std::chrono::seconds(1);
+
+/** Witnesses are changed at most this often. */
+constexpr Duration kWitnessCheck = std::chrono::seconds(3);
+
 /** More holders are not asked for one request: each answer costs messages. */
 constexpr std::size_t kMostHoldersAsked = 8;
 
 /** An allowance of this many times its target is cut back to the target. */
-constexpr Tokens kSurplusFactor = 4;
+constexpr Tokens kSurplusFactor = 2;
 
 }  // namespace
 
@@ -50,6 +61,8 @@
                                      EntryOutbox& outbox,
                                      TransferDesk& transfers,
                                      WitnessDesk& witness,
+                                     DrawLimitDesk& draw_limits,
+                                     ChooseWitnesses choose_witnesses,
                                      LikelyHolders likely_holders)
     : self(std::move(self)),
       partitions(partitions),
@@ -57,13 +70,17 @@
       outbox(outbox),
       transfers(transfers),
       witness(witness),
+      draw_limits(draw_limits),
+      choose_witnesses(std::move(choose_witnesses)),
       likely_holders(std::move(likely_holders)) {}
 
 //==============================================================================
 // Requests
 
-auto BudgetCoordinator::SetPolicy(AnyAllowancePolicy new_policy) -> void {
+auto BudgetCoordinator::SetPolicy(AnyAllowancePolicy new_policy, bool reclaim)
+    -> void {
   this->policy = new_policy;
+  this->reclaims = reclaim;
 }
 
 auto BudgetCoordinator::Reserve(Instant now,
@@ -80,6 +97,7 @@
   if (!reserved) {
     fetch.waiters.push_back({handle, upper, deadline});
   }
+  this->RaiseLimit(now, team, false);
   this->AskKeeper(now, team, fetch);
   return reserved ? ReserveAnswer::kReserved : ReserveAnswer::kWaiting;
 }
@@ -135,6 +153,7 @@
   if (fetch.waiters.empty()) {
     fetch.holders_deadline.reset();
   }
+  this->RaiseLimit(now, team, false);
   this->AskKeeper(now, team, fetch);
 }
 
@@ -176,7 +195,8 @@
                                   const TeamId& team,
                                   TeamFetch& fetch) -> void {
   const Tokens need = this->NeedOf(team, fetch);
-  const bool refill_rests = need == 0 && now < fetch.next_refill_at;
+  const bool refill_rests = need == 0 && now < fetch.next_refill_at &&
+                            !this->WantsWitnesses(now, team, fetch);
   const bool returns_all = this->draining && need == 0;
   if (!fetch.open_op.empty() || fetch.holders_deadline || refill_rests ||
       returns_all) {
@@ -187,7 +207,8 @@
         return chosen.Wanted(this->DemandOf(now, team, need));
       },
       this->policy);
-  if (want <= 0) {
+  const bool wants_witnesses = this->WantsWitnesses(now, team, fetch);
+  if (want <= 0 && !wants_witnesses) {
     return;
   }
   wire::LedgerEntry entry;
@@ -197,6 +218,11 @@
   grant.set_op_seq(fetch.op_seq + 1);
   grant.set_tokens(want);
   grant.set_need(need);
+  if (this->reclaims) {
+    for (const IncarnationId& witness : this->choose_witnesses()) {
+      grant.add_witnesses(witness.value());
+    }
+  }
   entry.set_entry_id("grant/" + team.value() + "/" + this->self.value() + "/" +
                      std::to_string(grant.op_seq()));
   fetch.open_op = entry.entry_id();
@@ -205,6 +231,87 @@
   this->Submit(now, team, std::move(entry), Urgency::kAtOnce);
 }
 
+//==============================================================================
+// Draw limits
+
+auto BudgetCoordinator::WantsWitnesses(Instant now,
+                                       const TeamId& team,
+                                       const TeamFetch& fetch) const -> bool {
+  if (!this->reclaims || this->draining || now < fetch.next_witness_check) {
+    return false;
+  }
+  const std::vector<IncarnationId> named = this->draw_limits.WitnessesOf(team);
+  const std::vector<IncarnationId> best = this->choose_witnesses();
+  const std::optional<Instant> since = this->draw_limits.WaitingSince(team);
+  const bool raise_fails = since && now >= *since + kRaiseWait;
+  const bool one_is_missing =
+      std::ranges::any_of(named, [&](const IncarnationId& witness) {
+        return std::ranges::find(best, witness) == best.end();
+      });
+  const bool holds_tokens = this->allowances.Of(team).free > 0;
+  return holds_tokens && !best.empty() && (raise_fails || one_is_missing);
+}
+
+auto BudgetCoordinator::TakeWitnesses(Instant now,
+                                      const TeamId& team,
+                                      std::uint64_t op_seq,
+                                      const wire::EntryVerdict& verdict)
+    -> void {
+  std::vector<IncarnationId> witnesses;
+  for (const std::string& witness : verdict.witnesses()) {
+    witnesses.emplace_back(witness);
+  }
+  const TeamAllowance allowance = this->allowances.Of(team);
+  if (witnesses.empty()) {
+    this->allowances.SetDrawLimit(team, TeamAllowance::kNoLimit);
+  } else if (allowance.draw_limit == TeamAllowance::kNoLimit) {
+    // From the first note on, nothing may be drawn that a witness does not know of.
+    this->allowances.SetDrawLimit(team, allowance.Drawn());
+  }
+  this->draw_limits.SetWitnesses(team, op_seq, std::move(witnesses));
+  this->fetches[team].next_witness_check = now + kWitnessCheck;
+  this->RaiseLimit(now, team, true);
+}
+
+auto BudgetCoordinator::RaiseLimit(Instant now,
+                                   const TeamId& team,
+                                   bool is_first) -> void {
+  const TeamAllowance allowance = this->allowances.Of(team);
+  if (allowance.draw_limit == TeamAllowance::kNoLimit) {
+    return;
+  }
+  Tokens waiting = 0;
+  for (const Waiter& waiter : this->fetches[team].waiters) {
+    waiting += waiter.upper;
+  }
+  const auto by_rate = static_cast<Tokens>(
+      this->allowances.RateOf(now, team) * ToSeconds(kDrawStep));
+  const Tokens step =
+      std::max(by_rate, kDrawStepRequests * allowance.largest_reserve);
+  const Tokens room = allowance.draw_limit - allowance.Drawn();
+  if (is_first || room < step / 2 + waiting) {
+    this->draw_limits.Raise(
+        now, team,
+        std::max(allowance.draw_limit, allowance.Drawn() + waiting + step));
+  }
+}
+
+auto BudgetCoordinator::OnDrawAck(Instant now, const wire::DrawAck& ack)
+    -> void {
+  const std::optional<Tokens> limit = this->draw_limits.OnAck(ack);
+  if (!limit) {
+    return;
+  }
+  const TeamId team(ack.team());
+  this->allowances.SetDrawLimit(
+      team, std::max(*limit, this->allowances.Of(team).draw_limit));
+  this->ServeAsks(now, team, this->fetches[team]);
+  this->ServeWaiters(now, team, this->fetches[team]);
+}
+
+//==============================================================================
+// Grants, continued
+
 auto BudgetCoordinator::OnGrantVerdict(Instant now,
                                        const wire::Grant& grant,
                                        const wire::EntryVerdict& verdict)
@@ -220,6 +327,7 @@
     // tokens are received once.
     fetch.op_seq = grant.op_seq();
     this->allowances.Receive(team, verdict.tokens());
+    this->TakeWitnesses(now, team, grant.op_seq(), verdict);
     const bool cut_short = verdict.tokens() < grant.tokens();
     fetch.next_refill_at = cut_short ? now + kRefillHold : now;
     fetch.refill_hold = kRefillHold;
@@ -257,7 +365,11 @@
   wire::TransferAsk ask;
   ask.set_team(team.value());
   ask.set_need(this->NeedOf(team, fetch));
-  ask.set_want(ask.need());
+  ask.set_want(std::visit(
+      [&](const auto& chosen) {
+        return chosen.Wanted(this->DemandOf(now, team, ask.need()));
+      },
+      this->policy));
   ask.set_ask_id(this->next_ask_id++);
   fetch.ask_id = ask.ask_id();
   fetch.open_asks = 0;
@@ -322,26 +434,55 @@
                                       const PeerAddress& from_address,
                                       const wire::TransferAsk& ask) -> void {
   const TeamId team(ask.team());
-  const auto fetch = this->fetches.find(team);
-  const bool has_waiters =
-      fetch != this->fetches.end() && !fetch->second.waiters.empty();
-  const Tokens free = this->allowances.Of(team).free;
-  const Tokens offer = std::min(free, std::max(ask.need(), free / 2));
+  const TeamAllowance allowance = this->allowances.Of(team);
+  TeamFetch& fetch = this->fetches[team];
+  const Tokens offer =
+      std::min(allowance.free, std::max(ask.need(), allowance.free / 2));
   const Tokens tokens = std::min(offer, std::max(ask.need(), ask.want()));
-  if (has_waiters || tokens <= 0 || !this->allowances.TryDebit(team, tokens)) {
+  if (!fetch.waiters.empty() || tokens <= 0) {
     this->transfers.GiveNothing(from_address, ask);
     return;
   }
-  const std::string id =
-      this->transfers.Give(now, from, from_address, ask, tokens);
+  if (allowance.Spendable() < tokens) {
+    // The gift waits until a witness knows that it may have left.
+    fetch.asks.push_back({from, from_address, ask, tokens, now + kHoldersWait});
+    this->draw_limits.Raise(now, team, allowance.Drawn() + tokens);
+    return;
+  }
+  this->Give(now, {from, from_address, ask, tokens, now});
+}
+
+auto BudgetCoordinator::ServeAsks(Instant now,
+                                  const TeamId& team,
+                                  TeamFetch& fetch) -> void {
+  for (const PendingAsk& item : std::exchange(fetch.asks, {})) {
+    const TeamAllowance allowance = this->allowances.Of(team);
+    if (allowance.Spendable() >= item.tokens && fetch.waiters.empty()) {
+      this->Give(now, item);
+    } else if (now < item.expires && allowance.free >= item.tokens) {
+      fetch.asks.push_back(item);
+    } else {
+      this->transfers.GiveNothing(item.from_address, item.ask);
+    }
+  }
+}
+
+auto BudgetCoordinator::Give(Instant now, const PendingAsk& item) -> void {
+  const TeamId team(item.ask.team());
+  if (!this->allowances.TryDebit(team, item.tokens)) {
+    this->transfers.GiveNothing(item.from_address, item.ask);
+    return;
+  }
+  const std::string id = this->transfers.Give(
+      now, item.from, item.from_address, item.ask, item.tokens);
   wire::LedgerEntry entry;
   entry.set_entry_id("transfer/" + id + "/from");
   wire::Transfer& transfer = *entry.mutable_transfer();
-  transfer.set_team(ask.team());
+  transfer.set_team(team.value());
   transfer.set_transfer_id(id);
   transfer.set_from(this->self.value());
-  transfer.set_to(from.value());
-  transfer.set_tokens(tokens);
+  transfer.set_to(item.from.value());
+  transfer.set_tokens(item.tokens);
   this->witness.Copy(now, entry);
   this->Submit(now, team, std::move(entry), Urgency::kBatched);
 }
@@ -359,9 +500,13 @@
     case wire::LedgerEntry::kGiveBack: {
       TeamFetch& fetch = this->fetches[TeamId(entry.give_back().team())];
       fetch.open_op.clear();
+      this->draw_limits.SetWitnesses(TeamId(entry.give_back().team()),
+                                     entry.give_back().op_seq(), {});
+      this->allowances.SetDrawLimit(TeamId(entry.give_back().team()),
+                                    TeamAllowance::kNoLimit);
       if (verdict.verdict() == wire::VERDICT_INSUFFICIENT) {
         // A transfer to this router is not recorded yet.
-        this->allowances.Restore(TeamId(entry.give_back().team()),
+        this->allowances.Receive(TeamId(entry.give_back().team()),
                                  entry.give_back().tokens());
       }
       break;
@@ -413,7 +558,7 @@
                                      TeamFetch& fetch,
                                      Tokens tokens) -> void {
   if (tokens <= 0 || !fetch.open_op.empty() ||
-      !this->allowances.TryDebit(team, tokens)) {
+      !this->allowances.TryReturn(team, tokens)) {
     return;
   }
   wire::LedgerEntry entry;
@@ -456,6 +601,7 @@
 auto BudgetCoordinator::TickTeam(Instant now,
                                  const TeamId& team,
                                  TeamFetch& fetch) -> void {
+  this->ServeAsks(now, team, fetch);
   if (fetch.holders_deadline && now >= *fetch.holders_deadline) {
     this->FinishAskingHolders(now, team, fetch);
   }
--- a/modules/al_budget/allowance/budget_coordinator.h
+++ b/modules/al_budget/allowance/budget_coordinator.h
@@ -14,6 +14,7 @@
 #include "al_budget/allowance/transfer_desk.h"
 #include "al_budget/outbox/entry_outbox.h"
 #include "al_budget/policy/allowance_policy.h"
+#include "al_budget/witness/draw_limit_desk.h"
 #include "al_budget/witness/witness_desk.h"
 #include "al_ledger/records/partition_map.h"
 #include "peer.pb.h"
@@ -49,6 +50,9 @@
   using LikelyHolders =
       std::function<std::vector<RouterId>(const TeamId& team)>;
 
+  /** Names the routers that should keep this router's draw limits: heard of lately. */
+  using ChooseWitnesses = std::function<std::vector<IncarnationId>()>;
+
   enum class ReserveAnswer { kReserved, kWaiting, kRefused };
 
   BudgetCoordinator(IncarnationId self,
@@ -57,6 +61,8 @@
                     EntryOutbox& outbox,
                     TransferDesk& transfers,
                     WitnessDesk& witness,
+                    DrawLimitDesk& draw_limits,
+                    ChooseWitnesses choose_witnesses,
                     LikelyHolders likely_holders);
 
   BudgetCoordinator(const BudgetCoordinator&) = delete;
@@ -65,8 +71,10 @@
   //============================================================================
   // Commands
 
-  /** Changes the policy for the asks from now on. */
-  auto SetPolicy(AnyAllowancePolicy new_policy) -> void;
+  /** Changes the policy for the asks from now on.
+      @param reclaim  whether witnesses keep draw limits, so that a dead router's allowance can be
+                      reclaimed. */
+  auto SetPolicy(AnyAllowancePolicy new_policy, bool reclaim) -> void;
 
   /** Reserves `upper` tokens for a request. kWaiting: TakeDecisions() tells the
      end later.
@@ -106,6 +114,9 @@
                      const PeerAddress& from_address,
                      const wire::TransferAsk& ask) -> void;
 
+  /** Takes in a witness's word that the draw limit of a team is raised. */
+  auto OnDrawAck(Instant now, const wire::DrawAck& ack) -> void;
+
   /** Refills low allowances and ends waits whose time has come. */
   auto Tick(Instant now) -> void;
 
@@ -135,8 +146,17 @@
     Tokens upper = 0;
     Instant deadline;
   };
+  /** A router that asked for tokens, while a witness is told of the gift. */
+  struct PendingAsk {
+    IncarnationId from;
+    PeerAddress from_address;
+    wire::TransferAsk ask;
+    Tokens tokens = 0;
+    Instant expires;
+  };
   struct TeamFetch {
     std::vector<Waiter> waiters;
+    std::vector<PendingAsk> asks;
     std::uint64_t op_seq = 0;
     std::string open_op;  ///< Entry id of the grant or return under way.
     Instant asked_keeper_at;
@@ -147,6 +167,7 @@
     Instant exhausted_until;  ///< Asking again earlier would not help.
     std::optional<Instant> holders_deadline;  ///< Set while holders are asked.
     Instant next_holders_ask;
+    Instant next_witness_check;
     std::size_t open_asks = 0;
     std::uint64_t ask_id = 0;
   };
@@ -166,12 +187,21 @@
       -> void;
   auto FinishAskingHolders(Instant now, const TeamId& team, TeamFetch& fetch)
       -> void;
+  [[nodiscard]] auto WantsWitnesses(Instant now, const TeamId& team, const TeamFetch& fetch) const
+      -> bool;
+  auto TakeWitnesses(Instant now,
+                     const TeamId& team,
+                     std::uint64_t op_seq,
+                     const wire::EntryVerdict& verdict) -> void;
+  auto RaiseLimit(Instant now, const TeamId& team, bool is_first) -> void;
   auto OnGrantVerdict(Instant now,
                       const wire::Grant& grant,
                       const wire::EntryVerdict& verdict) -> void;
   auto OnBillVerdict(Instant now,
                      const wire::LedgerEntry& entry,
                      const wire::EntryVerdict& verdict) -> void;
+  auto ServeAsks(Instant now, const TeamId& team, TeamFetch& fetch) -> void;
+  auto Give(Instant now, const PendingAsk& item) -> void;
   auto TickTeam(Instant now, const TeamId& team, TeamFetch& fetch) -> void;
   auto ReturnTokens(Instant now,
                     const TeamId& team,
@@ -188,6 +218,9 @@
   EntryOutbox& outbox;
   TransferDesk& transfers;
   WitnessDesk& witness;
+  DrawLimitDesk& draw_limits;
+  ChooseWitnesses choose_witnesses;
+  bool reclaims = true;
   LikelyHolders likely_holders;
   AllowanceBook allowances;
   std::map<TeamId, TeamFetch> fetches;
--- a/modules/al_budget/keeper/keeper_host.cc
+++ b/modules/al_budget/keeper/keeper_host.cc
@@ -110,6 +110,15 @@
   }
 }
 
+auto KeeperHost::AddEntry(Instant now,
+                          PartitionIndex partition,
+                          wire::LedgerEntry entry) -> void {
+  const auto found = this->all_keepers.find(partition);
+  if (found != this->all_keepers.end()) {
+    found->second->AddOwnEntry(now, std::move(entry));
+  }
+}
+
 auto KeeperHost::HandOver(
     Instant /*now*/,
     std::span<const RouterId> live,
--- a/modules/al_budget/keeper/keeper_host.h
+++ b/modules/al_budget/keeper/keeper_host.h
@@ -57,6 +57,9 @@
                      const std::function<bool(const IncarnationId&)>& is_dead)
       -> void;
 
+  /** Adds an entry of this router's own to a partition that it keeps. */
+  auto AddEntry(Instant now, PartitionIndex partition, wire::LedgerEntry entry) -> void;
+
   /** Asks the next candidate to take over what this router keeps. */
   auto HandOver(
       Instant now,
--- a/modules/al_budget/keeper/partition_keeper.cc
+++ b/modules/al_budget/keeper/partition_keeper.cc
@@ -417,6 +417,9 @@
   if (balance.op_seq == grant.op_seq()) {
     return true;  // Granted before; the fold answers with the amount.
   }
+  if (grant.tokens() == 0) {
+    return grant.witnesses_size() > 0;  // Only names other witnesses.
+  }
   Tokens& already = taken[grant.team()];
   GrantRequest request;
   request.want = grant.tokens();
--- a/modules/al_config/check/configuration_parser.cc
+++ b/modules/al_config/check/configuration_parser.cc
@@ -23,6 +23,7 @@
       std::chrono::seconds(reader.Whole("cover_seconds", 600, 1, kDaySeconds));
   settings.chunk = reader.Whole("chunk_tokens", 10'000, 1, kMostTokens);
   settings.transfers = reader.Flag("transfers", true);
+  settings.reclaim = reader.Flag("reclaim", true);
   return settings;
 }
 
--- a/modules/al_config/model/configuration.h
+++ b/modules/al_config/model/configuration.h
@@ -65,6 +65,7 @@
   Duration cover = std::chrono::minutes(10);
   Tokens chunk = 10'000;
   bool transfers = true;
+  bool reclaim = true;
 };
 
 struct LedgerSettings {
--- a/modules/al_ledger/fold/partition_ledger.cc
+++ b/modules/al_ledger/fold/partition_ledger.cc
@@ -202,12 +202,16 @@
     case wire::LedgerEntry::kTopUp:
       verdict.set_verdict(team.account.Apply(entry.top_up()));
       break;
-    case wire::LedgerEntry::kGrant:
+    case wire::LedgerEntry::kGrant: {
       verdict.set_verdict(team.account.Apply(entry.grant()));
-      verdict.set_tokens(
-          team.account.BalanceOf(IncarnationId(entry.grant().holder()))
-              .last_grant);
+      const HolderBalance balance =
+          team.account.BalanceOf(IncarnationId(entry.grant().holder()));
+      verdict.set_tokens(balance.last_grant);
+      for (const IncarnationId& witness : balance.witnesses) {
+        verdict.add_witnesses(witness.value());
+      }
       break;
+    }
     case wire::LedgerEntry::kGiveBack:
       verdict.set_verdict(team.account.Apply(entry.give_back()));
       break;
--- a/modules/al_ledger/fold/team_account.cc
+++ b/modules/al_ledger/fold/team_account.cc
@@ -32,7 +32,9 @@
   if (entry.op_seq() < account.op_seq || account.closed) {
     return wire::VERDICT_STALE;
   }
-  if (entry.tokens() == 0 || entry.tokens() > this->free_tokens) {
+  const bool names_witnesses = entry.witnesses_size() > 0;
+  if ((entry.tokens() == 0 && !names_witnesses) ||
+      entry.tokens() > this->free_tokens) {
     return wire::VERDICT_INSUFFICIENT;
   }
   this->free_tokens -= entry.tokens();
@@ -41,6 +43,10 @@
   account.received += entry.tokens();
   account.last_grant = entry.tokens();
   account.op_seq = entry.op_seq();
+  account.witnesses.clear();
+  for (const std::string& witness : entry.witnesses()) {
+    account.witnesses.emplace_back(witness);
+  }
   return wire::VERDICT_VALID;
 }
 
@@ -52,15 +58,17 @@
   if (entry.op_seq() == account.op_seq) {
     return wire::VERDICT_REPEATED;
   }
-  if (entry.op_seq() < account.op_seq) {
+  if (entry.op_seq() < account.op_seq || account.closed) {
     return wire::VERDICT_STALE;
   }
   if (entry.tokens() > this->out_tokens) {
     return wire::VERDICT_INSUFFICIENT;
   }
   this->TakeFrom(account, entry.tokens());
+  account.received -= entry.tokens();
   account.op_seq = entry.op_seq();
   account.last_grant = 0;
+  account.witnesses.clear();
   this->free_tokens += entry.tokens();
   return wire::VERDICT_VALID;
 }
@@ -107,8 +115,8 @@
 
 auto TeamAccount::Apply(const wire::Reclaim& entry) -> wire::Verdict {
   const auto found = this->accounts.find(IncarnationId(entry.holder()));
-  if (found == this->accounts.end()) {
-    return wire::VERDICT_INSUFFICIENT;
+  if (found == this->accounts.end() || found->second.closed) {
+    return wire::VERDICT_STALE;
   }
   HolderBalance& account = found->second;
   const Tokens recorded_draws = account.received - account.tokens;
@@ -160,9 +168,12 @@
   this->accounts.clear();
   this->out_tokens = 0;
   for (const wire::HolderAccount& holder : snapshot.holders()) {
-    this->accounts[IncarnationId(holder.holder())] = {
-        holder.tokens(), holder.received(), holder.last_grant(),
-        holder.op_seq(), holder.closed()};
+    HolderBalance& account = this->accounts[IncarnationId(holder.holder())];
+    account = {holder.tokens(), holder.received(), holder.last_grant(),
+               holder.op_seq(), holder.closed(),   {}};
+    for (const std::string& witness : holder.witnesses()) {
+      account.witnesses.emplace_back(witness);
+    }
     this->out_tokens += holder.tokens();
   }
   this->bills.clear();
@@ -186,6 +197,9 @@
     out.set_last_grant(account.last_grant);
     out.set_op_seq(account.op_seq);
     out.set_closed(account.closed);
+    for (const IncarnationId& witness : account.witnesses) {
+      out.add_witnesses(witness.value());
+    }
   }
   for (const auto& [key, mark] : this->bills) {
     wire::BilledRequest& out = *snapshot.add_bills();
--- a/modules/al_ledger/fold/team_account.h
+++ b/modules/al_ledger/fold/team_account.h
@@ -6,6 +6,7 @@
 #include <set>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 #include "al_core/ids/ids.h"
 #include "al_ledger/fold/key_digest.h"
@@ -19,10 +20,11 @@
 struct HolderBalance {
   Tokens tokens = 0;      ///< Out with the holder and not yet billed; negative
                           ///< while a transfer to it is not recorded yet.
-  Tokens received = 0;    ///< Cumulative grants and transfers in.
+  Tokens received = 0;    ///< Cumulative grants and transfers in, less returns.
   Tokens last_grant = 0;  ///< The amount of the grant with number `op_seq`.
   std::uint64_t op_seq = 0;  ///< The last grant or return that took effect.
   bool closed = false;  ///< The holder is dead; it receives no more grants.
+  std::vector<IncarnationId> witnesses;  ///< Of its draw limit, since `op_seq`.
 };
 
 /** The money of one team: top-ups, allowances out, bills.
--- a/modules/al_router/core/router_core.cc
+++ b/modules/al_router/core/router_core.cc
@@ -64,12 +64,18 @@
               core.queue,
               core.entries,
               [&core] { return core.witness_address; }),
+      draw_limits(core.queue,
+                  [&core](const IncarnationId& id) {
+                    return core.fleet.AddressOf(RouterOf(id));
+                  }),
       budget(core.own.incarnation,
              partitions,
              DemandLedPolicy(AllowanceSettings{}.cover, true),
              core.entries,
              core.transfers,
              witness,
+             draw_limits,
+             [&core] { return core.ChooseWitnesses(); },
              [&core](const TeamId& team) { return core.LikelyHolders(team); }),
       desk(core.own.incarnation,
            partitions,
@@ -77,14 +83,17 @@
            budget,
            core.entries,
            witness,
-           core.upstreams) {}
+           core.upstreams),
+      reclaim(core.queue, core.host, [&core](const IncarnationId& id) {
+        return core.fleet.AddressOf(RouterOf(id));
+      }) {}
 
 RouterCore::RouterCore(RouterSettings settings)
     : own(std::move(settings)),
       random(own.seed),
       fleet(own.incarnation, own.vm),
       config(queue, random),
-      upstreams(own.vm.domain, random),
+      upstreams(own.name, own.vm.domain, random),
       host(own.incarnation,
            own.vm.peer_address,
            queue,
@@ -214,6 +223,19 @@
     case wire::PeerMessage::kEntryNoteDone:
       this->ledgered->witness.OnDone(from, message.entry_note_done());
       break;
+    case wire::PeerMessage::kDrawNote:
+      this->ledgered->draw_limits.OnNote(from, from_address,
+                                         message.draw_note());
+      break;
+    case wire::PeerMessage::kDrawAck:
+      this->ledgered->budget.OnDrawAck(now, message.draw_ack());
+      break;
+    case wire::PeerMessage::kDrawAsk:
+      this->ledgered->draw_limits.OnAsk(from_address, message.draw_ask());
+      break;
+    case wire::PeerMessage::kDrawReply:
+      this->ledgered->reclaim.OnReply(now, from, message.draw_reply());
+      break;
     default:
       break;
   }
@@ -312,22 +334,24 @@
 
 auto RouterCore::ApplyConfiguration() -> void {
   const Configuration* const current = this->config.configuration();
-  const std::size_t routers = this->fleet.routers().size();
+  const std::vector<RouterId> live = this->fleet.Live();
   const bool is_applied = current != nullptr &&
                           current->version == this->applied_version &&
-                          routers == this->applied_routers;
+                          live == this->applied_routers;
   if (current == nullptr || is_applied) {
     return;
   }
   this->applied_version = current->version;
-  this->applied_routers = routers;
+  this->applied_routers = live;
   if (this->ledgered == nullptr) {
     this->ledgered =
         std::make_unique<Ledgered>(*this, current->defaults.ledger.partitions);
   }
-  this->host.SetSettings(KeeperSettingsOf(current->defaults, routers));
-  this->upstreams.SetConfiguration(*current, routers);
-  this->ledgered->budget.SetPolicy(PolicyOf(current->defaults.allowance));
+  this->host.SetSettings(
+      KeeperSettingsOf(current->defaults, this->fleet.routers().size()));
+  this->upstreams.SetConfiguration(*current, live);
+  this->ledgered->budget.SetPolicy(PolicyOf(current->defaults.allowance),
+                                   current->defaults.allowance.reclaim);
   this->ledgered->desk.SetRetry(current->defaults.retry);
 }
 
@@ -342,6 +366,7 @@
   if (this->ledgered != nullptr) {
     this->ledgered->budget.Tick(now);
     this->ledgered->witness.Tick(now);
+    this->ledgered->draw_limits.Tick(now);
     this->TickDead(now);
     this->TickDrain(now);
   }
@@ -370,27 +395,38 @@
     return;
   }
   this->next_witness_choice = now + kWitnessChoiceInterval;
-  this->witness_address.reset();
-  std::uint64_t best_weight = 0;
-  bool best_is_elsewhere = false;
+  const Membership::Router* near = nullptr;
+  const Membership::Router* far = nullptr;
   for (const auto& [name, router] : this->fleet.routers()) {
     const bool is_fresh = now < router.last_heard + kWitnessFreshness;
     if (name == this->own.name || router.incarnation.empty() || !is_fresh ||
         router.draining) {
       continue;
     }
-    const bool is_elsewhere = router.vm.domain != this->own.vm.domain;
-    const std::uint64_t weight =
-        StableHash(this->own.name.value(), name.value());
-    const bool is_better = is_elsewhere != best_is_elsewhere
-                               ? is_elsewhere
-                               : weight >= best_weight;
-    if (!this->witness_address || is_better) {
-      this->witness_address = router.vm.peer_address;
-      best_weight = weight;
-      best_is_elsewhere = is_elsewhere;
+    const auto weight = [this](const Membership::Router& item) {
+      return StableHash(this->own.name.value(), item.vm.name);
+    };
+    const bool is_far = router.vm.domain != this->own.vm.domain;
+    const Membership::Router*& best = is_far ? far : near;
+    if (best == nullptr || weight(router) > weight(*best)) {
+      best = &router;
     }
   }
+  this->witness_address.reset();
+  this->witness_ids.clear();
+  for (const Membership::Router* const router : {far, near}) {
+    if (router == nullptr) {
+      continue;
+    }
+    if (!this->witness_address) {
+      this->witness_address = router->vm.peer_address;
+    }
+    this->witness_ids.push_back(router->incarnation);
+  }
+}
+
+auto RouterCore::ChooseWitnesses() const -> std::vector<IncarnationId> {
+  return this->witness_ids;
 }
 
 auto RouterCore::PublishKeepers() -> void {
@@ -412,6 +448,7 @@
   };
   this->ledgered->witness.OnHolderDead(now, is_dead);
   this->host.OnHoldersDead(now, is_dead);
+  this->ledgered->reclaim.Look(is_dead);
 }
 
 auto RouterCore::TickDrain(Instant now) -> void {
--- a/modules/al_router/core/router_core.h
+++ b/modules/al_router/core/router_core.h
@@ -120,8 +120,10 @@
     Ledgered(RouterCore& core, PartitionIndex partition_count);
     PartitionMap partitions;
     WitnessDesk witness;
+    DrawLimitDesk draw_limits;
     BudgetCoordinator budget;
     RequestDesk desk;
+    ReclaimDesk reclaim;
   };
 
   auto ApplyConfiguration() -> void;
@@ -139,6 +141,7 @@
   auto Deliver(Instant now) -> void;
   auto PublishKeepers() -> void;
   auto ChooseWitness(Instant now) -> void;
+  [[nodiscard]] auto ChooseWitnesses() const -> std::vector<IncarnationId>;
   [[nodiscard]] auto LikelyHolders(const TeamId& team) const
       -> std::vector<RouterId>;
 
@@ -156,12 +159,13 @@
   TransferDesk transfers;
   std::unique_ptr<Ledgered> ledgered;
   std::uint64_t applied_version = 0;
-  std::size_t applied_routers = 0;
+  std::vector<RouterId> applied_routers;
   Instant next_dead_check;
   std::optional<Instant> drain_began;
   Instant next_hand_over;
   Instant next_witness_choice;
   std::optional<PeerAddress> witness_address;
+  std::vector<IncarnationId> witness_ids;
 };
 
 }  // namespace auburnloft
--- a/modules/al_traffic/choice/scored_chooser.h
+++ b/modules/al_traffic/choice/scored_chooser.h
@@ -9,12 +9,12 @@
 
 namespace auburnloft {
 
-/** Compares a few candidates by a score and takes the best of them.
+/** Compares all candidates by a score and takes the best of them.
 
-    The score is the expected load, less what a cached prefix saves, plus a
-   little for another failure domain. A few random candidates and the one with
-   the best prefix are compared rather than all: reports lag, and routers that
-   all see the same best upstream would all pick it.
+    The score is the load, less what a cached prefix saves, plus a little for another failure
+    domain. A router's own requests count in full, since they are exact and differ from router to
+    router; those of others, which reports tell late and to all alike, count in part, so that not
+    every router picks the same upstream.
 */
 class ScoredChooser {
  public:
--- a/modules/al_traffic/upstreams/upstream_pool.cc
+++ b/modules/al_traffic/upstreams/upstream_pool.cc
@@ -5,6 +5,8 @@
 #include <numeric>
 #include <utility>
 
+#include "al_core/text/digest.h"
+
 namespace auburnloft {
 
 namespace {
@@ -24,6 +26,10 @@
  * takes it first. */
 constexpr double kQuickOvercommit = 1.5;
 
+/** Patient work borrows slots of other routers while less than this part of an engine's patient
+    slots is taken: reports lag, and several routers may borrow at once. */
+constexpr double kBorrowBelow = 0.5;
+
 auto ChooserFor(ChooserKind kind) -> AnyUpstreamChooser {
   switch (kind) {
     case ChooserKind::kRandom:
@@ -40,34 +46,58 @@
 
 }  // namespace
 
-UpstreamPool::UpstreamPool(DomainId own_domain, RandomSource& random)
-    : own_domain(std::move(own_domain)), random(random) {}
+UpstreamPool::UpstreamPool(RouterId self,
+                           DomainId own_domain,
+                           RandomSource& random)
+    : self(std::move(self)),
+      own_domain(std::move(own_domain)),
+      random(random) {}
 
 //==============================================================================
 // Commands
 
 auto UpstreamPool::SetConfiguration(const Configuration& configuration,
-                                    std::size_t router_count) -> void {
+                                    std::span<const RouterId> routers) -> void {
   const AnyUpstreamChooser wanted =
       ChooserFor(configuration.defaults.traffic.chooser);
   if (wanted.index() != this->chooser.index()) {
     this->chooser = wanted;
   }
-  this->patient_share = configuration.defaults.traffic.patient_share;
-  this->routers = std::max<std::size_t>(1, router_count);
   std::vector<Member> next;
   for (const Upstream& upstream : configuration.upstreams) {
     Member* const known = this->Find(upstream.id);
-    Member& member =
-        next.emplace_back(known == nullptr ? Member{} : std::move(*known));
+    Member& member = next.emplace_back(known == nullptr ? Member{}
+                                                        : std::move(*known));
     if (member.upstream.address != upstream.address) {
       member.prefixes.Clear();
     }
     member.upstream = upstream;
+    this->SharePatientSlots(
+        member, configuration.defaults.traffic.patient_share, routers);
   }
   this->all = std::move(next);
 }
 
+auto UpstreamPool::SharePatientSlots(Member& member,
+                                     double share,
+                                     std::span<const RouterId> routers) const
+    -> void {
+  const auto slots = std::max<std::uint32_t>(
+      1, static_cast<std::uint32_t>(share * member.upstream.slots));
+  member.patient_slots = slots;
+  member.own_patient_slots = 0;
+  for (std::uint32_t slot = 0; slot < slots; ++slot) {
+    const std::string item =
+        member.upstream.id.value() + "/" + std::to_string(slot);
+    const auto owner = std::ranges::max_element(
+        routers, {},
+        [&](const RouterId& router) { return StableHash(router.value(), item); });
+    if (owner != routers.end() && *owner == this->self) {
+      ++member.own_patient_slots;
+    }
+  }
+}
+
 auto UpstreamPool::SetLeaving(
     Instant now,
     const std::function<bool(const UpstreamId&)>& is_leaving) -> void {
@@ -152,6 +182,7 @@
     member->report = report;
     member->reported_at = now;
     member->own_at_report = member->own_quick + member->own_patient;
+    member->own_patient_at_report = member->own_patient;
     member->leaving = member->leaving || report.leaving;
   }
 }
@@ -233,14 +264,18 @@
       query.patience == Patience::kQuick) {
     return total < slots * kQuickOvercommit;
   }
-  // Patient work keeps to its share of the engine; each router to its part of
-  // that share.
-  const double share = slots * this->patient_share;
-  const double own_share =
-      std::max(1.0, share / static_cast<double>(this->routers) * 2.0);
-  const double patient_running =
-      std::max<double>(member.own_patient, member.report.patient_running);
-  return member.own_patient < own_share && patient_running < share;
+  return MayTakePatient(member);
+}
+
+auto UpstreamPool::MayTakePatient(const Member& member) -> bool {
+  if (member.own_patient < member.own_patient_slots) {
+    return true;
+  }
+  // A slot of another router may be borrowed while the engine has many to spare.
+  const double sent_since = std::max(
+      0.0, static_cast<double>(member.own_patient) - member.own_patient_at_report);
+  return member.report.patient_running + sent_since <
+         member.patient_slots * kBorrowBelow;
 }
 
 auto UpstreamPool::InFlight() const -> std::uint32_t {
--- a/modules/al_traffic/upstreams/upstream_pool.h
+++ b/modules/al_traffic/upstreams/upstream_pool.h
@@ -48,24 +48,26 @@
     std::uint32_t own_patient = 0;
     LoadReport report;
     std::uint32_t own_at_report = 0;
+    std::uint32_t own_patient_at_report = 0;
     Instant reported_at;
     bool leaving = false;  ///< By the VM list, its own word, or an operator.
     int failures_in_row = 0;
     Instant ejected_until;
     Instant eased_in_since;  ///< When it last came back.
     PrefixBeliefs prefixes;
+    double patient_slots = 0.0;     ///< For patient work of all routers.
+    std::uint32_t own_patient_slots = 0;  ///< Of them, set aside for this router.
   };
 
-  UpstreamPool(DomainId own_domain, RandomSource& random);
+  UpstreamPool(RouterId self, DomainId own_domain, RandomSource& random);
 
   //============================================================================
   // Commands
 
-  /** Takes over the upstreams of a configuration; what is known of those that
-     stay is kept.
-      @param router_count  in the fleet, which share the engines. */
+  /** Takes over the upstreams of a configuration; what is known of those that stay is kept.
+      @param routers  those that share the upstreams, with this one. */
   auto SetConfiguration(const Configuration& configuration,
-                        std::size_t router_count) -> void;
+                        std::span<const RouterId> routers) -> void;
 
   /** Marks upstreams as leaving by the VM list. */
   auto SetLeaving(Instant now,
@@ -115,16 +117,17 @@
   [[nodiscard]] auto MayTake(Instant now,
                              const Member& member,
                              const UpstreamQuery& query) const -> bool;
+  auto SharePatientSlots(Member& member, double share, std::span<const RouterId> routers) const -> void;
+  [[nodiscard]] static auto MayTakePatient(const Member& member) -> bool;
   [[nodiscard]] auto OthersInFlight(Instant now, const Member& member) const
       -> double;
   [[nodiscard]] auto EaseLimit(Instant now, const Member& member) const
       -> double;
 
+  RouterId self;
   DomainId own_domain;
   RandomSource& random;
   AnyUpstreamChooser chooser;
-  double patient_share = 1.0;
-  std::size_t routers = 1;
   std::vector<Member> all;
 };
 
--- a/tests/support/promise_checker.cc
+++ b/tests/support/promise_checker.cc
@@ -88,6 +88,12 @@
       committed +=
           node.core == nullptr ? 0 : this->CommittedBy(*node.core, team);
     }
+    for (const wire::Bill& bill : this->spent_by_dead) {
+      const bool counts =
+          bill.team() == name && !this->billed_runs.contains(bill.run_id()) &&
+          !this->bills.contains(name + "/" + bill.request_key());
+      committed += counts ? bill.tokens() : 0;
+    }
     if (committed > total) {
       std::ostringstream text;
       text << "team " << name << " can spend " << committed << " of " << total
@@ -158,6 +164,13 @@
   if (this->fleet.nodes[index].core == nullptr) {
     return;
   }
+  const RouterCore& dying = *this->fleet.nodes[index].core;
+  for (const wire::LedgerEntry* const entry : dying.outbox()->Entries()) {
+    if (entry->has_bill() && entry->bill().holder() ==
+                                 dying.settings().incarnation.value()) {
+      this->spent_by_dead.push_back(entry->bill());
+    }
+  }
   std::set<std::string> alone = BillsHeldBy(*this->fleet.nodes[index].core);
   for (std::size_t other = 0; other < this->fleet.nodes.size(); ++other) {
     if (other != index && this->fleet.nodes[other].core != nullptr) {
--- a/tests/unit/traffic_test.cc
+++ b/tests/unit/traffic_test.cc
@@ -5,7 +5,8 @@
 
 TEST_GROUP(Traffic) {
   RandomSource random{7};
-  UpstreamPool pool{DomainId("a"), random};
+  UpstreamPool pool{RouterId("r0"), DomainId("a"), random};
+  std::vector<RouterId> routers{RouterId("r0")};
   Configuration configuration;
   Instant now = FromUnixMillis(1'700'000'000'000);
   UpstreamQuery quick;
@@ -21,7 +22,7 @@
       this->configuration.upstreams.push_back(engine);
     }
     this->configuration.defaults.traffic.patient_share = 0.5;
-    this->pool.SetConfiguration(this->configuration, 1);
+    this->pool.SetConfiguration(this->configuration, this->routers);
     this->quick.model = "m";
     this->patient.model = "m";
     this->patient.patience = Patience::kPatient;
@@ -37,6 +38,25 @@
   CHECK_TRUE(this->pool.TryAcquire(this->now, this->quick).has_value());
 }
 
+TEST(Traffic, SharesThePatientSlotsOfAnEngineAmongAllRouters) {
+  // Whatever each router does, together they hold no more than the share of busy engines.
+  this->routers = {RouterId("r0"), RouterId("r1"), RouterId("r2")};
+  LoadReport busy;
+  busy.patient_running = 2;
+  int taken = 0;
+  for (const RouterId& router : this->routers) {
+    UpstreamPool one{router, DomainId("a"), this->random};
+    one.SetConfiguration(this->configuration, this->routers);
+    for (const char* const name : {"e1", "e2", "e3"}) {
+      one.NoteReport(this->now, UpstreamId(name), busy);
+    }
+    while (one.TryAcquire(this->now, this->patient)) {
+      ++taken;
+    }
+  }
+  CHECK_EQUAL(3 * 2, taken);
+}
+
 TEST(Traffic, GivesNothingNewToALeavingUpstream) {
   this->pool.SetLeaving(
       this->now, [](const UpstreamId& id) { return id.value() != "e2"; });
