--- a/bench/traffic_main.cc
+++ b/bench/traffic_main.cc
@@ -184,8 +184,11 @@
   std::vector<Load> loads;
   loads.push_back({"calm, quick work alone", 0.25, 0.0, false, false, false});
   loads.push_back({"calm", 0.25, 0.15, false, false, false});
-  loads.push_back(
-      {"patient work fills its share", 0.25, 0.9, false, false, false});
+  loads.push_back({"quick 15% alone", 0.15, 0.0, false, false, false});
+  loads.push_back({"quick 15%, patient work fills its share", 0.15, 0.9, false,
+                   false, false});
+  loads.push_back({"quick 25%, patient work fills its share", 0.25, 0.9, false,
+                   false, false});
   loads.push_back({"busy at 85%", 0.35, 0.5, false, false, false});
   loads.push_back({"one slow engine", 0.3, 0.3, true, false, false});
   loads.push_back({"one engine gone", 0.3, 0.3, false, true, false});
--- a/modules/al_budget/allowance/budget_coordinator.cc
+++ b/modules/al_budget/allowance/budget_coordinator.cc
@@ -36,8 +36,8 @@
  * more. */
 constexpr Duration kSurplusInterval = std::chrono::seconds(10);
 
-/** A draw limit is raised this far ahead of the present rate, and by so many of the largest
-    requests: what a dead router strands is about this much. */
+/** A draw limit is raised this far ahead of the present rate, and by so many of
+   the largest requests: what a dead router strands is about this much. */
 constexpr Duration kDrawStep = std::chrono::seconds(10);
 constexpr Tokens kDrawStepRequests = 4;
 
@@ -265,7 +265,8 @@
   if (witnesses.empty()) {
     this->allowances.SetDrawLimit(team, TeamAllowance::kNoLimit);
   } else if (allowance.draw_limit == TeamAllowance::kNoLimit) {
-    // From the first note on, nothing may be drawn that a witness does not know of.
+    // From the first note on, nothing may be drawn that a witness does not know
+    // of.
     this->allowances.SetDrawLimit(team, allowance.Drawn());
   }
   this->draw_limits.SetWitnesses(team, op_seq, std::move(witnesses));
@@ -284,8 +285,8 @@
   for (const Waiter& waiter : this->fetches[team].waiters) {
     waiting += waiter.upper;
   }
-  const auto by_rate = static_cast<Tokens>(
-      this->allowances.RateOf(now, team) * ToSeconds(kDrawStep));
+  const auto by_rate = static_cast<Tokens>(this->allowances.RateOf(now, team) *
+                                           ToSeconds(kDrawStep));
   const Tokens step =
       std::max(by_rate, kDrawStepRequests * allowance.largest_reserve);
   const Tokens room = allowance.draw_limit - allowance.Drawn();
@@ -473,8 +474,8 @@
     this->transfers.GiveNothing(item.from_address, item.ask);
     return;
   }
-  const std::string id = this->transfers.Give(
-      now, item.from, item.from_address, item.ask, item.tokens);
+  const std::string id = this->transfers.Give(now, item.from, item.from_address,
+                                              item.ask, item.tokens);
   wire::LedgerEntry entry;
   entry.set_entry_id("transfer/" + id + "/from");
   wire::Transfer& transfer = *entry.mutable_transfer();
--- a/modules/al_budget/allowance/budget_coordinator.h
+++ b/modules/al_budget/allowance/budget_coordinator.h
@@ -50,7 +50,8 @@
   using LikelyHolders =
       std::function<std::vector<RouterId>(const TeamId& team)>;
 
-  /** Names the routers that should keep this router's draw limits: heard of lately. */
+  /** Names the routers that should keep this router's draw limits: heard of
+   * lately. */
   using ChooseWitnesses = std::function<std::vector<IncarnationId>()>;
 
   enum class ReserveAnswer { kReserved, kWaiting, kRefused };
@@ -72,8 +73,8 @@
   // Commands
 
   /** Changes the policy for the asks from now on.
-      @param reclaim  whether witnesses keep draw limits, so that a dead router's allowance can be
-                      reclaimed. */
+      @param reclaim  whether witnesses keep draw limits, so that a dead
+     router's allowance can be reclaimed. */
   auto SetPolicy(AnyAllowancePolicy new_policy, bool reclaim) -> void;
 
   /** Reserves `upper` tokens for a request. kWaiting: TakeDecisions() tells the
@@ -187,8 +188,9 @@
       -> void;
   auto FinishAskingHolders(Instant now, const TeamId& team, TeamFetch& fetch)
       -> void;
-  [[nodiscard]] auto WantsWitnesses(Instant now, const TeamId& team, const TeamFetch& fetch) const
-      -> bool;
+  [[nodiscard]] auto WantsWitnesses(Instant now,
+                                    const TeamId& team,
+                                    const TeamFetch& fetch) const -> bool;
   auto TakeWitnesses(Instant now,
                      const TeamId& team,
                      std::uint64_t op_seq,
--- a/modules/al_budget/keeper/keeper_host.h
+++ b/modules/al_budget/keeper/keeper_host.h
@@ -58,7 +58,8 @@
       -> void;
 
   /** Adds an entry of this router's own to a partition that it keeps. */
-  auto AddEntry(Instant now, PartitionIndex partition, wire::LedgerEntry entry) -> void;
+  auto AddEntry(Instant now, PartitionIndex partition, wire::LedgerEntry entry)
+      -> void;
 
   /** Asks the next candidate to take over what this router keeps. */
   auto HandOver(
--- a/modules/al_budget/keeper/reclaim_desk.h
+++ b/modules/al_budget/keeper/reclaim_desk.h
@@ -14,9 +14,10 @@
 
 /** Brings back to the budgets what dead holders did not draw.
 
-    For each dead holder with tokens out in a partition that this router keeps, it asks all the
-    witnesses that the ledger names. Only when each of them answers, as the very incarnation that is
-    named, is the account closed at the highest limit that one of them knows.
+    For each dead holder with tokens out in a partition that this router keeps,
+   it asks all the witnesses that the ledger names. Only when each of them
+   answers, as the very incarnation that is named, is the account closed at the
+   highest limit that one of them knows.
 
     Thread safety: none; used on one thread.
 
@@ -25,7 +26,8 @@
 class ReclaimDesk {
  public:
   using IsDead = std::function<bool(const IncarnationId&)>;
-  using AddressOf = std::function<std::optional<PeerAddress>(const IncarnationId&)>;
+  using AddressOf =
+      std::function<std::optional<PeerAddress>(const IncarnationId&)>;
 
   ReclaimDesk(ActionQueue& actions, KeeperHost& host, AddressOf address_of);
 
@@ -35,7 +37,9 @@
   /** Asks the witnesses of dead holders. */
   auto Look(const IsDead& is_dead) -> void;
 
-  auto OnReply(Instant now, const IncarnationId& from, const wire::DrawReply& reply) -> void;
+  auto OnReply(Instant now,
+               const IncarnationId& from,
+               const wire::DrawReply& reply) -> void;
 
  private:
   struct Inquiry {
--- a/modules/al_budget/outbox/entry_outbox.cc
+++ b/modules/al_budget/outbox/entry_outbox.cc
@@ -135,18 +135,4 @@
   return entries;
 }
 
-auto EntryOutbox::NextDue() const -> std::optional<Instant> {
-  std::optional<Instant> next;
-  for (const auto& [index, partition] : this->partitions) {
-    std::size_t seen = 0;
-    for (const auto& [order, item] : partition.items) {
-      if (++seen > partition.window) {
-        break;
-      }
-      next = next ? std::min(*next, item.due) : item.due;
-    }
-  }
-  return next;
-}
-
 }  // namespace auburnloft
--- a/modules/al_budget/outbox/entry_outbox.h
+++ b/modules/al_budget/outbox/entry_outbox.h
@@ -88,9 +88,6 @@
    */
   [[nodiscard]] auto Entries() const -> std::vector<const wire::LedgerEntry*>;
 
-  /** The time at which the next entry is due; empty where there is none. */
-  [[nodiscard]] auto NextDue() const -> std::optional<Instant>;
-
  private:
   struct Item {
     wire::LedgerEntry entry;
--- a/modules/al_budget/witness/draw_limit_desk.h
+++ b/modules/al_budget/witness/draw_limit_desk.h
@@ -14,12 +14,14 @@
 
 namespace auburnloft {
 
-/** Keeps draw limits, so that what a dead router did not draw returns to the budget.
-
-    A holder draws on its allowance no further than a limit that at least one of its witnesses has
-    acknowledged. A grant names the witnesses in the ledger. When the holder is dead for a fact, all
-    witnesses together know a limit that it cannot have passed: the rest of its allowance is free
-    again. No clock decides: a paused holder that wakes up is still bound by its limit, and a
+/** Keeps draw limits, so that what a dead router did not draw returns to the
+   budget.
+
+    A holder draws on its allowance no further than a limit that at least one of
+   its witnesses has acknowledged. A grant names the witnesses in the ledger.
+   When the holder is dead for a fact, all witnesses together know a limit that
+   it cannot have passed: the rest of its allowance is free again. No clock
+   decides: a paused holder that wakes up is still bound by its limit, and a
     witness that is missing only leaves the tokens out.
 
     Thread safety: none; used on one thread.
@@ -28,7 +30,8 @@
 */
 class DrawLimitDesk {
  public:
-  using AddressOf = std::function<std::optional<PeerAddress>(const IncarnationId&)>;
+  using AddressOf =
+      std::function<std::optional<PeerAddress>(const IncarnationId&)>;
 
   DrawLimitDesk(ActionQueue& actions, AddressOf address_of);
 
@@ -38,14 +41,18 @@
   //============================================================================
   // Commands of the holder
 
-  /** Starts anew with the witnesses that a recorded grant names; none lift the limit. */
-  auto SetWitnesses(const TeamId& team, std::uint64_t op_seq, std::vector<IncarnationId> witnesses)
-      -> void;
+  /** Starts anew with the witnesses that a recorded grant names; none lift the
+   * limit. */
+  auto SetWitnesses(const TeamId& team,
+                    std::uint64_t op_seq,
+                    std::vector<IncarnationId> witnesses) -> void;
 
-  /** Asks the witnesses for a higher limit, once and then at intervals until one agrees. */
+  /** Asks the witnesses for a higher limit, once and then at intervals until
+   * one agrees. */
   auto Raise(Instant now, const TeamId& team, Tokens limit) -> void;
 
-  /** @return the limit of the team that is acknowledged now, where the message raised it. */
+  /** @return the limit of the team that is acknowledged now, where the message
+   * raised it. */
   auto OnAck(const wire::DrawAck& ack) -> std::optional<Tokens>;
 
   /** Repeats what was not acknowledged. */
@@ -54,17 +61,22 @@
   //============================================================================
   // Commands of the witness
 
-  auto OnNote(const IncarnationId& from, const PeerAddress& from_address, const wire::DrawNote& note)
-      -> void;
+  auto OnNote(const IncarnationId& from,
+              const PeerAddress& from_address,
+              const wire::DrawNote& note) -> void;
   auto OnAsk(const PeerAddress& from_address, const wire::DrawAsk& ask) -> void;
 
   //============================================================================
   // Queries
 
   /** Since when a raise waits in vain; empty where none does. */
-  [[nodiscard]] auto WaitingSince(const TeamId& team) const -> std::optional<Instant>;
-  [[nodiscard]] auto WitnessesOf(const TeamId& team) const -> std::vector<IncarnationId>;
-  [[nodiscard]] auto limits_kept() const -> std::size_t { return this->kept.size(); }
+  [[nodiscard]] auto WaitingSince(const TeamId& team) const
+      -> std::optional<Instant>;
+  [[nodiscard]] auto WitnessesOf(const TeamId& team) const
+      -> std::vector<IncarnationId>;
+  [[nodiscard]] auto limits_kept() const -> std::size_t {
+    return this->kept.size();
+  }
 
  private:
   struct Own {
--- a/modules/al_budget/witness/witness_desk.cc
+++ b/modules/al_budget/witness/witness_desk.cc
@@ -15,6 +15,10 @@
 constexpr Duration kRepeatWhileHeld = std::chrono::milliseconds(15);
 constexpr Duration kRepeat = std::chrono::milliseconds(500);
 
+/** A copy that is in place is looked after this often, in case its witness is
+ * gone. */
+constexpr Duration kLookAfter = std::chrono::seconds(5);
+
 /** How long a witness waits for word that an entry is recorded. */
 constexpr Duration kSubmitAfter = std::chrono::seconds(30);
 
@@ -54,6 +58,7 @@
     *note.note.add_entries() = std::move(entry);
   }
   this->Place(now, note);
+  this->notes_due.emplace(note.next_send, id);
   return note;
 }
 
@@ -71,6 +76,7 @@
   Note& note = this->AddNote(now, std::move(entries));
   note.handle = handle;
   note.deadline = now + kWitnessWait;
+  this->notes_due.emplace(note.deadline, note.note.note_id());
   if (note.witness.empty()) {
     ++this->unprotected;
     this->Release(note);
@@ -78,9 +84,11 @@
 }
 
 auto WitnessDesk::Place(Instant now, Note& note) -> void {
-  note.next_send = now + (note.released ? kRepeat : kRepeatWhileHeld);
   const PeerAddress witness = this->witness_address().value_or(PeerAddress());
-  if (witness.empty() || (note.has_copy && witness == note.witness)) {
+  const bool in_place = note.has_copy && witness == note.witness;
+  const Duration repeat = note.released ? kRepeat : kRepeatWhileHeld;
+  note.next_send = now + (in_place ? kLookAfter : repeat);
+  if (witness.empty() || in_place) {
     return;
   }
   note.witness = witness;
@@ -90,6 +98,37 @@
   this->actions.Push(SendPeer{witness, std::move(message)});
 }
 
+auto WitnessDesk::LookAfterNotes(Instant now) -> void {
+  while (!this->notes_due.empty() && this->notes_due.begin()->first <= now) {
+    const std::uint64_t id = this->notes_due.begin()->second;
+    this->notes_due.erase(this->notes_due.begin());
+    const auto found = this->notes.find(id);
+    if (found == this->notes.end()) {
+      continue;
+    }
+    Note& note = found->second;
+    if (!note.released && now >= note.deadline) {
+      ++this->unprotected;
+      this->Release(note);
+    }
+    if (now >= note.next_send) {
+      this->Place(now, note);
+      this->notes_due.emplace(note.next_send, id);
+    }
+  }
+}
+
+auto WitnessDesk::SubmitDueCopies(Instant now) -> void {
+  while (!this->copies_due.empty() && this->copies_due.front().first <= now) {
+    const auto found = this->copies.find(this->copies_due.front().second);
+    this->copies_due.pop_front();
+    if (found != this->copies.end() && found->second.due <= now) {
+      this->SubmitCopy(now, found->second);
+      this->copies.erase(found);
+    }
+  }
+}
+
 auto WitnessDesk::Release(Note& note) -> void {
   if (!note.released) {
     note.released = true;
@@ -133,6 +172,7 @@
                          const wire::EntryNote& note) -> void {
   HeldCopy& copy = this->copies[{from, note.note_id()}];
   copy.due = now + kSubmitAfter;
+  this->copies_due.emplace_back(copy.due, CopyKey{from, note.note_id()});
   copy.entries.assign(note.entries().begin(), note.entries().end());
   wire::PeerMessage message;
   message.mutable_entry_note_ack()->set_note_id(note.note_id());
@@ -180,22 +220,8 @@
 }
 
 auto WitnessDesk::Tick(Instant now) -> void {
-  for (auto& [id, note] : this->notes) {
-    if (!note.released && now >= note.deadline) {
-      ++this->unprotected;
-      this->Release(note);
-    }
-    if (now >= note.next_send) {
-      this->Place(now, note);
-    }
-  }
-  std::erase_if(this->copies, [&](const auto& item) {
-    if (now < item.second.due) {
-      return false;
-    }
-    this->SubmitCopy(now, item.second);
-    return true;
-  });
+  this->LookAfterNotes(now);
+  this->SubmitDueCopies(now);
   if (now < this->next_done) {
     return;
   }
--- a/modules/al_budget/witness/witness_desk.h
+++ b/modules/al_budget/witness/witness_desk.h
@@ -2,6 +2,7 @@
 #define AL_BUDGET_WITNESS_WITNESS_DESK_H_
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
@@ -104,7 +105,7 @@
   struct Note {
     RequestHandle handle = 0;
     Instant deadline;
-    Instant next_send;
+    Instant next_send;  ///< When its copy is looked after again.
     bool released = false;
     bool has_copy = false;  ///< `witness` has acknowledged it.
     PeerAddress witness;
@@ -119,6 +120,8 @@
 
   auto AddNote(Instant now, std::vector<wire::LedgerEntry> entries) -> Note&;
   auto Place(Instant now, Note& note) -> void;
+  auto LookAfterNotes(Instant now) -> void;
+  auto SubmitDueCopies(Instant now) -> void;
   auto Release(Note& note) -> void;
   auto SubmitCopy(Instant now, const HeldCopy& copy) -> void;
 
@@ -127,10 +130,12 @@
   EntryOutbox& outbox;
   WitnessAddress witness_address;
   std::map<std::uint64_t, Note> notes;
+  std::multimap<Instant, std::uint64_t> notes_due;
   std::map<std::string, std::uint64_t, std::less<>> note_of_entry;
   std::map<PeerAddress, wire::EntryNoteDone> done;
   Instant next_done;
   std::map<CopyKey, HeldCopy> copies;
+  std::deque<std::pair<Instant, CopyKey>> copies_due;  ///< In order of time.
   std::uint64_t next_note = 1;
   std::uint64_t unprotected = 0;
 };
--- a/modules/al_config/fold/config_follower.h
+++ b/modules/al_config/fold/config_follower.h
@@ -42,9 +42,9 @@
   /** Reads the stream when its time has come. @param open_read  queues a read
      of the stream and returns its tag. @param may_snapshot  whether this router
      is the one to write snapshots; `open_append` queues the append of one. */
-  template <typename OpenRead, typename OpenAppend>
+  template <typename MaySnapshot, typename OpenRead, typename OpenAppend>
   auto Tick(Instant now,
-            bool may_snapshot,
+            MaySnapshot may_snapshot,
             OpenRead open_read,
             OpenAppend open_append) -> void {
     if (this->read_tag && now >= this->read_deadline) {
@@ -53,7 +53,7 @@
     if (this->read_tag || now < this->next_read) {
       return;
     }
-    if (may_snapshot && this->SnapshotIsDue() && now >= this->next_snapshot) {
+    if (this->SnapshotIsDue() && now >= this->next_snapshot && may_snapshot()) {
       open_append(this->state.ToSnapshot().SerializeAsString());
       this->NoteSnapshot(now);
     }
--- a/modules/al_router/core/router_core.cc
+++ b/modules/al_router/core/router_core.cc
@@ -68,15 +68,16 @@
                   [&core](const IncarnationId& id) {
                     return core.fleet.AddressOf(RouterOf(id));
                   }),
-      budget(core.own.incarnation,
-             partitions,
-             DemandLedPolicy(AllowanceSettings{}.cover, true),
-             core.entries,
-             core.transfers,
-             witness,
-             draw_limits,
-             [&core] { return core.ChooseWitnesses(); },
-             [&core](const TeamId& team) { return core.LikelyHolders(team); }),
+      budget(
+          core.own.incarnation,
+          partitions,
+          DemandLedPolicy(AllowanceSettings{}.cover, true),
+          core.entries,
+          core.transfers,
+          witness,
+          draw_limits,
+          [&core] { return core.ChooseWitnesses(); },
+          [&core](const TeamId& team) { return core.LikelyHolders(team); }),
       desk(core.own.incarnation,
            partitions,
            core.queue,
@@ -365,6 +366,7 @@
   this->host.Tick(now);
   if (this->ledgered != nullptr) {
     this->ledgered->budget.Tick(now);
+    this->ledgered->desk.Tick(now);
     this->ledgered->witness.Tick(now);
     this->ledgered->draw_limits.Tick(now);
     this->TickDead(now);
@@ -378,10 +380,12 @@
 }
 
 auto RouterCore::TickConfig(Instant now) -> void {
-  const std::vector<RouterId> live = this->fleet.Live();
-  const bool may_snapshot =
-      !live.empty() && KeeperDirectory::Rank(0, live).front() == this->own.name;
   LogPort& log = this->host.log();
+  const auto may_snapshot = [this] {
+    const std::vector<RouterId> live = this->fleet.Live();
+    return !live.empty() &&
+           KeeperDirectory::Rank(0, live).front() == this->own.name;
+  };
   this->config.Tick(
       now, may_snapshot,
       [&](LogOffset from) { return log.Read(ConfigFollower::Stream(), from); },
@@ -475,6 +479,9 @@
 }
 
 auto RouterCore::TickOutbox(Instant now) -> void {
+  if (this->entries.size() == 0) {
+    return;
+  }
   const std::vector<RouterId> live = this->fleet.Live();
   for (const PartitionIndex partition : this->entries.Partitions()) {
     const RouterId asked = this->keeper_directory.LastTarget(partition);
@@ -487,8 +494,12 @@
 }
 
 auto RouterCore::SendOutbox(Instant now) -> void {
+  std::vector<EntryOutbox::DueBatch> due = this->entries.TakeDue(now);
+  if (due.empty()) {
+    return;
+  }
   const std::vector<RouterId> live = this->fleet.Live();
-  for (EntryOutbox::DueBatch& batch : this->entries.TakeDue(now)) {
+  for (EntryOutbox::DueBatch& batch : due) {
     const std::optional<KeeperTarget> target =
         this->keeper_directory.Target(now, batch.partition, live);
     const std::optional<PeerAddress> address =
@@ -511,7 +522,7 @@
 auto RouterCore::Settle(Instant now) -> void {
   for (int turn = 0; turn < kMostSelfDeliveries; ++turn) {
     if (this->ledgered != nullptr) {
-      this->ledgered->desk.Tick(now);
+      this->ledgered->desk.Advance(now);
     }
     this->SendOutbox(now);
     if (this->queue.empty()) {
--- a/modules/al_router/requests/request_desk.cc
+++ b/modules/al_router/requests/request_desk.cc
@@ -428,12 +428,15 @@
             request.arrival.upper, spent});
 }
 
-auto RequestDesk::Tick(Instant now) -> void {
+auto RequestDesk::Advance(Instant now) -> void {
   this->TakeDecisions(now);
   this->queue.Offer(
       [&](RequestHandle handle) { return this->TryDispatch(now, handle); });
+}
+
+auto RequestDesk::Tick(Instant now) -> void {
   this->EndLate(now);
-  this->TakeDecisions(now);
+  this->Advance(now);
 }
 
 auto RequestDesk::TakeDecisions(Instant now) -> void {
--- a/modules/al_router/requests/request_desk.h
+++ b/modules/al_router/requests/request_desk.h
@@ -64,8 +64,11 @@
                  const wire::LedgerEntry& entry,
                  const wire::EntryVerdict& verdict) -> void;
 
-  /** Goes on with requests whose tokens have come, offers the queue, and ends
-   * what is late. */
+  /** Goes on with requests whose tokens have come, and offers the queue to the
+   * upstreams. */
+  auto Advance(Instant now) -> void;
+
+  /** Ends what is late, and advances. */
   auto Tick(Instant now) -> void;
 
   //============================================================================
--- a/modules/al_traffic/choice/scored_chooser.cc
+++ b/modules/al_traffic/choice/scored_chooser.cc
@@ -6,26 +6,27 @@
 
 namespace {
 
-/** What a request of other routers weighs against one of this router's own. Reports lag, and
-    routers that all see the same idle engine would all pick it. */
-constexpr double kOthersWeight = 0.25;
+/** What a request of other routers weighs against one of this router's own: it
+   breaks ties. Reports lag, and routers that all see the same idle engine would
+   all pick it. */
+constexpr double kOthersWeight = 0.05;
 
 /** What a wholly cached prompt is worth, in units of an engine's load. */
 constexpr double kPrefixWorth = 0.6;
 
 /** What a hop to another failure domain costs, in units of an engine's load. */
-constexpr double kDomainCost = 0.01;
+constexpr double kDomainCost = 0.002;
 
 /** From this load on requests queue at the engine, and each costs the more. */
-constexpr double kBusyLoad = 0.85;
-constexpr double kBusyFactor = 4.0;
+constexpr double kBusyLoad = 1.0;
+constexpr double kBusyFactor = 1.0;
 
 }  // namespace
 
 auto ScoredChooser::ScoreOf(const Candidate& candidate) -> double {
-  const double load = (candidate.own_in_flight +
-                       kOthersWeight * candidate.others_in_flight) /
-                      candidate.slots;
+  const double load =
+      (candidate.own_in_flight + kOthersWeight * candidate.others_in_flight) /
+      candidate.slots;
   const double whole_load =
       (candidate.own_in_flight + candidate.others_in_flight) / candidate.slots;
   const double busy = std::max(0.0, whole_load - kBusyLoad) * kBusyFactor;
--- a/modules/al_traffic/choice/scored_chooser.h
+++ b/modules/al_traffic/choice/scored_chooser.h
@@ -11,10 +11,11 @@
 
 /** Compares all candidates by a score and takes the best of them.
 
-    The score is the load, less what a cached prefix saves, plus a little for another failure
-    domain. A router's own requests count in full, since they are exact and differ from router to
-    router; those of others, which reports tell late and to all alike, count in part, so that not
-    every router picks the same upstream.
+    The score is the load, less what a cached prefix saves, plus a little for
+   another failure domain. A router's own requests count in full, since they are
+   exact and differ from router to router; those of others, which reports tell
+   late and to all alike, count in part, so that not every router picks the same
+   upstream.
 */
 class ScoredChooser {
  public:
--- a/modules/al_traffic/upstreams/upstream_pool.cc
+++ b/modules/al_traffic/upstreams/upstream_pool.cc
@@ -26,8 +26,9 @@
  * takes it first. */
 constexpr double kQuickOvercommit = 1.5;
 
-/** Patient work borrows slots of other routers while less than this part of an engine's patient
-    slots is taken: reports lag, and several routers may borrow at once. */
+/** Patient work borrows slots of other routers while less than this part of an
+   engine's patient slots is taken: reports lag, and several routers may borrow
+   at once. */
 constexpr double kBorrowBelow = 0.5;
 
 auto ChooserFor(ChooserKind kind) -> AnyUpstreamChooser {
@@ -63,36 +64,41 @@
   if (wanted.index() != this->chooser.index()) {
     this->chooser = wanted;
   }
+  const bool same_routers = std::ranges::equal(this->sharers, routers);
+  this->sharers.assign(routers.begin(), routers.end());
   std::vector<Member> next;
   for (const Upstream& upstream : configuration.upstreams) {
     Member* const known = this->Find(upstream.id);
-    Member& member = next.emplace_back(known == nullptr ? Member{}
-                                                        : std::move(*known));
+    Member& member =
+        next.emplace_back(known == nullptr ? Member{} : std::move(*known));
     if (member.upstream.address != upstream.address) {
       member.prefixes.Clear();
     }
     member.upstream = upstream;
     this->SharePatientSlots(
-        member, configuration.defaults.traffic.patient_share, routers);
+        member, configuration.defaults.traffic.patient_share, same_routers);
   }
   this->all = std::move(next);
 }
 
 auto UpstreamPool::SharePatientSlots(Member& member,
                                      double share,
-                                     std::span<const RouterId> routers) const
-    -> void {
+                                     bool same_routers) const -> void {
   const auto slots = std::max<std::uint32_t>(
       1, static_cast<std::uint32_t>(share * member.upstream.slots));
+  if (same_routers && member.patient_slots == slots) {
+    return;
+  }
   member.patient_slots = slots;
   member.own_patient_slots = 0;
   for (std::uint32_t slot = 0; slot < slots; ++slot) {
     const std::string item =
         member.upstream.id.value() + "/" + std::to_string(slot);
-    const auto owner = std::ranges::max_element(
-        routers, {},
-        [&](const RouterId& router) { return StableHash(router.value(), item); });
-    if (owner != routers.end() && *owner == this->self) {
+    const auto owner =
+        std::ranges::max_element(routers, {}, [&](const RouterId& router) {
+          return StableHash(router.value(), item);
+        });
+    if (owner != this->sharers.end() && *owner == this->self) {
       ++member.own_patient_slots;
     }
   }
@@ -271,9 +277,11 @@
   if (member.own_patient < member.own_patient_slots) {
     return true;
   }
-  // A slot of another router may be borrowed while the engine has many to spare.
-  const double sent_since = std::max(
-      0.0, static_cast<double>(member.own_patient) - member.own_patient_at_report);
+  // A slot of another router may be borrowed while the engine has many to
+  // spare.
+  const double sent_since =
+      std::max(0.0, static_cast<double>(member.own_patient) -
+                        member.own_patient_at_report);
   return member.report.patient_running + sent_since <
          member.patient_slots * kBorrowBelow;
 }
--- a/modules/al_traffic/upstreams/upstream_pool.h
+++ b/modules/al_traffic/upstreams/upstream_pool.h
@@ -55,8 +55,9 @@
     Instant ejected_until;
     Instant eased_in_since;  ///< When it last came back.
     PrefixBeliefs prefixes;
-    double patient_slots = 0.0;     ///< For patient work of all routers.
-    std::uint32_t own_patient_slots = 0;  ///< Of them, set aside for this router.
+    std::uint32_t patient_slots = 0;  ///< For patient work of all routers.
+    std::uint32_t own_patient_slots =
+        0;  ///< Of them, set aside for this router.
   };
 
   UpstreamPool(RouterId self, DomainId own_domain, RandomSource& random);
@@ -64,7 +65,8 @@
   //============================================================================
   // Commands
 
-  /** Takes over the upstreams of a configuration; what is known of those that stay is kept.
+  /** Takes over the upstreams of a configuration; what is known of those that
+     stay is kept.
       @param routers  those that share the upstreams, with this one. */
   auto SetConfiguration(const Configuration& configuration,
                         std::span<const RouterId> routers) -> void;
@@ -117,7 +119,8 @@
   [[nodiscard]] auto MayTake(Instant now,
                              const Member& member,
                              const UpstreamQuery& query) const -> bool;
-  auto SharePatientSlots(Member& member, double share, std::span<const RouterId> routers) const -> void;
+  auto SharePatientSlots(Member& member, double share, bool same_routers) const
+      -> void;
   [[nodiscard]] static auto MayTakePatient(const Member& member) -> bool;
   [[nodiscard]] auto OthersInFlight(Instant now, const Member& member) const
       -> double;
@@ -128,6 +131,7 @@
   DomainId own_domain;
   RandomSource& random;
   AnyUpstreamChooser chooser;
+  std::vector<RouterId> sharers;  ///< Of the upstreams' patient slots.
   std::vector<Member> all;
 };
 
--- a/tests/support/promise_checker.cc
+++ b/tests/support/promise_checker.cc
@@ -166,8 +166,8 @@
   }
   const RouterCore& dying = *this->fleet.nodes[index].core;
   for (const wire::LedgerEntry* const entry : dying.outbox()->Entries()) {
-    if (entry->has_bill() && entry->bill().holder() ==
-                                 dying.settings().incarnation.value()) {
+    if (entry->has_bill() &&
+        entry->bill().holder() == dying.settings().incarnation.value()) {
       this->spent_by_dead.push_back(entry->bill());
     }
   }
--- a/tests/support/promise_checker.h
+++ b/tests/support/promise_checker.h
@@ -70,7 +70,8 @@
   std::map<std::string, Tokens> billed;
   std::map<std::pair<std::size_t, std::uint64_t>, std::uint64_t> versions;
   std::size_t callers_seen = 0;
-  std::vector<wire::Bill> spent_by_dead;  ///< Unrecorded when their router died.
+  std::vector<wire::Bill>
+      spent_by_dead;                     ///< Unrecorded when their router died.
   std::set<std::string> last_copy_died;  ///< Requests by team and key.
   std::string found;
 };
--- a/tests/unit/traffic_test.cc
+++ b/tests/unit/traffic_test.cc
@@ -39,7 +39,8 @@
 }
 
 TEST(Traffic, SharesThePatientSlotsOfAnEngineAmongAllRouters) {
-  // Whatever each router does, together they hold no more than the share of busy engines.
+  // Whatever each router does, together they hold no more than the share of
+  // busy engines.
   this->routers = {RouterId("r0"), RouterId("r1"), RouterId("r2")};
   LoadReport busy;
   busy.patient_running = 2;
