--- a/modules/al_traffic/upstreams/upstream_pool.cc
+++ b/modules/al_traffic/upstreams/upstream_pool.cc
@@ -94,8 +94,8 @@
   for (std::uint32_t slot = 0; slot < slots; ++slot) {
     const std::string item =
         member.upstream.id.value() + "/" + std::to_string(slot);
-    const auto owner =
-        std::ranges::max_element(routers, {}, [&](const RouterId& router) {
+    const auto owner = std::ranges::max_element(
+        this->sharers, {}, [&](const RouterId& router) {
           return StableHash(router.value(), item);
         });
     if (owner != this->sharers.end() && *owner == this->self) {
