--- a/bench/policy_bench.cc
+++ b/bench/policy_bench.cc
@@ -18,6 +18,7 @@
 constexpr Tokens kLeastUpper = 200;
 constexpr Tokens kMostUpper = 600;
 constexpr std::size_t kEntries = 2;
+constexpr int kSnapshotEvery = 2000;
 constexpr Duration kDeathInterval = std::chrono::seconds(60);
 constexpr Duration kReplacedAfter = std::chrono::seconds(5);
 constexpr Duration kWarmUp = std::chrono::seconds(3);
@@ -47,6 +48,8 @@
     options.budgets[team.name] = BudgetOf(situation, team.share);
   }
   options.configuration["defaults"]["allowance"] = policy.allowance;
+  options.configuration["defaults"]["ledger"]["snapshot_every_records"] =
+      kSnapshotEvery;
   return options;
 }
 
--- a/modules/al_budget/keeper/keeper_directory.cc
+++ b/modules/al_budget/keeper/keeper_directory.cc
@@ -38,6 +38,8 @@
   Waiting& place = this->waiting[partition];
   if (place.target.router != target.router) {
     place = {target, now, now};
+  } else if (!place.silent_since) {
+    place.silent_since = now;
   }
 }
 
@@ -49,7 +51,7 @@
     return;
   }
   if (stalled) {
-    place->second.silent_since = now;
+    place->second.silent_since.reset();
   } else {
     this->waiting.erase(place);
   }
@@ -78,8 +80,10 @@
   auto next = candidates.begin();
   if (asked != this->waiting.end()) {
     const Waiting& place = asked->second;
-    const bool is_given_up = now >= place.silent_since + kSilentAfter ||
-                             now >= place.unserved_since + kStalledAfter;
+    const bool is_silent =
+        place.silent_since && now >= *place.silent_since + kSilentAfter;
+    const bool is_given_up =
+        is_silent || now >= place.unserved_since + kStalledAfter;
     next = std::ranges::find(candidates, place.target.router);
     if (next != candidates.end() && is_given_up) {
       ++next;
--- a/modules/al_budget/keeper/keeper_directory.h
+++ b/modules/al_budget/keeper/keeper_directory.h
@@ -85,7 +85,7 @@
  private:
   struct Waiting {
     KeeperTarget target;
-    Instant silent_since;    ///< No word at all since then.
+    std::optional<Instant> silent_since;  ///< Of the first send without a word.
     Instant unserved_since;  ///< No word of a working keeper since then.
   };
 
--- a/modules/al_budget/keeper/keeper_settings.h
+++ b/modules/al_budget/keeper/keeper_settings.h
@@ -15,9 +15,9 @@
      together stay under the log's rate. */
   Duration commit_interval = std::chrono::milliseconds(50);
 
-  /** A snapshot is written after this many records; a reader starts that far
-   * from the end. */
-  std::uint64_t snapshot_every = 500;
+  /** A snapshot is written after this many records at the latest: well before
+     the log forgets them. */
+  std::uint64_t snapshot_every = 2000;
 
   LedgerRules rules;
   AnyAllowancePolicy policy = DemandLedPolicy(std::chrono::minutes(10), true);
--- a/modules/al_budget/keeper/partition_keeper.cc
+++ b/modules/al_budget/keeper/partition_keeper.cc
@@ -32,6 +32,16 @@
    at most this old, since a top-up may stand there. */
 constexpr Duration kFreshRead = std::chrono::milliseconds(50);
 
+/** A snapshot is written early, after this part of the records that call for
+   one, once it is small against what was written since the last one: readers
+   then start nearer to the end, and the log's bytes grow by a fraction only. */
+constexpr std::uint64_t kEarlyPart = 5;
+constexpr std::uint64_t kBytesPerSnapshotByte = 2;
+
+/** A reader starts this many records before the place where a snapshot is due
+   at the latest: some snapshots are void, because a record came in between. */
+constexpr LogOffset kStartMargin = 16;
+
 /** So many holders are named to a router that may ask them for tokens. */
 constexpr std::size_t kMostHoldersNamed = 8;
 
@@ -50,7 +60,7 @@
       log(log),
       settings(settings),
       fold(settings.rules),
-      start_distance(2 * settings.snapshot_every) {}
+      start_distance(settings.snapshot_every + kStartMargin) {}
 
 //==============================================================================
 // Events
@@ -225,6 +235,7 @@
 auto PartitionKeeper::ApplyRecord(std::string_view bytes) -> void {
   const BatchResult result = this->fold.ApplyBytes(bytes);
   ++this->records_since_snapshot;
+  this->bytes_since_snapshot += bytes.size();
   wire::LedgerBatch batch;
   if (!batch.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
     return;
@@ -232,6 +243,8 @@
   if (batch.kind() == wire::BATCH_SNAPSHOT &&
       result.void_reason == BatchVoid::kNone) {
     this->records_since_snapshot = 0;
+    this->bytes_since_snapshot = 0;
+    this->snapshot_bytes = bytes.size();
   }
   const bool is_own = batch.kind() == wire::BATCH_ENTRIES &&
                       batch.writer() == this->self.value() &&
@@ -331,7 +344,7 @@
   if (!this->sent.empty() || now < this->next_commit) {
     return;
   }
-  if (this->records_since_snapshot >= this->settings.snapshot_every) {
+  if (this->SnapshotIsDue()) {
     this->WriteSnapshot(now);
     return;
   }
@@ -465,6 +478,16 @@
   this->AddReply(item.from, std::move(verdict));
 }
 
+auto PartitionKeeper::SnapshotIsDue() const -> bool {
+  const std::uint64_t most = this->settings.snapshot_every;
+  // An early one waits for a moment in which nobody waits for the keeper.
+  const bool is_cheap = this->queue.empty() &&
+                        this->records_since_snapshot >= most / kEarlyPart &&
+                        this->bytes_since_snapshot >=
+                            kBytesPerSnapshotByte * this->snapshot_bytes;
+  return is_cheap || this->records_since_snapshot >= most;
+}
+
 auto PartitionKeeper::WriteSnapshot(Instant now) -> void {
   wire::LedgerBatch batch;
   batch.set_kind(wire::BATCH_SNAPSHOT);
--- a/modules/al_budget/keeper/partition_keeper.h
+++ b/modules/al_budget/keeper/partition_keeper.h
@@ -116,6 +116,7 @@
   auto RefuseGrant(const QueuedEntry& item) -> void;
   auto AddReply(const PeerAddress& to, wire::EntryVerdict verdict) -> void;
   auto FlushReplies(bool stalled) -> void;
+  [[nodiscard]] auto SnapshotIsDue() const -> bool;
   auto WriteSnapshot(Instant now) -> void;
 
   PartitionIndex partition;
@@ -151,6 +152,8 @@
   std::uint64_t batch_seq = 0;
   Instant next_commit;
   std::uint64_t records_since_snapshot = 0;
+  std::size_t bytes_since_snapshot = 0;
+  std::size_t snapshot_bytes = 0;  ///< Of the last one that was read.
   std::uint64_t append_count = 0;
   Replies replies;
 };
