--- a/modules/al_fleet/membership/rumor_board.h
+++ b/modules/al_fleet/membership/rumor_board.h
@@ -23,7 +23,7 @@
   static constexpr int kRounds = 18;
 
   /** A heartbeat carries at most this many facts; the newest go first. */
-  static constexpr std::size_t kMostPerHeartbeat = 16;
+  static constexpr std::size_t kMostPerHeartbeat = 5;
 
   /** Starts to pass on a fact that is news here. */
   auto Add(wire::Rumor rumor) -> void;
--- /dev/null
+++ b/tests/http/http_fixture.cc
@@ -0,0 +1,196 @@
+#include "http/http_fixture.h"
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <nlohmann/json.hpp>
+
+#include "al_core/text/digest.h"
+#include "al_ledger/records/partition_map.h"
+
+namespace auburnloft::testing {
+
+namespace {
+
+constexpr const char* kPlatform = "127.0.0.1:18910";
+constexpr const char* kEngine = "127.0.0.1:18911";
+constexpr const char* kRouter = "127.0.0.1:18912";
+constexpr const char* kPeer = "127.0.0.1:18913";
+constexpr std::uint16_t kRouterPort = 18912;
+constexpr Duration kLimit = std::chrono::seconds(20);
+
+/** How long a caller that leaves waits for what may never come. */
+constexpr Duration kLeaveLimit = std::chrono::seconds(2);
+
+/** A connection to the router that is read while the loop runs. */
+class RawConnection {
+ public:
+  RawConnection() : descriptor(socket(AF_INET, SOCK_STREAM, 0)) {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(kRouterPort);
+    inet_pton(AF_INET, "127.0.0.1", &address.sin_addr);
+    connect(this->descriptor, reinterpret_cast<sockaddr*>(&address),
+            sizeof(address));
+    fcntl(this->descriptor, F_SETFL, O_NONBLOCK);
+  }
+  ~RawConnection() { close(this->descriptor); }
+
+  RawConnection(const RawConnection&) = delete;
+  auto operator=(const RawConnection&) -> RawConnection& = delete;
+
+  /** Sends and receives what it can now. @return false once the connection is
+   * closed. */
+  auto Step(std::string& to_send, std::string& received) -> bool {
+    if (!to_send.empty()) {
+      const ssize_t sent =
+          send(this->descriptor, to_send.data(), to_send.size(), MSG_NOSIGNAL);
+      if (sent > 0) {
+        to_send.erase(0, static_cast<std::size_t>(sent));
+      }
+    }
+    std::array<char, 4096> buffer{};
+    const ssize_t got = recv(this->descriptor, buffer.data(), buffer.size(), 0);
+    if (got > 0) {
+      received.append(buffer.data(), static_cast<std::size_t>(got));
+    }
+    const bool would_block =
+        got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+    return got > 0 || would_block;
+  }
+
+ private:
+  int descriptor;
+};
+
+auto ConfigurationText() -> std::string {
+  nlohmann::json json = nlohmann::json::parse(R"({
+    "defaults": {"chat_class": "quick"},
+    "classes": {"quick": {"patience": "quick", "queue_limit_ms": 5000}},
+    "upstreams": {"engine": {"address": "127.0.0.1:18911", "domain": "a", "models": ["m"], "slots": 8}}
+  })");
+  for (const char* const team : {"blue", "red"}) {
+    json["teams"][team]["key_sha256"] = Sha256Hex(std::string(team) + "-key");
+  }
+  return json.dump();
+}
+
+}  // namespace
+
+auto HttpFixture::Get() -> HttpFixture& {
+  static HttpFixture fixture;
+  return fixture;
+}
+
+HttpFixture::HttpFixture() : client(this->loop) {
+  standins::PlatformServer::Options platform_options;
+  platform_options.address = kPlatform;
+  this->platform =
+      std::make_unique<standins::PlatformServer>(this->loop, platform_options);
+  standins::EngineServer::Options engine_options;
+  engine_options.address = kEngine;
+  this->engine =
+      std::make_unique<standins::EngineServer>(this->loop, engine_options);
+  RouterDaemon::Options options;
+  options.router.name = RouterId("r1");
+  options.router.incarnation = MakeIncarnation(options.router.name, 1, "aa");
+  options.router.vm.name = "r1";
+  options.router.vm.domain = DomainId("a");
+  options.router.vm.http_address = kRouter;
+  options.router.vm.peer_address = PeerAddress(kPeer);
+  options.platform_address = kPlatform;
+  options.most_body = 65'536;
+  this->router = std::make_unique<RouterDaemon>(this->loop, options);
+  const bool up = this->platform->Listen() && this->engine->Listen() &&
+                  this->router->Start();
+  if (!up) {
+    throw std::runtime_error("the ports of the tests are taken");
+  }
+  wire::ConfigRecord record;
+  record.set_merge_patch(ConfigurationText());
+  this->Append("config", record.SerializeAsString());
+  for (const char* const team : {"blue", "red"}) {
+    wire::LedgerBatch batch;
+    batch.set_kind(wire::BATCH_OPERATOR);
+    wire::TopUp& top_up = *batch.add_entries()->mutable_top_up();
+    top_up.set_team(team);
+    top_up.set_top_up_id("first");
+    top_up.set_tokens(1'000'000);
+    const PartitionMap partitions(LedgerSettings{}.partitions);
+    this->Append(
+        PartitionMap::StreamOf(partitions.PartitionOf(TeamId(team))).value(),
+        batch.SerializeAsString());
+  }
+  this->loop.RunUntil(
+      [this] { return this->State("/configuration/in_force") == 1; }, kLimit);
+}
+
+auto HttpFixture::Append(const std::string& stream, const std::string& bytes)
+    -> void {
+  bool done = false;
+  HttpCall call;
+  call.address = kPlatform;
+  call.method = "POST";
+  call.path = "/streams/" + stream + "/records";
+  call.body = bytes;
+  call.on_end = [&done] { done = true; };
+  this->client.Send(std::move(call));
+  this->loop.RunUntil([&done] { return done; }, kLimit);
+}
+
+auto HttpFixture::State(const std::string& pointer) -> std::int64_t {
+  std::string body;
+  bool done = false;
+  HttpCall call;
+  call.address = kRouter;
+  call.path = "/state";
+  call.on_data = [&body](std::string_view data) { body += data; };
+  call.on_end = [&done] { done = true; };
+  const std::shared_ptr<HttpCallHandle> handle =
+      this->client.Send(std::move(call));
+  this->loop.RunUntil([&done] { return done; }, kLimit);
+  handle->Cancel();
+  const nlohmann::json state = nlohmann::json::parse(body, nullptr, false);
+  const nlohmann::json::json_pointer place(pointer);
+  return state.is_object() && state.contains(place)
+             ? state[place].get<std::int64_t>()
+             : -1;
+}
+
+auto HttpFixture::Exchange(const std::string& bytes,
+                           const std::string& until,
+                           Duration limit) -> std::string {
+  RawConnection connection;
+  std::string to_send = bytes;
+  std::string received;
+  bool open = true;
+  const Instant end = this->loop.Now() + limit;
+  while (open && received.find(until) == std::string::npos &&
+         this->loop.Now() < end) {
+    open = connection.Step(to_send, received);
+    this->RunFor(std::chrono::milliseconds(2));
+  }
+  return received;
+}
+
+auto HttpFixture::SendAndLeave(const std::string& bytes,
+                               const std::string& until) -> void {
+  this->Exchange(bytes, until, kLeaveLimit);
+  this->RunFor(std::chrono::milliseconds(300));
+}
+
+auto HttpFixture::Chat(const std::string& key,
+                       const std::string& extra_headers,
+                       const std::string& body) -> std::string {
+  return "POST /v1/chat/completions HTTP/1.1\r\nhost: r\r\nauthorization: "
+         "Bearer " +
+         key + "\r\n" + extra_headers +
+         "content-type: application/json\r\ncontent-length: " +
+         std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+}  // namespace auburnloft::testing
--- a/tests/unit/main.cc
+++ b/tests/unit/main.cc
@@ -1,8 +1,15 @@
+// Before CppUTest's macros, which redefine `new`.
+#include <log4cplus/configurator.h>
+#include <log4cplus/initializer.h>
+
 #include <CppUTest/CommandLineTestRunner.h>
 #include <CppUTest/MemoryLeakWarningPlugin.h>
 #include <CppUTest/TestRegistry.h>
 
 auto main(int argc, char** argv) -> int {
+  const log4cplus::Initializer log_initializer;
+  log4cplus::BasicConfigurator::doConfigure();
+  log4cplus::Logger::getRoot().setLogLevel(log4cplus::ERROR_LOG_LEVEL);
   // Leaks are the sanitizer build's to find. CppUTest's detector is left out:
   // it keeps its records in blocks that were allocated before main(), and reads
   // them after those were freed.
