--- a/bench/policy_main.cc
+++ b/bench/policy_main.cc
@@ -71,6 +71,8 @@
   settings.DeclareWhole("seed", "seed of the schedule", 1, 0, 1'000'000'000);
   settings.DeclareWhole(
       "situation", "one situation by its number from 0; -1 for all", -1, -1, 4);
+  settings.DeclareWhole("policy", "one policy by its number from 0; -1 for all",
+                        -1, -1, 7);
   if (!settings.Read(argc, argv)) {
     std::cerr << settings.findings().ToText();
     return 2;
@@ -89,7 +91,13 @@
     if (only >= 0 && static_cast<std::size_t>(only) != i) {
       continue;
     }
-    for (const PolicyCase& policy : Policies()) {
+    const std::vector<PolicyCase> policies = Policies();
+    for (std::size_t number = 0; number < policies.size(); ++number) {
+      const std::int64_t wanted = settings.Whole("policy");
+      if (wanted >= 0 && static_cast<std::size_t>(wanted) != number) {
+        continue;
+      }
+      const PolicyCase& policy = policies[number];
       PolicyBench bench(policy, situations[i], seed);
       const PolicyBench::Result result = bench.Run();
       held = held && result.violation.empty() && result.overspend == 0;
--- a/programs/load/audit.cc
+++ b/programs/load/audit.cc
@@ -127,15 +127,18 @@
   return by_key;
 }
 
+auto Audit::GetJson(const std::string& address, std::string path) -> json {
+  HttpCall call;
+  call.address = address;
+  call.path = std::move(path);
+  const std::optional<HttpAnswer> answer = this->session.Call(std::move(call));
+  return json::parse(answer ? answer->body : "", nullptr, false);
+}
+
 auto Audit::LiveIncarnations() -> std::set<std::string> {
   std::set<std::string> live;
   for (const std::string& router : this->routers) {
-    HttpCall call;
-    call.address = router;
-    call.path = "/state";
-    const std::optional<HttpAnswer> answer =
-        this->session.Call(std::move(call));
-    const json state = json::parse(answer ? answer->body : "", nullptr, false);
+    const json state = this->GetJson(router, "/state");
     if (state.is_object()) {
       live.insert(state.value("incarnation", ""));
     }
@@ -146,12 +149,7 @@
 auto Audit::CountDoubleRuns() -> std::uint64_t {
   std::map<std::string, int> executions;
   for (const std::string& service : this->services) {
-    HttpCall call;
-    call.address = service;
-    call.path = "/executions";
-    const std::optional<HttpAnswer> answer =
-        this->session.Call(std::move(call));
-    const json counts = json::parse(answer ? answer->body : "", nullptr, false);
+    const json counts = this->GetJson(service, "/executions");
     if (!counts.is_object()) {
       continue;
     }
--- a/programs/load/audit.h
+++ b/programs/load/audit.h
@@ -2,6 +2,7 @@
 #define PROGRAMS_LOAD_AUDIT_H_
 
 #include <map>
+#include <nlohmann/json.hpp>
 #include <optional>
 #include <set>
 #include <span>
@@ -60,6 +61,9 @@
   auto ReadTeam(const TeamId& team,
                 const std::set<std::string>& live,
                 AuditReport& report) -> BillsByKey;
+  /** The JSON that an address answers with; a discarded value where it does
+   * not. */
+  auto GetJson(const std::string& address, std::string path) -> nlohmann::json;
   auto LiveIncarnations() -> std::set<std::string>;
   auto CountDoubleRuns() -> std::uint64_t;
 
