--- a/modules/al_budget/keeper/keeper_host.cc
+++ b/modules/al_budget/keeper/keeper_host.cc
@@ -120,7 +120,6 @@
 }
 
 auto KeeperHost::HandOver(
-    Instant /*now*/,
     std::span<const RouterId> live,
     const std::function<std::optional<PeerAddress>(const RouterId&)>&
         address_of) -> void {
--- a/modules/al_budget/keeper/keeper_host.h
+++ b/modules/al_budget/keeper/keeper_host.h
@@ -63,7 +63,6 @@
 
   /** Asks the next candidate to take over what this router keeps. */
   auto HandOver(
-      Instant now,
       std::span<const RouterId> live,
       const std::function<std::optional<PeerAddress>(const RouterId&)>&
           address_of) -> void;
--- a/modules/al_budget/keeper/partition_keeper.cc
+++ b/modules/al_budget/keeper/partition_keeper.cc
@@ -106,7 +106,7 @@
   if (this->io != Io::kReading || records.tag != this->io_tag) {
     return;
   }
-  this->FinishIo(now);
+  this->FinishIo();
   const bool cut_off =
       this->start_is_placed && records.oldest > this->fold.next_offset();
   if (!this->start_is_placed || cut_off) {
@@ -146,7 +146,7 @@
   if (this->io != Io::kAppending || appended.tag != this->io_tag) {
     return;
   }
-  this->FinishIo(now);
+  this->FinishIo();
   if (appended.offset == this->fold.next_offset()) {
     this->ApplyRecord(std::exchange(this->batch_bytes, {}));
     this->last_full_read = this->io_started;
@@ -210,7 +210,7 @@
                                   std::move(bytes));
 }
 
-auto PartitionKeeper::FinishIo(Instant /*now*/) -> void {
+auto PartitionKeeper::FinishIo() -> void {
   this->io = Io::kNone;
   this->backoff = Duration{0};
   this->failing = false;
--- a/modules/al_budget/keeper/partition_keeper.h
+++ b/modules/al_budget/keeper/partition_keeper.h
@@ -100,7 +100,7 @@
 
   auto StartRead(Instant now) -> void;
   auto StartAppend(Instant now, std::string bytes) -> void;
-  auto FinishIo(Instant now) -> void;
+  auto FinishIo() -> void;
   auto RetryLater(Instant now) -> void;
   auto ApplyRecord(std::string_view bytes) -> void;
   auto OnEndOfStream(Instant now) -> void;
--- a/modules/al_budget/outbox/entry_outbox.cc
+++ b/modules/al_budget/outbox/entry_outbox.cc
@@ -59,6 +59,7 @@
   for (auto& [index, partition] : this->partitions) {
     DueBatch batch;
     batch.partition = index;
+    bool has_repeats = false;
     std::size_t seen = 0;
     for (auto& [order, item] : partition.items) {
       if (++seen > partition.window) {
@@ -68,13 +69,13 @@
         continue;
       }
       const bool sent_before = item.interval > Duration{0};
-      batch.is_repeat = batch.is_repeat || sent_before;
+      has_repeats = has_repeats || sent_before;
       item.interval = sent_before ? std::min(item.interval * 2, kLongestRepeat)
                                   : kFirstRepeat;
       item.due = now + item.interval;
       batch.entries.push_back(item.entry);
     }
-    if (batch.is_repeat) {
+    if (has_repeats) {
       partition.window = kFirstWindow;
     }
     if (!batch.entries.empty()) {
--- a/modules/al_budget/outbox/entry_outbox.h
+++ b/modules/al_budget/outbox/entry_outbox.h
@@ -40,7 +40,6 @@
   struct DueBatch {
     PartitionIndex partition = 0;
     std::vector<wire::LedgerEntry> entries;
-    bool is_repeat = false;  ///< Some of them were sent before.
   };
 
   /** Bills wait this long for others, so that a message carries several. */
--- a/modules/al_operator/session/operator_session.cc
+++ b/modules/al_operator/session/operator_session.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "al_config/fold/config_follower.h"
+#include "al_config/model/configuration.h"
 #include "al_core/text/digest.h"
 #include "al_ledger/records/partition_map.h"
 
@@ -107,6 +108,20 @@
   return fold;
 }
 
+auto OperatorSession::PartitionOf(const TeamId& team)
+    -> std::optional<PartitionIndex> {
+  const std::optional<ConfigFold> fold = this->ReadConfig();
+  if (!fold) {
+    return std::nullopt;
+  }
+  const nlohmann::json ledger = fold->document()
+                                    .value("defaults", nlohmann::json::object())
+                                    .value("ledger", nlohmann::json::object());
+  const PartitionMap partitions(ledger.value(
+      "partitions", static_cast<int>(LedgerSettings{}.partitions)));
+  return partitions.PartitionOf(team);
+}
+
 auto OperatorSession::ReadLedger(PartitionIndex partition,
                                  std::vector<Bill>* bills)
     -> std::optional<PartitionLedger> {
--- a/modules/al_operator/session/operator_session.h
+++ b/modules/al_operator/session/operator_session.h
@@ -46,6 +46,10 @@
   /** The configuration at the end of its stream. */
   [[nodiscard]] auto ReadConfig() -> std::optional<ConfigFold>;
 
+  /** The partition of a team, by the newest configuration. */
+  [[nodiscard]] auto PartitionOf(const TeamId& team)
+      -> std::optional<PartitionIndex>;
+
   /** A ledger partition at the end of its stream.
       @param bills  gets the valid bills of the records that the log still
      keeps; may be null. */
--- a/modules/al_router/core/router_core.cc
+++ b/modules/al_router/core/router_core.cc
@@ -461,7 +461,7 @@
   }
   if (now >= this->next_hand_over) {
     this->next_hand_over = now + kHandOverInterval;
-    this->host.HandOver(now, this->fleet.Live(), [this](const RouterId& name) {
+    this->host.HandOver(this->fleet.Live(), [this](const RouterId& name) {
       return this->fleet.AddressOf(name);
     });
   }
@@ -532,6 +532,11 @@
   }
 }
 
+auto RouterCore::Sign(wire::PeerMessage& message) const -> void {
+  message.set_from(this->own.incarnation.value());
+  message.set_from_address(this->own.vm.peer_address.value());
+}
+
 auto RouterCore::Deliver(Instant now) -> void {
   std::vector<wire::PeerMessage> to_self;
   for (Action& action : this->queue.Take()) {
@@ -540,8 +545,7 @@
       this->ready.push_back(std::move(action));
       continue;
     }
-    send->message.set_from(this->own.incarnation.value());
-    send->message.set_from_address(this->own.vm.peer_address.value());
+    this->Sign(send->message);
     if (send->to == this->own.vm.peer_address) {
       to_self.push_back(std::move(send->message));
     } else {
@@ -561,8 +565,7 @@
 auto RouterCore::TakeActions() -> std::vector<Action> {
   for (Action& action : this->queue.Take()) {
     if (SendPeer* const send = std::get_if<SendPeer>(&action)) {
-      send->message.set_from(this->own.incarnation.value());
-      send->message.set_from_address(this->own.vm.peer_address.value());
+      this->Sign(send->message);
     }
     this->ready.push_back(std::move(action));
   }
--- a/modules/al_router/core/router_core.h
+++ b/modules/al_router/core/router_core.h
@@ -138,6 +138,7 @@
   auto TickDead(Instant now) -> void;
   auto TickDrain(Instant now) -> void;
   auto Settle(Instant now) -> void;
+  auto Sign(wire::PeerMessage& message) const -> void;
   auto Deliver(Instant now) -> void;
   auto PublishKeepers() -> void;
   auto ChooseWitness(Instant now) -> void;
--- a/modules/al_router/requests/request_desk.cc
+++ b/modules/al_router/requests/request_desk.cc
@@ -85,7 +85,7 @@
                            RequestHandle handle,
                            OpenRequest& request) -> void {
   if (request.arrival.at_most_once) {
-    this->Claim(now, handle, request);
+    this->Claim(now, request);
   } else {
     this->Enqueue(now, handle, request);
   }
@@ -94,9 +94,7 @@
 //==============================================================================
 // Claims
 
-auto RequestDesk::Claim(Instant now,
-                        RequestHandle /*handle*/,
-                        OpenRequest& request) -> void {
+auto RequestDesk::Claim(Instant now, OpenRequest& request) -> void {
   request.stage = Stage::kWaitingClaim;
   request.stage_deadline = now + kClaimWait;
   wire::LedgerEntry entry;
--- a/modules/al_router/requests/request_desk.h
+++ b/modules/al_router/requests/request_desk.h
@@ -102,7 +102,7 @@
 
   auto OnTokens(Instant now, RequestHandle handle, OpenRequest& request)
       -> void;
-  auto Claim(Instant now, RequestHandle handle, OpenRequest& request) -> void;
+  auto Claim(Instant now, OpenRequest& request) -> void;
   auto OnClaimVerdict(Instant now,
                       const wire::Claim& claim,
                       const wire::EntryVerdict& verdict) -> void;
--- a/programs/ctl/commands.cc
+++ b/programs/ctl/commands.cc
@@ -10,7 +10,6 @@
 
 #include "al_config/check/configuration_parser.h"
 #include "al_core/text/digest.h"
-#include "al_ledger/records/partition_map.h"
 #include "al_operator/session/operator_session.h"
 #include "ctl/json_diff.h"
 
@@ -258,29 +257,18 @@
     return CtlExit::kDone;
   }
 
-  auto PartitionOf(const std::string& team) -> std::optional<PartitionIndex> {
-    const std::optional<ConfigFold> fold = this->session.ReadConfig();
-    if (!fold) {
-      return std::nullopt;
-    }
-    const json ledger = fold->document()
-                            .value("defaults", json::object())
-                            .value("ledger", json::object());
-    const PartitionMap partitions(ledger.value(
-        "partitions", static_cast<int>(LedgerSettings{}.partitions)));
-    return partitions.PartitionOf(TeamId(team));
-  }
-
   auto LedgerOf(const std::string& team,
                 std::vector<OperatorSession::Bill>* bills = nullptr)
       -> std::optional<PartitionLedger> {
-    const std::optional<PartitionIndex> partition = this->PartitionOf(team);
+    const std::optional<PartitionIndex> partition =
+        this->session.PartitionOf(TeamId(team));
     return partition ? this->session.ReadLedger(*partition, bills)
                      : std::nullopt;
   }
 
   auto Submit(const std::string& team, wire::LedgerEntry entry) -> CtlExit {
-    const std::optional<PartitionIndex> partition = this->PartitionOf(team);
+    const std::optional<PartitionIndex> partition =
+        this->session.PartitionOf(TeamId(team));
     const std::optional<wire::Verdict> verdict =
         partition ? this->session.SubmitEntry(*partition, std::move(entry))
                   : std::nullopt;
--- a/programs/load/audit.cc
+++ b/programs/load/audit.cc
@@ -6,9 +6,6 @@
 #include <thread>
 #include <utility>
 
-#include "al_config/model/configuration.h"
-#include "al_ledger/records/partition_map.h"
-
 namespace auburnloft::load {
 
 namespace {
@@ -26,24 +23,11 @@
       routers(std::move(routers)),
       services(std::move(services)) {}
 
-auto Audit::PartitionOf(const TeamId& team) -> std::optional<PartitionIndex> {
-  const std::optional<ConfigFold> fold = this->session.ReadConfig();
-  if (!fold) {
-    return std::nullopt;
-  }
-  const json ledger = fold->document()
-                          .value("defaults", json::object())
-                          .value("ledger", json::object());
-  return PartitionMap(
-             ledger.value("partitions",
-                          static_cast<int>(LedgerSettings{}.partitions)))
-      .PartitionOf(team);
-}
-
 auto Audit::Budgets(std::span<const TeamId> teams) -> std::map<TeamId, Tokens> {
   std::map<TeamId, Tokens> budgets;
   for (const TeamId& team : teams) {
-    const std::optional<PartitionIndex> partition = this->PartitionOf(team);
+    const std::optional<PartitionIndex> partition =
+        this->session.PartitionOf(team);
     const std::optional<PartitionLedger> ledger =
         partition ? this->session.ReadLedger(*partition, nullptr)
                   : std::nullopt;
@@ -101,7 +85,8 @@
                      const std::set<std::string>& live,
                      AuditReport& report) -> BillsByKey {
   BillsByKey by_key;
-  const std::optional<PartitionIndex> partition = this->PartitionOf(team);
+  const std::optional<PartitionIndex> partition =
+      this->session.PartitionOf(team);
   std::vector<OperatorSession::Bill> bills;
   const std::optional<PartitionLedger> ledger =
       partition ? this->session.ReadLedger(*partition, &bills) : std::nullopt;
--- a/programs/load/audit.h
+++ b/programs/load/audit.h
@@ -55,7 +55,6 @@
  private:
   using BillsByKey = std::map<std::string, std::vector<Tokens>>;
 
-  auto PartitionOf(const TeamId& team) -> std::optional<PartitionIndex>;
   auto ReadOnce(std::span<const TeamId> teams,
                 std::span<const RequestResult> results) -> AuditReport;
   auto ReadTeam(const TeamId& team,
