--- a/modules/al_edge/loop/event_loop.cc
+++ b/modules/al_edge/loop/event_loop.cc
@@ -188,6 +188,10 @@
   lws_cancel_service(this->lws);
 }
 
+auto EventLoop::Defer(Callback callback) -> void {
+  this->posted.push_back(std::move(callback));
+}
+
 auto EventLoop::WatchReadable(int descriptor, Callback on_readable) -> bool {
   Callback& watch = this->watches.emplace_back(std::move(on_readable));
   lws_sock_file_fd_type file{};
--- a/modules/al_edge/loop/event_loop.h
+++ b/modules/al_edge/loop/event_loop.h
@@ -57,6 +57,10 @@
   /** Calls `callback` once, after the current event. */
   auto Post(Callback callback) -> void;
 
+  /** Runs `callback` before the loop waits again. Cheaper than Post(), and for
+     calls on the loop's own thread only. */
+  auto Defer(Callback callback) -> void;
+
   /** Calls `on_readable` whenever the descriptor can be read. It is not closed
      by the loop.
       @return false where the loop cannot watch it. */
--- /dev/null
+++ b/modules/al_gateway/limits/retry_allowance.cc
@@ -0,0 +1,61 @@
+#include "al_gateway/limits/retry_allowance.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace auburnloft::gateway {
+
+namespace {
+
+/** The part of its share that a router uses: the rest covers routers whose count
+   is not yet known everywhere. */
+constexpr double kUsedPart = 0.7;
+
+auto SecondOf(Instant now) -> std::int64_t {
+  return std::chrono::duration_cast<std::chrono::seconds>(
+             now.time_since_epoch())
+      .count();
+}
+
+}  // namespace
+
+auto RetryAllowance::NoteRequest(std::string_view service, Instant now)
+    -> void {
+  ++this->At(service, now).requests;
+}
+
+auto RetryAllowance::TryTake(std::string_view service, int routers, Instant now)
+    -> bool {
+  assert(routers >= 1);
+  Second& current = this->At(service, now);
+  const std::int64_t first = SecondOf(now) - this->limits.window_seconds;
+  int requests = 0;
+  int repeats = 0;
+  for (const Second& second : this->windows[std::string(service)]) {
+    if (second.number >= first) {
+      requests += second.requests;
+      repeats += second.repeats;
+    }
+  }
+  const double share =
+      kUsedPart * (this->limits.ratio * requests +
+                   this->limits.slack / static_cast<double>(routers));
+  if (repeats + 1 > share) {
+    return false;
+  }
+  ++current.repeats;
+  return true;
+}
+
+auto RetryAllowance::At(std::string_view service, Instant now) -> Second& {
+  const std::int64_t number = SecondOf(now);
+  Second& second =
+      this->windows[std::string(service)]
+                   [static_cast<std::size_t>(number) % kMostSeconds];
+  if (second.number != number) {
+    second = {number, 0, 0};
+  }
+  return second;
+}
+
+}  // namespace auburnloft::gateway
--- /dev/null
+++ b/modules/al_gateway/membership/router_registry.cc
@@ -0,0 +1,86 @@
+#include "al_gateway/membership/router_registry.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace auburnloft::gateway {
+
+namespace {
+
+/** Announcements come every second; three may be late or lost. */
+constexpr Duration kAliveFor = std::chrono::milliseconds(3'200);
+
+/** Routers of a caller's own domain below which it is told of all. */
+constexpr std::size_t kEnoughInDomain = 2;
+
+}  // namespace
+
+auto RouterNameOf(std::string_view incarnation) -> std::string_view {
+  return incarnation.substr(0, incarnation.rfind('#'));
+}
+
+//==============================================================================
+// Commands
+
+auto RouterRegistry::Apply(RouterAnnouncement announcement, Instant now)
+    -> void {
+  Member& member = this->members[announcement.name];
+  member.said = std::move(announcement);
+  member.seen_at = now;
+}
+
+auto RouterRegistry::NoteLogRegained(Instant now) -> void {
+  for (auto& [name, member] : this->members) {
+    member.seen_at = std::max(member.seen_at, now);
+  }
+}
+
+//==============================================================================
+// Queries
+
+auto RouterRegistry::AddressesFor(std::string_view domain, Instant now) const
+    -> std::vector<std::string> {
+  std::vector<std::string> near;
+  std::vector<std::string> all;
+  for (const auto& [name, member] : this->members) {
+    if (!this->IsAlive(member, now) || member.said.leaving) {
+      continue;
+    }
+    all.push_back(member.said.client_address);
+    if (member.said.domain == domain) {
+      near.push_back(member.said.client_address);
+    }
+  }
+  return near.size() >= kEnoughInDomain ? near : all;
+}
+
+auto RouterRegistry::CountAlive(Instant now) const -> int {
+  const auto count = std::count_if(
+      this->members.begin(), this->members.end(),
+      [&](const auto& item) { return this->IsAlive(item.second, now); });
+  return std::max(1, static_cast<int>(count));
+}
+
+auto RouterRegistry::IsCurrent(std::string_view incarnation, Instant now) const
+    -> bool {
+  const auto found =
+      this->members.find(std::string(RouterNameOf(incarnation)));
+  return found != this->members.end() &&
+         found->second.said.incarnation == incarnation &&
+         this->IsAlive(found->second, now);
+}
+
+auto RouterRegistry::VisitAll(
+    Instant now,
+    const std::function<void(const RouterAnnouncement&, bool)>& visit) const
+    -> void {
+  for (const auto& [name, member] : this->members) {
+    visit(member.said, this->IsAlive(member, now));
+  }
+}
+
+auto RouterRegistry::IsAlive(const Member& member, Instant now) const -> bool {
+  return member.said.name == this->self || now - member.seen_at < kAliveFor;
+}
+
+}  // namespace auburnloft::gateway
--- /dev/null
+++ b/modules/al_gateway/membership/router_registry.h
@@ -0,0 +1,88 @@
+#ifndef AL_GATEWAY_MEMBERSHIP_ROUTER_REGISTRY_H_
+#define AL_GATEWAY_MEMBERSHIP_ROUTER_REGISTRY_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "al_core/time/instant.h"
+
+namespace auburnloft::gateway {
+
+/** What a router says of itself. */
+struct RouterAnnouncement {
+  std::string name;
+  std::string incarnation;  ///< One life of its process.
+  std::string domain;
+  std::string region;
+  std::string client_address;  ///< Where callers connect, `ip:port`.
+  bool leaving = false;
+  std::uint64_t beat = 0;  ///< Counts up with each announcement.
+  std::uint64_t config_version = 0;
+};
+
+/** The routers of the fleet by what they announce on the log.
+
+    A router counts as alive for a while after its last announcement. While the
+   log is away nobody announces anything, and that time does not count.
+
+    Thread safety: none; used on one thread.
+*/
+class RouterRegistry {
+ public:
+  explicit RouterRegistry(std::string own_name) : self(std::move(own_name)) {}
+
+  RouterRegistry(const RouterRegistry&) = delete;
+  auto operator=(const RouterRegistry&) -> RouterRegistry& = delete;
+
+  //============================================================================
+  // Commands
+
+  auto Apply(RouterAnnouncement announcement, Instant now) -> void;
+
+  /** The log was unreachable for this router until now. */
+  auto NoteLogRegained(Instant now) -> void;
+
+  //============================================================================
+  // Queries
+
+  /** Addresses for a caller in `domain`: the living routers there, or all of
+     them where those are fewer than two. */
+  [[nodiscard]] auto AddressesFor(std::string_view domain, Instant now) const
+      -> std::vector<std::string>;
+
+  /** Living routers, this one included. */
+  [[nodiscard]] auto CountAlive(Instant now) const -> int;
+
+  /** True where `incarnation` is the newest life that its router announced, and
+     the router counts as alive. */
+  [[nodiscard]] auto IsCurrent(std::string_view incarnation, Instant now) const
+      -> bool;
+
+  /** Calls `visit` with each router and whether it counts as alive. */
+  auto VisitAll(Instant now,
+                const std::function<void(const RouterAnnouncement&, bool)>&
+                    visit) const -> void;
+
+ private:
+  struct Member {
+    RouterAnnouncement said;
+    Instant seen_at{};
+  };
+
+  [[nodiscard]] auto IsAlive(const Member& member, Instant now) const -> bool;
+
+  std::string self;
+  std::map<std::string, Member> members;
+};
+
+/** The name of the router that `incarnation` is a life of. */
+[[nodiscard]] auto RouterNameOf(std::string_view incarnation)
+    -> std::string_view;
+
+}  // namespace auburnloft::gateway
+
+#endif  // AL_GATEWAY_MEMBERSHIP_ROUTER_REGISTRY_H_
--- /dev/null
+++ b/modules/al_gateway/prepaid/allowance_desk.cc
@@ -0,0 +1,231 @@
+#include "al_gateway/prepaid/allowance_desk.h"
+
+#include <algorithm>
+#include <cassert>
+#include <cmath>
+#include <utility>
+
+namespace auburnloft::gateway {
+
+namespace {
+
+/** In which time a demand loses all but 1/e of its weight in the rate: some
+   bursts of callers long. */
+constexpr double kDemandSeconds = 4.0;
+
+/** The part of what may be left that routers divide by their demand; the rest
+   is for demand that has moved since. */
+constexpr double kDividedPart = 0.9;
+
+/** Raises below this part of the target wait, so that the log gets fewer
+   entries. */
+constexpr double kWorthWriting = 0.2;
+
+/** An allowance above this multiple of its target is returned. */
+constexpr double kSurplus = 1.6;
+
+auto DecayedDemand(double demand, Instant since, Instant now) -> double {
+  return demand * std::exp(-ToSeconds(now - since) / kDemandSeconds);
+}
+
+auto Minus(std::uint64_t from, std::uint64_t amount) -> std::uint64_t {
+  return from - std::min(from, amount);
+}
+
+}  // namespace
+
+AllowanceDesk::AllowanceDesk(std::string holder,
+                             const AllowanceSettings& settings)
+    : holder(std::move(holder)), settings(settings) {}
+
+//==============================================================================
+// Commands
+
+auto AllowanceDesk::SetBudget(std::string_view team,
+                              std::uint64_t prepaid_tokens) -> void {
+  this->accounts[std::string(team)].prepaid = prepaid_tokens;
+}
+
+auto AllowanceDesk::TryReserve(std::string_view team,
+                               std::uint64_t tokens,
+                               bool first_try,
+                               Instant now) -> bool {
+  Account& account = this->accounts[std::string(team)];
+  if (first_try) {
+    account.demand =
+        DecayedDemand(account.demand, account.demand_at, now) +
+        static_cast<double>(tokens) / kDemandSeconds;
+    account.demand_at = now;
+  }
+  if (account.available() < tokens) {
+    return false;
+  }
+  account.reserved += tokens;
+  return true;
+}
+
+auto AllowanceDesk::Settle(std::string_view team,
+                           std::uint64_t reserved,
+                           std::uint64_t used) -> void {
+  Account& account = this->accounts[std::string(team)];
+  assert(account.reserved >= reserved && used <= reserved);
+  account.reserved -= reserved;
+  account.settled += used;
+}
+
+auto AllowanceDesk::SetWaiting(std::string_view team, std::uint64_t tokens)
+    -> void {
+  this->accounts[std::string(team)].waiting = tokens;
+}
+
+auto AllowanceDesk::Plan(const AllowanceLedger& ledger,
+                         const AllowanceLedger::IsAlive& is_alive,
+                         int routers,
+                         bool reports,
+                         Instant now) -> std::vector<AllowanceEntry> {
+  std::vector<AllowanceEntry> entries;
+  if (this->unrecorded()) {
+    return entries;
+  }
+  for (auto& [team, account] : this->accounts) {
+    const AllowanceLedger::Totals totals = ledger.TotalsOf(team, is_alive);
+    const std::uint64_t target = this->TargetOf(account, totals, routers, now);
+    const std::uint64_t taken =
+        this->TakenAfter(account, totals, target, routers);
+    const bool withdraws = account.written > account.spendable;
+    if (taken != account.written || withdraws ||
+        (reports && account.settled != account.settled_written)) {
+      entries.push_back(this->EntryOf(team, account, taken, now));
+    }
+  }
+  this->pending_entries = static_cast<int>(entries.size());
+  return entries;
+}
+
+auto AllowanceDesk::PlanReturn() -> std::vector<AllowanceEntry> {
+  std::vector<AllowanceEntry> entries;
+  for (auto& [team, account] : this->accounts) {
+    account.spendable = std::min(account.spendable, account.committed());
+    if (account.written != account.spendable) {
+      entries.push_back(
+          this->EntryOf(team, account, account.spendable, account.demand_at));
+    }
+  }
+  this->pending_entries = static_cast<int>(entries.size());
+  return entries;
+}
+
+auto AllowanceDesk::OnRecorded(const AllowanceEntry& entry,
+                               std::uint64_t taken_by_all) -> void {
+  Account& account = this->accounts[entry.team];
+  if (entry.revision != account.pending_revision) {
+    return;  // An entry from before the history was lost.
+  }
+  account.pending_revision = 0;
+  this->pending_entries = std::max(0, this->pending_entries - 1);
+  if (entry.taken_tokens > account.spendable &&
+      taken_by_all <= account.prepaid) {
+    account.spendable = entry.taken_tokens;
+  }
+}
+
+auto AllowanceDesk::OnHistoryLost() -> void {
+  this->pending_entries = 0;
+  for (auto& [team, account] : this->accounts) {
+    account.pending_revision = 0;
+  }
+}
+
+//==============================================================================
+// Queries
+
+auto AllowanceDesk::BudgetIsSpent(
+    std::string_view team,
+    std::uint64_t tokens,
+    const AllowanceLedger& ledger,
+    const AllowanceLedger::IsAlive& is_alive) const -> bool {
+  const auto found = this->accounts.find(team);
+  if (found == this->accounts.end()) {
+    return true;
+  }
+  const AllowanceLedger::Totals totals = ledger.TotalsOf(team, is_alive);
+  return Minus(found->second.prepaid,
+               totals.taken_by_dead + totals.settled_by_living) < tokens;
+}
+
+auto AllowanceDesk::Available(std::string_view team) const -> std::uint64_t {
+  const auto found = this->accounts.find(team);
+  return found == this->accounts.end() ? 0 : found->second.available();
+}
+
+//==============================================================================
+
+auto AllowanceDesk::TargetOf(const Account& account,
+                             const AllowanceLedger::Totals& totals,
+                             int routers,
+                             Instant now) const -> std::uint64_t {
+  const double demand = DecayedDemand(account.demand, account.demand_at, now);
+  const double left = static_cast<double>(
+      Minus(account.prepaid, totals.taken_by_dead + totals.settled_by_living));
+  const double even = 1.0 / std::max(1, routers);
+  if (account.demand_at == Instant()) {
+    return static_cast<std::uint64_t>(left * this->settings.first_part * even);
+  }
+  const double all = std::max(totals.demand_of_living, demand);
+  const double share = all > 0.0 ? demand / all : even;
+  return static_cast<std::uint64_t>(
+      std::min(demand * ToSeconds(this->settings.cover),
+               left * kDividedPart * share));
+}
+
+auto AllowanceDesk::TakenAfter(Account& account,
+                               const AllowanceLedger::Totals& totals,
+                               std::uint64_t target,
+                               int routers) -> std::uint64_t {
+  const std::uint64_t wanted = account.committed() + account.waiting + target;
+  // An invalid raise is in the totals, but never became spendable.
+  const std::uint64_t invalid = Minus(account.written, account.spendable);
+  const std::uint64_t pool =
+      Minus(account.prepaid, Minus(totals.taken, invalid));
+  const double written_target = static_cast<double>(target);
+  const std::uint64_t least_raise =
+      account.waiting > 0
+          ? 1
+          : static_cast<std::uint64_t>(kWorthWriting * written_target) + 1;
+  if (wanted >= account.spendable + least_raise) {
+    // The pool may be wanted by all at once: nobody takes more than an even
+    // share of what is left in one step, but for requests that wait.
+    const std::uint64_t share =
+        pool / static_cast<std::uint64_t>(std::max(1, routers)) + 1;
+    const std::uint64_t step = std::max(share, account.waiting);
+    return account.spendable +
+           std::min({wanted - account.spendable, pool, step});
+  }
+  const std::uint64_t surplus_at =
+      account.committed() +
+      static_cast<std::uint64_t>(kSurplus * written_target) + 1;
+  if (account.spendable > surplus_at) {
+    account.spendable = std::max(wanted, account.committed());
+  }
+  return account.spendable;
+}
+
+auto AllowanceDesk::EntryOf(const std::string& team,
+                            Account& account,
+                            std::uint64_t taken,
+                            Instant now) -> AllowanceEntry {
+  AllowanceEntry entry;
+  entry.team = team;
+  entry.holder = this->holder;
+  entry.taken_tokens = taken;
+  entry.settled_tokens = account.settled;
+  entry.demand_per_second =
+      DecayedDemand(account.demand, account.demand_at, now);
+  entry.revision = ++this->last_revision;
+  account.written = taken;
+  account.settled_written = account.settled;
+  account.pending_revision = entry.revision;
+  return entry;
+}
+
+}  // namespace auburnloft::gateway
--- /dev/null
+++ b/modules/al_gateway/prepaid/allowance_desk.h
@@ -0,0 +1,150 @@
+#ifndef AL_GATEWAY_PREPAID_ALLOWANCE_DESK_H_
+#define AL_GATEWAY_PREPAID_ALLOWANCE_DESK_H_
+
+#include <algorithm>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "al_core/time/instant.h"
+#include "al_gateway/prepaid/allowance_ledger.h"
+
+namespace auburnloft::gateway {
+
+/** How large allowances are. */
+struct AllowanceSettings {
+  /** Demand that an allowance covers: an outage of the log that is to be
+     survived. */
+  Duration cover = std::chrono::seconds(10);
+
+  /** The part of a team's budget that all routers together take before they know
+     its demand. */
+  double first_part = 0.2;
+};
+
+/** One router's allowances: what it may spend of each team's budget, and what it
+   asks of the log.
+
+    A request reserves its most with TryReserve() before it is sent, and settles
+   its use at its end. Plan() gives the entries to write; when they are read back
+   in the order of the log, OnRecorded() makes a valid raise spendable.
+
+    Thread safety: none; used on one thread.
+*/
+class AllowanceDesk {
+ public:
+  AllowanceDesk(std::string holder, const AllowanceSettings& settings);
+
+  AllowanceDesk(const AllowanceDesk&) = delete;
+  auto operator=(const AllowanceDesk&) -> AllowanceDesk& = delete;
+
+  //============================================================================
+  // Commands
+
+  /** What `team` bought, as configured. */
+  auto SetBudget(std::string_view team, std::uint64_t prepaid_tokens) -> void;
+
+  /** Reserves `tokens`. @return false where the allowance in hand is too small;
+     the demand is noted in either case, once with `first_try`. */
+  [[nodiscard]] auto TryReserve(std::string_view team,
+                                std::uint64_t tokens,
+                                bool first_try,
+                                Instant now) -> bool;
+
+  /** Ends a reservation of `reserved` tokens, of which `used` were spent. */
+  auto Settle(std::string_view team,
+              std::uint64_t reserved,
+              std::uint64_t used) -> void;
+
+  /** Tokens that requests wait for now; they are asked for on top. */
+  auto SetWaiting(std::string_view team, std::uint64_t tokens) -> void;
+
+  /** The entries to write now. Lowers at once what it returns. Empty where
+     nothing has changed, or while entries are unrecorded.
+      @param routers  alive in the fleet, at least 1.
+      @param reports  whether to write also what only tells of use. */
+  [[nodiscard]] auto Plan(const AllowanceLedger& ledger,
+                          const AllowanceLedger::IsAlive& is_alive,
+                          int routers,
+                          bool reports,
+                          Instant now) -> std::vector<AllowanceEntry>;
+
+  /** Entries that return everything unspent, for a shutdown. */
+  [[nodiscard]] auto PlanReturn() -> std::vector<AllowanceEntry>;
+
+  /** An entry of this holder was read back.
+      @param taken_by_all  the sum of all newest entries at its place. */
+  auto OnRecorded(const AllowanceEntry& entry, std::uint64_t taken_by_all)
+      -> void;
+
+  /** The history was lost: entries under way count as invalid raises. */
+  auto OnHistoryLost() -> void;
+
+  //============================================================================
+  // Queries
+
+  /** True where no more than `tokens` of the budget may be left, as far as the
+     log tells: a refusal for the budget is then true. */
+  [[nodiscard]] auto BudgetIsSpent(std::string_view team,
+                                   std::uint64_t tokens,
+                                   const AllowanceLedger& ledger,
+                                   const AllowanceLedger::IsAlive& is_alive)
+      const -> bool;
+
+  /** Tokens that may still be reserved. */
+  [[nodiscard]] auto Available(std::string_view team) const -> std::uint64_t;
+
+  /** True while entries that Plan() gave were not read back. */
+  [[nodiscard]] auto unrecorded() const -> bool {
+    return this->pending_entries > 0;
+  }
+
+ private:
+  struct Account {
+    std::uint64_t prepaid = 0;
+    std::uint64_t spendable = 0;  ///< Covered by valid entries, in all.
+    std::uint64_t written = 0;    ///< Of the newest entry.
+    std::uint64_t settled = 0;
+    std::uint64_t settled_written = 0;
+    std::uint64_t reserved = 0;
+    std::uint64_t waiting = 0;
+    double demand = 0.0;  ///< Tokens a second, as of `demand_at`.
+    Instant demand_at{};
+    std::uint64_t pending_revision = 0;
+
+    [[nodiscard]] auto committed() const -> std::uint64_t {
+      return this->settled + this->reserved;
+    }
+    [[nodiscard]] auto available() const -> std::uint64_t {
+      return this->spendable - std::min(this->spendable, this->committed());
+    }
+  };
+
+  [[nodiscard]] auto TargetOf(const Account& account,
+                              const AllowanceLedger::Totals& totals,
+                              int routers,
+                              Instant now) const -> std::uint64_t;
+  /** What the next entry says is taken; lowers `spendable` for a return. */
+  auto TakenAfter(Account& account,
+                  const AllowanceLedger::Totals& totals,
+                  std::uint64_t target,
+                  int routers) -> std::uint64_t;
+  auto EntryOf(const std::string& team,
+               Account& account,
+               std::uint64_t taken,
+               Instant now) -> AllowanceEntry;
+
+  std::string holder;
+  AllowanceSettings settings;
+  std::map<std::string, Account, std::less<>> accounts;
+  std::uint64_t last_revision = 0;
+  int pending_entries = 0;
+};
+
+}  // namespace auburnloft::gateway
+
+#endif  // AL_GATEWAY_PREPAID_ALLOWANCE_DESK_H_
--- /dev/null
+++ b/modules/al_gateway/prepaid/allowance_ledger.cc
@@ -0,0 +1,47 @@
+#include "al_gateway/prepaid/allowance_ledger.h"
+
+#include <utility>
+
+namespace auburnloft::gateway {
+
+auto AllowanceLedger::Apply(AllowanceEntry entry) -> void {
+  TeamEntries& entries = this->teams[entry.team];
+  AllowanceEntry& known = entries.by_holder[entry.holder];
+  entries.taken = entries.taken - known.taken_tokens + entry.taken_tokens;
+  known = std::move(entry);
+}
+
+auto AllowanceLedger::Taken(std::string_view team) const -> std::uint64_t {
+  const auto found = this->teams.find(std::string(team));
+  return found == this->teams.end() ? 0 : found->second.taken;
+}
+
+auto AllowanceLedger::TotalsOf(std::string_view team,
+                               const IsAlive& is_alive) const -> Totals {
+  Totals totals;
+  const auto found = this->teams.find(std::string(team));
+  if (found == this->teams.end()) {
+    return totals;
+  }
+  totals.taken = found->second.taken;
+  for (const auto& [holder, entry] : found->second.by_holder) {
+    if (is_alive(holder)) {
+      totals.settled_by_living += entry.settled_tokens;
+      totals.demand_of_living += entry.demand_per_second;
+    } else {
+      totals.taken_by_dead += entry.taken_tokens;
+    }
+  }
+  return totals;
+}
+
+auto AllowanceLedger::VisitAll(
+    const std::function<void(const AllowanceEntry&)>& visit) const -> void {
+  for (const auto& [team, entries] : this->teams) {
+    for (const auto& [holder, entry] : entries.by_holder) {
+      visit(entry);
+    }
+  }
+}
+
+}  // namespace auburnloft::gateway
--- /dev/null
+++ b/modules/al_gateway/streams/event_splitter.cc
@@ -0,0 +1,71 @@
+#include "al_gateway/streams/event_splitter.h"
+
+#include <charconv>
+
+namespace auburnloft::gateway {
+
+namespace {
+
+constexpr std::string_view kEventEnd = "\n\n";
+
+/** The number in the event's `id:` line. */
+auto IdOf(std::string_view event) -> std::optional<std::uint64_t> {
+  constexpr std::string_view kField = "id:";
+  while (!event.empty()) {
+    const std::size_t end = event.find('\n');
+    std::string_view line = event.substr(0, end);
+    if (line.starts_with(kField)) {
+      line.remove_prefix(kField.size());
+      if (line.starts_with(' ')) {
+        line.remove_prefix(1);
+      }
+      std::uint64_t value = 0;
+      const auto [stop, error] =
+          std::from_chars(line.data(), line.data() + line.size(), value);
+      return error == std::errc() ? std::optional(value) : std::nullopt;
+    }
+    event = end == std::string_view::npos ? std::string_view()
+                                          : event.substr(end + 1);
+  }
+  return std::nullopt;
+}
+
+}  // namespace
+
+auto EventSplitter::Feed(std::string_view bytes) -> std::string {
+  this->partial.append(bytes);
+  std::string whole;
+  std::size_t from = 0;
+  for (std::size_t end = this->partial.find(kEventEnd);
+       end != std::string::npos; end = this->partial.find(kEventEnd, from)) {
+    const std::string_view event = std::string_view(this->partial)
+                                       .substr(from, end + kEventEnd.size() - from);
+    if (this->Accept(event)) {
+      whole.append(event);
+    }
+    from = end + kEventEnd.size();
+  }
+  this->partial.erase(0, from);
+  return whole;
+}
+
+auto EventSplitter::Resume() -> void {
+  this->partial.clear();
+}
+
+auto EventSplitter::Accept(std::string_view event) -> bool {
+  const std::optional<std::uint64_t> next = IdOf(event);
+  if (next && this->id) {
+    if (*next <= *this->id) {
+      return false;
+    }
+    this->gap = this->gap || *next != *this->id + 1;
+  }
+  if (next) {
+    this->id = next;
+  }
+  ++this->events;
+  return true;
+}
+
+}  // namespace auburnloft::gateway
--- /dev/null
+++ b/modules/al_gateway/upstreams/prompt_memory.h
@@ -0,0 +1,45 @@
+#ifndef AL_GATEWAY_UPSTREAMS_PROMPT_MEMORY_H_
+#define AL_GATEWAY_UPSTREAMS_PROMPT_MEMORY_H_
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "al_core/time/instant.h"
+
+namespace auburnloft::gateway {
+
+/** Which upstreams this router has lately sent which prompt part to, and which
+   therefore are believed to keep it.
+
+    Bounded; the least recently noted part yields.
+
+    Thread safety: none; used on one thread.
+*/
+class PromptMemory {
+ public:
+  /** Notes that `upstream` reads `part` now. */
+  auto Note(std::string_view part, std::string_view upstream, Instant now)
+      -> void;
+
+  /** True where `upstream` is believed to keep `part`. */
+  [[nodiscard]] auto Holds(std::string_view part,
+                           std::string_view upstream,
+                           Instant now) const -> bool;
+
+ private:
+  struct Sight {
+    std::uint64_t upstream = 0;  ///< Hash of its id.
+    Instant at{};
+  };
+
+  auto Prune(Instant now) -> void;
+
+  std::unordered_map<std::uint64_t, std::vector<Sight>> sights;  ///< By part.
+};
+
+}  // namespace auburnloft::gateway
+
+#endif  // AL_GATEWAY_UPSTREAMS_PROMPT_MEMORY_H_
--- /dev/null
+++ b/modules/al_gateway/upstreams/upstream_chooser.cc
@@ -0,0 +1,143 @@
+#include "al_gateway/upstreams/upstream_chooser.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "al_core/text/digest.h"
+
+namespace auburnloft::gateway {
+
+namespace {
+
+/** Reading one prompt token, in milliseconds; engines read some 50 a
+   millisecond. */
+constexpr double kPrefillMsPerToken = 0.02;
+
+/** Other routers send work too: how much more waits than this router knows. */
+constexpr double kUnseenWork = 2.0;
+
+/** Delay that one running generation adds to the first event of another. */
+constexpr double kRunningMs = 1.0;
+
+/** Delay that a full set of a plain service's slots adds, of this router's own
+   requests alone. */
+constexpr double kFullSlotsMs = 60.0;
+
+/** What a failure costs a caller, in milliseconds of delay. */
+constexpr double kFailureMs = 400.0;
+
+/** What it weighs that the bytes cross failure domains. */
+constexpr double kOtherDomainMs = 3.0;
+
+auto IsExcluded(std::span<const std::string> excluded, const std::string& id)
+    -> bool {
+  return std::find(excluded.begin(), excluded.end(), id) != excluded.end();
+}
+
+/** The engine that a prompt's last shared part belongs to. */
+auto HomeOf(std::span<const UpstreamDirectory::State> upstreams,
+            std::string_view part,
+            Instant now) -> const UpstreamState* {
+  const UpstreamState* home = nullptr;
+  std::uint64_t highest = 0;
+  for (const UpstreamDirectory::State& upstream : upstreams) {
+    if (!upstream->usable(now)) {
+      continue;
+    }
+    const std::uint64_t weight = StableHash(part, upstream->record().id);
+    if (home == nullptr || weight > highest) {
+      home = upstream.get();
+      highest = weight;
+    }
+  }
+  return home;
+}
+
+}  // namespace
+
+UpstreamChooser::UpstreamChooser(const UpstreamDirectory& directory,
+                                 std::string domain)
+    : directory(directory), domain(std::move(domain)) {}
+
+//==============================================================================
+// Commands
+
+auto UpstreamChooser::NotePrompt(const GenerationFacts& generation,
+                                 const UpstreamState& upstream,
+                                 Instant now) -> void {
+  for (const PromptPart& part : generation.parts) {
+    this->memory.Note(part.id, upstream.record().id, now);
+  }
+}
+
+//==============================================================================
+// Queries
+
+auto UpstreamChooser::Choose(const ChoiceQuery& query, Instant now) const
+    -> std::optional<Choice> {
+  const auto upstreams = this->directory.OfService(query.service);
+  const UpstreamState* home = nullptr;
+  if (query.generation != nullptr && !query.generation->parts.empty()) {
+    home = HomeOf(upstreams, query.generation->parts.back().id, now);
+  }
+  const bool any_certain =
+      std::any_of(upstreams.begin(), upstreams.end(), [&](const auto& item) {
+        return item->usable(now) && !item->doubtful() &&
+               !IsExcluded(query.excluded, item->record().id);
+      });
+  std::optional<Choice> best;
+  double best_score = 0.0;
+  for (const UpstreamDirectory::State& upstream : upstreams) {
+    if (!upstream->usable(now) || (any_certain && upstream->doubtful()) ||
+        IsExcluded(query.excluded, upstream->record().id)) {
+      continue;
+    }
+    const Estimate estimate =
+        this->EstimateFor(*upstream, query, upstream.get() == home, now);
+    if (!best || estimate.score_ms < best_score) {
+      constexpr double kMicrosPerMilli = 1000.0;
+      best = Choice{upstream, estimate.prefill_tokens,
+                    Duration(static_cast<std::int64_t>(estimate.first_byte_ms *
+                                                       kMicrosPerMilli))};
+      best_score = estimate.score_ms;
+    }
+  }
+  return best;
+}
+
+auto UpstreamChooser::EstimateFor(const UpstreamState& upstream,
+                                  const ChoiceQuery& query,
+                                  bool is_home,
+                                  Instant now) const -> Estimate {
+  Estimate estimate;
+  if (query.generation != nullptr) {
+    std::uint64_t kept = 0;
+    bool chain_kept = true;
+    for (const PromptPart& part : query.generation->parts) {
+      chain_kept = chain_kept &&
+                   (is_home || this->memory.Holds(
+                                   part.id, upstream.record().id, now));
+      kept += chain_kept ? part.tokens : 0;
+    }
+    const std::uint64_t prompt = query.generation->prompt_tokens;
+    estimate.prefill_tokens = prompt - std::min(prompt, kept);
+    const double waiting =
+        static_cast<double>(upstream.pending_prefill()) * kUnseenWork;
+    estimate.first_byte_ms =
+        (static_cast<double>(estimate.prefill_tokens) + waiting) *
+            kPrefillMsPerToken +
+        upstream.open_requests() * kRunningMs;
+  } else {
+    estimate.first_byte_ms = kFullSlotsMs * upstream.open_requests() /
+                             std::max(1, upstream.record().slots);
+  }
+  constexpr double kMillisPerSecond = 1000.0;
+  estimate.score_ms =
+      estimate.first_byte_ms +
+      ToSeconds(upstream.ExcessLatency(now)) * kMillisPerSecond +
+      upstream.FailureShare(now) * kFailureMs +
+      (upstream.record().domain == this->domain ? 0.0 : kOtherDomainMs);
+  return estimate;
+}
+
+}  // namespace auburnloft::gateway
--- /dev/null
+++ b/modules/al_http1/http1_client_connection.cc
@@ -0,0 +1,200 @@
+#include "al_http1/http1_client_connection.h"
+
+#include <cassert>
+#include <utility>
+
+#include "al_http1/http1_response_reader.h"
+
+namespace auburnloft {
+
+namespace {
+
+constexpr int kFirstFinalStatus = 200;
+
+}  // namespace
+
+Http1ClientConnection::Http1ClientConnection(SocketPoller& poller)
+    : poller(poller) {}
+
+Http1ClientConnection::~Http1ClientConnection() {
+  this->Close();
+}
+
+auto Http1ClientConnection::Connect(SocketPoller& poller,
+                                    std::string_view address,
+                                    Duration limit)
+    -> std::shared_ptr<Http1ClientConnection> {
+  std::shared_ptr<Http1ClientConnection> client(
+      new Http1ClientConnection(poller));
+  TcpConnection::Callbacks callbacks;
+  callbacks.on_connected = [self = client.get()] { self->OnConnected(); };
+  callbacks.on_input = [self = client.get()] { self->OnInput(); };
+  callbacks.on_end = [self = client.get()](TcpEnd end) { self->OnEnd(end); };
+  client->connection =
+      TcpConnection::Connect(poller, address, limit, std::move(callbacks));
+  return client->connection ? client : nullptr;
+}
+
+//==============================================================================
+// Commands
+
+auto Http1ClientConnection::Start(std::string_view request_bytes,
+                                  bool is_head_request,
+                                  ExchangeCallbacks callbacks) -> void {
+  assert(this->idle());
+  this->exchange = std::move(callbacks);
+  this->is_head_request = is_head_request;
+  this->reader = std::make_unique<Http1ResponseReader>(is_head_request);
+  this->head_delivered = false;
+  this->drops_answer = false;
+  if (this->connection->connected()) {
+    this->request_written = true;
+    this->connection->Write(request_bytes);
+  } else {
+    this->request_written = false;
+    this->waiting_request = request_bytes;
+  }
+}
+
+auto Http1ClientConnection::SetOnIdleEnd(std::function<void()> on_idle_end)
+    -> void {
+  this->idle_end = std::move(on_idle_end);
+}
+
+auto Http1ClientConnection::PauseReading(bool paused) -> void {
+  this->connection->PauseReading(paused);
+}
+
+auto Http1ClientConnection::Close() -> void {
+  this->exchange = {};
+  this->idle_end = {};
+  this->reader.reset();
+  if (this->connection) {
+    this->connection->Close();
+  }
+}
+
+//==============================================================================
+
+auto Http1ClientConnection::OnConnected() -> void {
+  if (this->reader && !this->request_written) {
+    this->request_written = true;
+    this->connection->Write(std::exchange(this->waiting_request, {}));
+  }
+}
+
+auto Http1ClientConnection::OnInput() -> void {
+  const auto self = this->shared_from_this();
+  if (this->reader) {
+    this->FeedInput();
+    return;
+  }
+  // Nothing was asked: the bytes belong to no request.
+  const auto call = std::exchange(this->idle_end, {});
+  this->connection->Close();
+  if (call) {
+    call();
+  }
+}
+
+auto Http1ClientConnection::FeedInput() -> void {
+  while (this->reader && !this->connection->input().empty()) {
+    const std::size_t used = this->reader->Feed(this->connection->input());
+    this->connection->Consume(used);
+    if (this->reader->failed()) {
+      this->Finish(Http1Outcome::kBroken);
+      return;
+    }
+    if (!this->reader->has_header()) {
+      return;
+    }
+    this->DeliverHead();
+    if (!this->reader) {
+      return;  // The owner closed the connection in its callback.
+    }
+    this->DeliverBody();
+    if (!this->reader) {
+      return;
+    }
+    if (this->reader->done()) {
+      if (!this->drops_answer) {
+        this->Finish(Http1Outcome::kComplete);
+        return;
+      }
+      this->reader = std::make_unique<Http1ResponseReader>(this->is_head_request);
+      this->head_delivered = false;
+      this->drops_answer = false;
+    } else if (used == 0) {
+      return;
+    }
+  }
+}
+
+auto Http1ClientConnection::DeliverHead() -> void {
+  if (this->head_delivered) {
+    return;
+  }
+  this->head_delivered = true;
+  const Http1ResponseHead head = this->reader->Head();
+  this->ends_after_answer = !head.keeps_alive;
+  this->drops_answer = head.status < kFirstFinalStatus ||
+                       (this->exchange.is_mine && !this->exchange.is_mine(head));
+  if (!this->drops_answer && this->exchange.on_head) {
+    const auto call = this->exchange.on_head;
+    call(head);
+  }
+}
+
+auto Http1ClientConnection::DeliverBody() -> void {
+  std::string body = this->reader->TakeBody();
+  if (!body.empty() && !this->drops_answer && this->exchange.on_body) {
+    const auto call = this->exchange.on_body;
+    call(std::move(body));
+  }
+}
+
+auto Http1ClientConnection::OnEnd(TcpEnd end) -> void {
+  const auto self = this->shared_from_this();
+  if (!this->reader) {
+    if (const auto call = std::exchange(this->idle_end, {})) {
+      call();
+    }
+    return;
+  }
+  if (end == TcpEnd::kNotConnected || !this->connection->has_sent()) {
+    this->Finish(Http1Outcome::kNotSent);
+    return;
+  }
+  if (!this->reader->started() || this->drops_answer) {
+    this->Finish(Http1Outcome::kNoAnswer);
+    return;
+  }
+  if (end == TcpEnd::kClosedByPeer && this->reader->has_header()) {
+    this->reader->FeedEnd();
+    this->DeliverBody();
+    if (this->reader && this->reader->done() && !this->reader->failed()) {
+      this->Finish(Http1Outcome::kComplete);
+      return;
+    }
+  }
+  this->Finish(Http1Outcome::kBroken);
+}
+
+auto Http1ClientConnection::Finish(Http1Outcome outcome) -> void {
+  const auto self = this->shared_from_this();
+  const auto call = this->exchange.on_done;
+  this->exchange = {};
+  this->reader.reset();
+  if (outcome != Http1Outcome::kComplete || !this->connection->input().empty() ||
+      this->connection->unsent() > 0) {
+    // Bytes beyond the answer, or a request that was answered before it was
+    // read, would be taken for a part of the next exchange.
+    this->ends_after_answer = true;
+    this->connection->Close();
+  }
+  if (call) {
+    call(outcome);
+  }
+}
+
+}  // namespace auburnloft
--- /dev/null
+++ b/modules/al_http1/http1_message.cc
@@ -0,0 +1,138 @@
+#include "al_http1/http1_message.h"
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+#include <cstdio>
+
+namespace auburnloft {
+
+namespace {
+
+constexpr std::array<std::string_view, 9> kConnectionFields = {
+    "Connection", "Keep-Alive",        "Proxy-Connection",
+    "TE",         "Trailer",           "Transfer-Encoding",
+    "Upgrade",    "Proxy-Authenticate", "Content-Length"};
+
+auto AppendFields(std::string& bytes, const Http1Fields& fields) -> void {
+  for (const Http1Field& field : fields.all()) {
+    bytes.append(field.name).append(": ").append(field.value).append("\r\n");
+  }
+}
+
+auto TrimSpaces(std::string_view text) -> std::string_view {
+  while (!text.empty() && (text.front() == ' ' || text.front() == '\t')) {
+    text.remove_prefix(1);
+  }
+  while (!text.empty() && (text.back() == ' ' || text.back() == '\t')) {
+    text.remove_suffix(1);
+  }
+  return text;
+}
+
+}  // namespace
+
+auto EqualNames(std::string_view first, std::string_view second) -> bool {
+  return std::equal(first.begin(), first.end(), second.begin(), second.end(),
+                    [](unsigned char left, unsigned char right) {
+                      return std::tolower(left) == std::tolower(right);
+                    });
+}
+
+//==============================================================================
+// Http1Fields
+
+auto Http1Fields::Add(std::string_view name, std::string_view value) -> void {
+  this->items.push_back({std::string(name), std::string(value)});
+}
+
+auto Http1Fields::Remove(std::string_view name) -> void {
+  std::erase_if(this->items, [name](const Http1Field& field) {
+    return EqualNames(field.name, name);
+  });
+}
+
+auto Http1Fields::Set(std::string_view name, std::string_view value) -> void {
+  this->Remove(name);
+  this->Add(name, value);
+}
+
+auto Http1Fields::RemoveConnectionFields() -> void {
+  std::vector<std::string> named;
+  for (const Http1Field& field : this->items) {
+    if (!EqualNames(field.name, "Connection")) {
+      continue;
+    }
+    std::string_view rest = field.value;
+    while (!rest.empty()) {
+      const std::size_t comma = rest.find(',');
+      named.emplace_back(TrimSpaces(rest.substr(0, comma)));
+      rest = comma == std::string_view::npos ? std::string_view()
+                                             : rest.substr(comma + 1);
+    }
+  }
+  for (const std::string& name : named) {
+    this->Remove(name);
+  }
+  for (const std::string_view name : kConnectionFields) {
+    this->Remove(name);
+  }
+}
+
+auto Http1Fields::Find(std::string_view name) const
+    -> std::optional<std::string_view> {
+  for (const Http1Field& field : this->items) {
+    if (EqualNames(field.name, name)) {
+      return field.value;
+    }
+  }
+  return std::nullopt;
+}
+
+//==============================================================================
+// Bytes
+
+auto ToBytes(const Http1Request& request) -> std::string {
+  std::string bytes;
+  bytes.append(request.method).append(" ").append(request.target);
+  bytes.append(" HTTP/1.1\r\n");
+  AppendFields(bytes, request.fields);
+  if (!request.body.empty() ||
+      (request.method != "GET" && request.method != "HEAD")) {
+    bytes.append("Content-Length: ");
+    bytes.append(std::to_string(request.body.size())).append("\r\n");
+  }
+  bytes.append("\r\n").append(request.body);
+  return bytes;
+}
+
+auto HeadToBytes(const Http1ResponseHead& head,
+                 Http1Framing framing,
+                 std::size_t length,
+                 bool closes) -> std::string {
+  std::string bytes = "HTTP/1.1 " + std::to_string(head.status) + " ";
+  bytes.append(head.reason).append("\r\n");
+  AppendFields(bytes, head.fields);
+  if (framing == Http1Framing::kChunked) {
+    bytes.append("Transfer-Encoding: chunked\r\n");
+  } else {
+    bytes.append("Content-Length: ").append(std::to_string(length));
+    bytes.append("\r\n");
+  }
+  if (closes) {
+    bytes.append("Connection: close\r\n");
+  }
+  bytes.append("\r\n");
+  return bytes;
+}
+
+auto ToChunk(std::string_view bytes) -> std::string {
+  std::array<char, 20> size{};
+  const int digits =
+      std::snprintf(size.data(), size.size(), "%zx\r\n", bytes.size());
+  std::string chunk(size.data(), static_cast<std::size_t>(digits));
+  chunk.append(bytes).append("\r\n");
+  return chunk;
+}
+
+}  // namespace auburnloft
--- /dev/null
+++ b/modules/al_http1/http1_request_reader.cc
@@ -0,0 +1,95 @@
+#include "al_http1/http1_request_reader.h"
+
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <utility>
+
+namespace auburnloft {
+
+namespace http = boost::beast::http;
+
+namespace {
+
+constexpr int kBadRequest = 400;
+constexpr int kBodyTooLarge = 413;
+constexpr int kHeaderTooLarge = 431;
+
+auto StatusOf(const boost::beast::error_code& error) -> int {
+  if (error == http::error::header_limit) {
+    return kHeaderTooLarge;
+  }
+  if (error == http::error::body_limit) {
+    return kBodyTooLarge;
+  }
+  return kBadRequest;
+}
+
+}  // namespace
+
+struct Http1RequestReader::Parser {
+  http::request_parser<http::string_body> beast;
+};
+
+Http1RequestReader::Http1RequestReader(const Http1RequestLimits& limits)
+    : parser(std::make_unique<Parser>()) {
+  this->parser->beast.eager(true);
+  this->parser->beast.header_limit(
+      static_cast<std::uint32_t>(limits.header_bytes));
+  this->parser->beast.body_limit(limits.body_bytes);
+}
+
+Http1RequestReader::~Http1RequestReader() = default;
+
+auto Http1RequestReader::Feed(std::string_view bytes) -> std::size_t {
+  std::size_t used = 0;
+  while (used < bytes.size() && !this->done()) {
+    this->has_bytes = true;
+    boost::beast::error_code status;
+    const std::string_view rest = bytes.substr(used);
+    const std::size_t count = this->parser->beast.put(
+        boost::asio::const_buffer(rest.data(), rest.size()), status);
+    used += count;
+    if (status == http::error::need_more) {
+      break;
+    }
+    if (status) {
+      this->error = StatusOf(status);
+      break;
+    }
+    if (count == 0) {
+      break;
+    }
+  }
+  return used;
+}
+
+auto Http1RequestReader::Take() -> Http1Request {
+  auto message = this->parser->beast.release();
+  Http1Request request;
+  request.method = std::string(message.method_string());
+  request.target = std::string(message.target());
+  for (const auto& field : message) {
+    request.fields.Add(
+        std::string_view(field.name_string().data(), field.name_string().size()),
+        std::string_view(field.value().data(), field.value().size()));
+  }
+  request.keeps_alive = message.keep_alive();
+  request.body = std::move(message.body());
+  return request;
+}
+
+auto Http1RequestReader::done() const -> bool {
+  return this->parser->beast.is_done();
+}
+
+auto Http1RequestReader::has_header() const -> bool {
+  return this->parser->beast.is_header_done();
+}
+
+auto Http1RequestReader::expects_continue() const -> bool {
+  const auto& fields = this->parser->beast.get();
+  return this->has_header() &&
+         boost::beast::iequals(fields[http::field::expect], "100-continue");
+}
+
+}  // namespace auburnloft
--- /dev/null
+++ b/modules/al_http1/http1_response_reader.cc
@@ -0,0 +1,92 @@
+#include "al_http1/http1_response_reader.h"
+
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/optional.hpp>
+#include <utility>
+
+namespace auburnloft {
+
+namespace http = boost::beast::http;
+
+namespace {
+
+/** Longest header of an answer; a server that sends more is faulty. */
+constexpr std::uint32_t kMostHeaderBytes = 64 * 1024;
+
+}  // namespace
+
+struct Http1ResponseReader::Parser {
+  http::response_parser<http::string_body> beast;
+};
+
+Http1ResponseReader::Http1ResponseReader(bool to_head)
+    : parser(std::make_unique<Parser>()) {
+  this->parser->beast.eager(true);
+  this->parser->beast.header_limit(kMostHeaderBytes);
+  this->parser->beast.body_limit(boost::none);
+  if (to_head) {
+    this->parser->beast.skip(true);
+  }
+}
+
+Http1ResponseReader::~Http1ResponseReader() = default;
+
+auto Http1ResponseReader::Feed(std::string_view bytes) -> std::size_t {
+  std::size_t used = 0;
+  while (used < bytes.size() && !this->done()) {
+    this->has_bytes = true;
+    boost::beast::error_code status;
+    const std::string_view rest = bytes.substr(used);
+    const std::size_t count = this->parser->beast.put(
+        boost::asio::const_buffer(rest.data(), rest.size()), status);
+    used += count;
+    if (status == http::error::need_more) {
+      break;
+    }
+    if (status) {
+      this->has_failed = true;
+      break;
+    }
+    if (count == 0) {
+      break;
+    }
+  }
+  return used;
+}
+
+auto Http1ResponseReader::FeedEnd() -> void {
+  boost::beast::error_code status;
+  this->parser->beast.put_eof(status);
+  if (status || !this->done()) {
+    this->has_failed = true;
+  }
+}
+
+auto Http1ResponseReader::TakeBody() -> std::string {
+  return std::exchange(this->parser->beast.get().body(), std::string());
+}
+
+auto Http1ResponseReader::Head() const -> Http1ResponseHead {
+  const auto& message = this->parser->beast.get();
+  Http1ResponseHead head;
+  head.status = static_cast<int>(message.result_int());
+  head.reason = std::string(message.reason());
+  for (const auto& field : message) {
+    head.fields.Add(
+        std::string_view(field.name_string().data(), field.name_string().size()),
+        std::string_view(field.value().data(), field.value().size()));
+  }
+  head.keeps_alive = this->parser->beast.keep_alive();
+  return head;
+}
+
+auto Http1ResponseReader::has_header() const -> bool {
+  return this->parser->beast.is_header_done();
+}
+
+auto Http1ResponseReader::done() const -> bool {
+  return this->parser->beast.is_done();
+}
+
+}  // namespace auburnloft
--- /dev/null
+++ b/modules/al_http1/http1_server_session.cc
@@ -0,0 +1,246 @@
+#include "al_http1/http1_server_session.h"
+
+#include <cassert>
+#include <utility>
+
+#include "al_edge/loop/event_loop.h"
+#include "al_edge/loop/loop_timer.h"
+
+namespace auburnloft {
+
+namespace {
+
+constexpr int kRequestTimeout = 408;
+
+/** How long a connection that is being closed may take to read its answer. */
+constexpr Duration kLingerLimit = std::chrono::seconds(2);
+
+auto ReasonOf(int status) -> std::string_view {
+  switch (status) {
+    case 408:
+      return "Request Timeout";
+    case 413:
+      return "Content Too Large";
+    case 431:
+      return "Request Header Fields Too Large";
+    default:
+      return "Bad Request";
+  }
+}
+
+}  // namespace
+
+Http1ServerSession::Http1ServerSession(SocketPoller& poller,
+                                       const Http1SessionLimits& limits,
+                                       OnRequest on_request,
+                                       OnClosed on_closed)
+    : poller(poller),
+      limits(limits),
+      requested(std::move(on_request)),
+      closed(std::move(on_closed)),
+      reader(std::make_unique<Http1RequestReader>(limits.request)),
+      timer(std::make_unique<LoopTimer>(poller.loop(),
+                                        [this] { this->OnTimeout(); })) {}
+
+Http1ServerSession::~Http1ServerSession() {
+  if (this->connection) {
+    this->connection->SetCallbacks({});
+    if (this->state != State::kClosed) {
+      this->connection->Close();
+    }
+  }
+}
+
+auto Http1ServerSession::Open(SocketPoller& poller,
+                              int descriptor,
+                              const Http1SessionLimits& limits,
+                              OnRequest on_request,
+                              OnClosed on_closed)
+    -> std::shared_ptr<Http1ServerSession> {
+  std::shared_ptr<Http1ServerSession> session(new Http1ServerSession(
+      poller, limits, std::move(on_request), std::move(on_closed)));
+  TcpConnection::Callbacks callbacks;
+  callbacks.on_input = [self = session.get()] { self->OnInput(); };
+  callbacks.on_drained = [self = session.get()] {
+    if (self->exchange.on_drained) {
+      const auto call = self->exchange.on_drained;
+      call();
+    }
+  };
+  callbacks.on_end = [self = session.get()](TcpEnd /*end*/) { self->OnEnd(); };
+  session->connection =
+      TcpConnection::Adopt(poller, descriptor, std::move(callbacks));
+  if (!session->connection) {
+    return nullptr;
+  }
+  session->timer->Start(limits.idle_timeout);
+  return session;
+}
+
+//==============================================================================
+// Commands of the request's handler
+
+auto Http1ServerSession::SetExchangeCallbacks(ExchangeCallbacks callbacks)
+    -> void {
+  this->exchange = std::move(callbacks);
+}
+
+auto Http1ServerSession::Answer(const Http1ResponseHead& head,
+                                std::string_view body) -> void {
+  assert(this->serving());
+  this->closes = !this->caller_keeps_alive || this->limits.closes_after_answer;
+  std::string bytes =
+      HeadToBytes(head, Http1Framing::kLength, body.size(), this->closes);
+  if (!this->answer_to_head) {
+    bytes.append(body);
+  }
+  this->connection->Write(bytes);
+  this->EndExchange();
+}
+
+auto Http1ServerSession::StartAnswer(const Http1ResponseHead& head) -> void {
+  assert(this->serving());
+  this->closes = !this->caller_keeps_alive || this->limits.closes_after_answer;
+  this->connection->Write(
+      HeadToBytes(head, Http1Framing::kChunked, 0, this->closes));
+}
+
+auto Http1ServerSession::Send(std::string_view bytes) -> void {
+  assert(this->serving());
+  if (!bytes.empty()) {
+    this->connection->Write(ToChunk(bytes));
+  }
+}
+
+auto Http1ServerSession::FinishAnswer() -> void {
+  assert(this->serving());
+  this->connection->Write(kLastChunk);
+  this->EndExchange();
+}
+
+auto Http1ServerSession::Abort() -> void {
+  assert(this->serving());
+  this->connection->CloseAfterWrite(kLingerLimit);
+  this->Closed();
+}
+
+//==============================================================================
+// Commands of the server
+
+auto Http1ServerSession::CloseIfIdle() -> void {
+  if (this->state == State::kReading && !this->reader->started() &&
+      this->connection->input().empty()) {
+    this->connection->CloseAfterWrite(kLingerLimit);
+    this->Closed();
+  }
+}
+
+auto Http1ServerSession::unsent() const -> std::size_t {
+  return this->connection->unsent();
+}
+
+//==============================================================================
+
+auto Http1ServerSession::OnInput() -> void {
+  if (this->state == State::kReading) {
+    this->ReadNext();
+  }
+}
+
+auto Http1ServerSession::ReadNext() -> void {
+  const bool had_started = this->reader->started();
+  const std::string_view input = this->connection->input();
+  if (input.empty()) {
+    return;
+  }
+  if (!had_started) {
+    this->timer->Start(this->limits.header_timeout);
+  }
+  this->connection->Consume(this->reader->Feed(input));
+  if (this->reader->error_status() != 0) {
+    this->Refuse(this->reader->error_status());
+    return;
+  }
+  if (!this->reader->done()) {
+    if (this->reader->expects_continue() && !this->sent_continue) {
+      this->sent_continue = true;
+      this->connection->Write("HTTP/1.1 100 Continue\r\n\r\n");
+    }
+    if (this->reader->has_header()) {
+      // The body may take as long as its bytes keep coming.
+      this->timer->Start(this->limits.idle_timeout);
+    }
+    return;
+  }
+  this->timer->Stop();
+  Http1Request request = this->reader->Take();
+  this->reader = std::make_unique<Http1RequestReader>(this->limits.request);
+  this->sent_continue = false;
+  this->caller_keeps_alive = request.keeps_alive;
+  this->answer_to_head = request.method == "HEAD";
+  this->state = State::kServing;
+  const OnRequest call = this->requested;
+  call(this->shared_from_this(), std::move(request));
+}
+
+auto Http1ServerSession::OnEnd() -> void {
+  const auto self = this->shared_from_this();
+  const auto gone = this->exchange.on_gone;
+  const bool was_serving = this->serving();
+  this->Closed();
+  if (was_serving && gone) {
+    gone();
+  }
+}
+
+auto Http1ServerSession::OnTimeout() -> void {
+  if (this->reader->started()) {
+    this->Refuse(kRequestTimeout);
+  } else {
+    this->CloseIfIdle();
+  }
+}
+
+auto Http1ServerSession::Refuse(int status) -> void {
+  Http1ResponseHead head;
+  head.status = status;
+  head.reason = ReasonOf(status);
+  this->connection->Write(HeadToBytes(head, Http1Framing::kLength, 0, true));
+  this->connection->CloseAfterWrite(kLingerLimit);
+  this->Closed();
+}
+
+auto Http1ServerSession::EndExchange() -> void {
+  const auto self = this->shared_from_this();
+  this->exchange = {};
+  if (this->closes) {
+    this->connection->CloseAfterWrite(kLingerLimit);
+    this->Closed();
+    return;
+  }
+  this->state = State::kReading;
+  this->timer->Start(this->limits.idle_timeout);
+  if (!this->connection->input().empty()) {
+    this->poller.loop().Defer([weak = this->weak_from_this()] {
+      if (const auto session = weak.lock();
+          session && session->state == State::kReading) {
+        session->ReadNext();
+      }
+    });
+  }
+}
+
+auto Http1ServerSession::Closed() -> void {
+  if (this->state == State::kClosed) {
+    return;
+  }
+  const auto self = this->shared_from_this();
+  this->state = State::kClosed;
+  this->exchange = {};
+  this->timer->Stop();
+  if (this->closed) {
+    this->closed(this);
+  }
+}
+
+}  // namespace auburnloft
--- /dev/null
+++ b/modules/al_logstore/log_caller.cc
@@ -0,0 +1,70 @@
+#include "al_logstore/log_caller.h"
+
+#include <cassert>
+#include <utility>
+
+#include "al_edge/loop/event_loop.h"
+#include "al_edge/loop/loop_timer.h"
+
+namespace auburnloft {
+
+namespace {
+
+/** How long a connection to the log may take to be established. */
+constexpr Duration kConnectLimit = std::chrono::milliseconds(800);
+
+}  // namespace
+
+LogCaller::LogCaller(SocketPoller& poller, std::string address)
+    : poller(poller),
+      address(std::move(address)),
+      timer(std::make_unique<LoopTimer>(poller.loop(), [this] {
+        this->connection->Close();
+        this->Finish(std::nullopt);
+      })) {}
+
+LogCaller::~LogCaller() {
+  if (this->connection) {
+    this->connection->Close();
+  }
+}
+
+auto LogCaller::Call(const Http1Request& request,
+                     Duration limit,
+                     OnReply on_reply) -> void {
+  assert(!this->busy());
+  this->waiting = std::move(on_reply);
+  this->reply = {};
+  if (!this->connection || !this->connection->reusable()) {
+    this->connection = Http1ClientConnection::Connect(
+        this->poller, this->address, std::min(limit, kConnectLimit));
+  }
+  if (!this->connection) {
+    this->poller.loop().Defer([this] { this->Finish(std::nullopt); });
+    return;
+  }
+  this->timer->Start(limit);
+  Http1ClientConnection::ExchangeCallbacks callbacks;
+  callbacks.on_head = [this](const Http1ResponseHead& head) {
+    this->reply.status = head.status;
+  };
+  callbacks.on_body = [this](std::string bytes) {
+    this->reply.body.append(bytes);
+  };
+  callbacks.on_done = [this](Http1Outcome outcome) {
+    this->Finish(outcome == Http1Outcome::kComplete
+                     ? std::optional(std::move(this->reply))
+                     : std::nullopt);
+  };
+  this->connection->Start(ToBytes(request), false, std::move(callbacks));
+}
+
+auto LogCaller::Finish(std::optional<Reply> result) -> void {
+  this->timer->Stop();
+  const OnReply call = std::exchange(this->waiting, {});
+  if (call) {
+    call(std::move(result));
+  }
+}
+
+}  // namespace auburnloft
--- /dev/null
+++ b/modules/al_logstore/producer_lane.h
@@ -0,0 +1,61 @@
+#ifndef AL_LOGSTORE_PRODUCER_LANE_H_
+#define AL_LOGSTORE_PRODUCER_LANE_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "al_core/time/instant.h"
+#include "al_gateway/model/log_messages.h"
+#include "al_logstore/log_caller.h"
+
+namespace auburnloft {
+
+/** Appends batches of records to a topic, one after the other, each exactly
+   once.
+
+    A batch whose answer is lost is sent again under the same sequence number
+   until the log tells that it is there: the log drops repeats, and refuses one
+   that is executed late and out of its turn.
+
+    Thread safety: none; used on the loop's thread.
+*/
+class ProducerLane {
+ public:
+  using OnAppended = std::function<void()>;
+
+  /** @param producer  a name that no other process ever uses. */
+  ProducerLane(SocketPoller& poller,
+               std::string address,
+               std::string topic,
+               std::string producer);
+  ~ProducerLane();
+
+  ProducerLane(const ProducerLane&) = delete;
+  auto operator=(const ProducerLane&) -> ProducerLane& = delete;
+
+  /** Appends a batch. @pre !busy() && !records.empty(). */
+  auto Append(std::vector<gateway::KeyedRecord> records,
+              OnAppended on_appended) -> void;
+
+  [[nodiscard]] auto busy() const -> bool { return !this->batch.empty(); }
+
+ private:
+  auto Send() -> void;
+  auto OnReply(const std::optional<LogCaller::Reply>& reply) -> void;
+
+  LogCaller caller;
+  std::string topic;
+  std::string producer;
+  std::unique_ptr<LoopTimer> timer;
+  std::vector<gateway::KeyedRecord> batch;
+  OnAppended appended;
+  std::uint64_t sequence = 0;
+  int failures = 0;
+};
+
+}  // namespace auburnloft
+
+#endif  // AL_LOGSTORE_PRODUCER_LANE_H_
--- /dev/null
+++ b/modules/al_net/tcp_listener.cc
@@ -0,0 +1,69 @@
+#include "al_net/tcp_listener.h"
+
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <utility>
+
+#include "al_net/tcp_connection.h"
+
+namespace auburnloft {
+
+namespace {
+
+/** Connections that the kernel keeps before they are accepted: a burst of all
+   clients of some routers that died fits. */
+constexpr int kBacklog = 1024;
+
+}  // namespace
+
+TcpListener::TcpListener(SocketPoller& poller, OnAccepted on_accepted)
+    : poller(poller), accepted(std::move(on_accepted)) {}
+
+TcpListener::~TcpListener() {
+  this->Close();
+}
+
+auto TcpListener::Listen(std::string_view address) -> bool {
+  sockaddr_in local{};
+  if (!ParseSocketAddress(address, local)) {
+    return false;
+  }
+  this->descriptor =
+      socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  const int on = 1;
+  setsockopt(this->descriptor, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+  if (bind(this->descriptor, reinterpret_cast<const sockaddr*>(&local),
+           sizeof(local)) != 0 ||
+      listen(this->descriptor, kBacklog) != 0) {
+    return false;
+  }
+  this->token = this->poller.Add(
+      this->descriptor,
+      [this](SocketPoller::Readiness /*readiness*/) { this->AcceptAll(); });
+  return this->token != 0;
+}
+
+auto TcpListener::Close() -> void {
+  if (this->descriptor >= 0) {
+    this->poller.Remove(this->token, this->descriptor);
+    close(this->descriptor);
+    this->descriptor = -1;
+  }
+}
+
+auto TcpListener::AcceptAll() -> void {
+  while (this->descriptor >= 0) {
+    const int socket = accept4(this->descriptor, nullptr, nullptr,
+                               SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (socket >= 0) {
+      this->accepted(socket);
+    } else if (errno != EINTR && errno != ECONNABORTED) {
+      return;
+    }
+  }
+}
+
+}  // namespace auburnloft
--- /dev/null
+++ b/programs/gateway/decision_log.cc
@@ -0,0 +1,100 @@
+#include "gateway/decision_log.h"
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <array>
+#include <cstdio>
+
+namespace auburnloft::gateway {
+
+namespace {
+
+/** Lines a second of one event. */
+constexpr int kRoutineLines = 20;
+constexpr int kNotableLines = 60;
+
+auto NeedsQuotes(std::string_view text) -> bool {
+  return text.empty() ||
+         text.find_first_of(" \"=\n\r\t") != std::string_view::npos;
+}
+
+auto AppendValue(std::string& line, std::string_view text) -> void {
+  if (!NeedsQuotes(text)) {
+    line.append(text);
+    return;
+  }
+  line += '"';
+  for (const char letter : text) {
+    const bool control = static_cast<unsigned char>(letter) < ' ';
+    line += letter == '"' || control ? '?' : letter;
+  }
+  line += '"';
+}
+
+}  // namespace
+
+LogValue::LogValue(Duration duration) {
+  constexpr double kMicrosPerMilli = 1000.0;
+  std::array<char, 32> buffer{};
+  std::snprintf(buffer.data(), buffer.size(), "%.1f",
+                static_cast<double>(duration.count()) / kMicrosPerMilli);
+  this->text = buffer.data();
+}
+
+DecisionLog::DecisionLog() {
+  const int flags = fcntl(STDOUT_FILENO, F_GETFL);
+  if (flags >= 0) {
+    fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+  }
+}
+
+auto DecisionLog::Line(Weight weight,
+                       std::string_view event,
+                       std::initializer_list<LogItem> items,
+                       Instant now) -> void {
+  if (weight == Weight::kRoutine && this->is_quiet) {
+    return;
+  }
+  auto found = this->rates.find(event);
+  if (found == this->rates.end()) {
+    found = this->rates.emplace(std::string(event), Rate()).first;
+  }
+  Rate& rate = found->second;
+  if (!this->Allow(rate, weight, now)) {
+    ++rate.left_out;
+    ++this->total_dropped;
+    return;
+  }
+  std::string line = "t=" + std::to_string(ToUnixMillis(now)) + " event=";
+  line.append(event);
+  for (const LogItem& item : items) {
+    line.append(" ").append(item.name).append("=");
+    AppendValue(line, item.value.str());
+  }
+  if (rate.left_out > 0) {
+    line.append(" left_out=").append(std::to_string(rate.left_out));
+  }
+  line += '\n';
+  const ssize_t written = write(STDOUT_FILENO, line.data(), line.size());
+  if (written < 0) {
+    ++rate.left_out;
+    ++this->total_dropped;
+  } else {
+    rate.left_out = 0;
+  }
+}
+
+auto DecisionLog::Allow(Rate& rate, Weight weight, Instant now) -> bool {
+  constexpr std::int64_t kMillisPerSecond = 1000;
+  const std::int64_t second = ToUnixMillis(now) / kMillisPerSecond;
+  if (rate.second != second) {
+    rate.second = second;
+    rate.lines = 0;
+  }
+  const int most =
+      weight == Weight::kNotable ? kNotableLines : kRoutineLines;
+  return ++rate.lines <= most;
+}
+
+}  // namespace auburnloft::gateway
--- /dev/null
+++ b/programs/gateway/decision_log.h
@@ -0,0 +1,86 @@
+#ifndef GATEWAY_DECISION_LOG_H_
+#define GATEWAY_DECISION_LOG_H_
+
+#include <cstdint>
+#include <initializer_list>
+#include <map>
+#include <string>
+#include <string_view>
+
+#include "al_core/time/instant.h"
+
+namespace auburnloft::gateway {
+
+/** A value of a log line. */
+class LogValue {
+ public:
+  LogValue(std::string_view text) : text(text) {}       // NOLINT
+  LogValue(const std::string& text) : text(text) {}     // NOLINT
+  LogValue(const char* text) : text(text) {}            // NOLINT
+  LogValue(std::integral auto number)                   // NOLINT
+      : text(std::to_string(number)) {}
+  LogValue(Duration duration);                          // NOLINT
+
+  [[nodiscard]] auto str() const -> const std::string& { return this->text; }
+
+ private:
+  std::string text;
+};
+
+struct LogItem {
+  std::string_view name;
+  LogValue value;
+};
+
+/** Structured lines on standard output, one for each decision: `t=... event=...
+   name=value ...`, durations in milliseconds.
+
+    Bounded: each event has a number of lines a second; what is left out is
+   counted and told with its next line. Never blocks: what the reader of the
+   output does not take is dropped and counted.
+
+    Thread safety: none; used on one thread.
+*/
+class DecisionLog {
+ public:
+  /** How much a line matters when there are many. */
+  enum class Weight {
+    kRoutine,  ///< Of each request that goes well.
+    kNotable,  ///< A failure, or a changed belief.
+  };
+
+  DecisionLog();
+
+  DecisionLog(const DecisionLog&) = delete;
+  auto operator=(const DecisionLog&) -> DecisionLog& = delete;
+
+  /** Leaves routine lines out. */
+  auto SetQuiet(bool quiet) -> void { this->is_quiet = quiet; }
+
+  auto Line(Weight weight,
+            std::string_view event,
+            std::initializer_list<LogItem> items,
+            Instant now) -> void;
+
+  /** Lines left out since the start. */
+  [[nodiscard]] auto dropped() const -> std::uint64_t {
+    return this->total_dropped;
+  }
+
+ private:
+  struct Rate {
+    std::int64_t second = 0;
+    int lines = 0;
+    std::uint64_t left_out = 0;
+  };
+
+  auto Allow(Rate& rate, Weight weight, Instant now) -> bool;
+
+  std::map<std::string, Rate, std::less<>> rates;
+  std::uint64_t total_dropped = 0;
+  bool is_quiet = false;
+};
+
+}  // namespace auburnloft::gateway
+
+#endif  // GATEWAY_DECISION_LOG_H_
--- /dev/null
+++ b/programs/gateway/fleet_link.cc
@@ -0,0 +1,231 @@
+#include "gateway/fleet_link.h"
+
+#include <utility>
+
+#include "al_edge/loop/event_loop.h"
+#include "al_edge/loop/loop_timer.h"
+#include "fleet.pb.h"
+#include "platform/wire_names.h"
+
+namespace auburnloft::gateway {
+
+namespace {
+
+/** Pause between announcements; the registry allows for three lost ones. */
+constexpr Duration kAnnouncePause = std::chrono::milliseconds(1'000);
+
+/** Pause between looks at the allowances. */
+constexpr Duration kPlanPause = std::chrono::milliseconds(250);
+
+/** Pause between reads of the topic without news. */
+constexpr Duration kReadPause = std::chrono::milliseconds(400);
+
+/** How long requests that wait for an allowance are gathered. */
+constexpr Duration kGatherPause = std::chrono::milliseconds(2);
+
+constexpr std::string_view kRouterKey = "r/";
+constexpr std::string_view kAllowanceKey = "a/";
+
+auto ToRecord(const RouterAnnouncement& said) -> KeyedRecord {
+  wire::RouterRecord message;
+  message.set_name(said.name);
+  message.set_incarnation(said.incarnation);
+  message.set_domain(said.domain);
+  message.set_region(said.region);
+  message.set_client_address(said.client_address);
+  message.set_leaving(said.leaving);
+  message.set_beat(said.beat);
+  message.set_config_version(said.config_version);
+  return {std::string(kRouterKey) + said.name, message.SerializeAsString()};
+}
+
+auto ToRecord(const AllowanceEntry& entry) -> KeyedRecord {
+  wire::AllowanceRecord message;
+  message.set_team(entry.team);
+  message.set_holder(entry.holder);
+  message.set_taken_tokens(entry.taken_tokens);
+  message.set_settled_tokens(entry.settled_tokens);
+  message.set_demand_per_second(entry.demand_per_second);
+  message.set_revision(entry.revision);
+  return {std::string(kAllowanceKey) + entry.team + "/" + entry.holder,
+          message.SerializeAsString()};
+}
+
+}  // namespace
+
+FleetLink::FleetLink(SocketPoller& poller,
+                     const std::string& log_address,
+                     RouterAnnouncement self,
+                     AllowanceDesk& desk,
+                     Callbacks callbacks)
+    : poller(poller),
+      self(std::move(self)),
+      desk(desk),
+      calls(std::move(callbacks)),
+      routers(this->self.name),
+      follower(
+          poller,
+          log_address,
+          {std::string(platform::kFleetTopic), Duration(0), kReadPause},
+          {[this](const KeyedRecord& record) { this->OnRecord(record); },
+           [this] {
+             this->desk.OnHistoryLost();
+             this->listed = false;
+           },
+           [this](const std::set<std::string>& /*keys*/) {
+             this->listed = true;
+           },
+           [this](bool answered) { this->calls.on_contact(answered); }}),
+      lane(poller,
+           log_address,
+           std::string(platform::kFleetTopic),
+           this->self.incarnation),
+      timer(std::make_unique<LoopTimer>(poller.loop(),
+                                        [this] { this->OnTick(); })),
+      soon(std::make_unique<LoopTimer>(poller.loop(),
+                                       [this] { this->Write(); })) {}
+
+FleetLink::~FleetLink() = default;
+
+//==============================================================================
+// Commands
+
+auto FleetLink::Start() -> void {
+  this->follower.Start();
+  this->OnTick();
+}
+
+auto FleetLink::AskSoon() -> void {
+  if (!this->soon->running()) {
+    this->soon->Start(kGatherPause);
+  }
+}
+
+auto FleetLink::AnnounceLeaving() -> void {
+  this->self.leaving = true;
+  this->announce_now = true;
+  this->Write();
+}
+
+auto FleetLink::ReturnAll(std::function<void()> on_done) -> void {
+  this->returned = std::move(on_done);
+  this->Write();
+}
+
+auto FleetLink::NoteLogRegained() -> void {
+  this->routers.NoteLogRegained(this->poller.loop().Now());
+}
+
+//==============================================================================
+// Queries
+
+auto FleetLink::CountAlive() const -> int {
+  return this->routers.CountAlive(this->poller.loop().Now());
+}
+
+auto FleetLink::IsAliveNow() const -> AllowanceLedger::IsAlive {
+  return [this, now = this->poller.loop().Now()](std::string_view holder) {
+    return holder == this->self.incarnation ||
+           this->routers.IsCurrent(holder, now);
+  };
+}
+
+//==============================================================================
+
+auto FleetLink::OnTick() -> void {
+  this->timer->Start(kPlanPause);
+  this->Write();
+}
+
+auto FleetLink::Write() -> void {
+  // Entries may be planned only from a list that was read to its end: what was
+  // taken before this process started counts.
+  if (this->lane.busy() || !this->listed) {
+    return;
+  }
+  if (this->returned) {
+    std::vector<AllowanceEntry> entries = this->desk.PlanReturn();
+    this->AppendBatch(std::move(entries), true);
+    return;
+  }
+  const Instant now = this->poller.loop().Now();
+  const bool announce =
+      this->announce_now || now - this->announced_at >= kAnnouncePause;
+  std::vector<AllowanceEntry> entries = this->desk.Plan(
+      this->allowances, this->IsAliveNow(), this->CountAlive(), announce, now);
+  if (announce || !entries.empty()) {
+    this->AppendBatch(std::move(entries), announce);
+  }
+}
+
+auto FleetLink::AppendBatch(std::vector<AllowanceEntry> entries, bool announce)
+    -> void {
+  std::vector<KeyedRecord> records;
+  if (announce) {
+    ++this->self.beat;
+    this->announce_now = false;
+    this->announced_at = this->poller.loop().Now();
+    records.push_back(ToRecord(this->self));
+  }
+  for (const AllowanceEntry& entry : entries) {
+    records.push_back(ToRecord(entry));
+  }
+  this->lane.Append(std::move(records), [this, has_entries = !entries.empty()] {
+    if (const auto call = std::exchange(this->returned, {})) {
+      call();
+      return;
+    }
+    if (has_entries) {
+      this->follower.ReadNow();
+    }
+  });
+}
+
+auto FleetLink::OnRecord(const KeyedRecord& record) -> void {
+  if (!record.value) {
+    return;
+  }
+  if (record.key.starts_with(kRouterKey)) {
+    this->OnRouterRecord(*record.value);
+  } else if (record.key.starts_with(kAllowanceKey)) {
+    this->OnAllowanceRecord(*record.value);
+  }
+}
+
+auto FleetLink::OnRouterRecord(const std::string& bytes) -> void {
+  wire::RouterRecord message;
+  if (!message.ParseFromString(bytes)) {
+    return;
+  }
+  RouterAnnouncement said;
+  said.name = message.name();
+  said.incarnation = message.incarnation();
+  said.domain = message.domain();
+  said.region = message.region();
+  said.client_address = message.client_address();
+  said.leaving = message.leaving();
+  said.beat = message.beat();
+  said.config_version = message.config_version();
+  this->routers.Apply(std::move(said), this->poller.loop().Now());
+}
+
+auto FleetLink::OnAllowanceRecord(const std::string& bytes) -> void {
+  wire::AllowanceRecord message;
+  if (!message.ParseFromString(bytes)) {
+    return;
+  }
+  AllowanceEntry entry;
+  entry.team = message.team();
+  entry.holder = message.holder();
+  entry.taken_tokens = message.taken_tokens();
+  entry.settled_tokens = message.settled_tokens();
+  entry.demand_per_second = message.demand_per_second();
+  entry.revision = message.revision();
+  this->allowances.Apply(entry);
+  if (entry.holder == this->self.incarnation && this->listed) {
+    this->desk.OnRecorded(entry, this->allowances.Taken(entry.team));
+    this->calls.on_allowance(entry.team);
+  }
+}
+
+}  // namespace auburnloft::gateway
--- /dev/null
+++ b/programs/gateway/fleet_link.h
@@ -0,0 +1,100 @@
+#ifndef GATEWAY_FLEET_LINK_H_
+#define GATEWAY_FLEET_LINK_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "al_core/time/instant.h"
+#include "al_gateway/membership/router_registry.h"
+#include "al_gateway/prepaid/allowance_desk.h"
+#include "al_gateway/prepaid/allowance_ledger.h"
+#include "al_logstore/producer_lane.h"
+#include "al_logstore/topic_follower.h"
+
+namespace auburnloft::gateway {
+
+/** This router's part on the fleet's topic: it announces itself, follows the
+   other routers, and writes and reads back allowances.
+
+    Thread safety: none; used on the loop's thread.
+*/
+class FleetLink {
+ public:
+  struct Callbacks {
+    /** A raise of this router's allowance was read back. */
+    std::function<void(const std::string& team)> on_allowance;
+    std::function<void(bool answered)> on_contact;
+  };
+
+  FleetLink(SocketPoller& poller,
+            const std::string& log_address,
+            RouterAnnouncement self,
+            AllowanceDesk& desk,
+            Callbacks callbacks);
+  ~FleetLink();
+
+  FleetLink(const FleetLink&) = delete;
+  auto operator=(const FleetLink&) -> FleetLink& = delete;
+
+  //============================================================================
+  // Commands
+
+  auto Start() -> void;
+
+  /** Writes allowances that are wanted now, as soon as the last are read back. */
+  auto AskSoon() -> void;
+
+  /** Announces at once that this router takes no new callers. */
+  auto AnnounceLeaving() -> void;
+
+  /** Returns all that is unspent, then calls `on_done`. */
+  auto ReturnAll(std::function<void()> on_done) -> void;
+
+  auto SetConfigVersion(std::uint64_t version) -> void {
+    this->self.config_version = version;
+  }
+
+  auto NoteLogRegained() -> void;
+
+  //============================================================================
+  // Queries
+
+  [[nodiscard]] auto registry() const -> const RouterRegistry& {
+    return this->routers;
+  }
+  [[nodiscard]] auto ledger() const -> const AllowanceLedger& {
+    return this->allowances;
+  }
+  [[nodiscard]] auto CountAlive() const -> int;
+  [[nodiscard]] auto IsAliveNow() const -> AllowanceLedger::IsAlive;
+
+ private:
+  auto OnTick() -> void;
+  auto Write() -> void;
+  auto AppendBatch(std::vector<AllowanceEntry> entries, bool announce) -> void;
+  auto OnRecord(const KeyedRecord& record) -> void;
+  auto OnRouterRecord(const std::string& bytes) -> void;
+  auto OnAllowanceRecord(const std::string& bytes) -> void;
+
+  SocketPoller& poller;
+  RouterAnnouncement self;
+  AllowanceDesk& desk;
+  Callbacks calls;
+  RouterRegistry routers;
+  AllowanceLedger allowances;
+  TopicFollower follower;
+  ProducerLane lane;
+  std::unique_ptr<LoopTimer> timer;
+  std::unique_ptr<LoopTimer> soon;
+  std::function<void()> returned;
+  Instant announced_at{};
+  bool announce_now = false;
+  bool listed = false;
+};
+
+}  // namespace auburnloft::gateway
+
+#endif  // GATEWAY_FLEET_LINK_H_
--- /dev/null
+++ b/programs/gateway/gateway_daemon.cc
@@ -0,0 +1,419 @@
+#include "gateway/gateway_daemon.h"
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "al_edge/loop/loop_timer.h"
+#include "gateway/request_run.h"
+#include "platform/config_codec.h"
+#include "platform/entry_codec.h"
+#include "platform/request_codec.h"
+#include "platform/upstream_codec.h"
+#include "platform/wire_names.h"
+
+namespace auburnloft::gateway {
+
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kNotFound = 404;
+constexpr int kUnavailable = 503;
+
+/** How long callers keep the addresses that they were told. */
+constexpr Duration kEntryLifetime = std::chrono::seconds(1);
+
+/** After SIGTERM: how long callers may still come that hold an older answer,
+   some of them three times its lifetime. */
+constexpr Duration kLeastDrain = std::chrono::milliseconds(3'300);
+
+/** Before the grace period ends: the time to return allowances and to end. */
+constexpr Duration kEndReserve = std::chrono::milliseconds(900);
+
+/** How long the return of allowances may take. */
+constexpr Duration kReturnLimit = std::chrono::milliseconds(500);
+
+constexpr Duration kDrainPause = std::chrono::milliseconds(100);
+constexpr Duration kTickPause = std::chrono::milliseconds(500);
+
+/** Without an answer for this long, the log counts as away. */
+constexpr Duration kAwayAfter = std::chrono::milliseconds(1'500);
+
+/** How long the log may hold a question for a newer configuration. */
+constexpr Duration kConfigWait = std::chrono::milliseconds(1'000);
+
+/** Pause between looks at the upstreams' entries: well within the time that
+   leaving ones still serve. */
+constexpr Duration kUpstreamPause = std::chrono::milliseconds(400);
+
+auto Respond(Http1ServerSession& session,
+             int status,
+             std::string_view type,
+             std::string_view body) -> void {
+  Http1ResponseHead head = platform::MakeOwnAnswer(status, {}, Duration(0));
+  if (!type.empty()) {
+    head.fields.Add("Content-Type", type);
+  }
+  session.Answer(head, body);
+}
+
+}  // namespace
+
+/** A listener with the sessions that came through it. */
+struct GatewayDaemon::Door {
+  Door(SocketPoller& poller,
+       const Http1SessionLimits& limits,
+       Http1ServerSession::OnRequest on_request)
+      : listener(poller, [this, &poller, &limits,
+                          call = std::move(on_request)](int descriptor) {
+          auto session = Http1ServerSession::Open(
+              poller, descriptor, limits, call,
+              [this](Http1ServerSession* closed) {
+                std::erase_if(this->sessions, [closed](const auto& item) {
+                  return item.get() == closed;
+                });
+              });
+          if (session) {
+            this->sessions.insert(std::move(session));
+          }
+        }) {}
+
+  TcpListener listener;
+  std::set<std::shared_ptr<Http1ServerSession>> sessions;
+};
+
+GatewayDaemon::GatewayDaemon(EventLoop& loop, Options options)
+    : loop(loop),
+      options(std::move(options)),
+      poller(loop),
+      random(this->options.seed),
+      connections(this->poller),
+      upstreams([this](const UpstreamState& upstream) {
+        this->connections.CloseIdle(upstream.record().id);
+        this->log.Line(DecisionLog::Weight::kNotable, "upstream_left",
+                       {{"upstream", upstream.record().id},
+                        {"service", upstream.record().service},
+                        {"gone", upstream.gone() ? 1 : 0}},
+                       this->loop.Now());
+      }),
+      chooser(this->upstreams, this->options.self.domain),
+      retries(this->options.retry_bound),
+      desk(this->options.self.incarnation, AllowanceSettings()),
+      budgets(loop, this->desk, [this] { this->fleet.AskSoon(); }),
+      context{loop,
+              nullptr,
+              this->upstreams,
+              this->chooser,
+              this->connections,
+              this->retries,
+              this->desk,
+              this->budgets,
+              this->random,
+              this->log,
+              this->metrics},
+      fleet(this->poller,
+            this->options.log_address,
+            this->options.self,
+            this->desk,
+            {[this](const std::string& team) {
+               this->budgets.TryWaiting(team);
+             },
+             [this](bool answered) { this->OnContact(answered); }}),
+      tick(std::make_unique<LoopTimer>(loop, [this] { this->OnTick(); })),
+      drain_tick(
+          std::make_unique<LoopTimer>(loop, [this] { this->OnDrainTick(); })) {
+  this->log.SetQuiet(this->options.quiet);
+  this->budgets.SetIsSpent(
+      [this](const std::string& team, std::uint64_t tokens) {
+        return this->desk.BudgetIsSpent(team, tokens, this->fleet.ledger(),
+                                        this->fleet.IsAliveNow());
+      });
+}
+
+GatewayDaemon::~GatewayDaemon() = default;
+
+auto GatewayDaemon::Start() -> bool {
+  const bool opened =
+      this->OpenDoor(this->options.self.client_address,
+                     [this](std::shared_ptr<Http1ServerSession> session,
+                            Http1Request request) {
+                       std::make_shared<RequestRun>(this->context,
+                                                    std::move(session),
+                                                    std::move(request))
+                           ->Start();
+                     }) &&
+      this->OpenDoor(this->options.entry_address,
+                     [this](const std::shared_ptr<Http1ServerSession>& session,
+                            const Http1Request& request) {
+                       this->OnEntryQuestion(*session, request);
+                     }) &&
+      this->OpenDoor(this->options.readiness_address,
+                     [this](const std::shared_ptr<Http1ServerSession>& session,
+                            const Http1Request& request) {
+                       this->OnReadinessQuestion(*session, request);
+                     }) &&
+      (this->options.metrics_address.empty() ||
+       this->OpenDoor(this->options.metrics_address,
+                      [this](const std::shared_ptr<Http1ServerSession>& session,
+                             const Http1Request& request) {
+                        this->OnMetricsQuestion(*session, request);
+                      }));
+  if (!opened) {
+    return false;
+  }
+  this->log.Line(DecisionLog::Weight::kNotable, "start",
+                 {{"router", this->options.self.name},
+                  {"incarnation", this->options.self.incarnation},
+                  {"domain", this->options.self.domain}},
+                 this->loop.Now());
+  this->FollowLog();
+  this->OnTick();
+  return true;
+}
+
+auto GatewayDaemon::OpenDoor(const std::string& address,
+                             Http1ServerSession::OnRequest call) -> bool {
+  auto door =
+      std::make_unique<Door>(this->poller, this->limits, std::move(call));
+  const bool opened = door->listener.Listen(address);
+  if (!opened) {
+    this->log.Line(DecisionLog::Weight::kNotable, "listen_failed",
+                   {{"address", address}}, this->loop.Now());
+  }
+  this->doors.push_back(std::move(door));
+  return opened;
+}
+
+//==============================================================================
+// Questions
+
+auto GatewayDaemon::OnEntryQuestion(Http1ServerSession& session,
+                                    const Http1Request& request) -> void {
+  const auto question = platform::ReadEntryQuestion(request.target);
+  if (!question) {
+    Respond(session, kNotFound, "", "");
+    return;
+  }
+  const std::vector<std::string> addresses =
+      this->fleet.registry().AddressesFor(question->domain, this->loop.Now());
+  if (addresses.empty()) {
+    Respond(session, kUnavailable, "", "");
+    return;
+  }
+  Respond(session, kOk, "application/json",
+          platform::MakeEntryAnswer(addresses, kEntryLifetime));
+}
+
+auto GatewayDaemon::OnReadinessQuestion(Http1ServerSession& session,
+                                        const Http1Request& request) -> void {
+  if (request.target != platform::kReadinessPath) {
+    Respond(session, kNotFound, "", "");
+    return;
+  }
+  Respond(session, this->ready() ? kOk : kUnavailable, "", "");
+}
+
+auto GatewayDaemon::OnMetricsQuestion(Http1ServerSession& session,
+                                      const Http1Request& request) -> void {
+  if (request.target == "/metrics") {
+    Respond(session, kOk, "text/plain; version=0.0.4",
+            this->metrics.ToPrometheus());
+  } else if (request.target == "/state") {
+    Respond(session, kOk, "application/json", this->StateDump());
+  } else {
+    Respond(session, kNotFound, "", "");
+  }
+}
+
+auto GatewayDaemon::ready() const -> bool {
+  return this->context.table != nullptr && !this->draining_since;
+}
+
+//==============================================================================
+// The log
+
+auto GatewayDaemon::FollowLog() -> void {
+  const auto contact = [this](bool answered) { this->OnContact(answered); };
+  TopicFollower::Callbacks config_calls;
+  config_calls.on_record = [this](const KeyedRecord& record) {
+    this->OnConfigRecord(record);
+  };
+  config_calls.on_listed = [](const std::set<std::string>& /*keys*/) {};
+  config_calls.on_contact = contact;
+  this->config_follower = std::make_unique<TopicFollower>(
+      this->poller, this->options.log_address,
+      TopicFollower::Settings{std::string(platform::kOperatorTopic),
+                              kConfigWait, Duration(0)},
+      std::move(config_calls));
+  TopicFollower::Callbacks upstream_calls;
+  upstream_calls.on_record = [this](const KeyedRecord& record) {
+    this->OnUpstreamRecord(record);
+  };
+  upstream_calls.on_listed = [this](const std::set<std::string>& keys) {
+    this->upstreams.KeepOnly(keys, this->loop.Now());
+  };
+  upstream_calls.on_contact = contact;
+  this->upstream_follower = std::make_unique<TopicFollower>(
+      this->poller, this->options.log_address,
+      TopicFollower::Settings{std::string(platform::kUpstreamTopic),
+                              Duration(0), kUpstreamPause},
+      std::move(upstream_calls));
+  this->config_follower->Start();
+  this->upstream_follower->Start();
+  this->fleet.Start();
+}
+
+auto GatewayDaemon::OnConfigRecord(const KeyedRecord& record) -> void {
+  if (record.key != platform::kConfigKey || !record.value) {
+    return;
+  }
+  Findings findings;
+  auto config = platform::ReadConfig(*record.value, findings);
+  if (!config) {
+    this->log.Line(DecisionLog::Weight::kNotable, "config_rejected",
+                   {{"findings", findings.ToText()}}, this->loop.Now());
+    return;
+  }
+  if (this->context.table &&
+      config->version <= this->context.table->config().version) {
+    return;
+  }
+  for (const TeamRule& team : config->teams) {
+    if (team.prepaid_tokens) {
+      this->desk.SetBudget(team.name, *team.prepaid_tokens);
+    }
+  }
+  const bool closes = this->limits.closes_after_answer;
+  this->limits = config->limits;
+  this->limits.closes_after_answer = closes;
+  this->log.Line(DecisionLog::Weight::kNotable, "config",
+                 {{"version", config->version},
+                  {"routes", config->routes.size()},
+                  {"teams", config->teams.size()}},
+                 this->loop.Now());
+  this->fleet.SetConfigVersion(config->version);
+  this->context.table = std::make_shared<RouteTable>(std::move(*config));
+}
+
+auto GatewayDaemon::OnUpstreamRecord(const KeyedRecord& record) -> void {
+  auto upstream = record.value
+                      ? platform::ReadUpstream(record.key, *record.value)
+                      : std::nullopt;
+  if (upstream) {
+    this->upstreams.Put(std::move(*upstream));
+  } else {
+    this->upstreams.Remove(record.key, this->loop.Now());
+  }
+}
+
+auto GatewayDaemon::OnContact(bool answered) -> void {
+  const Instant now = this->loop.Now();
+  if (!answered) {
+    return;
+  }
+  const bool was_away = this->last_contact != Instant() &&
+                        now - this->last_contact >= kAwayAfter;
+  this->last_contact = now;
+  if (!this->context.log_in_touch) {
+    this->context.log_in_touch = true;
+    this->log.Line(DecisionLog::Weight::kNotable, "log_regained", {}, now);
+  }
+  if (was_away) {
+    this->upstreams.NoteLogRegained(now);
+    this->fleet.NoteLogRegained();
+  }
+}
+
+auto GatewayDaemon::OnTick() -> void {
+  this->tick->Start(kTickPause);
+  const Instant now = this->loop.Now();
+  this->upstreams.Expire(now);
+  this->context.routers = this->fleet.CountAlive();
+  if (this->context.log_in_touch && now - this->last_contact >= kAwayAfter) {
+    this->context.log_in_touch = false;
+    this->log.Line(DecisionLog::Weight::kNotable, "log_lost",
+                   {{"silent_ms", now - this->last_contact}}, now);
+  }
+}
+
+//==============================================================================
+// Shutdown
+
+auto GatewayDaemon::Drain() -> void {
+  if (this->draining_since) {
+    return;
+  }
+  this->draining_since = this->loop.Now();
+  this->limits.closes_after_answer = true;
+  this->log.Line(DecisionLog::Weight::kNotable, "drain",
+                 {{"open", this->context.open_requests}},
+                 *this->draining_since);
+  this->fleet.AnnounceLeaving();
+  this->drain_tick->Start(kDrainPause);
+}
+
+auto GatewayDaemon::OnDrainTick() -> void {
+  const Duration passed = this->loop.Now() - *this->draining_since;
+  const bool idle =
+      passed >= kLeastDrain && this->context.open_requests == 0;
+  if (!idle && passed < this->options.grace - kEndReserve) {
+    this->drain_tick->Start(kDrainPause);
+    return;
+  }
+  this->FinishDrain();
+}
+
+auto GatewayDaemon::FinishDrain() -> void {
+  if (std::exchange(this->returning, true)) {
+    this->loop.Stop();
+    return;
+  }
+  for (const auto& door : this->doors) {
+    door->listener.Close();
+    const auto sessions = door->sessions;
+    for (const auto& session : sessions) {
+      session->CloseIfIdle();
+    }
+  }
+  this->log.Line(DecisionLog::Weight::kNotable, "stop",
+                 {{"open", this->context.open_requests},
+                  {"left_out", this->log.dropped()}},
+                 this->loop.Now());
+  this->fleet.ReturnAll([this] { this->loop.Stop(); });
+  this->drain_tick->Start(kReturnLimit);
+}
+
+//==============================================================================
+
+auto GatewayDaemon::StateDump() const -> std::string {
+  const Instant now = this->loop.Now();
+  nlohmann::json state;
+  state["router"] = this->options.self.name;
+  state["incarnation"] = this->options.self.incarnation;
+  state["config_version"] =
+      this->context.table ? this->context.table->config().version : 0;
+  state["log_in_touch"] = this->context.log_in_touch;
+  state["open_requests"] = this->context.open_requests;
+  state["sockets"] = this->poller.size();
+  state["upstreams"] = this->upstreams.size();
+  state["log_lines_left_out"] = this->log.dropped();
+  state["routers"] = nlohmann::json::array();
+  this->fleet.registry().VisitAll(
+      now, [&state](const RouterAnnouncement& router, bool alive) {
+        state["routers"].push_back({{"name", router.name},
+                                    {"incarnation", router.incarnation},
+                                    {"domain", router.domain},
+                                    {"alive", alive},
+                                    {"leaving", router.leaving},
+                                    {"config_version", router.config_version}});
+      });
+  state["allowances"] = nlohmann::json::array();
+  this->fleet.ledger().VisitAll([&state](const AllowanceEntry& entry) {
+    state["allowances"].push_back({{"team", entry.team},
+                                   {"holder", entry.holder},
+                                   {"taken", entry.taken_tokens},
+                                   {"settled", entry.settled_tokens}});
+  });
+  return state.dump();
+}
+
+}  // namespace auburnloft::gateway
--- /dev/null
+++ b/programs/gateway/gateway_daemon.h
@@ -0,0 +1,102 @@
+#ifndef GATEWAY_GATEWAY_DAEMON_H_
+#define GATEWAY_GATEWAY_DAEMON_H_
+
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "al_core/time/instant.h"
+#include "al_gateway/membership/router_registry.h"
+#include "al_http1/http1_server_session.h"
+#include "al_net/tcp_listener.h"
+#include "gateway/fleet_link.h"
+#include "gateway/gateway_context.h"
+#include "gateway/gateway_metrics.h"
+
+namespace auburnloft::gateway {
+
+/** One router process: listens for callers, follows the log, and shuts down
+   without cutting a request off.
+
+    Thread safety: none; used on the loop's thread.
+*/
+class GatewayDaemon {
+ public:
+  struct Options {
+    RouterAnnouncement self;
+    std::string entry_address;      ///< Where callers ask where to connect.
+    std::string readiness_address;  ///< Where the platform asks for readiness.
+    std::string metrics_address;    ///< Empty: no metrics.
+    std::string log_address;        ///< The platform's log.
+    RetryBound retry_bound;
+    Duration grace = std::chrono::seconds(8);  ///< From SIGTERM to the end.
+    std::uint64_t seed = 1;
+    bool quiet = false;  ///< Whether routine log lines are left out.
+  };
+
+  GatewayDaemon(EventLoop& loop, Options options);
+  ~GatewayDaemon();
+
+  GatewayDaemon(const GatewayDaemon&) = delete;
+  auto operator=(const GatewayDaemon&) -> GatewayDaemon& = delete;
+
+  /** Begins to listen and to follow the log. @return false where an address
+     cannot be listened on. */
+  [[nodiscard]] auto Start() -> bool;
+
+  /** Stops taking new callers, finishes what runs, and ends the loop. */
+  auto Drain() -> void;
+
+  /** What the process knows, as JSON. */
+  [[nodiscard]] auto StateDump() const -> std::string;
+
+ private:
+  struct Door;
+
+  auto OpenDoor(const std::string& address, Http1ServerSession::OnRequest call)
+      -> bool;
+  auto OnEntryQuestion(Http1ServerSession& session, const Http1Request& request)
+      -> void;
+  auto OnReadinessQuestion(Http1ServerSession& session,
+                           const Http1Request& request) -> void;
+  auto OnMetricsQuestion(Http1ServerSession& session,
+                         const Http1Request& request) -> void;
+
+  auto FollowLog() -> void;
+  auto OnConfigRecord(const KeyedRecord& record) -> void;
+  auto OnUpstreamRecord(const KeyedRecord& record) -> void;
+  auto OnContact(bool answered) -> void;
+  auto OnTick() -> void;
+  auto OnDrainTick() -> void;
+  auto FinishDrain() -> void;
+  [[nodiscard]] auto ready() const -> bool;
+
+  EventLoop& loop;
+  Options options;
+  SocketPoller poller;
+  RandomSource random;
+  DecisionLog log;
+  GatewayMetrics metrics;
+  UpstreamConnections connections;
+  UpstreamDirectory upstreams;
+  UpstreamChooser chooser;
+  RetryAllowance retries;
+  AllowanceDesk desk;
+  BudgetGate budgets;
+  GatewayContext context;
+  FleetLink fleet;
+  std::unique_ptr<TopicFollower> config_follower;
+  std::unique_ptr<TopicFollower> upstream_follower;
+  Http1SessionLimits limits;
+  std::vector<std::unique_ptr<Door>> doors;
+  std::unique_ptr<LoopTimer> tick;
+  std::unique_ptr<LoopTimer> drain_tick;
+  Instant last_contact{};
+  std::optional<Instant> draining_since;
+  bool returning = false;
+};
+
+}  // namespace auburnloft::gateway
+
+#endif  // GATEWAY_GATEWAY_DAEMON_H_
--- /dev/null
+++ b/programs/gateway/gateway_metrics.cc
@@ -0,0 +1,30 @@
+#include "gateway/gateway_metrics.h"
+
+namespace auburnloft::gateway {
+
+namespace {
+
+auto AppendCounters(std::string& text,
+                    std::string_view name,
+                    std::string_view label,
+                    const std::map<std::string, std::uint64_t>& counters)
+    -> void {
+  text.append("# TYPE ").append(name).append(" counter\n");
+  for (const auto& [value, count] : counters) {
+    text.append(name).append("{").append(label).append("=\"").append(value);
+    text.append("\"} ").append(std::to_string(count)).append("\n");
+  }
+}
+
+}  // namespace
+
+auto GatewayMetrics::ToPrometheus() const -> std::string {
+  std::string text;
+  AppendCounters(text, "auburnloft_requests_total", "outcome", this->requests);
+  AppendCounters(text, "auburnloft_upstream_sends_total", "result",
+                 this->sends);
+  text += this->first_byte.ToPrometheus("auburnloft_first_byte_seconds", "");
+  return text;
+}
+
+}  // namespace auburnloft::gateway
--- /dev/null
+++ b/programs/gateway/gateway_metrics.h
@@ -0,0 +1,49 @@
+#ifndef GATEWAY_GATEWAY_METRICS_H_
+#define GATEWAY_GATEWAY_METRICS_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+
+#include "al_core/time/instant.h"
+#include "al_edge/metrics/latency_histogram.h"
+
+namespace auburnloft::gateway {
+
+/** Counters and latencies of one process.
+
+    Thread safety: none; used on one thread.
+*/
+class GatewayMetrics {
+ public:
+  GatewayMetrics() = default;
+
+  GatewayMetrics(const GatewayMetrics&) = delete;
+  auto operator=(const GatewayMetrics&) -> GatewayMetrics& = delete;
+
+  /** Counts a request that ended with `outcome`, such as `served`. */
+  auto CountRequest(std::string_view outcome) -> void {
+    ++this->requests[std::string(outcome)];
+  }
+
+  /** Counts a send to an upstream that ended with `result`. */
+  auto CountSend(std::string_view result) -> void {
+    ++this->sends[std::string(result)];
+  }
+
+  /** The time from a request to the first byte of its answer. */
+  auto AddFirstByte(Duration duration) -> void { this->first_byte.Add(duration); }
+
+  /** All of it in the Prometheus text format 0.0.4. */
+  [[nodiscard]] auto ToPrometheus() const -> std::string;
+
+ private:
+  std::map<std::string, std::uint64_t> requests;
+  std::map<std::string, std::uint64_t> sends;
+  LatencyHistogram first_byte;
+};
+
+}  // namespace auburnloft::gateway
+
+#endif  // GATEWAY_GATEWAY_METRICS_H_
--- /dev/null
+++ b/programs/gateway/request_run.cc
@@ -0,0 +1,602 @@
+#include "gateway/request_run.h"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+#include "al_edge/loop/loop_timer.h"
+#include "platform/request_codec.h"
+
+namespace auburnloft::gateway {
+
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kUnauthorized = 401;
+constexpr int kPaymentRequired = 402;
+constexpr int kNotFound = 404;
+constexpr int kBadGateway = 502;
+constexpr int kUnavailable = 503;
+constexpr int kTimedOut = 504;
+constexpr int kFirstFailure = 500;
+constexpr int kFirstRedirect = 300;
+
+/** When a refused caller is to come back: work of the kind that fills the slots
+   has ended by then. */
+constexpr Duration kRetryAfter = std::chrono::milliseconds(300);
+
+/** Sends of one request that upstreams refused without running it. */
+constexpr int kMostSends = 3;
+
+/** The part of the latency objective for which a request waits for an
+   allowance. */
+constexpr double kBudgetWaitPart = 0.5;
+
+/** An attempt that may be repeated is given up for another one after this
+   multiple of the latency objective, but not before the least. */
+constexpr double kAttemptPatience = 1.5;
+constexpr Duration kLeastAttemptPatience = std::chrono::milliseconds(250);
+
+/** A resumable stream goes on elsewhere after this multiple of the longest
+   pause that still counts as on time. */
+constexpr double kPausePatience = 2.5;
+
+/** Unsent bytes to a caller at which reading from the upstream pauses. */
+constexpr std::size_t kMostUnsent = 128 * 1024;
+
+/** The part of an upstream's connections that routers use: the rest is for
+   routers that come and go. */
+constexpr double kUsedConnections = 0.9;
+constexpr int kLeastConnections = 4;
+
+auto Scaled(Duration duration, double factor) -> Duration {
+  return Duration(
+      static_cast<std::int64_t>(static_cast<double>(duration.count()) * factor));
+}
+
+}  // namespace
+
+RequestRun::RequestRun(GatewayContext& context,
+                       std::shared_ptr<Http1ServerSession> session,
+                       Http1Request request)
+    : context(context),
+      session(std::move(session)),
+      request(std::move(request)),
+      facts(platform::ReadRequestFacts(this->request)),
+      table(context.table),
+      arrived_at(context.loop.Now()) {}
+
+RequestRun::~RequestRun() = default;
+
+auto RequestRun::Start() -> void {
+  this->self = this->shared_from_this();
+  ++this->context.open_requests;
+  this->session->SetExchangeCallbacks(
+      {[this] { this->OnCallerGone(); },
+       [this] {
+         if (this->attempt) {
+           this->attempt->connection->PauseReading(false);
+         }
+       }});
+  this->Admit();
+}
+
+//==============================================================================
+// Before the first send
+
+auto RequestRun::Admit() -> void {
+  if (!this->table) {
+    this->Refuse(kUnavailable, "no configuration yet", kRetryAfter);
+    return;
+  }
+  this->route = this->table->FindRoute(this->facts.host, this->facts.path);
+  if (this->route == nullptr) {
+    this->Refuse(kNotFound, "no route", Duration(0));
+    return;
+  }
+  if (this->facts.key) {
+    this->team = this->table->FindTeam(*this->facts.key);
+  }
+  if (this->team == nullptr && this->route->needs_key &&
+      !this->table->config().teams.empty()) {
+    this->Refuse(kUnauthorized, "unknown key", Duration(0));
+    return;
+  }
+  const Duration patience =
+      this->facts.patience
+          ? std::min(*this->facts.patience, this->route->timeout)
+          : this->route->timeout;
+  this->deadline = this->arrived_at + patience;
+  this->deadline_timer = std::make_unique<LoopTimer>(
+      this->context.loop, [this] { this->OnDeadline(); });
+  this->deadline_timer->Start(patience);
+  this->attempt_timer = std::make_unique<LoopTimer>(
+      this->context.loop, [this] { this->OnAttemptTimeout(); });
+  this->service = std::string(
+      RouteTable::ChooseService(*this->route, this->context.random.Unit()));
+  this->context.retries.NoteRequest(this->service, this->arrived_at);
+  this->ReserveBudget();
+}
+
+auto RequestRun::ReserveBudget() -> void {
+  if (!this->facts.generation || this->team == nullptr ||
+      !this->team->prepaid_tokens) {
+    this->Dispatch();
+    return;
+  }
+  const Duration wait =
+      this->context.log_in_touch
+          ? Scaled(this->route->latency_objective, kBudgetWaitPart)
+          : Duration(0);
+  const auto ticket = this->context.budgets.Reserve(
+      this->team->name, this->facts.generation->most_tokens(), wait,
+      [this](BudgetAnswer answer) {
+        this->budget_ticket = 0;
+        this->OnBudget(answer);
+      });
+  if (ticket != 0) {
+    this->budget_ticket = ticket;
+  }
+}
+
+auto RequestRun::OnBudget(BudgetAnswer answer) -> void {
+  switch (answer) {
+    case BudgetAnswer::kReserved:
+      this->reserved_tokens = this->facts.generation->most_tokens();
+      this->Dispatch();
+      return;
+    case BudgetAnswer::kSpent:
+      this->Refuse(kPaymentRequired, "budget spent", Duration(0));
+      return;
+    case BudgetAnswer::kUnavailable:
+      this->Refuse(kUnavailable, "no allowance", kRetryAfter);
+      return;
+  }
+}
+
+//==============================================================================
+// Sends
+
+auto RequestRun::Dispatch() -> void {
+  const Instant now = this->context.loop.Now();
+  std::vector<std::string> excluded = this->tried;
+  ChoiceQuery query;
+  query.service = this->service;
+  query.generation =
+      this->facts.generation ? &*this->facts.generation : nullptr;
+  while (true) {
+    query.excluded = excluded;
+    std::optional<Choice> choice = this->context.chooser.Choose(query, now);
+    if (!choice) {
+      break;
+    }
+    const UpstreamRecord& record = choice->upstream->record();
+    if (auto connection = this->context.connections.Take(
+            record.id, record.address, this->ConnectionBound())) {
+      this->SendTo(std::move(*choice), std::move(connection));
+      return;
+    }
+    excluded.push_back(record.id);
+  }
+  if (this->runs == 0) {
+    this->Refuse(kUnavailable, "no upstream", kRetryAfter);
+  } else if (this->stream_started) {
+    this->BreakStream("no upstream to go on");
+  } else {
+    this->Refuse(kBadGateway, "no other upstream", Duration(0));
+  }
+}
+
+auto RequestRun::SendTo(Choice choice,
+                        UpstreamConnections::Connection connection) -> void {
+  this->attempt = std::make_unique<Attempt>();
+  this->attempt->sent_at = this->context.loop.Now();
+  this->attempt->pending_prefill = choice.prefill_tokens;
+  this->attempt->connection = std::move(connection);
+  this->attempt->choice = std::move(choice);
+  UpstreamState& upstream = *this->attempt->choice.upstream;
+  upstream.NoteSent(this->attempt->pending_prefill);
+  if (this->facts.generation) {
+    this->context.chooser.NotePrompt(*this->facts.generation, upstream,
+                                     this->attempt->sent_at);
+  }
+  ++this->sends;
+  ++this->runs;
+  this->tried.push_back(upstream.record().id);
+  this->events.Resume();
+  const Http1Request sent = platform::MakeUpstreamRequest(
+      this->request, this->MakeOrders(upstream),
+      !this->table->config().teams.empty());
+  this->context.log.Line(
+      DecisionLog::Weight::kRoutine, "send",
+      {{"id", this->facts.attempt_id},
+       {"upstream", upstream.record().id},
+       {"prefill", this->attempt->choice.prefill_tokens},
+       {"expected_ms", this->attempt->choice.expected},
+       {"open", upstream.open_requests()},
+       {"late_ms", upstream.ExcessLatency(this->attempt->sent_at)},
+       {"send", this->sends}},
+      this->attempt->sent_at);
+  Http1ClientConnection::ExchangeCallbacks callbacks;
+  callbacks.is_mine = [id = this->facts.attempt_id](
+                          const Http1ResponseHead& head) {
+    const AnswerFacts answer = platform::ReadAnswerFacts(head);
+    return answer.attempt_id.empty() || answer.attempt_id == id;
+  };
+  callbacks.on_head = [this](const Http1ResponseHead& head) {
+    this->OnHead(head);
+  };
+  callbacks.on_body = [this](std::string bytes) {
+    this->OnBody(std::move(bytes));
+  };
+  callbacks.on_done = [this](Http1Outcome outcome) { this->OnDone(outcome); };
+  if (this->route->repeatable()) {
+    this->attempt_timer->Start(
+        std::max(kLeastAttemptPatience,
+                 Scaled(this->route->latency_objective, kAttemptPatience)));
+  }
+  this->attempt->connection->Start(ToBytes(sent), this->request.method == "HEAD",
+                                   std::move(callbacks));
+}
+
+auto RequestRun::MakeOrders(const UpstreamState& upstream) const
+    -> UpstreamOrders {
+  UpstreamOrders orders;
+  orders.instance_id = upstream.record().id;
+  orders.team = this->team != nullptr ? this->team->name : std::string();
+  orders.time_left = std::max(Duration(1000), this->TimeLeft());
+  if (this->facts.generation) {
+    constexpr int kLeastUrgent = 9;
+    const int wanted = this->team != nullptr && this->team->priority
+                           ? *this->team->priority
+                           : this->route->priority;
+    orders.priority = std::clamp(wanted, 0, kLeastUrgent);
+  }
+  if (this->events.last_id()) {
+    orders.last_event_id = this->events.last_id();
+  }
+  return orders;
+}
+
+auto RequestRun::ConnectionBound() const -> int {
+  const ServiceRule* const rule = this->table->FindService(this->service);
+  if (rule == nullptr || rule->max_connections <= 0) {
+    return kLeastConnections;
+  }
+  const int share = static_cast<int>(rule->max_connections * kUsedConnections) /
+                    std::max(1, this->context.routers);
+  return std::max(kLeastConnections, share);
+}
+
+//==============================================================================
+// Events of the attempt
+
+auto RequestRun::OnHead(const Http1ResponseHead& head) -> void {
+  Attempt& current = *this->attempt;
+  const Instant now = this->context.loop.Now();
+  current.head = head;
+  current.answer = platform::ReadAnswerFacts(head);
+  current.idle_limit = current.answer.idle_limit;
+  if (this->route->kind != RouteKind::kStream && !current.answer.not_run) {
+    current.has_first_byte = true;
+    current.choice.upstream->NoteFirstByte(
+        std::exchange(current.pending_prefill, 0), now - current.sent_at,
+        current.choice.expected, now);
+  }
+}
+
+auto RequestRun::OnBody(std::string bytes) -> void {
+  Attempt& current = *this->attempt;
+  const bool is_stream = this->route->kind == RouteKind::kStream &&
+                         current.head.status < kFirstRedirect &&
+                         !current.answer.not_run && !current.answer.encoded;
+  if (!is_stream) {
+    current.body.append(bytes);
+    return;
+  }
+  const std::string whole = this->events.Feed(bytes);
+  if (this->events.has_gap()) {
+    this->BreakStream("events are missing");
+    return;
+  }
+  if (whole.empty()) {
+    return;
+  }
+  const Instant now = this->context.loop.Now();
+  if (!current.has_first_byte) {
+    current.has_first_byte = true;
+    current.choice.upstream->NoteFirstByte(
+        std::exchange(current.pending_prefill, 0), now - current.sent_at,
+        current.choice.expected, now);
+  }
+  if (!this->stream_started) {
+    this->stream_started = true;
+    this->context.metrics.AddFirstByte(now - this->arrived_at);
+    Http1ResponseHead head = current.head;
+    head.fields.RemoveConnectionFields();
+    this->session->StartAnswer(head);
+  }
+  this->session->Send(whole);
+  if (this->route->resumable) {
+    this->attempt_timer->Start(
+        std::max(kLeastAttemptPatience,
+                 Scaled(this->route->pause_objective, kPausePatience)));
+  }
+  if (this->session->unsent() > kMostUnsent) {
+    current.connection->PauseReading(true);
+  }
+}
+
+auto RequestRun::OnDone(Http1Outcome outcome) -> void {
+  this->attempt_timer->Stop();
+  if (outcome != Http1Outcome::kComplete) {
+    this->OnFailedAttempt(outcome);
+    return;
+  }
+  if (this->attempt->answer.not_run) {
+    this->OnNotRun();
+    return;
+  }
+  if (this->attempt->answer.encoded) {
+    this->OnFailedAttempt(Http1Outcome::kBroken);
+    return;
+  }
+  this->OnWholeAnswer();
+}
+
+auto RequestRun::OnWholeAnswer() -> void {
+  const int status = this->attempt->head.status;
+  const bool failed = status >= kFirstFailure;
+  const std::unique_ptr<Attempt> finished = this->EndAttempt(
+      failed ? UpstreamResult::kFailed : UpstreamResult::kAnswered);
+  if (this->stream_started && status < kFirstRedirect) {
+    this->FinishStream();
+    return;
+  }
+  if (failed && this->route->kind == RouteKind::kIdempotent &&
+      this->TryRunAgain("upstream failed")) {
+    return;
+  }
+  if (this->stream_started) {
+    this->BreakStream("the stream was not resumed");
+    return;
+  }
+  this->Deliver(*finished);
+}
+
+auto RequestRun::OnNotRun() -> void {
+  --this->runs;
+  this->EndAttempt(UpstreamResult::kShed);
+  if (this->sends < kMostSends && this->TimeLeft() > Duration(0) &&
+      this->context.retries.TryTake(this->service, this->context.routers,
+                                    this->context.loop.Now())) {
+    this->Dispatch();
+    return;
+  }
+  if (this->stream_started) {
+    this->BreakStream("no upstream resumes the stream");
+  } else if (this->runs == 0) {
+    this->Refuse(kUnavailable, "upstream is full", kRetryAfter);
+  } else {
+    this->Refuse(kBadGateway, "upstream is full after a failure", Duration(0));
+  }
+}
+
+auto RequestRun::OnFailedAttempt(Http1Outcome outcome) -> void {
+  if (outcome == Http1Outcome::kNotSent) {
+    --this->runs;
+    --this->sends;
+    this->EndAttempt(UpstreamResult::kUnreachable);
+    this->Dispatch();
+    return;
+  }
+  const std::string_view why = outcome == Http1Outcome::kNoAnswer
+                                   ? "no answer"
+                                   : "the answer was broken off";
+  this->EndAttempt(UpstreamResult::kFailed);
+  if (this->TryRunAgain(why)) {
+    return;
+  }
+  if (this->stream_started) {
+    this->BreakStream(why);
+  } else {
+    this->Refuse(kBadGateway, why, Duration(0));
+  }
+}
+
+auto RequestRun::OnAttemptTimeout() -> void {
+  if (!this->attempt || !this->MayRunAgain()) {
+    return;  // The answer may still come until the deadline.
+  }
+  if (!this->context.retries.TryTake(this->service, this->context.routers,
+                                     this->context.loop.Now())) {
+    return;
+  }
+  this->attempt->connection->Close();
+  this->EndAttempt(UpstreamResult::kFailed);
+  this->Dispatch();
+}
+
+//==============================================================================
+// Decisions
+
+auto RequestRun::MayRunAgain() const -> bool {
+  return this->route->repeatable() && this->runs < this->route->max_attempts &&
+         this->TimeLeft() > Duration(0);
+}
+
+auto RequestRun::TryRunAgain(std::string_view why) -> bool {
+  const Instant now = this->context.loop.Now();
+  if (!this->MayRunAgain() ||
+      !this->context.retries.TryTake(this->service, this->context.routers,
+                                     now)) {
+    return false;
+  }
+  this->context.log.Line(DecisionLog::Weight::kNotable, "run_again",
+                         {{"id", this->facts.attempt_id},
+                          {"why", why},
+                          {"runs", this->runs},
+                          {"events", this->events.event_count()}},
+                         now);
+  this->Dispatch();
+  return true;
+}
+
+auto RequestRun::TimeLeft() const -> Duration {
+  return this->deadline - this->context.loop.Now();
+}
+
+//==============================================================================
+// The end
+
+auto RequestRun::OnDeadline() -> void {
+  if (this->attempt) {
+    this->attempt->connection->Close();
+    this->EndAttempt(UpstreamResult::kFailed);
+  }
+  if (this->stream_started) {
+    this->BreakStream("timeout");
+  } else if (this->runs == 0) {
+    this->Refuse(kUnavailable, "timeout before it was sent", kRetryAfter);
+  } else {
+    this->Refuse(kTimedOut, "timeout", Duration(0));
+  }
+}
+
+auto RequestRun::OnCallerGone() -> void {
+  if (this->attempt) {
+    this->attempt->connection->Close();
+    this->EndAttempt(UpstreamResult::kShed);
+  }
+  this->End("caller_left", 0, "the caller closed the connection");
+}
+
+auto RequestRun::Deliver(const Attempt& finished) -> void {
+  Http1ResponseHead head = finished.head;
+  head.fields.RemoveConnectionFields();
+  const std::string body = finished.body + std::string(this->events.rest());
+  this->context.metrics.AddFirstByte(this->context.loop.Now() -
+                                     this->arrived_at);
+  const auto answered = this->session;
+  this->End(head.status < kFirstFailure ? "served" : "upstream_failed",
+            head.status, "answer of the upstream");
+  answered->Answer(head, body);
+}
+
+auto RequestRun::FinishStream() -> void {
+  const auto answered = this->session;
+  const std::string rest(this->events.rest());
+  this->End("served", kOk, "stream complete");
+  answered->Send(rest);
+  answered->FinishAnswer();
+}
+
+auto RequestRun::BreakStream(std::string_view why) -> void {
+  if (this->attempt) {
+    this->attempt->connection->Close();
+    this->EndAttempt(UpstreamResult::kFailed);
+  }
+  const auto answered = this->session;
+  const bool started = this->stream_started;
+  const std::string id = this->facts.attempt_id;
+  this->End("broken_off", 0, why);
+  if (started) {
+    answered->Abort();
+  } else {
+    answered->Answer(platform::MakeOwnAnswer(kBadGateway, id, Duration(0)), {});
+  }
+}
+
+auto RequestRun::Refuse(int status,
+                        std::string_view why,
+                        Duration retry_after) -> void {
+  const auto answered = this->session;
+  const Http1ResponseHead head =
+      platform::MakeOwnAnswer(status, this->facts.attempt_id, retry_after);
+  this->End(status == kUnavailable ? "refused" : "failed", status, why);
+  answered->Answer(head, {});
+}
+
+auto RequestRun::EndAttempt(UpstreamResult result)
+    -> std::unique_ptr<Attempt> {
+  Attempt& current = *this->attempt;
+  static constexpr std::array<std::string_view, 4> kNames = {
+      "answered", "failed", "shed", "unreachable"};
+  this->context.metrics.CountSend(kNames[static_cast<std::size_t>(result)]);
+  const Instant now = this->context.loop.Now();
+  if (result == UpstreamResult::kFailed ||
+      result == UpstreamResult::kUnreachable) {
+    this->context.log.Line(
+        DecisionLog::Weight::kNotable, "send_failed",
+        {{"id", this->facts.attempt_id},
+         {"upstream", current.choice.upstream->record().id},
+         {"result", kNames[static_cast<std::size_t>(result)]},
+         {"status", current.head.status},
+         {"after_ms", now - current.sent_at}},
+        now);
+  }
+  current.choice.upstream->NoteEnded(current.pending_prefill, result, now);
+  this->context.connections.Return(current.choice.upstream->record().id,
+                                   current.connection, current.idle_limit);
+  return std::move(this->attempt);
+}
+
+auto RequestRun::End(std::string_view outcome, int status, std::string_view why)
+    -> void {
+  if (std::exchange(this->ended, true)) {
+    return;
+  }
+  const Instant now = this->context.loop.Now();
+  if (this->budget_ticket != 0) {
+    this->context.budgets.Cancel(this->budget_ticket);
+  }
+  const std::uint64_t used = this->UsedTokens();
+  if (this->reserved_tokens > 0) {
+    this->context.desk.Settle(this->team->name, this->reserved_tokens, used);
+  }
+  this->context.metrics.CountRequest(outcome);
+  const bool routine = outcome == "served";
+  this->context.log.Line(
+      routine ? DecisionLog::Weight::kRoutine : DecisionLog::Weight::kNotable,
+      "request",
+      {{"id", this->facts.attempt_id},
+       {"outcome", outcome},
+       {"status", status},
+       {"why", why},
+       {"route", this->route != nullptr ? this->route->name : std::string("-")},
+       {"team", this->team != nullptr ? this->team->name : std::string("-")},
+       {"sends", this->sends},
+       {"runs", this->runs},
+       {"events", this->events.event_count()},
+       {"reserved", this->reserved_tokens},
+       {"used", used},
+       {"available", this->team != nullptr
+                         ? this->context.desk.Available(this->team->name)
+                         : 0},
+       {"config", this->table ? this->table->config().version : 0},
+       {"ms", now - this->arrived_at}},
+      now);
+  this->deadline_timer.reset();
+  this->attempt_timer.reset();
+  --this->context.open_requests;
+  if (this->session->serving()) {
+    this->session->SetExchangeCallbacks({});
+  }
+  // The run may be in use up the stack; it goes with the loop's next round.
+  this->context.loop.Defer([kept = std::move(this->self)] {});
+}
+
+auto RequestRun::UsedTokens() const -> std::uint64_t {
+  if (this->reserved_tokens == 0 || this->runs == 0) {
+    return 0;
+  }
+  const ServiceRule* const rule = this->table->FindService(this->service);
+  const std::uint64_t per_event =
+      rule != nullptr && rule->engine ? rule->engine->tokens_per_event : 1;
+  const std::uint64_t output =
+      std::min(this->facts.generation->most_output_tokens,
+               this->events.event_count() * per_event);
+  return this->facts.generation->prompt_tokens + output;
+}
+
+}  // namespace auburnloft::gateway
--- /dev/null
+++ b/programs/gateway/request_run.h
@@ -0,0 +1,120 @@
+#ifndef GATEWAY_REQUEST_RUN_H_
+#define GATEWAY_REQUEST_RUN_H_
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "al_gateway/model/request_facts.h"
+#include "al_gateway/streams/event_splitter.h"
+#include "al_gateway/upstreams/upstream_chooser.h"
+#include "al_http1/http1_client_connection.h"
+#include "al_http1/http1_server_session.h"
+#include "gateway/gateway_context.h"
+
+namespace auburnloft::gateway {
+
+/** One caller's request from its arrival to its final answer: checked, paid for,
+   sent to an upstream, sent again where that is allowed, and answered once.
+
+    What was sent to an upstream counts as run unless the upstream states that it
+   did not run it, or no byte left this machine. A refusal that promises "not
+   run" is given only while that holds of every send.
+
+    Keeps itself alive until it has answered.
+
+    Thread safety: none; used on the loop's thread.
+*/
+class RequestRun : public std::enable_shared_from_this<RequestRun> {
+ public:
+  RequestRun(GatewayContext& context,
+             std::shared_ptr<Http1ServerSession> session,
+             Http1Request request);
+  ~RequestRun();
+
+  RequestRun(const RequestRun&) = delete;
+  auto operator=(const RequestRun&) -> RequestRun& = delete;
+
+  /** Begins; the run answers through its session. */
+  auto Start() -> void;
+
+ private:
+  /** The exchange with one upstream. */
+  struct Attempt {
+    Choice choice;
+    UpstreamConnections::Connection connection;
+    Instant sent_at{};
+    std::uint64_t pending_prefill = 0;
+    bool has_first_byte = false;
+    AnswerFacts answer;
+    Http1ResponseHead head;
+    std::string body;
+    std::optional<Duration> idle_limit;
+  };
+
+  // Before the first send.
+  auto Admit() -> void;
+  auto ReserveBudget() -> void;
+  auto OnBudget(BudgetAnswer answer) -> void;
+
+  // Sends.
+  auto Dispatch() -> void;
+  auto SendTo(Choice choice, UpstreamConnections::Connection connection) -> void;
+  [[nodiscard]] auto MakeOrders(const UpstreamState& upstream) const
+      -> UpstreamOrders;
+  [[nodiscard]] auto ConnectionBound() const -> int;
+
+  // Events of the attempt.
+  auto OnHead(const Http1ResponseHead& head) -> void;
+  auto OnBody(std::string bytes) -> void;
+  auto OnDone(Http1Outcome outcome) -> void;
+  auto OnAttemptTimeout() -> void;
+  auto OnWholeAnswer() -> void;
+  auto OnNotRun() -> void;
+  auto OnFailedAttempt(Http1Outcome outcome) -> void;
+
+  // Decisions.
+  [[nodiscard]] auto MayRunAgain() const -> bool;
+  auto TryRunAgain(std::string_view why) -> bool;
+  [[nodiscard]] auto TimeLeft() const -> Duration;
+
+  // The end.
+  auto OnDeadline() -> void;
+  auto OnCallerGone() -> void;
+  auto Deliver(const Attempt& finished) -> void;
+  auto FinishStream() -> void;
+  auto BreakStream(std::string_view why) -> void;
+  auto Refuse(int status, std::string_view why, Duration retry_after) -> void;
+  auto EndAttempt(UpstreamResult result) -> std::unique_ptr<Attempt>;
+  auto End(std::string_view outcome, int status, std::string_view why) -> void;
+  [[nodiscard]] auto UsedTokens() const -> std::uint64_t;
+
+  GatewayContext& context;
+  std::shared_ptr<Http1ServerSession> session;
+  Http1Request request;
+  RequestFacts facts;
+  std::shared_ptr<const RouteTable> table;
+  const RouteRule* route = nullptr;
+  const TeamRule* team = nullptr;
+  std::string service;
+  Instant arrived_at{};
+  Instant deadline{};
+  std::unique_ptr<LoopTimer> deadline_timer;
+  std::unique_ptr<LoopTimer> attempt_timer;
+  BudgetGate::Ticket budget_ticket = 0;
+  std::uint64_t reserved_tokens = 0;
+  std::unique_ptr<Attempt> attempt;
+  std::vector<std::string> tried;  ///< Ids of upstreams that had their turn.
+  int sends = 0;                   ///< Sends that may have reached an upstream.
+  int runs = 0;                    ///< Sends that may have run.
+  EventSplitter events;
+  bool stream_started = false;
+  bool ended = false;
+  std::shared_ptr<RequestRun> self;  ///< Until the end.
+};
+
+}  // namespace auburnloft::gateway
+
+#endif  // GATEWAY_REQUEST_RUN_H_
