--- a/modules/al_gateway/model/request_facts.h
+++ b/modules/al_gateway/model/request_facts.h
@@ -54,6 +54,7 @@
   int status = 0;
   std::string attempt_id;  ///< Empty where the upstream names none.
   bool not_run = false;    ///< The upstream states that it did not run it.
+  bool replaced = false;   ///< Another upstream has the address.
   bool encoded = false;    ///< The body is not in its plain form.
   std::optional<Duration> idle_limit;  ///< How long it keeps idle connections.
 };
--- a/modules/al_gateway/upstreams/upstream_chooser.cc
+++ b/modules/al_gateway/upstreams/upstream_chooser.cc
@@ -13,6 +13,10 @@
    millisecond. */
 constexpr double kPrefillMsPerToken = 0.02;
 
+/** What it weighs to read a shared token again that another engine keeps: it
+   also delays the events of all requests that run there. */
+constexpr double kSharedMsPerToken = 0.08;
+
 /** Other routers send work too: how much more waits than this router knows. */
 constexpr double kUnseenWork = 2.0;
 
@@ -34,7 +38,17 @@
   return std::find(excluded.begin(), excluded.end(), id) != excluded.end();
 }
 
-/** The engine that a prompt's last shared part belongs to. */
+/** The part by which a prompt is placed: the last but one, as the last belongs to
+   the request itself or to its session. */
+auto PlacingPart(const GenerationFacts& generation) -> const PromptPart* {
+  const std::size_t count = generation.parts.size();
+  if (count == 0) {
+    return nullptr;
+  }
+  return &generation.parts[count == 1 ? 0 : count - 2];
+}
+
+/** The engine that a part of prompts lives on. */
 auto HomeOf(std::span<const UpstreamDirectory::State> upstreams,
             std::string_view part,
             Instant now) -> const UpstreamState* {
@@ -77,8 +91,10 @@
     -> std::optional<Choice> {
   const auto upstreams = this->directory.OfService(query.service);
   const UpstreamState* home = nullptr;
-  if (query.generation != nullptr && !query.generation->parts.empty()) {
-    home = HomeOf(upstreams, query.generation->parts.back().id, now);
+  if (query.generation != nullptr) {
+    if (const PromptPart* const part = PlacingPart(*query.generation)) {
+      home = HomeOf(upstreams, part->id, now);
+    }
   }
   const bool any_certain =
       std::any_of(upstreams.begin(), upstreams.end(), [&](const auto& item) {
@@ -112,13 +128,22 @@
   Estimate estimate;
   if (query.generation != nullptr) {
     std::uint64_t kept = 0;
+    std::uint64_t shared = 0;
     bool chain_kept = true;
+    const PromptPart* const last_shared = PlacingPart(*query.generation);
+    bool is_shared = last_shared != nullptr;
     for (const PromptPart& part : query.generation->parts) {
-      chain_kept = chain_kept &&
-                   (is_home || this->memory.Holds(
-                                   part.id, upstream.record().id, now));
+      chain_kept =
+          chain_kept &&
+          ((is_home && is_shared) ||
+           this->memory.Holds(part.id, upstream.record().id, now));
       kept += chain_kept ? part.tokens : 0;
+      shared += is_shared ? part.tokens : 0;
+      is_shared = is_shared && &part != last_shared;
     }
+    shared = std::max(shared, kept);
+    estimate.score_ms =
+        static_cast<double>(shared - kept) * kSharedMsPerToken;
     const std::uint64_t prompt = query.generation->prompt_tokens;
     estimate.prefill_tokens = prompt - std::min(prompt, kept);
     const double waiting =
@@ -132,7 +157,7 @@
                              std::max(1, upstream.record().slots);
   }
   constexpr double kMillisPerSecond = 1000.0;
-  estimate.score_ms =
+  estimate.score_ms +=
       estimate.first_byte_ms +
       ToSeconds(upstream.ExcessLatency(now)) * kMillisPerSecond +
       upstream.FailureShare(now) * kFailureMs +
--- a/modules/al_gateway/upstreams/upstream_state.cc
+++ b/modules/al_gateway/upstreams/upstream_state.cc
@@ -36,6 +36,7 @@
     this->failure_share = 0.0;
     this->failures_in_row = 0;
     this->blocked_until = Instant();
+    this->is_replaced = false;
   }
   this->said = std::move(record);
   this->is_gone = false;
@@ -66,6 +67,11 @@
   if (result == UpstreamResult::kShed) {
     return;
   }
+  if (result == UpstreamResult::kReplaced) {
+    // Its process is gone; the entry lapses after some heartbeats.
+    this->is_replaced = true;
+    return;
+  }
   const bool failed = result != UpstreamResult::kAnswered;
   const double before = this->FailureShare(now);
   this->failure_share = before + kNewestWeight * ((failed ? 1.0 : 0.0) - before);
--- a/modules/al_gateway/upstreams/upstream_state.h
+++ b/modules/al_gateway/upstreams/upstream_state.h
@@ -14,6 +14,7 @@
   kFailed,       ///< With a failure, a broken answer, or none.
   kShed,         ///< It did not run the request.
   kUnreachable,  ///< No connection could be made.
+  kReplaced,     ///< Another upstream has its address.
 };
 
 /** One upstream, with what this router has seen of it.
@@ -60,7 +61,8 @@
     return this->said;
   }
   [[nodiscard]] auto usable(Instant now) const -> bool {
-    return !this->said.leaving && !this->is_gone && now >= this->blocked_until;
+    return !this->said.leaving && !this->is_gone && !this->is_replaced &&
+           now >= this->blocked_until;
   }
   [[nodiscard]] auto gone() const -> bool { return this->is_gone; }
   [[nodiscard]] auto doubtful() const -> bool { return this->is_doubtful; }
@@ -81,6 +83,7 @@
   UpstreamRecord said;
   bool is_gone = false;
   bool is_doubtful = false;
+  bool is_replaced = false;  ///< Until its entry tells of a new start.
   int open = 0;
   std::uint64_t prefill = 0;
   double excess_seconds = 0.0;
--- a/programs/gateway/request_run.cc
+++ b/programs/gateway/request_run.cc
@@ -366,7 +366,8 @@
 
 auto RequestRun::OnNotRun() -> void {
   --this->runs;
-  this->EndAttempt(UpstreamResult::kShed);
+  this->EndAttempt(this->attempt->answer.replaced ? UpstreamResult::kReplaced
+                                                  : UpstreamResult::kShed);
   if (this->sends < kMostSends && this->TimeLeft() > Duration(0) &&
       this->context.retries.TryTake(this->service, this->context.routers,
                                     this->context.loop.Now())) {
@@ -520,12 +521,11 @@
 auto RequestRun::EndAttempt(UpstreamResult result)
     -> std::unique_ptr<Attempt> {
   Attempt& current = *this->attempt;
-  static constexpr std::array<std::string_view, 4> kNames = {
-      "answered", "failed", "shed", "unreachable"};
+  static constexpr std::array<std::string_view, 5> kNames = {
+      "answered", "failed", "shed", "unreachable", "replaced"};
   this->context.metrics.CountSend(kNames[static_cast<std::size_t>(result)]);
   const Instant now = this->context.loop.Now();
-  if (result == UpstreamResult::kFailed ||
-      result == UpstreamResult::kUnreachable) {
+  if (result != UpstreamResult::kAnswered) {
     this->context.log.Line(
         DecisionLog::Weight::kNotable, "send_failed",
         {{"id", this->facts.attempt_id},
