Pass allowances between routers while the log is away

Routers also forgot each other during a cut (answers of /resolve, retry shares). Change: a router that is short asks the three richest; the giver counts the gift as spent, so no entry is needed.

--- a/modules/al_gateway/membership/router_registry.cc
+++ b/modules/al_gateway/membership/router_registry.cc
@@ -63,11 +63,17 @@
 
 auto RouterRegistry::IsCurrent(std::string_view incarnation, Instant now) const
     -> bool {
+  return this->FindLiving(incarnation, now) != nullptr;
+}
+
+auto RouterRegistry::FindLiving(std::string_view incarnation, Instant now) const
+    -> const RouterAnnouncement* {
   const auto found =
       this->members.find(std::string(RouterNameOf(incarnation)));
-  return found != this->members.end() &&
-         found->second.said.incarnation == incarnation &&
-         this->IsAlive(found->second, now);
+  const bool living = found != this->members.end() &&
+                      found->second.said.incarnation == incarnation &&
+                      this->IsAlive(found->second, now);
+  return living ? &found->second.said : nullptr;
 }
 
 auto RouterRegistry::VisitAll(
--- a/modules/al_gateway/membership/router_registry.h
+++ b/modules/al_gateway/membership/router_registry.h
@@ -19,6 +19,7 @@
   std::string domain;
   std::string region;
   std::string client_address;  ///< Where callers connect, `ip:port`.
+  std::string peer_address;    ///< Where other routers ask, `ip:port`.
   bool leaving = false;
   std::uint64_t beat = 0;  ///< Counts up with each announcement.
   std::uint64_t config_version = 0;
@@ -27,7 +28,8 @@
 /** The routers of the fleet by what they announce on the log.
 
     A router counts as alive for a while after its last announcement. While the
-   log is away nobody announces anything, and that time does not count.
+   log is away nobody announces anything; queries are then asked as of the last
+   time that the log was read.
 
     Thread safety: none; used on one thread.
 */
@@ -62,6 +64,10 @@
   [[nodiscard]] auto IsCurrent(std::string_view incarnation, Instant now) const
       -> bool;
 
+  /** The living router whose newest life is `incarnation`; null where none is. */
+  [[nodiscard]] auto FindLiving(std::string_view incarnation, Instant now) const
+      -> const RouterAnnouncement*;
+
   /** Calls `visit` with each router and whether it counts as alive. */
   auto VisitAll(Instant now,
                 const std::function<void(const RouterAnnouncement&, bool)>&
--- a/modules/al_gateway/prepaid/allowance_desk.cc
+++ b/modules/al_gateway/prepaid/allowance_desk.cc
@@ -13,9 +13,15 @@
    bursts of callers long. */
 constexpr double kDemandSeconds = 4.0;
 
-/** The part of what may be left that routers divide by their demand; the rest
-   is for demand that has moved since. */
-constexpr double kDividedPart = 0.9;
+/** The part of what may be left that routers divide by their demand. The rest
+   stays on the log: all that is out is lost when all routers lose power. */
+constexpr double kDividedPart = 0.6;
+
+/** The part of what is available that is given to a router that asks. */
+constexpr std::uint64_t kGivenDivisor = 2;
+
+/** Demand that a router asks others to cover at once. */
+constexpr double kAskedSeconds = 1.5;
 
 /** Raises below this part of the target wait, so that the log gets fewer
    entries. */
@@ -94,7 +100,7 @@
         this->TakenAfter(account, totals, target, routers);
     const bool withdraws = account.written > account.spendable;
     if (taken != account.written || withdraws ||
-        (reports && account.settled != account.settled_written)) {
+        (reports && account.settled_of_entries() != account.settled_written)) {
       entries.push_back(this->EntryOf(team, account, taken, now));
     }
   }
@@ -129,6 +135,24 @@
   }
 }
 
+auto AllowanceDesk::Give(std::string_view team, std::uint64_t asked)
+    -> std::uint64_t {
+  const auto found = this->accounts.find(team);
+  if (found == this->accounts.end()) {
+    return 0;
+  }
+  Account& account = found->second;
+  const std::uint64_t given =
+      std::min(asked, account.available() / kGivenDivisor);
+  account.settled += given;
+  return given;
+}
+
+auto AllowanceDesk::Receive(std::string_view team, std::uint64_t tokens)
+    -> void {
+  this->accounts[std::string(team)].received += tokens;
+}
+
 auto AllowanceDesk::OnHistoryLost() -> void {
   this->pending_entries = 0;
   for (auto& [team, account] : this->accounts) {
@@ -153,11 +177,30 @@
                totals.taken_by_dead + totals.settled_by_living) < tokens;
 }
 
+auto AllowanceDesk::BudgetOf(std::string_view team) const -> std::uint64_t {
+  const auto found = this->accounts.find(team);
+  return found == this->accounts.end() ? 0 : found->second.prepaid;
+}
+
 auto AllowanceDesk::Available(std::string_view team) const -> std::uint64_t {
   const auto found = this->accounts.find(team);
   return found == this->accounts.end() ? 0 : found->second.available();
 }
 
+auto AllowanceDesk::Shortage(std::string_view team, Instant now) const
+    -> std::uint64_t {
+  const auto found = this->accounts.find(team);
+  if (found == this->accounts.end()) {
+    return 0;
+  }
+  const Account& account = found->second;
+  const double soon =
+      kAskedSeconds *
+      DecayedDemand(account.demand, account.demand_at, now);
+  return Minus(account.waiting + static_cast<std::uint64_t>(soon),
+               account.available());
+}
+
 //==============================================================================
 
 auto AllowanceDesk::TargetOf(const Account& account,
@@ -218,12 +261,12 @@
   entry.team = team;
   entry.holder = this->holder;
   entry.taken_tokens = taken;
-  entry.settled_tokens = account.settled;
+  entry.settled_tokens = account.settled_of_entries();
   entry.demand_per_second =
       DecayedDemand(account.demand, account.demand_at, now);
   entry.revision = ++this->last_revision;
   account.written = taken;
-  account.settled_written = account.settled;
+  account.settled_written = entry.settled_tokens;
   account.pending_revision = entry.revision;
   return entry;
 }
--- a/modules/al_gateway/prepaid/allowance_desk.h
+++ b/modules/al_gateway/prepaid/allowance_desk.h
@@ -19,7 +19,7 @@
 struct AllowanceSettings {
   /** Demand that an allowance covers: an outage of the log that is to be
      survived. */
-  Duration cover = std::chrono::seconds(10);
+  Duration cover = std::chrono::seconds(12);
 
   /** The part of a team's budget that all routers together take before they know
      its demand. */
@@ -81,6 +81,16 @@
   auto OnRecorded(const AllowanceEntry& entry, std::uint64_t taken_by_all)
       -> void;
 
+  /** Gives another router a part of what is available, up to `asked`. Counts as
+     spent here for good, so that the log needs no entry of it.
+      @return what was given. */
+  [[nodiscard]] auto Give(std::string_view team, std::uint64_t asked)
+      -> std::uint64_t;
+
+  /** Takes what another router gave. It may be spent here beyond what this
+     router's entries say. */
+  auto Receive(std::string_view team, std::uint64_t tokens) -> void;
+
   /** The history was lost: entries under way count as invalid raises. */
   auto OnHistoryLost() -> void;
 
@@ -95,9 +105,16 @@
                                    const AllowanceLedger::IsAlive& is_alive)
       const -> bool;
 
+  /** What the team bought, as SetBudget() told. */
+  [[nodiscard]] auto BudgetOf(std::string_view team) const -> std::uint64_t;
+
   /** Tokens that may still be reserved. */
   [[nodiscard]] auto Available(std::string_view team) const -> std::uint64_t;
 
+  /** Tokens that requests wait for, and what demand is foreseen to need soon. */
+  [[nodiscard]] auto Shortage(std::string_view team, Instant now) const
+      -> std::uint64_t;
+
   /** True while entries that Plan() gave were not read back. */
   [[nodiscard]] auto unrecorded() const -> bool {
     return this->pending_entries > 0;
@@ -107,6 +124,7 @@
   struct Account {
     std::uint64_t prepaid = 0;
     std::uint64_t spendable = 0;  ///< Covered by valid entries, in all.
+    std::uint64_t received = 0;   ///< From other routers, on top.
     std::uint64_t written = 0;    ///< Of the newest entry.
     std::uint64_t settled = 0;
     std::uint64_t settled_written = 0;
@@ -116,11 +134,19 @@
     Instant demand_at{};
     std::uint64_t pending_revision = 0;
 
+    /** Spent or reserved of what the entries cover; what was received goes
+       first. */
     [[nodiscard]] auto committed() const -> std::uint64_t {
-      return this->settled + this->reserved;
+      const std::uint64_t all = this->settled + this->reserved;
+      return all - std::min(all, this->received);
+    }
+    /** Spent of what the entries cover. */
+    [[nodiscard]] auto settled_of_entries() const -> std::uint64_t {
+      return this->settled - std::min(this->settled, this->received);
     }
     [[nodiscard]] auto available() const -> std::uint64_t {
-      return this->spendable - std::min(this->spendable, this->committed());
+      const std::uint64_t all = this->spendable + this->received;
+      return all - std::min(all, this->settled + this->reserved);
     }
   };
 
--- a/modules/al_logstore/log_caller.cc
+++ b/modules/al_http1/http1_caller.cc
@@ -1,4 +1,4 @@
-#include "al_logstore/log_caller.h"
+#include "al_http1/http1_caller.h"
 
 #include <cassert>
 #include <utility>
@@ -10,12 +10,12 @@
 
 namespace {
 
-/** How long a connection to the log may take to be established. */
+/** How long a connection may take to be established. */
 constexpr Duration kConnectLimit = std::chrono::milliseconds(800);
 
 }  // namespace
 
-LogCaller::LogCaller(SocketPoller& poller, std::string address)
+Http1Caller::Http1Caller(SocketPoller& poller, std::string address)
     : poller(poller),
       address(std::move(address)),
       timer(std::make_unique<LoopTimer>(poller.loop(), [this] {
@@ -23,13 +23,13 @@
         this->Finish(std::nullopt);
       })) {}
 
-LogCaller::~LogCaller() {
+Http1Caller::~Http1Caller() {
   if (this->connection) {
     this->connection->Close();
   }
 }
 
-auto LogCaller::Call(const Http1Request& request,
+auto Http1Caller::Call(const Http1Request& request,
                      Duration limit,
                      OnReply on_reply) -> void {
   assert(!this->busy());
@@ -59,7 +59,7 @@
   this->connection->Start(ToBytes(request), false, std::move(callbacks));
 }
 
-auto LogCaller::Finish(std::optional<Reply> result) -> void {
+auto Http1Caller::Finish(std::optional<Reply> result) -> void {
   this->timer->Stop();
   const OnReply call = std::exchange(this->waiting, {});
   if (call) {
--- a/modules/al_logstore/log_caller.h
+++ b/modules/al_http1/http1_caller.h
@@ -1,5 +1,5 @@
-#ifndef AL_LOGSTORE_LOG_CALLER_H_
-#define AL_LOGSTORE_LOG_CALLER_H_
+#ifndef AL_HTTP1_HTTP1_CALLER_H_
+#define AL_HTTP1_HTTP1_CALLER_H_
 
 #include <functional>
 #include <memory>
@@ -8,16 +8,18 @@
 
 #include "al_core/time/instant.h"
 #include "al_http1/http1_client_connection.h"
+#include "al_http1/http1_message.h"
 
 namespace auburnloft {
 
 class LoopTimer;
 
-/** Calls the platform's log over one kept connection, one call at a time.
+/** Calls one server over a kept connection, one call at a time, each with a
+   time-out. For the platform's log and for other routers.
 
     Thread safety: none; used on the loop's thread.
 */
-class LogCaller {
+class Http1Caller {
  public:
   struct Reply {
     int status = 0;
@@ -26,11 +28,11 @@
   /** None: no whole answer came; the call may have been executed. */
   using OnReply = std::function<void(std::optional<Reply>)>;
 
-  LogCaller(SocketPoller& poller, std::string address);
-  ~LogCaller();
+  Http1Caller(SocketPoller& poller, std::string address);
+  ~Http1Caller();
 
-  LogCaller(const LogCaller&) = delete;
-  auto operator=(const LogCaller&) -> LogCaller& = delete;
+  Http1Caller(const Http1Caller&) = delete;
+  auto operator=(const Http1Caller&) -> Http1Caller& = delete;
 
   /** Sends a call; gives it up after `limit`. @pre !busy(). */
   auto Call(const Http1Request& request, Duration limit, OnReply on_reply)
@@ -53,4 +55,4 @@
 
 }  // namespace auburnloft
 
-#endif  // AL_LOGSTORE_LOG_CALLER_H_
+#endif  // AL_HTTP1_HTTP1_CALLER_H_
--- a/modules/al_logstore/al_logstore.h
+++ b/modules/al_logstore/al_logstore.h
@@ -3,14 +3,12 @@
     Depends on: al_http1, platform (LogCodec).
 
     Parts:
-    - LogCaller      one connection, one call at a time, with a time-out
     - TopicFollower  the newest records of a keyed topic, and what follows
     - ProducerLane   appends in order, each exactly once
 */
 #ifndef AL_LOGSTORE_AL_LOGSTORE_H_
 #define AL_LOGSTORE_AL_LOGSTORE_H_
 
-#include "al_logstore/log_caller.h"
 #include "al_logstore/producer_lane.h"
 #include "al_logstore/topic_follower.h"
 
--- a/modules/al_logstore/producer_lane.cc
+++ b/modules/al_logstore/producer_lane.cc
@@ -49,12 +49,12 @@
       platform::MakeAppendCall(this->topic,
                                {this->producer, kEpoch, this->sequence},
                                this->batch),
-      kAnswerLimit, [this](const std::optional<LogCaller::Reply>& reply) {
+      kAnswerLimit, [this](const std::optional<Http1Caller::Reply>& reply) {
         this->OnReply(reply);
       });
 }
 
-auto ProducerLane::OnReply(const std::optional<LogCaller::Reply>& reply)
+auto ProducerLane::OnReply(const std::optional<Http1Caller::Reply>& reply)
     -> void {
   const auto answer = reply
                           ? platform::ReadAppendReply(reply->status, reply->body)
--- a/modules/al_logstore/topic_follower.cc
+++ b/modules/al_logstore/topic_follower.cc
@@ -60,7 +60,7 @@
   this->caller.Call(
       platform::MakeNewestCall(this->settings.topic, this->list_after),
       kAnswerLimit,
-      [this](const std::optional<LogCaller::Reply>& reply) {
+      [this](const std::optional<Http1Caller::Reply>& reply) {
         this->OnNewest(reply);
       });
 }
@@ -71,12 +71,12 @@
       platform::MakeReadCall(this->settings.topic, this->next_offset,
                              this->settings.wait),
       this->settings.wait + kAnswerLimit,
-      [this](const std::optional<LogCaller::Reply>& reply) {
+      [this](const std::optional<Http1Caller::Reply>& reply) {
         this->OnRead(reply);
       });
 }
 
-auto TopicFollower::OnNewest(const std::optional<LogCaller::Reply>& reply)
+auto TopicFollower::OnNewest(const std::optional<Http1Caller::Reply>& reply)
     -> void {
   const auto page = reply ? platform::ReadNewestReply(reply->status, reply->body)
                           : std::nullopt;
@@ -107,7 +107,7 @@
   this->Continue(Duration(0));
 }
 
-auto TopicFollower::OnRead(const std::optional<LogCaller::Reply>& reply)
+auto TopicFollower::OnRead(const std::optional<Http1Caller::Reply>& reply)
     -> void {
   const auto batch =
       reply ? platform::ReadReadReply(reply->status, reply->body,
--- a/modules/al_logstore/topic_follower.h
+++ b/modules/al_logstore/topic_follower.h
@@ -9,7 +9,7 @@
 
 #include "al_core/time/instant.h"
 #include "al_gateway/model/log_messages.h"
-#include "al_logstore/log_caller.h"
+#include "al_http1/http1_caller.h"
 
 namespace auburnloft {
 
@@ -58,12 +58,12 @@
   auto Step() -> void;
   auto CallNewest() -> void;
   auto CallRead() -> void;
-  auto OnNewest(const std::optional<LogCaller::Reply>& reply) -> void;
-  auto OnRead(const std::optional<LogCaller::Reply>& reply) -> void;
+  auto OnNewest(const std::optional<Http1Caller::Reply>& reply) -> void;
+  auto OnRead(const std::optional<Http1Caller::Reply>& reply) -> void;
   auto Continue(Duration delay) -> void;
   auto Failed() -> void;
 
-  LogCaller caller;
+  Http1Caller caller;
   Settings settings;
   Callbacks calls;
   std::unique_ptr<LoopTimer> timer;
--- a/programs/gateway/budget_gate.cc
+++ b/programs/gateway/budget_gate.cc
@@ -10,7 +10,7 @@
 
 BudgetGate::BudgetGate(EventLoop& loop,
                        AllowanceDesk& desk,
-                       std::function<void()> ask)
+                       std::function<void(const std::string& team)> ask)
     : loop(loop),
       desk(desk),
       ask(std::move(ask)),
@@ -34,7 +34,7 @@
       {++this->last_ticket, team, tokens, now + limit, std::move(on_answer)});
   this->UpdateWanted(team);
   this->StartTimer();
-  this->ask();
+  this->ask(team);
   return this->last_ticket;
 }
 
--- a/programs/gateway/budget_gate.h
+++ b/programs/gateway/budget_gate.h
@@ -34,8 +34,10 @@
   using OnAnswer = std::function<void(BudgetAnswer)>;
   using Ticket = std::uint64_t;
 
-  /** @param ask  asks the log for more, soon. */
-  BudgetGate(EventLoop& loop, AllowanceDesk& desk, std::function<void()> ask);
+  /** @param ask  asks for more of a team's budget, soon. */
+  BudgetGate(EventLoop& loop,
+             AllowanceDesk& desk,
+             std::function<void(const std::string& team)> ask);
   ~BudgetGate();
 
   BudgetGate(const BudgetGate&) = delete;
@@ -79,7 +81,7 @@
 
   EventLoop& loop;
   AllowanceDesk& desk;
-  std::function<void()> ask;
+  std::function<void(const std::string&)> ask;
   std::function<bool(const std::string&, std::uint64_t)> spent;
   std::unique_ptr<LoopTimer> timer;
   std::list<Waiting> waiting;
--- a/programs/gateway/fleet_link.cc
+++ b/programs/gateway/fleet_link.cc
@@ -23,6 +23,9 @@
 /** How long requests that wait for an allowance are gathered. */
 constexpr Duration kGatherPause = std::chrono::milliseconds(2);
 
+/** Without an answer for this long, the log was away for this router. */
+constexpr Duration kAwayAfter = std::chrono::milliseconds(1'500);
+
 constexpr std::string_view kRouterKey = "r/";
 constexpr std::string_view kAllowanceKey = "a/";
 
@@ -33,6 +36,7 @@
   message.set_domain(said.domain);
   message.set_region(said.region);
   message.set_client_address(said.client_address);
+  message.set_peer_address(said.peer_address);
   message.set_leaving(said.leaving);
   message.set_beat(said.beat);
   message.set_config_version(said.config_version);
@@ -57,10 +61,12 @@
                      const std::string& log_address,
                      RouterAnnouncement self,
                      AllowanceDesk& desk,
+                     DecisionLog& log,
                      Callbacks callbacks)
     : poller(poller),
       self(std::move(self)),
       desk(desk),
+      log(log),
       calls(std::move(callbacks)),
       routers(this->self.name),
       follower(
@@ -75,7 +81,7 @@
            [this](const std::set<std::string>& /*keys*/) {
              this->listed = true;
            },
-           [this](bool answered) { this->calls.on_contact(answered); }}),
+           [this](bool answered) { this->OnContact(answered); }}),
       lane(poller,
            log_address,
            std::string(platform::kFleetTopic),
@@ -112,26 +118,34 @@
   this->Write();
 }
 
-auto FleetLink::NoteLogRegained() -> void {
-  this->routers.NoteLogRegained(this->poller.loop().Now());
-}
-
 //==============================================================================
 // Queries
 
 auto FleetLink::CountAlive() const -> int {
-  return this->routers.CountAlive(this->poller.loop().Now());
+  return this->routers.CountAlive(this->read_at);
 }
 
 auto FleetLink::IsAliveNow() const -> AllowanceLedger::IsAlive {
-  return [this, now = this->poller.loop().Now()](std::string_view holder) {
+  return [this](std::string_view holder) {
     return holder == this->self.incarnation ||
-           this->routers.IsCurrent(holder, now);
+           this->routers.IsCurrent(holder, this->read_at);
   };
 }
 
 //==============================================================================
 
+auto FleetLink::OnContact(bool answered) -> void {
+  if (answered) {
+    const Instant now = this->poller.loop().Now();
+    if (now - this->read_at >= kAwayAfter) {
+      // What the others announced meanwhile follows with this read.
+      this->routers.NoteLogRegained(now);
+    }
+    this->read_at = now;
+  }
+  this->calls.on_contact(answered);
+}
+
 auto FleetLink::OnTick() -> void {
   this->timer->Start(kPlanPause);
   this->Write();
@@ -203,6 +217,7 @@
   said.domain = message.domain();
   said.region = message.region();
   said.client_address = message.client_address();
+  said.peer_address = message.peer_address();
   said.leaving = message.leaving();
   said.beat = message.beat();
   said.config_version = message.config_version();
@@ -224,6 +239,20 @@
   this->allowances.Apply(entry);
   if (entry.holder == this->self.incarnation && this->listed) {
     this->desk.OnRecorded(entry, this->allowances.Taken(entry.team));
+    const auto totals =
+        this->allowances.TotalsOf(entry.team, this->IsAliveNow());
+    this->log.Line(DecisionLog::Weight::kRoutine, "allowance",
+                   {{"team", entry.team},
+                    {"taken", entry.taken_tokens},
+                    {"settled", entry.settled_tokens},
+                    {"available", this->desk.Available(entry.team)},
+                    {"demand_s",
+                     static_cast<std::int64_t>(entry.demand_per_second)},
+                    {"taken_by_all", totals.taken},
+                    {"settled_by_living", totals.settled_by_living},
+                    {"taken_by_dead", totals.taken_by_dead},
+                    {"budget", this->desk.BudgetOf(entry.team)}},
+                   this->poller.loop().Now());
     this->calls.on_allowance(entry.team);
   }
 }
--- a/programs/gateway/fleet_link.h
+++ b/programs/gateway/fleet_link.h
@@ -13,6 +13,7 @@
 #include "al_gateway/prepaid/allowance_ledger.h"
 #include "al_logstore/producer_lane.h"
 #include "al_logstore/topic_follower.h"
+#include "gateway/decision_log.h"
 
 namespace auburnloft::gateway {
 
@@ -33,6 +34,7 @@
             const std::string& log_address,
             RouterAnnouncement self,
             AllowanceDesk& desk,
+            DecisionLog& log,
             Callbacks callbacks);
   ~FleetLink();
 
@@ -57,8 +59,6 @@
     this->self.config_version = version;
   }
 
-  auto NoteLogRegained() -> void;
-
   //============================================================================
   // Queries
 
@@ -68,10 +68,13 @@
   [[nodiscard]] auto ledger() const -> const AllowanceLedger& {
     return this->allowances;
   }
+  /** When the topic was last read; what the registry says is as of then. */
+  [[nodiscard]] auto as_of() const -> Instant { return this->read_at; }
   [[nodiscard]] auto CountAlive() const -> int;
   [[nodiscard]] auto IsAliveNow() const -> AllowanceLedger::IsAlive;
 
  private:
+  auto OnContact(bool answered) -> void;
   auto OnTick() -> void;
   auto Write() -> void;
   auto AppendBatch(std::vector<AllowanceEntry> entries, bool announce) -> void;
@@ -82,6 +85,7 @@
   SocketPoller& poller;
   RouterAnnouncement self;
   AllowanceDesk& desk;
+  DecisionLog& log;
   Callbacks calls;
   RouterRegistry routers;
   AllowanceLedger allowances;
@@ -91,6 +95,7 @@
   std::unique_ptr<LoopTimer> soon;
   std::function<void()> returned;
   Instant announced_at{};
+  Instant read_at{};
   bool announce_now = false;
   bool listed = false;
 };
--- a/programs/gateway/gateway_daemon.cc
+++ b/programs/gateway/gateway_daemon.cc
@@ -98,7 +98,9 @@
       chooser(this->upstreams, this->options.self.domain),
       retries(this->options.retry_bound),
       desk(this->options.self.incarnation, AllowanceSettings()),
-      budgets(loop, this->desk, [this] { this->fleet.AskSoon(); }),
+      budgets(loop,
+              this->desk,
+              [this](const std::string& team) { this->OnShortage(team); }),
       context{loop,
               nullptr,
               this->upstreams,
@@ -114,10 +116,19 @@
             this->options.log_address,
             this->options.self,
             this->desk,
+            this->log,
             {[this](const std::string& team) {
                this->budgets.TryWaiting(team);
              },
              [this](bool answered) { this->OnContact(answered); }}),
+      peers(this->poller,
+            this->options.self.incarnation,
+            this->desk,
+            this->fleet,
+            this->log,
+            [this](const std::string& team) {
+              this->budgets.TryWaiting(team);
+            }),
       tick(std::make_unique<LoopTimer>(loop, [this] { this->OnTick(); })),
       drain_tick(
           std::make_unique<LoopTimer>(loop, [this] { this->OnDrainTick(); })) {
@@ -151,6 +162,11 @@
                             const Http1Request& request) {
                        this->OnReadinessQuestion(*session, request);
                      }) &&
+      this->OpenDoor(this->options.self.peer_address,
+                     [this](const std::shared_ptr<Http1ServerSession>& session,
+                            const Http1Request& request) {
+                       this->peers.OnAsk(*session, request);
+                     }) &&
       (this->options.metrics_address.empty() ||
        this->OpenDoor(this->options.metrics_address,
                       [this](const std::shared_ptr<Http1ServerSession>& session,
@@ -194,7 +210,8 @@
     return;
   }
   const std::vector<std::string> addresses =
-      this->fleet.registry().AddressesFor(question->domain, this->loop.Now());
+      this->fleet.registry().AddressesFor(question->domain,
+                                          this->fleet.as_of());
   if (addresses.empty()) {
     Respond(session, kUnavailable, "", "");
     return;
@@ -319,7 +336,19 @@
   }
   if (was_away) {
     this->upstreams.NoteLogRegained(now);
-    this->fleet.NoteLogRegained();
+  }
+}
+
+auto GatewayDaemon::OnShortage(const std::string& team) -> void {
+  const std::uint64_t budget = this->desk.BudgetOf(team);
+  const std::uint64_t taken = this->fleet.ledger().Taken(team);
+  const std::uint64_t pool = budget - std::min(budget, taken);
+  if (this->context.log_in_touch) {
+    this->fleet.AskSoon();
+  }
+  if (!this->context.log_in_touch ||
+      pool < this->desk.Shortage(team, this->loop.Now())) {
+    this->peers.AskFor(team);
   }
 }
 
@@ -385,7 +414,6 @@
 //==============================================================================
 
 auto GatewayDaemon::StateDump() const -> std::string {
-  const Instant now = this->loop.Now();
   nlohmann::json state;
   state["router"] = this->options.self.name;
   state["incarnation"] = this->options.self.incarnation;
@@ -398,7 +426,7 @@
   state["log_lines_left_out"] = this->log.dropped();
   state["routers"] = nlohmann::json::array();
   this->fleet.registry().VisitAll(
-      now, [&state](const RouterAnnouncement& router, bool alive) {
+      this->fleet.as_of(), [&state](const RouterAnnouncement& router, bool alive) {
         state["routers"].push_back({{"name", router.name},
                                     {"incarnation", router.incarnation},
                                     {"domain", router.domain},
--- a/programs/gateway/gateway_daemon.h
+++ b/programs/gateway/gateway_daemon.h
@@ -13,6 +13,7 @@
 #include "gateway/fleet_link.h"
 #include "gateway/gateway_context.h"
 #include "gateway/gateway_metrics.h"
+#include "gateway/peer_link.h"
 
 namespace auburnloft::gateway {
 
@@ -67,6 +68,7 @@
   auto OnConfigRecord(const KeyedRecord& record) -> void;
   auto OnUpstreamRecord(const KeyedRecord& record) -> void;
   auto OnContact(bool answered) -> void;
+  auto OnShortage(const std::string& team) -> void;
   auto OnTick() -> void;
   auto OnDrainTick() -> void;
   auto FinishDrain() -> void;
@@ -86,6 +88,7 @@
   BudgetGate budgets;
   GatewayContext context;
   FleetLink fleet;
+  PeerLink peers;
   std::unique_ptr<TopicFollower> config_follower;
   std::unique_ptr<TopicFollower> upstream_follower;
   Http1SessionLimits limits;
--- a/programs/gateway/main.cc
+++ b/programs/gateway/main.cc
@@ -21,6 +21,8 @@
                           "where callers ask where to connect, as ip:port");
   settings.DeclareAddress("readiness-address",
                           "where the platform asks for readiness, as ip:port");
+  settings.DeclareAddress("peer-address",
+                          "where other routers ask this one, as ip:port");
   settings.DeclareText("metrics-address", "where metrics are, as ip:port", "");
   settings.DeclareAddress("log-address", "the platform's log, as ip:port");
   settings.DeclareText("retry-ratio",
@@ -55,6 +57,7 @@
   options.self.domain = settings.Text("domain");
   options.self.region = settings.Text("region");
   options.self.client_address = settings.Text("client-address");
+  options.self.peer_address = settings.Text("peer-address");
   options.entry_address = settings.Text("entry-address");
   options.readiness_address = settings.Text("readiness-address");
   options.metrics_address = settings.Text("metrics-address");
--- a/programs/gateway/request_run.cc
+++ b/programs/gateway/request_run.cc
@@ -125,9 +125,7 @@
     return;
   }
   const Duration wait =
-      this->context.log_in_touch
-          ? Scaled(this->route->latency_objective, kBudgetWaitPart)
-          : Duration(0);
+      Scaled(this->route->latency_objective, kBudgetWaitPart);
   const auto ticket = this->context.budgets.Reserve(
       this->team->name, this->facts.generation->most_tokens(), wait,
       [this](BudgetAnswer answer) {
