--- a/modules/al_gateway/prepaid/allowance_desk.h
+++ b/modules/al_gateway/prepaid/allowance_desk.h
@@ -19,7 +19,7 @@
 struct AllowanceSettings {
   /** Demand that an allowance covers: an outage of the log that is to be
      survived. */
-  Duration cover = std::chrono::seconds(12);
+  Duration cover = std::chrono::seconds(8);
 
   /** The part of a team's budget that all routers together take before they know
      its demand. */
