--- a/programs/gateway/request_run.cc
+++ b/programs/gateway/request_run.cc
@@ -29,8 +29,13 @@
 constexpr int kMostSends = 3;
 
 /** The part of the latency objective for which a request waits for an
-   allowance. */
-constexpr double kBudgetWaitPart = 0.5;
+   allowance: some round trips to the log. A caller that is refused so early can
+   come back in time. */
+constexpr double kBudgetWaitPart = 0.12;
+
+/** When a caller is to come back that found no allowance: streams that hold
+   reservations have ended by then, or the log has given more. */
+constexpr Duration kRetryAfterAllowance = std::chrono::milliseconds(1'000);
 
 /** An attempt that may be repeated is given up for another one after this
    multiple of the latency objective, but not before the least. */
@@ -147,7 +152,7 @@
       this->Refuse(kPaymentRequired, "budget spent", Duration(0));
       return;
     case BudgetAnswer::kUnavailable:
-      this->Refuse(kUnavailable, "no allowance", kRetryAfter);
+      this->Refuse(kUnavailable, "no allowance", kRetryAfterAllowance);
       return;
   }
 }
