--- a/modules/al_gateway/prepaid/allowance_desk.cc
+++ b/modules/al_gateway/prepaid/allowance_desk.cc
@@ -211,14 +211,13 @@
   const double left = static_cast<double>(
       Minus(account.prepaid, totals.taken_by_dead + totals.settled_by_living));
   const double even = 1.0 / std::max(1, routers);
-  if (account.demand_at == Instant()) {
-    return static_cast<std::uint64_t>(left * this->settings.first_part * even);
-  }
   const double all = std::max(totals.demand_of_living, demand);
   const double share = all > 0.0 ? demand / all : even;
-  return static_cast<std::uint64_t>(
+  const double foreseen =
       std::min(demand * ToSeconds(this->settings.cover),
-               left * kDividedPart * share));
+               left * kDividedPart * share);
+  return static_cast<std::uint64_t>(
+      std::max(foreseen, left * this->settings.even_part * even));
 }
 
 auto AllowanceDesk::TakenAfter(Account& account,
--- a/modules/al_gateway/prepaid/allowance_desk.h
+++ b/modules/al_gateway/prepaid/allowance_desk.h
@@ -19,11 +19,11 @@
 struct AllowanceSettings {
   /** Demand that an allowance covers: an outage of the log that is to be
      survived. */
-  Duration cover = std::chrono::seconds(8);
+  Duration cover = std::chrono::seconds(5);
 
-  /** The part of a team's budget that all routers together take before they know
-     its demand. */
-  double first_part = 0.2;
+  /** The part of what is left of a budget that all routers together hold at
+     least, in even shares: demand that is not yet known, or that moves. */
+  double even_part = 0.2;
 };
 
 /** One router's allowances: what it may spend of each team's budget, and what it
