--- a/modules/al_gateway/prepaid/allowance_desk.cc
+++ b/modules/al_gateway/prepaid/allowance_desk.cc
@@ -25,10 +25,13 @@
 
 /** Raises below this part of the target wait, so that the log gets fewer
    entries. */
-constexpr double kWorthWriting = 0.2;
+constexpr double kWorthWriting = 0.1;
 
 /** An allowance above this multiple of its target is returned. */
-constexpr double kSurplus = 1.6;
+constexpr double kSurplus = 1.25;
+
+/** The shortest time over which a rate is measured, in seconds. */
+constexpr double kLeastMeasuredSeconds = 0.5;
 
 auto DecayedDemand(double demand, Instant since, Instant now) -> double {
   return demand * std::exp(-ToSeconds(now - since) / kDemandSeconds);
@@ -58,6 +61,9 @@
                                Instant now) -> bool {
   Account& account = this->accounts[std::string(team)];
   if (first_try) {
+    if (account.demand_since == Instant()) {
+      account.demand_since = now;
+    }
     account.demand =
         DecayedDemand(account.demand, account.demand_at, now) +
         static_cast<double>(tokens) / kDemandSeconds;
@@ -194,20 +200,26 @@
     return 0;
   }
   const Account& account = found->second;
-  const double soon =
-      kAskedSeconds *
-      DecayedDemand(account.demand, account.demand_at, now);
+  const double soon = kAskedSeconds * DemandOf(account, now);
   return Minus(account.waiting + static_cast<std::uint64_t>(soon),
                account.available());
 }
 
 //==============================================================================
 
+auto AllowanceDesk::DemandOf(const Account& account, Instant now) -> double {
+  // Right after the first request the decayed sum has not filled yet.
+  const double measured = std::max(
+      kLeastMeasuredSeconds, ToSeconds(now - account.demand_since));
+  return DecayedDemand(account.demand, account.demand_at, now) /
+         (1.0 - std::exp(-measured / kDemandSeconds));
+}
+
 auto AllowanceDesk::TargetOf(const Account& account,
                              const AllowanceLedger::Totals& totals,
                              int routers,
                              Instant now) const -> std::uint64_t {
-  const double demand = DecayedDemand(account.demand, account.demand_at, now);
+  const double demand = DemandOf(account, now);
   const double left = static_cast<double>(
       Minus(account.prepaid, totals.taken_by_dead + totals.settled_by_living));
   const double even = 1.0 / std::max(1, routers);
@@ -261,8 +273,7 @@
   entry.holder = this->holder;
   entry.taken_tokens = taken;
   entry.settled_tokens = account.settled_of_entries();
-  entry.demand_per_second =
-      DecayedDemand(account.demand, account.demand_at, now);
+  entry.demand_per_second = DemandOf(account, now);
   entry.revision = ++this->last_revision;
   account.written = taken;
   account.settled_written = entry.settled_tokens;
--- a/modules/al_gateway/prepaid/allowance_desk.h
+++ b/modules/al_gateway/prepaid/allowance_desk.h
@@ -132,6 +132,7 @@
     std::uint64_t waiting = 0;
     double demand = 0.0;  ///< Tokens a second, as of `demand_at`.
     Instant demand_at{};
+    Instant demand_since{};  ///< Of the first request.
     std::uint64_t pending_revision = 0;
 
     /** Spent or reserved of what the entries cover; what was received goes
@@ -150,6 +151,9 @@
     }
   };
 
+  /** Tokens that requests ask for, a second. */
+  [[nodiscard]] static auto DemandOf(const Account& account, Instant now)
+      -> double;
   [[nodiscard]] auto TargetOf(const Account& account,
                               const AllowanceLedger::Totals& totals,
                               int routers,
