--- a/programs/gateway/request_run.cc
+++ b/programs/gateway/request_run.cc
@@ -314,7 +314,8 @@
   }
   if (!this->stream_started) {
     this->stream_started = true;
-    this->context.metrics.AddFirstByte(now - this->arrived_at);
+    this->first_event_after = now - this->arrived_at;
+    this->context.metrics.AddFirstByte(this->first_event_after);
     Http1ResponseHead head = current.head;
     head.fields.RemoveConnectionFields();
     this->session->StartAnswer(head);
@@ -577,6 +578,7 @@
                          ? this->context.desk.Available(this->team->name)
                          : 0},
        {"config", this->table ? this->table->config().version : 0},
+       {"first_ms", this->first_event_after},
        {"ms", now - this->arrived_at}},
       now);
   this->deadline_timer.reset();
--- a/programs/gateway/request_run.h
+++ b/programs/gateway/request_run.h
@@ -110,6 +110,7 @@
   int sends = 0;                   ///< Sends that may have reached an upstream.
   int runs = 0;                    ///< Sends that may have run.
   EventSplitter events;
+  Duration first_event_after{0};
   bool stream_started = false;
   bool ended = false;
   std::shared_ptr<RequestRun> self;  ///< Until the end.
--- /dev/null
+++ b/tests/gateway/decisions_test.cc
@@ -0,0 +1,258 @@
+// Where requests go, what is sent again, and who is in the fleet.
+#include "al_gateway/al_gateway.h"
+#include "al_gateway/streams/event_splitter.h"
+#include "support/test_harness.h"
+
+using namespace auburnloft;           // NOLINT(google-build-using-namespace)
+using namespace auburnloft::gateway;  // NOLINT(google-build-using-namespace)
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+auto Record(const std::string& id, const std::string& domain)
+    -> UpstreamRecord {
+  UpstreamRecord record;
+  record.id = id;
+  record.service = "s";
+  record.address = "127.0.0.1:1";
+  record.domain = domain;
+  record.slots = 64;
+  record.started_at_ms = 1;
+  return record;
+}
+
+auto Prompt(const std::string& session, const std::string& own)
+    -> GenerationFacts {
+  GenerationFacts facts;
+  facts.prompt_tokens = 6'000;
+  facts.parts = {{"system", 500}, {session, 4'500}, {own, 1'000}};
+  return facts;
+}
+
+}  // namespace
+
+TEST_GROUP(Decisions) {
+  Instant now = FromUnixMillis(1'000'000);
+  std::vector<std::string> left;
+  UpstreamDirectory directory{[this](const UpstreamState& upstream) {
+    this->left.push_back(upstream.record().id);
+  }};
+  UpstreamChooser chooser{directory, "a"};
+
+  auto Choose(const GenerationFacts* generation) -> std::string {
+    ChoiceQuery query;
+    query.service = "s";
+    query.generation = generation;
+    const auto choice = this->chooser.Choose(query, this->now);
+    return choice ? choice->upstream->record().id : std::string();
+  }
+
+  auto Add(int count)->void {
+    for (int i = 0; i < count; ++i) {
+      this->directory.Put(Record("e" + std::to_string(i), "a"));
+    }
+  }
+};
+
+//==============================================================================
+// Load pattern: sessions that share long prompts.
+
+TEST(Decisions, PlacesAllRequestsOfASessionOnOneEngine) {
+  this->Add(12);
+  const GenerationFacts first = Prompt("session", "own1");
+  const std::string home = this->Choose(&first);
+  for (int i = 0; i < 20; ++i) {
+    const GenerationFacts next = Prompt("session", "own" + std::to_string(i));
+    CHECK_EQUAL(home, this->Choose(&next));
+  }
+}
+
+TEST(Decisions, SpreadsSessionsOverEngines) {
+  this->Add(12);
+  std::map<std::string, int> counts;
+  for (int i = 0; i < 240; ++i) {
+    const GenerationFacts prompt = Prompt("session" + std::to_string(i), "own");
+    ++counts[this->Choose(&prompt)];
+  }
+  CHECK_EQUAL(12, counts.size());
+  for (const auto& [id, count] : counts) {
+    CHECK_TRUE(count < 40);
+  }
+}
+
+// Load pattern: one session gets much of the traffic.
+TEST(Decisions, LeavesAnEngineWhoseWaitOutweighsReadingAgain) {
+  this->Add(12);
+  const GenerationFacts prompt = Prompt("hot", "own");
+  const std::string home = this->Choose(&prompt);
+  for (const auto& upstream : this->directory.OfService("s")) {
+    if (upstream->record().id == home) {
+      for (int i = 0; i < 40; ++i) {
+        upstream->NoteSent(1'000);
+      }
+    }
+  }
+  CHECK_TRUE(this->Choose(&prompt) != home);
+}
+
+//==============================================================================
+// Upstreams that fail, leave, or come back
+
+TEST(Decisions, TakesAReplacedUpstreamOutUntilItStartsAnew) {
+  this->Add(1);
+  const auto upstream = this->directory.OfService("s").front();
+  upstream->NoteSent(0);
+  upstream->NoteEnded(0, UpstreamResult::kReplaced, this->now);
+  this->now += seconds(10);
+  CHECK_EQUAL(std::string(), this->Choose(nullptr));
+  UpstreamRecord again = Record("e0", "a");
+  again.started_at_ms = 2;
+  this->directory.Put(again);
+  CHECK_EQUAL(std::string("e0"), this->Choose(nullptr));
+}
+
+TEST(Decisions, PausesAnUpstreamThatCannotBeReached) {
+  this->Add(1);
+  const auto upstream = this->directory.OfService("s").front();
+  upstream->NoteSent(0);
+  upstream->NoteEnded(0, UpstreamResult::kUnreachable, this->now);
+  CHECK_EQUAL(std::string(), this->Choose(nullptr));
+  this->now += seconds(4);
+  CHECK_EQUAL(std::string("e0"), this->Choose(nullptr));
+}
+
+TEST(Decisions, SendsNoNewWorkToALeavingUpstream) {
+  this->Add(2);
+  UpstreamRecord leaving = Record("e0", "a");
+  leaving.leaving = true;
+  this->directory.Put(leaving);
+  CHECK_EQUAL(1, this->left.size());
+  CHECK_EQUAL(std::string("e1"), this->Choose(nullptr));
+}
+
+TEST(Decisions, KeepsUpstreamsWhoseEntriesLapsedWhileTheLogWasAway) {
+  this->Add(2);
+  this->directory.NoteLogRegained(this->now);
+  this->directory.Remove("e0", this->now);
+  this->directory.Remove("e1", this->now);
+  CHECK_TRUE(!this->Choose(nullptr).empty());
+  this->directory.Put(Record("e0", "a"));
+  this->now += seconds(3);
+  this->directory.Expire(this->now);
+  CHECK_EQUAL(1, this->directory.size());
+}
+
+TEST(Decisions, DropsAnUpstreamAtOnceThatLeavesInQuietTimes) {
+  this->Add(1);
+  this->directory.Remove("e0", this->now);
+  CHECK_EQUAL(0, this->directory.size());
+}
+
+// Load pattern: plain work of three small services in three failure domains.
+TEST(Decisions, PrefersItsOwnFailureDomainUntilThatIsBusier) {
+  this->directory.Put(Record("near", "a"));
+  this->directory.Put(Record("far", "b"));
+  CHECK_EQUAL(std::string("near"), this->Choose(nullptr));
+  for (const auto& upstream : this->directory.OfService("s")) {
+    if (upstream->record().id == "near") {
+      for (int i = 0; i < 20; ++i) {
+        upstream->NoteSent(0);
+      }
+    }
+  }
+  CHECK_EQUAL(std::string("far"), this->Choose(nullptr));
+}
+
+//==============================================================================
+// Repeats
+
+// Load pattern: an upstream fails all, and callers repeat at once.
+TEST(Decisions, KeepsRepeatsOfTheFleetWithinItsBound) {
+  RetryBound bound;
+  bound.slack = 60.0;
+  constexpr int kRouters = 6;
+  int taken = 0;
+  for (int router = 0; router < kRouters; ++router) {
+    RetryAllowance allowance(bound);
+    for (int i = 0; i < 100; ++i) {
+      allowance.NoteRequest("s", this->now);
+    }
+    for (int i = 0; i < 100; ++i) {
+      taken += allowance.TryTake("s", kRouters, this->now) ? 1 : 0;
+    }
+  }
+  CHECK_TRUE(taken <= 0.2 * 600 + 60);
+  CHECK_TRUE(taken >= 100);
+}
+
+TEST(Decisions, AllowsRepeatsAgainAfterTheWindow) {
+  RetryAllowance allowance{RetryBound()};
+  while (allowance.TryTake("s", 1, this->now)) {
+  }
+  this->now += seconds(12);
+  CHECK_TRUE(allowance.TryTake("s", 1, this->now));
+}
+
+//==============================================================================
+// Streams
+
+TEST(Decisions, PassesWholeEventsOn) {
+  EventSplitter events;
+  CHECK_EQUAL(std::string("id: 1\ndata: a\n\n"),
+              events.Feed("id: 1\ndata: a\n\nid: 2\nda"));
+  CHECK_EQUAL(std::string("id: 2\ndata: b\n\n"), events.Feed("ta: b\n\n"));
+  CHECK_EQUAL(2, events.event_count());
+}
+
+TEST(Decisions, LeavesEventsOutThatWerePassedOnBefore) {
+  EventSplitter events;
+  CHECK_EQUAL(std::string("id: 1\n\nid: 2\n\n"),
+              events.Feed("id: 1\n\nid: 2\n\nid: 3\nda"));
+  events.Resume();
+  CHECK_EQUAL(std::string("id: 3\n\n"), events.Feed("id: 2\n\nid: 3\n\n"));
+  CHECK_FALSE(events.has_gap());
+}
+
+TEST(Decisions, NoticesAMissingEvent) {
+  EventSplitter events;
+  (void)events.Feed("id: 1\n\nid: 3\n\n");
+  CHECK_TRUE(events.has_gap());
+}
+
+//==============================================================================
+// The fleet
+
+TEST(Decisions, TellsCallersOfTheLivingRoutersInTheirDomain) {
+  RouterRegistry registry("r1");
+  for (const char* const name : {"r1", "r2", "r3"}) {
+    RouterAnnouncement router;
+    router.name = name;
+    router.incarnation = std::string(name) + "#1";
+    router.domain = std::string(name) == "r3" ? "b" : "a";
+    router.client_address = name;
+    registry.Apply(router, this->now);
+  }
+  CHECK_EQUAL(2, registry.AddressesFor("a", this->now).size());
+  CHECK_EQUAL(3, registry.AddressesFor("b", this->now).size());
+  CHECK_EQUAL(1, registry.AddressesFor("a", this->now + seconds(5)).size());
+  CHECK_TRUE(registry.IsCurrent("r2#1", this->now));
+  CHECK_FALSE(registry.IsCurrent("r2#0", this->now));
+}
+
+TEST(Decisions, FindsTheRouteWithTheLongestPrefix) {
+  FleetConfig config;
+  for (const char* const prefix : {"/", "/a/", "/a/b/"}) {
+    RouteRule route;
+    route.name = prefix;
+    route.host = "h";
+    route.path_prefix = prefix;
+    config.routes.push_back(route);
+  }
+  const RouteTable table(std::move(config));
+  CHECK_EQUAL(std::string("/a/b/"), table.FindRoute("h", "/a/b/c")->name);
+  CHECK_EQUAL(std::string("/a/"), table.FindRoute("h", "/a/bc")->name);
+  CHECK_EQUAL(std::string("/"), table.FindRoute("h", "/x")->name);
+  CHECK_TRUE(table.FindRoute("other", "/a/") == nullptr);
+}
--- /dev/null
+++ b/tests/gateway/http1_test.cc
@@ -0,0 +1,124 @@
+// Framing: what a caller or a faulty upstream may send.
+#include "al_http1/al_http1.h"
+#include "support/test_harness.h"
+
+using namespace auburnloft;  // NOLINT(google-build-using-namespace)
+
+namespace {
+
+auto StatusFor(std::string_view bytes) -> int {
+  Http1RequestReader reader{Http1RequestLimits()};
+  reader.Feed(bytes);
+  return reader.error_status();
+}
+
+}  // namespace
+
+TEST_GROUP(Http1){};
+
+TEST(Http1, ReadsAChunkedBody) {
+  Http1RequestReader reader{Http1RequestLimits()};
+  reader.Feed(
+      "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n");
+  CHECK_TRUE(reader.done());
+  CHECK_EQUAL(std::string("abcde"), reader.Take().body);
+}
+
+TEST(Http1, ReadsARequestThatComesByteByByte) {
+  Http1RequestReader reader{Http1RequestLimits()};
+  const std::string bytes =
+      "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc";
+  std::string waiting;
+  for (const char byte : bytes) {
+    waiting += byte;
+    waiting.erase(0, reader.Feed(waiting));
+  }
+  CHECK_TRUE(reader.done());
+  CHECK_EQUAL(std::string("abc"), reader.Take().body);
+}
+
+TEST(Http1, LeavesAPipelinedRequestUnread) {
+  Http1RequestReader reader{Http1RequestLimits()};
+  const std::string first = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
+  const std::size_t used =
+      reader.Feed(first + "GET /b HTTP/1.1\r\nHost: h\r\n\r\n");
+  CHECK_TRUE(reader.done());
+  CHECK_EQUAL(first.size(), used);
+}
+
+TEST(Http1, RefusesTwoLengths) {
+  CHECK_EQUAL(400, StatusFor("POST / HTTP/1.1\r\nContent-Length: 3\r\n"
+                             "Content-Length: 4\r\n\r\nabcd"));
+}
+
+TEST(Http1, RefusesALengthBesideChunks) {
+  CHECK_EQUAL(400, StatusFor("POST / HTTP/1.1\r\nContent-Length: 3\r\n"
+                             "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"));
+  CHECK_EQUAL(400, StatusFor("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n"
+                             "Content-Length: 3\r\n\r\n0\r\n\r\n"));
+}
+
+TEST(Http1, RefusesASpaceBeforeTheColon) {
+  CHECK_EQUAL(400, StatusFor("GET / HTTP/1.1\r\nHost : h\r\n\r\n"));
+}
+
+TEST(Http1, RefusesWhatIsOverTheLimits) {
+  Http1RequestLimits limits;
+  limits.header_bytes = 64;
+  Http1RequestReader header(limits);
+  header.Feed("GET / HTTP/1.1\r\nA: " + std::string(200, 'a') + "\r\n\r\n");
+  CHECK_EQUAL(431, header.error_status());
+  limits = {};
+  limits.body_bytes = 4;
+  Http1RequestReader body(limits);
+  body.Feed("POST / HTTP/1.1\r\nContent-Length: 5\r\n\r\nabcde");
+  CHECK_EQUAL(413, body.error_status());
+}
+
+TEST(Http1, RemovesWhatConcernsOneConnection) {
+  Http1Fields fields;
+  fields.Add("Connection", "keep-alive, X-Hop");
+  fields.Add("X-Hop", "1");
+  fields.Add("Keep-Alive", "timeout=5");
+  fields.Add("Transfer-Encoding", "chunked");
+  fields.Add("X-Kept", "1");
+  fields.Add("x-kept", "2");
+  fields.RemoveConnectionFields();
+  CHECK_EQUAL(2, fields.all().size());
+  CHECK_EQUAL(std::string("2"), fields.all()[1].value);
+}
+
+TEST(Http1, TakesTheEndOfTheConnectionForTheEndOfABodyWithoutLength) {
+  Http1ResponseReader reader(false);
+  reader.Feed("HTTP/1.1 200 OK\r\n\r\nabc");
+  CHECK_FALSE(reader.done());
+  reader.FeedEnd();
+  CHECK_TRUE(reader.done());
+  CHECK_FALSE(reader.failed());
+}
+
+TEST(Http1, FailsABodyThatEndsBeforeItsLength) {
+  Http1ResponseReader reader(false);
+  reader.Feed("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc");
+  reader.FeedEnd();
+  CHECK_TRUE(reader.failed());
+}
+
+TEST(Http1, FailsBytesThatAreNoAnswer) {
+  Http1ResponseReader reader(false);
+  reader.Feed("garbage garbage\r\n\r\n");
+  CHECK_TRUE(reader.failed());
+}
+
+TEST(Http1, HandsTheBodyOutAsItArrives) {
+  Http1ResponseReader reader(false);
+  std::string waiting =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n";
+  waiting.erase(0, reader.Feed(waiting));
+  CHECK_EQUAL(std::string("abc"), reader.TakeBody());
+  CHECK_EQUAL(std::string(), reader.TakeBody());
+  reader.Feed(waiting + "2\r\nde\r\n0\r\n\r\n");
+  CHECK_EQUAL(std::string("de"), reader.TakeBody());
+  CHECK_TRUE(reader.done());
+}
--- /dev/null
+++ b/tests/support/allowance_fleet.h
@@ -0,0 +1,114 @@
+#ifndef SUPPORT_ALLOWANCE_FLEET_H_
+#define SUPPORT_ALLOWANCE_FLEET_H_
+
+#include <cstdint>
+#include <deque>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "al_core/random/random_source.h"
+#include "al_gateway/prepaid/allowance_desk.h"
+#include "al_gateway/prepaid/allowance_ledger.h"
+
+namespace auburnloft::gateway {
+
+/** Routers that draw on one team's budget through a log, in virtual time.
+
+    Plays requests, appends that are slow, lost or late, routers that are cut off,
+    paused, killed and started again, and checks after each step that all lives of
+    all routers together have not spent or reserved more than the budget.
+*/
+class AllowanceFleet {
+ public:
+  struct Settings {
+    int routers = 6;
+    std::uint64_t budget = 1'000'000;
+    double requests_per_second = 20.0;  ///< Of the whole fleet.
+    std::uint64_t most_tokens = 4'000;  ///< Of the largest request.
+    bool passes_gifts = true;           ///< Whether routers help each other.
+    bool charges_gifts = true;  ///< False puts a fault in, for the checker.
+    double lost_replies = 0.0;          ///< Part of the appends.
+    double late_appends = 0.0;          ///< Part of the appends.
+    AllowanceSettings allowances;
+    std::uint64_t seed = 1;
+  };
+
+  /** What was seen so far. */
+  struct Report {
+    std::uint64_t requests = 0;
+    std::uint64_t refused = 0;
+    std::uint64_t refused_falsely = 0;  ///< The budget would have covered them.
+    std::uint64_t spent = 0;            ///< Tokens, by all lives.
+    std::uint64_t stranded = 0;  ///< Held by dead lives and not spent.
+    std::uint64_t appends = 0;
+    std::uint64_t append_bytes = 0;
+    std::uint64_t gifts = 0;
+    bool overspent = false;
+  };
+
+  explicit AllowanceFleet(const Settings& settings);
+  ~AllowanceFleet();
+
+  AllowanceFleet(const AllowanceFleet&) = delete;
+  auto operator=(const AllowanceFleet&) -> AllowanceFleet& = delete;
+
+  //============================================================================
+  // Commands
+
+  /** Lets `duration` pass. */
+  auto Run(Duration duration) -> void;
+
+  /** Multiplies the demand. */
+  auto SetDemand(double factor) -> void { this->demand_factor = factor; }
+
+  /** Cuts one router, or all with -1, off from the log. */
+  auto SetCut(int router, bool cut) -> void;
+
+  /** Stops a router's loop; what it appended may still be executed. */
+  auto SetPaused(int router, bool paused) -> void;
+
+  /** Kills a router, or all with -1; a new life starts at once. */
+  auto Kill(int router) -> void;
+
+  /** Raises the budget, as operators do. */
+  auto TopUp(std::uint64_t tokens) -> void;
+
+  //============================================================================
+  // Queries
+
+  [[nodiscard]] auto report() const -> Report;
+
+ private:
+  struct Life;
+  struct OpenRequest;
+  struct PendingAppend;
+
+  auto Step() -> void;
+  auto Arrive() -> void;
+  auto SettleDue() -> void;
+  auto ExecuteDue() -> void;
+  auto Read(Life& life) -> void;
+  auto PlanAndAppend(Life& life) -> void;
+  auto AskOthers(Life& life) -> void;
+  auto StartLife(std::size_t router) -> void;
+  [[nodiscard]] auto IsAlive(std::string_view holder) const -> bool;
+  [[nodiscard]] auto CommittedByAll() const -> std::uint64_t;
+
+  Settings settings;
+  RandomSource random;
+  Instant now;
+  double demand_factor = 1.0;
+  std::vector<std::unique_ptr<Life>> lives;
+  std::vector<AllowanceEntry> log;
+  std::vector<PendingAppend> pending;
+  std::vector<OpenRequest> open;
+  std::uint64_t settled_by_all = 0;
+  std::uint64_t held_by_dead = 0;
+  int last_life = 0;
+  Report seen;
+};
+
+}  // namespace auburnloft::gateway
+
+#endif  // SUPPORT_ALLOWANCE_FLEET_H_
