--- a/modules/al_gateway/limits/retry_allowance.cc
+++ b/modules/al_gateway/limits/retry_allowance.cc
@@ -7,8 +7,8 @@
 
 namespace {
 
-/** The part of its share that a router uses: the rest covers routers whose count
-   is not yet known everywhere. */
+/** The part of its share that a router uses: the rest covers routers whose
+   count is not yet known everywhere. */
 constexpr double kUsedPart = 0.7;
 
 auto SecondOf(Instant now) -> std::int64_t {
--- a/modules/al_gateway/limits/retry_allowance.h
+++ b/modules/al_gateway/limits/retry_allowance.h
@@ -13,8 +13,8 @@
 
 /** The bound on repeated sends that all routers share. */
 struct RetryBound {
-  double ratio = 0.2;     ///< Repeats for each request of a window.
-  double slack = 50.0;    ///< Repeats beyond that, of the whole fleet.
+  double ratio = 0.2;   ///< Repeats for each request of a window.
+  double slack = 50.0;  ///< Repeats beyond that, of the whole fleet.
   int window_seconds = 10;
 };
 
--- a/modules/al_gateway/membership/router_registry.cc
+++ b/modules/al_gateway/membership/router_registry.cc
@@ -68,8 +68,7 @@
 
 auto RouterRegistry::FindLiving(std::string_view incarnation, Instant now) const
     -> const RouterAnnouncement* {
-  const auto found =
-      this->members.find(std::string(RouterNameOf(incarnation)));
+  const auto found = this->members.find(std::string(RouterNameOf(incarnation)));
   const bool living = found != this->members.end() &&
                       found->second.said.incarnation == incarnation &&
                       this->IsAlive(found->second, now);
--- a/modules/al_gateway/membership/router_registry.h
+++ b/modules/al_gateway/membership/router_registry.h
@@ -64,14 +64,16 @@
   [[nodiscard]] auto IsCurrent(std::string_view incarnation, Instant now) const
       -> bool;
 
-  /** The living router whose newest life is `incarnation`; null where none is. */
+  /** The living router whose newest life is `incarnation`; null where none is.
+   */
   [[nodiscard]] auto FindLiving(std::string_view incarnation, Instant now) const
       -> const RouterAnnouncement*;
 
   /** Calls `visit` with each router and whether it counts as alive. */
-  auto VisitAll(Instant now,
-                const std::function<void(const RouterAnnouncement&, bool)>&
-                    visit) const -> void;
+  auto VisitAll(
+      Instant now,
+      const std::function<void(const RouterAnnouncement&, bool)>& visit) const
+      -> void;
 
  private:
   struct Member {
--- a/modules/al_gateway/model/fleet_config.h
+++ b/modules/al_gateway/model/fleet_config.h
@@ -49,7 +49,7 @@
 
 /** What model engines of a service have. */
 struct EngineRule {
-  int batch_slots = 0;                 ///< Requests that run at once.
+  int batch_slots = 0;  ///< Requests that run at once.
   std::uint64_t kv_capacity_tokens = 0;
   std::uint64_t tokens_per_event = 1;  ///< Tokens in one event of a stream.
 };
--- a/modules/al_gateway/model/log_messages.h
+++ b/modules/al_gateway/model/log_messages.h
@@ -31,10 +31,10 @@
 
 /** How an append ended. */
 enum class AppendStatus {
-  kDone,          ///< It is on the log.
-  kRefused,       ///< It is not and will not be.
-  kOutOfOrder,    ///< The log expects another sequence number.
-  kFenced,        ///< A newer epoch of the same producer has written.
+  kDone,        ///< It is on the log.
+  kRefused,     ///< It is not and will not be.
+  kOutOfOrder,  ///< The log expects another sequence number.
+  kFenced,      ///< A newer epoch of the same producer has written.
 };
 
 /** The answer to an append. */
--- a/modules/al_gateway/model/upstream_record.h
+++ b/modules/al_gateway/model/upstream_record.h
@@ -16,7 +16,7 @@
   std::string domain;   ///< Its failure domain.
   int slots = 1;        ///< Requests that it works on at once.
   bool leaving = false;
-  Duration warm_up_left{0};      ///< How much longer it is slow after its start.
+  Duration warm_up_left{0};  ///< How much longer it is slow after its start.
   std::int64_t started_at_ms = 0;  ///< Unix time; 0 where it does not tell.
 
   auto operator==(const UpstreamRecord&) const -> bool = default;
--- a/modules/al_gateway/prepaid/allowance_desk.cc
+++ b/modules/al_gateway/prepaid/allowance_desk.cc
@@ -64,9 +64,8 @@
     if (account.demand_since == Instant()) {
       account.demand_since = now;
     }
-    account.demand =
-        DecayedDemand(account.demand, account.demand_at, now) +
-        static_cast<double>(tokens) / kDemandSeconds;
+    account.demand = DecayedDemand(account.demand, account.demand_at, now) +
+                     static_cast<double>(tokens) / kDemandSeconds;
     account.demand_at = now;
   }
   if (account.available() < tokens) {
@@ -209,8 +208,8 @@
 
 auto AllowanceDesk::DemandOf(const Account& account, Instant now) -> double {
   // Right after the first request the decayed sum has not filled yet.
-  const double measured = std::max(
-      kLeastMeasuredSeconds, ToSeconds(now - account.demand_since));
+  const double measured =
+      std::max(kLeastMeasuredSeconds, ToSeconds(now - account.demand_since));
   return DecayedDemand(account.demand, account.demand_at, now) /
          (1.0 - std::exp(-measured / kDemandSeconds));
 }
@@ -225,9 +224,8 @@
   const double even = 1.0 / std::max(1, routers);
   const double all = std::max(totals.demand_of_living, demand);
   const double share = all > 0.0 ? demand / all : even;
-  const double foreseen =
-      std::min(demand * ToSeconds(this->settings.cover),
-               left * kDividedPart * share);
+  const double foreseen = std::min(demand * ToSeconds(this->settings.cover),
+                                   left * kDividedPart * share);
   return static_cast<std::uint64_t>(
       std::max(foreseen, left * this->settings.even_part * even));
 }
--- a/modules/al_gateway/prepaid/allowance_desk.h
+++ b/modules/al_gateway/prepaid/allowance_desk.h
@@ -26,12 +26,12 @@
   double even_part = 0.2;
 };
 
-/** One router's allowances: what it may spend of each team's budget, and what it
-   asks of the log.
+/** One router's allowances: what it may spend of each team's budget, and what
+   it asks of the log.
 
     A request reserves its most with TryReserve() before it is sent, and settles
-   its use at its end. Plan() gives the entries to write; when they are read back
-   in the order of the log, OnRecorded() makes a valid raise spendable.
+   its use at its end. Plan() gives the entries to write; when they are read
+   back in the order of the log, OnRecorded() makes a valid raise spendable.
 
     Thread safety: none; used on one thread.
 */
@@ -56,9 +56,8 @@
                                 Instant now) -> bool;
 
   /** Ends a reservation of `reserved` tokens, of which `used` were spent. */
-  auto Settle(std::string_view team,
-              std::uint64_t reserved,
-              std::uint64_t used) -> void;
+  auto Settle(std::string_view team, std::uint64_t reserved, std::uint64_t used)
+      -> void;
 
   /** Tokens that requests wait for now; they are asked for on top. */
   auto SetWaiting(std::string_view team, std::uint64_t tokens) -> void;
@@ -99,11 +98,11 @@
 
   /** True where no more than `tokens` of the budget may be left, as far as the
      log tells: a refusal for the budget is then true. */
-  [[nodiscard]] auto BudgetIsSpent(std::string_view team,
-                                   std::uint64_t tokens,
-                                   const AllowanceLedger& ledger,
-                                   const AllowanceLedger::IsAlive& is_alive)
-      const -> bool;
+  [[nodiscard]] auto BudgetIsSpent(
+      std::string_view team,
+      std::uint64_t tokens,
+      const AllowanceLedger& ledger,
+      const AllowanceLedger::IsAlive& is_alive) const -> bool;
 
   /** What the team bought, as SetBudget() told. */
   [[nodiscard]] auto BudgetOf(std::string_view team) const -> std::uint64_t;
@@ -111,7 +110,8 @@
   /** Tokens that may still be reserved. */
   [[nodiscard]] auto Available(std::string_view team) const -> std::uint64_t;
 
-  /** Tokens that requests wait for, and what demand is foreseen to need soon. */
+  /** Tokens that requests wait for, and what demand is foreseen to need soon.
+   */
   [[nodiscard]] auto Shortage(std::string_view team, Instant now) const
       -> std::uint64_t;
 
--- a/modules/al_gateway/prepaid/allowance_ledger.h
+++ b/modules/al_gateway/prepaid/allowance_ledger.h
@@ -13,10 +13,11 @@
 struct AllowanceEntry {
   std::string team;
   std::string holder;
-  std::uint64_t taken_tokens = 0;    ///< In all; falls when some are returned.
-  std::uint64_t settled_tokens = 0;  ///< Spent for good; at most what was taken.
-  double demand_per_second = 0.0;    ///< Tokens asked for, decayed.
-  std::uint64_t revision = 0;        ///< Counts up with the holder's records.
+  std::uint64_t taken_tokens = 0;  ///< In all; falls when some are returned.
+  std::uint64_t settled_tokens =
+      0;                           ///< Spent for good; at most what was taken.
+  double demand_per_second = 0.0;  ///< Tokens asked for, decayed.
+  std::uint64_t revision = 0;      ///< Counts up with the holder's records.
 };
 
 /** The newest entry of each holder of each team, in the order of the log.
--- a/modules/al_gateway/routing/route_table.cc
+++ b/modules/al_gateway/routing/route_table.cc
@@ -39,8 +39,8 @@
     -> const RouteRule* {
   std::size_t slash = path.rfind('/');
   while (slash != std::string_view::npos) {
-    if (const RouteRule* const route = FindIn(
-            this->routes, RouteKey(host, path.substr(0, slash + 1)))) {
+    if (const RouteRule* const route =
+            FindIn(this->routes, RouteKey(host, path.substr(0, slash + 1)))) {
       return route;
     }
     if (slash == 0) {
@@ -73,8 +73,9 @@
       return share.service;
     }
   }
-  return route.services.empty() ? std::string_view()
-                                : std::string_view(route.services.back().service);
+  return route.services.empty()
+             ? std::string_view()
+             : std::string_view(route.services.back().service);
 }
 
 }  // namespace auburnloft::gateway
--- a/modules/al_gateway/routing/route_table.h
+++ b/modules/al_gateway/routing/route_table.h
@@ -48,8 +48,9 @@
 
  private:
   FleetConfig settings;
-  std::unordered_map<std::string, const RouteRule*> routes;  ///< By host+prefix.
-  std::unordered_map<std::string, const TeamRule*> teams;    ///< By key.
+  std::unordered_map<std::string, const RouteRule*>
+      routes;                                              ///< By host+prefix.
+  std::unordered_map<std::string, const TeamRule*> teams;  ///< By key.
   std::unordered_map<std::string, const ServiceRule*> services;
 };
 
--- a/modules/al_gateway/streams/event_splitter.cc
+++ b/modules/al_gateway/streams/event_splitter.cc
@@ -38,8 +38,9 @@
   std::size_t from = 0;
   for (std::size_t end = this->partial.find(kEventEnd);
        end != std::string::npos; end = this->partial.find(kEventEnd, from)) {
-    const std::string_view event = std::string_view(this->partial)
-                                       .substr(from, end + kEventEnd.size() - from);
+    const std::string_view event =
+        std::string_view(this->partial)
+            .substr(from, end + kEventEnd.size() - from);
     if (this->Accept(event)) {
       whole.append(event);
     }
--- a/modules/al_gateway/streams/event_splitter.h
+++ b/modules/al_gateway/streams/event_splitter.h
@@ -9,7 +9,8 @@
 namespace auburnloft::gateway {
 
 /** Cuts the bytes of an event stream at the ends of events, counts the events
-   and follows their ids. Source: HTML standard, section 9.2, server-sent events.
+   and follows their ids. Source: HTML standard, section 9.2, server-sent
+   events.
 
     A router passes only whole events on, so that a stream can go on at another
     upstream behind the last one.
--- a/modules/al_gateway/upstreams/prompt_memory.cc
+++ b/modules/al_gateway/upstreams/prompt_memory.cc
@@ -25,9 +25,9 @@
   }
   std::vector<Sight>& seen = this->sights[StableHash(part)];
   const std::uint64_t hash = StableHash(upstream);
-  const auto found =
-      std::find_if(seen.begin(), seen.end(),
-                   [hash](const Sight& sight) { return sight.upstream == hash; });
+  const auto found = std::find_if(
+      seen.begin(), seen.end(),
+      [hash](const Sight& sight) { return sight.upstream == hash; });
   if (found != seen.end()) {
     found->at = now;
   } else {
--- a/modules/al_gateway/upstreams/upstream_chooser.cc
+++ b/modules/al_gateway/upstreams/upstream_chooser.cc
@@ -38,8 +38,8 @@
   return std::find(excluded.begin(), excluded.end(), id) != excluded.end();
 }
 
-/** The part by which a prompt is placed: the last but one, as the last belongs to
-   the request itself or to its session. */
+/** The part by which a prompt is placed: the last but one, as the last belongs
+   to the request itself or to its session. */
 auto PlacingPart(const GenerationFacts& generation) -> const PromptPart* {
   const std::size_t count = generation.parts.size();
   if (count == 0) {
@@ -133,17 +133,15 @@
     const PromptPart* const last_shared = PlacingPart(*query.generation);
     bool is_shared = last_shared != nullptr;
     for (const PromptPart& part : query.generation->parts) {
-      chain_kept =
-          chain_kept &&
-          ((is_home && is_shared) ||
-           this->memory.Holds(part.id, upstream.record().id, now));
+      chain_kept = chain_kept &&
+                   ((is_home && is_shared) ||
+                    this->memory.Holds(part.id, upstream.record().id, now));
       kept += chain_kept ? part.tokens : 0;
       shared += is_shared ? part.tokens : 0;
       is_shared = is_shared && &part != last_shared;
     }
     shared = std::max(shared, kept);
-    estimate.score_ms =
-        static_cast<double>(shared - kept) * kSharedMsPerToken;
+    estimate.score_ms = static_cast<double>(shared - kept) * kSharedMsPerToken;
     const std::uint64_t prompt = query.generation->prompt_tokens;
     estimate.prefill_tokens = prompt - std::min(prompt, kept);
     const double waiting =
--- a/modules/al_gateway/upstreams/upstream_directory.cc
+++ b/modules/al_gateway/upstreams/upstream_directory.cc
@@ -96,8 +96,9 @@
 auto UpstreamDirectory::OfService(std::string_view service) const
     -> std::span<const State> {
   const auto found = this->by_service.find(std::string(service));
-  return found == this->by_service.end() ? std::span<const State>()
-                                         : std::span<const State>(found->second);
+  return found == this->by_service.end()
+             ? std::span<const State>()
+             : std::span<const State>(found->second);
 }
 
 }  // namespace auburnloft::gateway
--- a/modules/al_gateway/upstreams/upstream_state.cc
+++ b/modules/al_gateway/upstreams/upstream_state.cc
@@ -15,8 +15,9 @@
    upstream that was slow or failing is tried again. */
 constexpr double kFadeSeconds = 5.0;
 
-/** First pause after an upstream could not be reached, doubled with each further
-   failure up to the most: a crashed upstream's entry goes after a few seconds. */
+/** First pause after an upstream could not be reached, doubled with each
+   further failure up to the most: a crashed upstream's entry goes after a few
+   seconds. */
 constexpr Duration kFirstBlock = std::chrono::milliseconds(300);
 constexpr Duration kMostBlock = std::chrono::seconds(3);
 
@@ -74,7 +75,8 @@
   }
   const bool failed = result != UpstreamResult::kAnswered;
   const double before = this->FailureShare(now);
-  this->failure_share = before + kNewestWeight * ((failed ? 1.0 : 0.0) - before);
+  this->failure_share =
+      before + kNewestWeight * ((failed ? 1.0 : 0.0) - before);
   this->failure_at = now;
   this->failures_in_row = failed ? this->failures_in_row + 1 : 0;
   const int counted = result == UpstreamResult::kUnreachable
--- a/modules/al_gateway/upstreams/upstream_state.h
+++ b/modules/al_gateway/upstreams/upstream_state.h
@@ -40,7 +40,8 @@
   /** Its entry lapsed while the log was away; it may still be alive. */
   auto MarkDoubtful(bool doubtful) -> void { this->is_doubtful = doubtful; }
 
-  /** A request goes to it. @param prefill_tokens  read before its first event. */
+  /** A request goes to it. @param prefill_tokens  read before its first event.
+   */
   auto NoteSent(std::uint64_t prefill_tokens) -> void;
 
   /** Its first byte came after `latency`, of which `expected` was foreseen. */
--- a/modules/al_http1/al_http1.h
+++ b/modules/al_http1/al_http1.h
@@ -11,6 +11,7 @@
     - http1_message.h   heads, fields and their text
     - Http1RequestReader, Http1ResponseReader   bytes to messages
     - Http1ServerSession   one caller's connection: requests in, answers out
+    - Http1Server   a listener with its sessions
     - Http1ClientConnection   one connection to a server: one exchange at a time
     - Http1Caller   calls with a time-out over one kept connection
 */
@@ -22,6 +23,7 @@
 #include "al_http1/http1_message.h"
 #include "al_http1/http1_request_reader.h"
 #include "al_http1/http1_response_reader.h"
+#include "al_http1/http1_server.h"
 #include "al_http1/http1_server_session.h"
 
 #endif  // AL_HTTP1_AL_HTTP1_H_
--- a/modules/al_http1/http1_caller.cc
+++ b/modules/al_http1/http1_caller.cc
@@ -30,8 +30,8 @@
 }
 
 auto Http1Caller::Call(const Http1Request& request,
-                     Duration limit,
-                     OnReply on_reply) -> void {
+                       Duration limit,
+                       OnReply on_reply) -> void {
   assert(!this->busy());
   this->waiting = std::move(on_reply);
   this->reply = {};
--- a/modules/al_http1/http1_client_connection.cc
+++ b/modules/al_http1/http1_client_connection.cc
@@ -121,7 +121,8 @@
         this->Finish(Http1Outcome::kComplete);
         return;
       }
-      this->reader = std::make_unique<Http1ResponseReader>(this->is_head_request);
+      this->reader =
+          std::make_unique<Http1ResponseReader>(this->is_head_request);
       this->head_delivered = false;
       this->drops_answer = false;
     } else if (used == 0) {
@@ -137,8 +138,9 @@
   this->head_delivered = true;
   const Http1ResponseHead head = this->reader->Head();
   this->ends_after_answer = !head.keeps_alive;
-  this->drops_answer = head.status < kFirstFinalStatus ||
-                       (this->exchange.is_mine && !this->exchange.is_mine(head));
+  this->drops_answer =
+      head.status < kFirstFinalStatus ||
+      (this->exchange.is_mine && !this->exchange.is_mine(head));
   if (!this->drops_answer && this->exchange.on_head) {
     const auto call = this->exchange.on_head;
     call(head);
@@ -185,8 +187,8 @@
   const auto call = this->exchange.on_done;
   this->exchange = {};
   this->reader.reset();
-  if (outcome != Http1Outcome::kComplete || !this->connection->input().empty() ||
-      this->connection->unsent() > 0) {
+  if (outcome != Http1Outcome::kComplete ||
+      !this->connection->input().empty() || this->connection->unsent() > 0) {
     // Bytes beyond the answer, or a request that was answered before it was
     // read, would be taken for a part of the next exchange.
     this->ends_after_answer = true;
--- a/modules/al_http1/http1_client_connection.h
+++ b/modules/al_http1/http1_client_connection.h
@@ -24,8 +24,8 @@
 
 /** One connection to a server, for one exchange after the other.
 
-    An answer that `is_mine` rejects is read to its end and dropped, and the next
-   one is taken: a faulty server may answer twice.
+    An answer that `is_mine` rejects is read to its end and dropped, and the
+   next one is taken: a faulty server may answer twice.
 
     Thread safety: none; used on the loop's thread.
 */
--- a/modules/al_http1/http1_message.cc
+++ b/modules/al_http1/http1_message.cc
@@ -10,9 +10,11 @@
 namespace {
 
 constexpr std::array<std::string_view, 9> kConnectionFields = {
-    "Connection", "Keep-Alive",        "Proxy-Connection",
-    "TE",         "Trailer",           "Transfer-Encoding",
-    "Upgrade",    "Proxy-Authenticate", "Content-Length"};
+    "Connection",       "Keep-Alive",
+    "Proxy-Connection", "TE",
+    "Trailer",          "Transfer-Encoding",
+    "Upgrade",          "Proxy-Authenticate",
+    "Content-Length"};
 
 auto AppendFields(std::string& bytes, const Http1Fields& fields) -> void {
   for (const Http1Field& field : fields.all()) {
--- a/modules/al_http1/http1_message.h
+++ b/modules/al_http1/http1_message.h
@@ -68,8 +68,8 @@
 [[nodiscard]] auto EqualNames(std::string_view first, std::string_view second)
     -> bool;
 
-/** The request as bytes, with a Content-Length where it has a body or its method
-   usually has one. */
+/** The request as bytes, with a Content-Length where it has a body or its
+   method usually has one. */
 [[nodiscard]] auto ToBytes(const Http1Request& request) -> std::string;
 
 /** How the body of an answer is framed. */
--- a/modules/al_http1/http1_request_reader.cc
+++ b/modules/al_http1/http1_request_reader.cc
@@ -70,7 +70,8 @@
   request.target = std::string(message.target());
   for (const auto& field : message) {
     request.fields.Add(
-        std::string_view(field.name_string().data(), field.name_string().size()),
+        std::string_view(field.name_string().data(),
+                         field.name_string().size()),
         std::string_view(field.value().data(), field.value().size()));
   }
   request.keeps_alive = message.keep_alive();
--- a/modules/al_http1/http1_request_reader.h
+++ b/modules/al_http1/http1_request_reader.h
@@ -31,8 +31,8 @@
   Http1RequestReader(const Http1RequestReader&) = delete;
   auto operator=(const Http1RequestReader&) -> Http1RequestReader& = delete;
 
-  /** Takes bytes. @return how many it used; the rest is to be fed again together
-     with more. @pre !done() && error_status() == 0. */
+  /** Takes bytes. @return how many it used; the rest is to be fed again
+     together with more. @pre !done() && error_status() == 0. */
   auto Feed(std::string_view bytes) -> std::size_t;
 
   /** Hands the request out. @pre done(). */
@@ -46,7 +46,8 @@
   /** True once the header is read. */
   [[nodiscard]] auto has_header() const -> bool;
 
-  /** True where the caller waits for `100 Continue` before it sends its body. */
+  /** True where the caller waits for `100 Continue` before it sends its body.
+   */
   [[nodiscard]] auto expects_continue() const -> bool;
 
   /** The status to refuse the request with; 0 where it is proper so far. */
--- a/modules/al_http1/http1_response_reader.cc
+++ b/modules/al_http1/http1_response_reader.cc
@@ -74,7 +74,8 @@
   head.reason = std::string(message.reason());
   for (const auto& field : message) {
     head.fields.Add(
-        std::string_view(field.name_string().data(), field.name_string().size()),
+        std::string_view(field.name_string().data(),
+                         field.name_string().size()),
         std::string_view(field.value().data(), field.value().size()));
   }
   head.keeps_alive = this->parser->beast.keep_alive();
--- a/modules/al_http1/http1_response_reader.h
+++ b/modules/al_http1/http1_response_reader.h
@@ -18,15 +18,16 @@
 */
 class Http1ResponseReader {
  public:
-  /** @param to_head  whether the request was a HEAD, whose answer has no body. */
+  /** @param to_head  whether the request was a HEAD, whose answer has no body.
+   */
   explicit Http1ResponseReader(bool to_head);
   ~Http1ResponseReader();
 
   Http1ResponseReader(const Http1ResponseReader&) = delete;
   auto operator=(const Http1ResponseReader&) -> Http1ResponseReader& = delete;
 
-  /** Takes bytes. @return how many it used; the rest is to be fed again together
-     with more. @pre !done() && !failed(). */
+  /** Takes bytes. @return how many it used; the rest is to be fed again
+     together with more. @pre !done() && !failed(). */
   auto Feed(std::string_view bytes) -> std::size_t;
 
   /** Tells that the server sent the end of its bytes. A body that ends with the
--- a/modules/al_http1/http1_server_session.h
+++ b/modules/al_http1/http1_server_session.h
@@ -18,8 +18,8 @@
 /** What a server grants its callers; may change while sessions are open. */
 struct Http1SessionLimits {
   Http1RequestLimits request;
-  Duration header_timeout = std::chrono::seconds(3);   ///< First to last byte.
-  Duration idle_timeout = std::chrono::seconds(15);    ///< Between requests.
+  Duration header_timeout = std::chrono::seconds(3);  ///< First to last byte.
+  Duration idle_timeout = std::chrono::seconds(15);   ///< Between requests.
   bool closes_after_answer = false;  ///< Whether the server is shutting down.
 };
 
@@ -76,7 +76,8 @@
   /** Ends the body. @pre StartAnswer() was called. */
   auto FinishAnswer() -> void;
 
-  /** Closes the connection, so that an answer that has begun shows as broken. */
+  /** Closes the connection, so that an answer that has begun shows as broken.
+   */
   auto Abort() -> void;
 
   //============================================================================
--- a/modules/al_logstore/producer_lane.cc
+++ b/modules/al_logstore/producer_lane.cc
@@ -46,9 +46,8 @@
 
 auto ProducerLane::Send() -> void {
   this->caller.Call(
-      platform::MakeAppendCall(this->topic,
-                               {this->producer, kEpoch, this->sequence},
-                               this->batch),
+      platform::MakeAppendCall(
+          this->topic, {this->producer, kEpoch, this->sequence}, this->batch),
       kAnswerLimit, [this](const std::optional<Http1Caller::Reply>& reply) {
         this->OnReply(reply);
       });
@@ -56,9 +55,9 @@
 
 auto ProducerLane::OnReply(const std::optional<Http1Caller::Reply>& reply)
     -> void {
-  const auto answer = reply
-                          ? platform::ReadAppendReply(reply->status, reply->body)
-                          : std::nullopt;
+  const auto answer =
+      reply ? platform::ReadAppendReply(reply->status, reply->body)
+            : std::nullopt;
   const bool done =
       answer && (answer->status == gateway::AppendStatus::kDone ||
                  (answer->status == gateway::AppendStatus::kOutOfOrder &&
--- a/modules/al_logstore/producer_lane.h
+++ b/modules/al_logstore/producer_lane.h
@@ -37,8 +37,8 @@
   auto operator=(const ProducerLane&) -> ProducerLane& = delete;
 
   /** Appends a batch. @pre !busy() && !records.empty(). */
-  auto Append(std::vector<gateway::KeyedRecord> records,
-              OnAppended on_appended) -> void;
+  auto Append(std::vector<gateway::KeyedRecord> records, OnAppended on_appended)
+      -> void;
 
   [[nodiscard]] auto busy() const -> bool { return !this->batch.empty(); }
 
--- a/modules/al_logstore/topic_follower.cc
+++ b/modules/al_logstore/topic_follower.cc
@@ -59,8 +59,7 @@
 auto TopicFollower::CallNewest() -> void {
   this->caller.Call(
       platform::MakeNewestCall(this->settings.topic, this->list_after),
-      kAnswerLimit,
-      [this](const std::optional<Http1Caller::Reply>& reply) {
+      kAnswerLimit, [this](const std::optional<Http1Caller::Reply>& reply) {
         this->OnNewest(reply);
       });
 }
@@ -78,8 +77,9 @@
 
 auto TopicFollower::OnNewest(const std::optional<Http1Caller::Reply>& reply)
     -> void {
-  const auto page = reply ? platform::ReadNewestReply(reply->status, reply->body)
-                          : std::nullopt;
+  const auto page = reply
+                        ? platform::ReadNewestReply(reply->status, reply->body)
+                        : std::nullopt;
   if (!page) {
     this->Failed();
     return;
@@ -109,10 +109,9 @@
 
 auto TopicFollower::OnRead(const std::optional<Http1Caller::Reply>& reply)
     -> void {
-  const auto batch =
-      reply ? platform::ReadReadReply(reply->status, reply->body,
-                                      this->next_offset)
-            : std::nullopt;
+  const auto batch = reply ? platform::ReadReadReply(reply->status, reply->body,
+                                                     this->next_offset)
+                           : std::nullopt;
   if (!batch) {
     this->Failed();
     return;
--- a/modules/al_logstore/topic_follower.h
+++ b/modules/al_logstore/topic_follower.h
@@ -15,8 +15,8 @@
 
 /** Keeps up with a keyed topic of the log.
 
-    Lists the newest record of each key first, then reads what is appended. Where
-   the history was deleted before it was read, it lists anew and tells so.
+    Lists the newest record of each key first, then reads what is appended.
+   Where the history was deleted before it was read, it lists anew and tells so.
 
     Thread safety: none; used on the loop's thread.
 */
--- a/modules/al_net/socket_poller.h
+++ b/modules/al_net/socket_poller.h
@@ -11,9 +11,9 @@
 
 /** Watches any number of sockets through one epoll set.
 
-    The loop watches only the set, so that its cost does not grow with the number
-   of open connections. Events are edge-triggered: a handler reads or writes
-   until the socket has no more.
+    The loop watches only the set, so that its cost does not grow with the
+   number of open connections. Events are edge-triggered: a handler reads or
+   writes until the socket has no more.
 
     Thread safety: none; used on the loop's thread.
 */
--- a/modules/al_net/tcp_connection.cc
+++ b/modules/al_net/tcp_connection.cc
@@ -185,12 +185,13 @@
   if (this->unsent() == 0) {
     shutdown(this->descriptor, SHUT_WR);
   }
-  this->timer = std::make_unique<LoopTimer>(
-      this->poller.loop(), [self = this->shared_from_this()] {
-        // The timer holds the connection until it is closed.
-        const auto keep = self;
-        keep->Close();
-      });
+  this->timer = std::make_unique<LoopTimer>(this->poller.loop(),
+                                            [self = this->shared_from_this()] {
+                                              // The timer holds the connection
+                                              // until it is closed.
+                                              const auto keep = self;
+                                              keep->Close();
+                                            });
   this->timer->Start(limit);
 }
 
--- a/modules/al_net/tcp_connection.h
+++ b/modules/al_net/tcp_connection.h
@@ -26,10 +26,10 @@
 
 /** A TCP connection on the loop: unread bytes, unsent bytes, and its end.
 
-    Bytes that arrive are appended to input(), and on_input runs; the owner takes
-   what it can with Consume(). Reading pauses while input() holds more than the
-   bound, so that a peer cannot fill the memory. Connections that fall silent
-   are noticed by keep-alive probes and unacknowledged bytes.
+    Bytes that arrive are appended to input(), and on_input runs; the owner
+   takes what it can with Consume(). Reading pauses while input() holds more
+   than the bound, so that a peer cannot fill the memory. Connections that fall
+   silent are noticed by keep-alive probes and unacknowledged bytes.
 
     Callbacks run from the loop, or from Write() never. After Close() none runs.
 
@@ -52,8 +52,9 @@
   //============================================================================
   // Commands
 
-  /** Starts to connect to `address`, an `ip:port`. Ends with kNotConnected after
-     `limit`. @return null where the address is none or no socket is left. */
+  /** Starts to connect to `address`, an `ip:port`. Ends with kNotConnected
+     after `limit`. @return null where the address is none or no socket is left.
+   */
   [[nodiscard]] static auto Connect(SocketPoller& poller,
                                     std::string_view address,
                                     Duration limit,
--- a/programs/gateway/budget_gate.cc
+++ b/programs/gateway/budget_gate.cc
@@ -25,7 +25,7 @@
   const Instant now = this->loop.Now();
   const bool reserved = this->desk.TryReserve(team, tokens, true, now);
   if (reserved || limit.count() <= 0 || this->spent(team, tokens)) {
-    on_answer(reserved ? BudgetAnswer::kReserved
+    on_answer(reserved                    ? BudgetAnswer::kReserved
               : this->spent(team, tokens) ? BudgetAnswer::kSpent
                                           : BudgetAnswer::kUnavailable);
     return 0;
@@ -97,11 +97,11 @@
   if (this->waiting.empty()) {
     return;
   }
-  const auto first = std::min_element(
-      this->waiting.begin(), this->waiting.end(),
-      [](const Waiting& left, const Waiting& right) {
-        return left.until < right.until;
-      });
+  const auto first =
+      std::min_element(this->waiting.begin(), this->waiting.end(),
+                       [](const Waiting& left, const Waiting& right) {
+                         return left.until < right.until;
+                       });
   this->timer->Start(first->until - this->loop.Now());
 }
 
--- a/programs/gateway/budget_gate.h
+++ b/programs/gateway/budget_gate.h
@@ -60,9 +60,8 @@
   auto TryWaiting(const std::string& team) -> void;
 
   /** Says by what a wait that fails is judged. */
-  auto SetIsSpent(
-      std::function<bool(const std::string& team, std::uint64_t tokens)>
-          is_spent) -> void {
+  auto SetIsSpent(std::function<bool(const std::string& team,
+                                     std::uint64_t tokens)> is_spent) -> void {
     this->spent = std::move(is_spent);
   }
 
--- a/programs/gateway/decision_log.cc
+++ b/programs/gateway/decision_log.cc
@@ -42,10 +42,10 @@
   this->text = buffer.data();
 }
 
-DecisionLog::DecisionLog() {
-  const int flags = fcntl(STDOUT_FILENO, F_GETFL);
+DecisionLog::DecisionLog(int descriptor) : output(descriptor) {
+  const int flags = fcntl(descriptor, F_GETFL);
   if (flags >= 0) {
-    fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+    fcntl(descriptor, F_SETFL, flags | O_NONBLOCK);
   }
 }
 
@@ -53,7 +53,7 @@
                        std::string_view event,
                        std::initializer_list<LogItem> items,
                        Instant now) -> void {
-  if (weight == Weight::kRoutine && this->is_quiet) {
+  if (this->output < 0 || (weight == Weight::kRoutine && this->is_quiet)) {
     return;
   }
   auto found = this->rates.find(event);
@@ -76,7 +76,7 @@
     line.append(" left_out=").append(std::to_string(rate.left_out));
   }
   line += '\n';
-  const ssize_t written = write(STDOUT_FILENO, line.data(), line.size());
+  const ssize_t written = write(this->output, line.data(), line.size());
   if (written < 0) {
     ++rate.left_out;
     ++this->total_dropped;
@@ -92,8 +92,7 @@
     rate.second = second;
     rate.lines = 0;
   }
-  const int most =
-      weight == Weight::kNotable ? kNotableLines : kRoutineLines;
+  const int most = weight == Weight::kNotable ? kNotableLines : kRoutineLines;
   return ++rate.lines <= most;
 }
 
--- a/programs/gateway/decision_log.h
+++ b/programs/gateway/decision_log.h
@@ -14,12 +14,12 @@
 /** A value of a log line. */
 class LogValue {
  public:
-  LogValue(std::string_view text) : text(text) {}       // NOLINT
-  LogValue(const std::string& text) : text(text) {}     // NOLINT
-  LogValue(const char* text) : text(text) {}            // NOLINT
-  LogValue(std::integral auto number)                   // NOLINT
+  LogValue(std::string_view text) : text(text) {}    // NOLINT
+  LogValue(const std::string& text) : text(text) {}  // NOLINT
+  LogValue(const char* text) : text(text) {}         // NOLINT
+  LogValue(std::integral auto number)                // NOLINT
       : text(std::to_string(number)) {}
-  LogValue(Duration duration);                          // NOLINT
+  LogValue(Duration duration);  // NOLINT
 
   [[nodiscard]] auto str() const -> const std::string& { return this->text; }
 
@@ -32,7 +32,7 @@
   LogValue value;
 };
 
-/** Structured lines on standard output, one for each decision: `t=... event=...
+/** Structured lines, one for each decision: `t=... event=...
    name=value ...`, durations in milliseconds.
 
     Bounded: each event has a number of lines a second; what is left out is
@@ -49,7 +49,9 @@
     kNotable,  ///< A failure, or a changed belief.
   };
 
-  DecisionLog();
+  /** @param descriptor  where the lines go; -1: nowhere. It is set not to
+   * block. */
+  explicit DecisionLog(int descriptor);
 
   DecisionLog(const DecisionLog&) = delete;
   auto operator=(const DecisionLog&) -> DecisionLog& = delete;
@@ -76,6 +78,7 @@
 
   auto Allow(Rate& rate, Weight weight, Instant now) -> bool;
 
+  int output;
   std::map<std::string, Rate, std::less<>> rates;
   std::uint64_t total_dropped = 0;
   bool is_quiet = false;
--- a/programs/gateway/fleet_link.cc
+++ b/programs/gateway/fleet_link.cc
@@ -69,19 +69,18 @@
       log(log),
       calls(std::move(callbacks)),
       routers(this->self.name),
-      follower(
-          poller,
-          log_address,
-          {std::string(platform::kFleetTopic), Duration(0), kReadPause},
-          {[this](const KeyedRecord& record) { this->OnRecord(record); },
-           [this] {
-             this->desk.OnHistoryLost();
-             this->listed = false;
-           },
-           [this](const std::set<std::string>& /*keys*/) {
-             this->listed = true;
-           },
-           [this](bool answered) { this->OnContact(answered); }}),
+      follower(poller,
+               log_address,
+               {std::string(platform::kFleetTopic), Duration(0), kReadPause},
+               {[this](const KeyedRecord& record) { this->OnRecord(record); },
+                [this] {
+                  this->desk.OnHistoryLost();
+                  this->listed = false;
+                },
+                [this](const std::set<std::string>& /*keys*/) {
+                  this->listed = true;
+                },
+                [this](bool answered) { this->OnContact(answered); }}),
       lane(poller,
            log_address,
            std::string(platform::kFleetTopic),
@@ -241,18 +240,18 @@
     this->desk.OnRecorded(entry, this->allowances.Taken(entry.team));
     const auto totals =
         this->allowances.TotalsOf(entry.team, this->IsAliveNow());
-    this->log.Line(DecisionLog::Weight::kRoutine, "allowance",
-                   {{"team", entry.team},
-                    {"taken", entry.taken_tokens},
-                    {"settled", entry.settled_tokens},
-                    {"available", this->desk.Available(entry.team)},
-                    {"demand_s",
-                     static_cast<std::int64_t>(entry.demand_per_second)},
-                    {"taken_by_all", totals.taken},
-                    {"settled_by_living", totals.settled_by_living},
-                    {"taken_by_dead", totals.taken_by_dead},
-                    {"budget", this->desk.BudgetOf(entry.team)}},
-                   this->poller.loop().Now());
+    this->log.Line(
+        DecisionLog::Weight::kRoutine, "allowance",
+        {{"team", entry.team},
+         {"taken", entry.taken_tokens},
+         {"settled", entry.settled_tokens},
+         {"available", this->desk.Available(entry.team)},
+         {"demand_s", static_cast<std::int64_t>(entry.demand_per_second)},
+         {"taken_by_all", totals.taken},
+         {"settled_by_living", totals.settled_by_living},
+         {"taken_by_dead", totals.taken_by_dead},
+         {"budget", this->desk.BudgetOf(entry.team)}},
+        this->poller.loop().Now());
     this->calls.on_allowance(entry.team);
   }
 }
--- a/programs/gateway/fleet_link.h
+++ b/programs/gateway/fleet_link.h
@@ -46,7 +46,8 @@
 
   auto Start() -> void;
 
-  /** Writes allowances that are wanted now, as soon as the last are read back. */
+  /** Writes allowances that are wanted now, as soon as the last are read back.
+   */
   auto AskSoon() -> void;
 
   /** Announces at once that this router takes no new callers. */
--- a/programs/gateway/gateway_daemon.cc
+++ b/programs/gateway/gateway_daemon.cc
@@ -58,34 +58,12 @@
 
 }  // namespace
 
-/** A listener with the sessions that came through it. */
-struct GatewayDaemon::Door {
-  Door(SocketPoller& poller,
-       const Http1SessionLimits& limits,
-       Http1ServerSession::OnRequest on_request)
-      : listener(poller, [this, &poller, &limits,
-                          call = std::move(on_request)](int descriptor) {
-          auto session = Http1ServerSession::Open(
-              poller, descriptor, limits, call,
-              [this](Http1ServerSession* closed) {
-                std::erase_if(this->sessions, [closed](const auto& item) {
-                  return item.get() == closed;
-                });
-              });
-          if (session) {
-            this->sessions.insert(std::move(session));
-          }
-        }) {}
-
-  TcpListener listener;
-  std::set<std::shared_ptr<Http1ServerSession>> sessions;
-};
-
 GatewayDaemon::GatewayDaemon(EventLoop& loop, Options options)
     : loop(loop),
       options(std::move(options)),
       poller(loop),
       random(this->options.seed),
+      log(this->options.log_descriptor),
       connections(this->poller),
       upstreams([this](const UpstreamState& upstream) {
         this->connections.CloseIdle(upstream.record().id);
@@ -101,34 +79,25 @@
       budgets(loop,
               this->desk,
               [this](const std::string& team) { this->OnShortage(team); }),
-      context{loop,
-              nullptr,
-              this->upstreams,
-              this->chooser,
-              this->connections,
-              this->retries,
-              this->desk,
-              this->budgets,
-              this->random,
-              this->log,
-              this->metrics},
-      fleet(this->poller,
-            this->options.log_address,
-            this->options.self,
-            this->desk,
-            this->log,
-            {[this](const std::string& team) {
-               this->budgets.TryWaiting(team);
-             },
-             [this](bool answered) { this->OnContact(answered); }}),
-      peers(this->poller,
-            this->options.self.incarnation,
-            this->desk,
-            this->fleet,
-            this->log,
-            [this](const std::string& team) {
-              this->budgets.TryWaiting(team);
-            }),
+      context{loop,          nullptr,           this->upstreams,
+              this->chooser, this->connections, this->retries,
+              this->desk,    this->budgets,     this->random,
+              this->log,     this->metrics},
+      fleet(
+          this->poller,
+          this->options.log_address,
+          this->options.self,
+          this->desk,
+          this->log,
+          {[this](const std::string& team) { this->budgets.TryWaiting(team); },
+           [this](bool answered) { this->OnContact(answered); }}),
+      peers(
+          this->poller,
+          this->options.self.incarnation,
+          this->desk,
+          this->fleet,
+          this->log,
+          [this](const std::string& team) { this->budgets.TryWaiting(team); }),
       tick(std::make_unique<LoopTimer>(loop, [this] { this->OnTick(); })),
       drain_tick(
           std::make_unique<LoopTimer>(loop, [this] { this->OnDrainTick(); })) {
@@ -188,9 +157,9 @@
 
 auto GatewayDaemon::OpenDoor(const std::string& address,
                              Http1ServerSession::OnRequest call) -> bool {
-  auto door =
-      std::make_unique<Door>(this->poller, this->limits, std::move(call));
-  const bool opened = door->listener.Listen(address);
+  auto door = std::make_unique<Http1Server>(this->poller, this->limits,
+                                            std::move(call));
+  const bool opened = door->Listen(address);
   if (!opened) {
     this->log.Line(DecisionLog::Weight::kNotable, "listen_failed",
                    {{"address", address}}, this->loop.Now());
@@ -327,8 +296,8 @@
   if (!answered) {
     return;
   }
-  const bool was_away = this->last_contact != Instant() &&
-                        now - this->last_contact >= kAwayAfter;
+  const bool was_away =
+      this->last_contact != Instant() && now - this->last_contact >= kAwayAfter;
   this->last_contact = now;
   if (!this->context.log_in_touch) {
     this->context.log_in_touch = true;
@@ -382,8 +351,7 @@
 
 auto GatewayDaemon::OnDrainTick() -> void {
   const Duration passed = this->loop.Now() - *this->draining_since;
-  const bool idle =
-      passed >= kLeastDrain && this->context.open_requests == 0;
+  const bool idle = passed >= kLeastDrain && this->context.open_requests == 0;
   if (!idle && passed < this->options.grace - kEndReserve) {
     this->drain_tick->Start(kDrainPause);
     return;
@@ -397,11 +365,7 @@
     return;
   }
   for (const auto& door : this->doors) {
-    door->listener.Close();
-    const auto sessions = door->sessions;
-    for (const auto& session : sessions) {
-      session->CloseIfIdle();
-    }
+    door->StopListening();
   }
   this->log.Line(DecisionLog::Weight::kNotable, "stop",
                  {{"open", this->context.open_requests},
@@ -426,7 +390,8 @@
   state["log_lines_left_out"] = this->log.dropped();
   state["routers"] = nlohmann::json::array();
   this->fleet.registry().VisitAll(
-      this->fleet.as_of(), [&state](const RouterAnnouncement& router, bool alive) {
+      this->fleet.as_of(),
+      [&state](const RouterAnnouncement& router, bool alive) {
         state["routers"].push_back({{"name", router.name},
                                     {"incarnation", router.incarnation},
                                     {"domain", router.domain},
--- a/programs/gateway/gateway_daemon.h
+++ b/programs/gateway/gateway_daemon.h
@@ -3,13 +3,12 @@
 
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
+#include <vector>
 
 #include "al_core/time/instant.h"
 #include "al_gateway/membership/router_registry.h"
-#include "al_http1/http1_server_session.h"
-#include "al_net/tcp_listener.h"
+#include "al_http1/http1_server.h"
 #include "gateway/fleet_link.h"
 #include "gateway/gateway_context.h"
 #include "gateway/gateway_metrics.h"
@@ -33,7 +32,8 @@
     RetryBound retry_bound;
     Duration grace = std::chrono::seconds(8);  ///< From SIGTERM to the end.
     std::uint64_t seed = 1;
-    bool quiet = false;  ///< Whether routine log lines are left out.
+    int log_descriptor = 1;  ///< Where log lines go; -1: nowhere.
+    bool quiet = false;      ///< Whether routine log lines are left out.
   };
 
   GatewayDaemon(EventLoop& loop, Options options);
@@ -53,8 +53,6 @@
   [[nodiscard]] auto StateDump() const -> std::string;
 
  private:
-  struct Door;
-
   auto OpenDoor(const std::string& address, Http1ServerSession::OnRequest call)
       -> bool;
   auto OnEntryQuestion(Http1ServerSession& session, const Http1Request& request)
@@ -92,7 +90,7 @@
   std::unique_ptr<TopicFollower> config_follower;
   std::unique_ptr<TopicFollower> upstream_follower;
   Http1SessionLimits limits;
-  std::vector<std::unique_ptr<Door>> doors;
+  std::vector<std::unique_ptr<Http1Server>> doors;
   std::unique_ptr<LoopTimer> tick;
   std::unique_ptr<LoopTimer> drain_tick;
   Instant last_contact{};
--- a/programs/gateway/gateway_metrics.h
+++ b/programs/gateway/gateway_metrics.h
@@ -33,7 +33,9 @@
   }
 
   /** The time from a request to the first byte of its answer. */
-  auto AddFirstByte(Duration duration) -> void { this->first_byte.Add(duration); }
+  auto AddFirstByte(Duration duration) -> void {
+    this->first_byte.Add(duration);
+  }
 
   /** All of it in the Prometheus text format 0.0.4. */
   [[nodiscard]] auto ToPrometheus() const -> std::string;
--- a/programs/gateway/main.cc
+++ b/programs/gateway/main.cc
@@ -16,7 +16,8 @@
   settings.DeclareRequiredText("name", "name of this router's VM");
   settings.DeclareRequiredText("domain", "failure domain of this VM");
   settings.DeclareText("region", "region of this VM", "");
-  settings.DeclareAddress("client-address", "where callers connect, as ip:port");
+  settings.DeclareAddress("client-address",
+                          "where callers connect, as ip:port");
   settings.DeclareAddress("entry-address",
                           "where callers ask where to connect, as ip:port");
   settings.DeclareAddress("readiness-address",
@@ -27,8 +28,8 @@
   settings.DeclareAddress("log-address", "the platform's log, as ip:port");
   settings.DeclareText("retry-ratio",
                        "repeated sends of the fleet for each request", "0.2");
-  settings.DeclareText("retry-slack",
-                       "repeated sends of the fleet beyond that", "50");
+  settings.DeclareText("retry-slack", "repeated sends of the fleet beyond that",
+                       "50");
   settings.DeclareWhole("retry-window-s", "window of these bounds, in seconds",
                         10, 1, 60);
   settings.DeclareText("grace-s", "seconds from SIGTERM to the end", "8");
--- a/programs/gateway/peer_link.cc
+++ b/programs/gateway/peer_link.cc
@@ -96,9 +96,10 @@
                        entry.taken_tokens - entry.settled_tokens});
     }
   });
-  std::sort(peers.begin(), peers.end(), [](const Peer& left, const Peer& right) {
-    return left.unspent > right.unspent;
-  });
+  std::sort(peers.begin(), peers.end(),
+            [](const Peer& left, const Peer& right) {
+              return left.unspent > right.unspent;
+            });
   peers.resize(std::min(peers.size(), kMostAsked));
   return peers;
 }
@@ -140,10 +141,9 @@
   }
   if (gift.tokens() > 0) {
     this->desk.Receive(team, gift.tokens());
-    this->log.Line(
-        DecisionLog::Weight::kRoutine, "allowance_received",
-        {{"team", team}, {"peer", peer}, {"tokens", gift.tokens()}},
-        this->poller.loop().Now());
+    this->log.Line(DecisionLog::Weight::kRoutine, "allowance_received",
+                   {{"team", team}, {"peer", peer}, {"tokens", gift.tokens()}},
+                   this->poller.loop().Now());
     this->received(team);
   }
 }
--- a/programs/gateway/peer_link.h
+++ b/programs/gateway/peer_link.h
@@ -19,8 +19,8 @@
 /** Allowances passed between routers without the log: while it is away, or when
    all of a budget is out.
 
-    The giver counts the tokens as spent before it answers; an answer that is lost
-   strands them, and never doubles them.
+    The giver counts the tokens as spent before it answers; an answer that is
+   lost strands them, and never doubles them.
 
     Thread safety: none; used on the loop's thread.
 */
--- a/programs/gateway/request_run.cc
+++ b/programs/gateway/request_run.cc
@@ -55,8 +55,8 @@
 constexpr int kLeastConnections = 4;
 
 auto Scaled(Duration duration, double factor) -> Duration {
-  return Duration(
-      static_cast<std::int64_t>(static_cast<double>(duration.count()) * factor));
+  return Duration(static_cast<std::int64_t>(
+      static_cast<double>(duration.count()) * factor));
 }
 
 }  // namespace
@@ -129,8 +129,7 @@
     this->Dispatch();
     return;
   }
-  const Duration wait =
-      Scaled(this->route->latency_objective, kBudgetWaitPart);
+  const Duration wait = Scaled(this->route->latency_objective, kBudgetWaitPart);
   const auto ticket = this->context.budgets.Reserve(
       this->team->name, this->facts.generation->most_tokens(), wait,
       [this](BudgetAnswer answer) {
@@ -207,9 +206,9 @@
   ++this->runs;
   this->tried.push_back(upstream.record().id);
   this->events.Resume();
-  const Http1Request sent = platform::MakeUpstreamRequest(
-      this->request, this->MakeOrders(upstream),
-      !this->table->config().teams.empty());
+  const Http1Request sent =
+      platform::MakeUpstreamRequest(this->request, this->MakeOrders(upstream),
+                                    !this->table->config().teams.empty());
   this->context.log.Line(
       DecisionLog::Weight::kRoutine, "send",
       {{"id", this->facts.attempt_id},
@@ -221,11 +220,11 @@
        {"send", this->sends}},
       this->attempt->sent_at);
   Http1ClientConnection::ExchangeCallbacks callbacks;
-  callbacks.is_mine = [id = this->facts.attempt_id](
-                          const Http1ResponseHead& head) {
-    const AnswerFacts answer = platform::ReadAnswerFacts(head);
-    return answer.attempt_id.empty() || answer.attempt_id == id;
-  };
+  callbacks.is_mine =
+      [id = this->facts.attempt_id](const Http1ResponseHead& head) {
+        const AnswerFacts answer = platform::ReadAnswerFacts(head);
+        return answer.attempt_id.empty() || answer.attempt_id == id;
+      };
   callbacks.on_head = [this](const Http1ResponseHead& head) {
     this->OnHead(head);
   };
@@ -238,8 +237,8 @@
         std::max(kLeastAttemptPatience,
                  Scaled(this->route->latency_objective, kAttemptPatience)));
   }
-  this->attempt->connection->Start(ToBytes(sent), this->request.method == "HEAD",
-                                   std::move(callbacks));
+  this->attempt->connection->Start(
+      ToBytes(sent), this->request.method == "HEAD", std::move(callbacks));
 }
 
 auto RequestRun::MakeOrders(const UpstreamState& upstream) const
@@ -372,7 +371,7 @@
   --this->runs;
   this->EndAttempt(this->attempt->answer.replaced ? UpstreamResult::kReplaced
                                                   : UpstreamResult::kShed);
-  if (this->sends < kMostSends && this->TimeLeft() > Duration(0) &&
+  if (this->sends<kMostSends&& this->TimeLeft()> Duration(0) &&
       this->context.retries.TryTake(this->service, this->context.routers,
                                     this->context.loop.Now())) {
     this->Dispatch();
@@ -426,15 +425,14 @@
 // Decisions
 
 auto RequestRun::MayRunAgain() const -> bool {
-  return this->route->repeatable() && this->runs < this->route->max_attempts &&
-         this->TimeLeft() > Duration(0);
+  return this->route->repeatable() &&
+         this->runs<this->route->max_attempts&& this->TimeLeft()> Duration(0);
 }
 
 auto RequestRun::TryRunAgain(std::string_view why) -> bool {
   const Instant now = this->context.loop.Now();
-  if (!this->MayRunAgain() ||
-      !this->context.retries.TryTake(this->service, this->context.routers,
-                                     now)) {
+  if (!this->MayRunAgain() || !this->context.retries.TryTake(
+                                  this->service, this->context.routers, now)) {
     return false;
   }
   this->context.log.Line(DecisionLog::Weight::kNotable, "run_again",
@@ -512,9 +510,8 @@
   }
 }
 
-auto RequestRun::Refuse(int status,
-                        std::string_view why,
-                        Duration retry_after) -> void {
+auto RequestRun::Refuse(int status, std::string_view why, Duration retry_after)
+    -> void {
   const auto answered = this->session;
   const Http1ResponseHead head =
       platform::MakeOwnAnswer(status, this->facts.attempt_id, retry_after);
@@ -522,8 +519,7 @@
   answered->Answer(head, {});
 }
 
-auto RequestRun::EndAttempt(UpstreamResult result)
-    -> std::unique_ptr<Attempt> {
+auto RequestRun::EndAttempt(UpstreamResult result) -> std::unique_ptr<Attempt> {
   Attempt& current = *this->attempt;
   static constexpr std::array<std::string_view, 5> kNames = {
       "answered", "failed", "shed", "unreachable", "replaced"};
--- a/programs/gateway/request_run.h
+++ b/programs/gateway/request_run.h
@@ -16,11 +16,12 @@
 
 namespace auburnloft::gateway {
 
-/** One caller's request from its arrival to its final answer: checked, paid for,
-   sent to an upstream, sent again where that is allowed, and answered once.
+/** One caller's request from its arrival to its final answer: checked, paid
+   for, sent to an upstream, sent again where that is allowed, and answered
+   once.
 
-    What was sent to an upstream counts as run unless the upstream states that it
-   did not run it, or no byte left this machine. A refusal that promises "not
+    What was sent to an upstream counts as run unless the upstream states that
+   it did not run it, or no byte left this machine. A refusal that promises "not
    run" is given only while that holds of every send.
 
     Keeps itself alive until it has answered.
@@ -61,7 +62,8 @@
 
   // Sends.
   auto Dispatch() -> void;
-  auto SendTo(Choice choice, UpstreamConnections::Connection connection) -> void;
+  auto SendTo(Choice choice, UpstreamConnections::Connection connection)
+      -> void;
   [[nodiscard]] auto MakeOrders(const UpstreamState& upstream) const
       -> UpstreamOrders;
   [[nodiscard]] auto ConnectionBound() const -> int;
--- a/programs/gateway/upstream_connections.cc
+++ b/programs/gateway/upstream_connections.cc
@@ -57,14 +57,13 @@
     connection->Close();
     return;
   }
-  const double limit = static_cast<double>(
-      idle_limit.value_or(kDefaultIdleLimit).count());
+  const double limit =
+      static_cast<double>(idle_limit.value_or(kDefaultIdleLimit).count());
   const Instant until =
       this->poller.loop().Now() +
       Duration(static_cast<std::int64_t>(limit * kUsedPartOfIdleLimit));
-  connection->SetOnIdleEnd([this, id, kept = connection.get()] {
-    this->Forget(id, kept);
-  });
+  connection->SetOnIdleEnd(
+      [this, id, kept = connection.get()] { this->Forget(id, kept); });
   group.idle.push_back({connection, until});
 }
 
--- /dev/null
+++ b/standins/store/keyed_log.cc
@@ -0,0 +1,71 @@
+#include "store/keyed_log.h"
+
+#include <utility>
+
+namespace auburnloft::standins {
+
+auto KeyedLog::Append(const std::string& topic,
+                      const Producer& producer,
+                      std::vector<Record> records) -> Appended {
+  Topic& known = this->topics[topic];
+  if (!producer.name.empty()) {
+    std::uint64_t& next = known.next_sequence[producer.name];
+    if (next == producer.sequence + 1) {
+      return {true, 0, this->End(topic)};  // A repeat of the last append.
+    }
+    if (next != producer.sequence) {
+      return {false, next, this->End(topic)};
+    }
+    next = producer.sequence + 1;
+  }
+  for (Record& record : records) {
+    known.newest[record.key] = record;
+    known.records.push_back(std::move(record));
+  }
+  return {true, 0, this->End(topic)};
+}
+
+auto KeyedLog::Compact(const std::string& topic) -> void {
+  Topic& known = this->topics[topic];
+  known.first += known.records.size();
+  known.records.clear();
+}
+
+auto KeyedLog::End(const std::string& topic) const -> std::uint64_t {
+  const auto found = this->topics.find(topic);
+  return found == this->topics.end()
+             ? 0
+             : found->second.first + found->second.records.size();
+}
+
+auto KeyedLog::First(const std::string& topic) const -> std::uint64_t {
+  const auto found = this->topics.find(topic);
+  return found == this->topics.end() ? 0 : found->second.first;
+}
+
+auto KeyedLog::ReadFrom(const std::string& topic, std::uint64_t offset) const
+    -> std::vector<Record> {
+  const auto found = this->topics.find(topic);
+  if (found == this->topics.end()) {
+    return {};
+  }
+  const std::vector<Record>& records = found->second.records;
+  const auto from = static_cast<std::ptrdiff_t>(offset - found->second.first);
+  return {records.begin() + from, records.end()};
+}
+
+auto KeyedLog::Newest(const std::string& topic) const -> std::vector<Record> {
+  std::vector<Record> result;
+  const auto found = this->topics.find(topic);
+  if (found == this->topics.end()) {
+    return result;
+  }
+  for (const auto& [key, record] : found->second.newest) {
+    if (record.value) {
+      result.push_back(record);
+    }
+  }
+  return result;
+}
+
+}  // namespace auburnloft::standins
--- /dev/null
+++ b/standins/store/store_server.cc
@@ -0,0 +1,236 @@
+#include "store/store_server.h"
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "al_core/text/base64.h"
+#include "al_edge/loop/event_loop.h"
+#include "al_edge/loop/loop_timer.h"
+#include "common/query.h"
+#include "platform/wire_names.h"
+
+namespace auburnloft::standins {
+
+namespace {
+
+constexpr std::size_t kLengthBytes = 4;
+constexpr std::size_t kOffsetBytes = 8;
+constexpr unsigned int kByteBits = 8;
+
+auto PutBigEndian(std::string& bytes, std::uint64_t value, std::size_t width)
+    -> void {
+  for (std::size_t i = width; i > 0; --i) {
+    bytes.push_back(static_cast<char>(value >> (kByteBits * (i - 1))));
+  }
+}
+
+auto ParseRecords(std::string_view body) -> std::vector<KeyedLog::Record> {
+  std::vector<KeyedLog::Record> records;
+  while (body.size() > kLengthBytes) {
+    std::size_t length = 0;
+    for (const char byte : body.substr(0, kLengthBytes)) {
+      length = (length << kByteBits) | static_cast<unsigned char>(byte);
+    }
+    const std::string_view content = body.substr(kLengthBytes, length);
+    const std::size_t key = static_cast<unsigned char>(content.front());
+    KeyedLog::Record record{std::string(content.substr(1, key)), std::nullopt};
+    if (content.size() > 1 + key) {
+      record.value = std::string(content.substr(1 + key));
+    }
+    records.push_back(std::move(record));
+    body.remove_prefix(kLengthBytes + length);
+  }
+  return records;
+}
+
+auto Respond(const std::shared_ptr<Http1ServerSession>& session,
+             int status,
+             std::string_view body) -> void {
+  Http1ResponseHead head;
+  head.status = status;
+  head.reason = "Answer";
+  session->Answer(head, body);
+}
+
+}  // namespace
+
+/** A read that waits for a record. */
+struct StoreServer::WaitingRead {
+  Session session;
+  std::string topic;
+  std::uint64_t offset = 0;
+  std::unique_ptr<LoopTimer> timer;
+};
+
+StoreServer::StoreServer(SocketPoller& poller)
+    : poller(poller),
+      server(poller,
+             this->limits,
+             [this](const Session& session, const Http1Request& request) {
+               this->OnRequest(session, request);
+             }) {}
+
+StoreServer::~StoreServer() = default;
+
+//==============================================================================
+// Commands
+
+auto StoreServer::Listen(std::string_view address) -> bool {
+  return this->server.Listen(address);
+}
+
+auto StoreServer::Put(const std::string& topic,
+                      const std::string& key,
+                      std::optional<std::string> value) -> void {
+  this->log.Append(topic, {}, {{key, std::move(value)}});
+  this->WakeReads(topic);
+}
+
+//==============================================================================
+
+auto StoreServer::OnRequest(const Session& session, const Http1Request& request)
+    -> void {
+  ++this->call_count;
+  const std::string_view path =
+      std::string_view(request.target).substr(0, request.target.find('?'));
+  if (path == "/faults") {
+    this->OnFaults(session, request);
+  } else if (path == "/record") {
+    this->OnPut(session, request);
+  } else if (this->fault == Fault::kSilent) {
+    return;
+  } else if (this->fault == Fault::kBusy) {
+    Respond(session, 503, {});
+  } else if (path == platform::kAppendPath) {
+    this->OnAppend(session, request);
+  } else if (path == platform::kReadPath) {
+    this->OnRead(session, request);
+  } else if (path == platform::kNewestPath) {
+    this->OnNewest(session, request);
+  } else {
+    Respond(session, 404, {});
+  }
+}
+
+auto StoreServer::OnAppend(const Session& session, const Http1Request& request)
+    -> void {
+  const Query query(request.target);
+  const std::string topic = query.Text("Topic");
+  const KeyedLog::Appended appended =
+      this->log.Append(topic, {query.Text("Producer"), query.Whole("Sequence")},
+                       ParseRecords(request.body));
+  this->WakeReads(topic);
+  if (this->fault == Fault::kLost) {
+    session->Abort();
+    return;
+  }
+  nlohmann::json body;
+  body["EndOffset"] = appended.end;
+  if (!appended.accepted) {
+    body["Reason"] = "seq";
+    body["Sequence"] = appended.expected_sequence;
+  }
+  Respond(session, appended.accepted ? 200 : 409, body.dump());
+}
+
+auto StoreServer::OnRead(const Session& session, const Http1Request& request)
+    -> void {
+  const Query query(request.target);
+  const std::string topic = query.Text("Topic");
+  const std::uint64_t offset = query.Whole("From");
+  const auto wait = std::chrono::milliseconds(query.Whole("WaitMs"));
+  if (offset < this->log.First(topic)) {
+    Respond(session, 410, {});
+    return;
+  }
+  if (offset < this->log.End(topic) || wait.count() == 0) {
+    this->AnswerRead(session, topic, offset);
+    return;
+  }
+  auto read = std::make_unique<WaitingRead>();
+  read->session = session;
+  read->topic = topic;
+  read->offset = offset;
+  const auto forget = [this, waiting_read = read.get()] {
+    std::erase_if(this->waiting, [waiting_read](const auto& item) {
+      return item.get() == waiting_read;
+    });
+  };
+  read->timer = std::make_unique<LoopTimer>(
+      this->poller.loop(), [this, forget, waiting_read = read.get()] {
+        const Session reader = waiting_read->session;
+        const std::string topic = waiting_read->topic;
+        const std::uint64_t offset = waiting_read->offset;
+        forget();
+        this->AnswerRead(reader, topic, offset);
+      });
+  read->timer->Start(wait);
+  session->SetExchangeCallbacks({forget, {}});
+  this->waiting.push_back(std::move(read));
+}
+
+auto StoreServer::OnNewest(const Session& session, const Http1Request& request)
+    -> void {
+  const std::string topic = Query(request.target).Text("Topic");
+  nlohmann::json body;
+  body["Entries"] = nlohmann::json::array();
+  for (const KeyedLog::Record& record : this->log.Newest(topic)) {
+    body["Entries"].push_back(
+        {{"Key", record.key}, {"Value", ToBase64(*record.value)}});
+  }
+  body["More"] = false;
+  body["EndOffset"] = this->log.End(topic);
+  Respond(session, 200, body.dump());
+}
+
+auto StoreServer::OnPut(const Session& session, const Http1Request& request)
+    -> void {
+  const Query query(request.target);
+  this->Put(query.Text("Topic"), query.Text("Key"),
+            request.body.empty() ? std::nullopt : std::optional(request.body));
+  Respond(session, 200, {});
+}
+
+auto StoreServer::OnFaults(const Session& session, const Http1Request& request)
+    -> void {
+  const std::string& word = request.body;
+  this->fault = word == "silent" ? Fault::kSilent
+                : word == "busy" ? Fault::kBusy
+                : word == "lost" ? Fault::kLost
+                                 : Fault::kNone;
+  Respond(session, 200, {});
+}
+
+auto StoreServer::AnswerRead(const Session& session,
+                             const std::string& topic,
+                             std::uint64_t offset) -> void {
+  if (!session->serving()) {
+    return;
+  }
+  std::string body;
+  PutBigEndian(body, this->log.End(topic), kOffsetBytes);
+  PutBigEndian(body, this->log.First(topic), kOffsetBytes);
+  for (const KeyedLog::Record& record : this->log.ReadFrom(topic, offset)) {
+    const std::string value = record.value.value_or("");
+    PutBigEndian(body, 1 + record.key.size() + value.size(), kLengthBytes);
+    PutBigEndian(body, record.key.size(), 1);
+    body.append(record.key).append(value);
+  }
+  Respond(session, 200, body);
+}
+
+auto StoreServer::WakeReads(const std::string& topic) -> void {
+  std::list<std::unique_ptr<WaitingRead>> woken;
+  for (auto item = this->waiting.begin(); item != this->waiting.end();) {
+    const auto next = std::next(item);
+    if ((*item)->topic == topic && this->fault == Fault::kNone) {
+      woken.splice(woken.end(), this->waiting, item);
+    }
+    item = next;
+  }
+  for (const auto& read : woken) {
+    this->AnswerRead(read->session, read->topic, read->offset);
+  }
+}
+
+}  // namespace auburnloft::standins
--- /dev/null
+++ b/standins/wire/wire_upstream.cc
@@ -0,0 +1,146 @@
+#include "wire/wire_upstream.h"
+
+#include <charconv>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "al_edge/loop/event_loop.h"
+#include "al_edge/loop/loop_timer.h"
+#include "platform/wire_names.h"
+
+namespace auburnloft::standins {
+
+namespace {
+
+auto HeadFor(int status, std::string_view id) -> Http1ResponseHead {
+  Http1ResponseHead head;
+  head.status = status;
+  head.reason = "Answer";
+  head.fields.Add(platform::kAttemptIdHeader, id);
+  return head;
+}
+
+}  // namespace
+
+/** A stream that is being sent. */
+struct WireUpstream::Stream {
+  Session session;
+  std::uint64_t next = 1;
+  std::unique_ptr<LoopTimer> timer;
+};
+
+WireUpstream::WireUpstream(SocketPoller& poller, Settings settings)
+    : poller(poller),
+      settings(std::move(settings)),
+      server(poller,
+             this->limits,
+             [this](const Session& session, const Http1Request& request) {
+               this->OnRequest(session, request);
+             }) {}
+
+WireUpstream::~WireUpstream() = default;
+
+auto WireUpstream::Listen() -> bool {
+  return this->server.Listen(this->settings.address);
+}
+
+auto WireUpstream::Entry(std::string_view service,
+                         std::string_view domain,
+                         bool leaving) const -> std::string {
+  nlohmann::json entry;
+  entry["Service"] = service;
+  entry["Address"] = this->settings.address;
+  entry["Zone"] = domain;
+  entry["BatchSlots"] = 8;
+  entry["State"] = leaving ? "draining" : "ready";
+  entry["born"] = 1;
+  return entry.dump();
+}
+
+//==============================================================================
+
+auto WireUpstream::OnRequest(const Session& session,
+                             const Http1Request& request) -> void {
+  this->last = request;
+  const std::string id(
+      request.fields.Find(platform::kAttemptIdHeader).value_or(""));
+  if (request.fields.Find(platform::kExpectHeader) != this->settings.id) {
+    session->Answer(HeadFor(421, id), {});
+    return;
+  }
+  if (this->fault == Fault::kFull) {
+    Http1ResponseHead head = HeadFor(503, id);
+    head.fields.Add(platform::kNotRunHeader, "1");
+    session->Answer(head, {});
+    return;
+  }
+  this->ran.push_back(id);
+  if (this->fault == Fault::kAnswerLost) {
+    session->Abort();
+  } else if (this->fault == Fault::kFails) {
+    Http1ResponseHead head = HeadFor(500, id);
+    head.fields.Add(platform::kSealHeader, "seal-" + id);
+    session->Answer(head, "failed");
+  } else if (request.fields.Find(platform::kTokensHeader)) {
+    std::uint64_t from = 0;
+    const std::string_view text =
+        request.fields.Find(platform::kLastEventHeader).value_or("0");
+    std::from_chars(text.data(), text.data() + text.size(), from);
+    this->StartStream(session, id, from + 1);
+  } else {
+    this->AnswerPlain(session, id);
+  }
+}
+
+auto WireUpstream::AnswerPlain(const Session& session, const std::string& id)
+    -> void {
+  Http1ResponseHead head =
+      HeadFor(200, this->fault == Fault::kExtraAnswer ? "another" : id);
+  head.fields.Add(platform::kSealHeader, "seal-" + id);
+  session->Answer(head, "answer to " + id);
+}
+
+auto WireUpstream::StartStream(const Session& session,
+                               const std::string& id,
+                               std::uint64_t from) -> void {
+  Http1ResponseHead head = HeadFor(200, id);
+  head.fields.Add(platform::kSealHeader, "seal-" + id);
+  head.fields.Add("Content-Type", "text/event-stream");
+  session->StartAnswer(head);
+  auto stream = std::make_unique<Stream>();
+  stream->session = session;
+  stream->next = from;
+  stream->timer = std::make_unique<LoopTimer>(
+      this->poller.loop(),
+      [this, started = stream.get()] { this->SendEvent(*started); });
+  stream->timer->Start(this->settings.first_byte);
+  session->SetExchangeCallbacks(
+      {[this, started = stream.get()] { this->Forget(started); }, {}});
+  this->streams.push_back(std::move(stream));
+}
+
+auto WireUpstream::SendEvent(Stream& stream) -> void {
+  if (this->fault == Fault::kBreaksStream && stream.next == 2) {
+    const Session session = stream.session;
+    session->Send("id: 2\nda");
+    this->Forget(&stream);
+    session->Abort();
+    return;
+  }
+  stream.session->Send("id: " + std::to_string(stream.next) + "\ndata: event " +
+                       std::to_string(stream.next) + "\n\n");
+  if (stream.next++ >= this->settings.events) {
+    const Session session = stream.session;
+    this->Forget(&stream);
+    session->FinishAnswer();
+    return;
+  }
+  stream.timer->Start(this->settings.between);
+}
+
+auto WireUpstream::Forget(const Stream* stream) -> void {
+  std::erase_if(this->streams,
+                [stream](const auto& item) { return item.get() == stream; });
+}
+
+}  // namespace auburnloft::standins
--- /dev/null
+++ b/standins/wire/wire_upstream.h
@@ -0,0 +1,100 @@
+#ifndef WIRE_WIRE_UPSTREAM_H_
+#define WIRE_WIRE_UPSTREAM_H_
+
+#include <cstdint>
+#include <functional>
+#include <list>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "al_core/time/instant.h"
+#include "al_http1/http1_server.h"
+
+namespace auburnloft {
+class LoopTimer;
+}
+
+namespace auburnloft::standins {
+
+/** An upstream that speaks as the users' platform's servers do: a stream for a
+   generation, a plain answer for the rest. It remembers which attempts it ran.
+
+    Thread safety: none; used on the loop's thread.
+*/
+class WireUpstream {
+ public:
+  struct Settings {
+    std::string id;
+    std::string address;
+    Duration first_byte{0};    ///< Until an answer, or the first event.
+    Duration between{0};       ///< Between events.
+    std::uint64_t events = 4;  ///< Of a stream.
+  };
+
+  /** What goes wrong. */
+  enum class Fault {
+    kNone,
+    kFull,          ///< Refuses with the statement that it did not run.
+    kAnswerLost,    ///< Runs, and closes without an answer.
+    kBreaksStream,  ///< Closes in the middle of the second event.
+    kExtraAnswer,   ///< Sends another request's answer first.
+    kFails,         ///< Answers 500.
+  };
+
+  WireUpstream(SocketPoller& poller, Settings settings);
+  ~WireUpstream();
+
+  WireUpstream(const WireUpstream&) = delete;
+  auto operator=(const WireUpstream&) -> WireUpstream& = delete;
+
+  //============================================================================
+  // Commands
+
+  [[nodiscard]] auto Listen() -> bool;
+  auto SetFault(Fault fault) -> void { this->fault = fault; }
+
+  //============================================================================
+  // Queries
+
+  /** Ids of the attempts that ran, in their order. */
+  [[nodiscard]] auto runs() const -> const std::vector<std::string>& {
+    return this->ran;
+  }
+
+  /** The newest request that came. */
+  [[nodiscard]] auto last_request() const -> const Http1Request& {
+    return this->last;
+  }
+
+  /** The entry with which it is listed. */
+  [[nodiscard]] auto Entry(std::string_view service,
+                           std::string_view domain,
+                           bool leaving) const -> std::string;
+
+ private:
+  using Session = std::shared_ptr<Http1ServerSession>;
+  struct Stream;
+
+  auto OnRequest(const Session& session, const Http1Request& request) -> void;
+  auto AnswerPlain(const Session& session, const std::string& id) -> void;
+  auto StartStream(const Session& session,
+                   const std::string& id,
+                   std::uint64_t from) -> void;
+  auto SendEvent(Stream& stream) -> void;
+  auto Forget(const Stream* stream) -> void;
+
+  SocketPoller& poller;
+  Settings settings;
+  Http1SessionLimits limits;
+  Fault fault = Fault::kNone;
+  std::vector<std::string> ran;
+  Http1Request last;
+  std::list<std::unique_ptr<Stream>> streams;
+  Http1Server server;
+};
+
+}  // namespace auburnloft::standins
+
+#endif  // WIRE_WIRE_UPSTREAM_H_
--- a/tests/gateway/decisions_test.cc
+++ b/tests/gateway/decisions_test.cc
@@ -41,7 +41,7 @@
   }};
   UpstreamChooser chooser{directory, "a"};
 
-  auto Choose(const GenerationFacts* generation) -> std::string {
+  auto Choose(const GenerationFacts* generation)->std::string {
     ChoiceQuery query;
     query.service = "s";
     query.generation = generation;
--- /dev/null
+++ b/tests/gateway/gateway_session_test.cc
@@ -0,0 +1,228 @@
+// Whole sessions through a router: real sockets, stand-ins for the platform.
+#include "support/gateway_fixture.h"
+#include "support/golden_file.h"
+#include "support/test_harness.h"
+
+using namespace auburnloft;           // NOLINT(google-build-using-namespace)
+using namespace auburnloft::testing;  // NOLINT(google-build-using-namespace)
+using standins::StoreServer;
+using standins::WireUpstream;
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+auto Describe(const std::string& what, const GatewayFixture::Answer& answer)
+    -> std::string {
+  std::string body;
+  for (const char letter : answer.body) {
+    body += letter == '\n' ? std::string("|") : std::string(1, letter);
+  }
+  return what + ": " + std::to_string(answer.status) +
+         (answer.complete ? " whole" : " broken") + " [" + body + "]" +
+         (answer.seal.empty() ? "" : " " + answer.seal) +
+         (answer.retry_after.empty() ? ""
+                                     : " retry-after " + answer.retry_after);
+}
+
+}  // namespace
+
+TEST_GROUP(GatewaySessions) {
+  GatewayFixture fixture;
+
+  auto Call(const std::string& id, const std::string& path,
+            const std::string& tokens = "")
+      ->GatewayFixture::Answer {
+    GatewayFixture::Call call;
+    call.id = id;
+    call.path = path;
+    call.tokens = tokens;
+    return this->fixture.Send(call);
+  }
+};
+
+/** A request of each kind, a refusal for the budget, a top-up, a configuration
+   change and a drain. */
+TEST(GatewaySessions, OfOneTeam) {
+  std::vector<std::string> lines;
+  lines.push_back(
+      Describe("before a configuration", this->Call("a0", "/once/")));
+  this->fixture.Publish(1, 1'000);
+  lines.push_back(Describe("at most once", this->Call("a1", "/once/")));
+  lines.push_back(Describe("idempotent", this->Call("a2", "/read/")));
+  lines.push_back(Describe("stream", this->Call("a3", "/draft/", "100,20")));
+  lines.push_back(Describe("no route", this->Call("a4", "/none/")));
+  lines.push_back(
+      Describe("beyond the budget", this->Call("a5", "/draft/", "5000,20")));
+  this->fixture.Publish(2, 20'000);
+  lines.push_back(
+      Describe("after a top-up", this->Call("a6", "/draft/", "5000,20")));
+  GatewayFixture::Call unknown;
+  unknown.id = "a7";
+  unknown.key = "other";
+  lines.push_back(Describe("unknown key", this->fixture.Send(unknown)));
+  lines.push_back(
+      Describe("ready", this->fixture.Ask("127.0.0.1:18312", "/readyz")));
+  lines.push_back(
+      Describe("where to connect",
+               this->fixture.Ask("127.0.0.1:18311", "/resolve?Name=h&Zone=a")));
+  this->fixture.router->Drain();
+  lines.push_back(Describe("ready while draining",
+                           this->fixture.Ask("127.0.0.1:18312", "/readyz")));
+  lines.push_back(
+      Describe("a caller that comes late", this->Call("a8", "/once/")));
+  const std::string difference =
+      CompareWithGolden(lines, AUBURNLOFT_GOLDEN_DIR "/gateway-one-team.txt");
+  CHECK_TRUE_TEXT(difference.empty(), difference.c_str());
+}
+
+TEST(GatewaySessions, RunsAtMostOnceWhenAnAnswerIsLost) {
+  this->fixture.Publish(1, 1'000);
+  this->fixture.desk_1->SetFault(WireUpstream::Fault::kAnswerLost);
+  this->fixture.desk_2->SetFault(WireUpstream::Fault::kAnswerLost);
+  CHECK_EQUAL(502, this->Call("a1", "/once/").status);
+  CHECK_EQUAL(1, this->fixture.desk_1->runs().size() +
+                     this->fixture.desk_2->runs().size());
+}
+
+TEST(GatewaySessions, RepeatsAnIdempotentRequestElsewhere) {
+  this->fixture.Publish(1, 1'000);
+  this->fixture.desk_1->SetFault(WireUpstream::Fault::kFails);
+  for (int i = 0; i < 4; ++i) {
+    CHECK_EQUAL(200, this->Call("a" + std::to_string(i), "/read/").status);
+  }
+}
+
+TEST(GatewaySessions, TriesAnotherUpstreamWhereOneDidNotRunIt) {
+  this->fixture.Publish(1, 1'000);
+  this->fixture.desk_1->SetFault(WireUpstream::Fault::kFull);
+  for (int i = 0; i < 4; ++i) {
+    CHECK_EQUAL(200, this->Call("a" + std::to_string(i), "/once/").status);
+  }
+  CHECK_EQUAL(0, this->fixture.desk_1->runs().size());
+}
+
+TEST(GatewaySessions, PromisesNotRunOnlyWhereNothingRan) {
+  this->fixture.Publish(1, 1'000);
+  this->fixture.desk_1->SetFault(WireUpstream::Fault::kFull);
+  this->fixture.desk_2->SetFault(WireUpstream::Fault::kFull);
+  const auto answer = this->Call("a1", "/once/");
+  CHECK_EQUAL(503, answer.status);
+  CHECK_FALSE(answer.retry_after.empty());
+}
+
+TEST(GatewaySessions, ResumesAStreamElsewhereWithoutALostOrDoubledEvent) {
+  this->fixture.Publish(1, 10'000);
+  this->fixture.engine_1->SetFault(WireUpstream::Fault::kBreaksStream);
+  this->fixture.engine_2->SetFault(WireUpstream::Fault::kBreaksStream);
+  // The stream breaks in its second event; the next run begins behind the
+  // first.
+  const auto answer = this->Call("a1", "/ask/", "10,20");
+  CHECK_EQUAL(2, this->fixture.engine_1->runs().size() +
+                     this->fixture.engine_2->runs().size());
+  CHECK_EQUAL(200, answer.status);
+  this->fixture.engine_1->SetFault(WireUpstream::Fault::kNone);
+  const auto second = this->Call("a2", "/ask/", "10,20");
+  CHECK_TRUE(second.complete);
+  CHECK_EQUAL(std::string("id: 1\ndata: event 1\n\nid: 2\ndata: event 2\n\n"
+                          "id: 3\ndata: event 3\n\nid: 4\ndata: event 4\n\n"),
+              second.body);
+}
+
+TEST(GatewaySessions, BreaksAStreamOffThatMayNotBeRepeated) {
+  this->fixture.Publish(1, 10'000);
+  this->fixture.engine_1->SetFault(WireUpstream::Fault::kBreaksStream);
+  this->fixture.engine_2->SetFault(WireUpstream::Fault::kBreaksStream);
+  const auto answer = this->Call("a1", "/draft/", "10,20");
+  CHECK_FALSE(answer.complete);
+  CHECK_EQUAL(std::string("id: 1\ndata: event 1\n\n"), answer.body);
+  CHECK_EQUAL(1, this->fixture.engine_1->runs().size() +
+                     this->fixture.engine_2->runs().size());
+}
+
+TEST(GatewaySessions, GivesNoCallerAnotherRequestsAnswer) {
+  this->fixture.Publish(1, 1'000);
+  this->fixture.desk_1->SetFault(WireUpstream::Fault::kExtraAnswer);
+  this->fixture.desk_2->SetFault(WireUpstream::Fault::kExtraAnswer);
+  GatewayFixture::Call call;
+  call.id = "a1";
+  call.path = "/once/";
+  const auto answer = this->fixture.Send(call);
+  CHECK_EQUAL(504, answer.status);
+}
+
+TEST(GatewaySessions, SendsNothingToAnUpstreamThatLeaves) {
+  this->fixture.Publish(1, 1'000);
+  this->fixture.List(*this->fixture.desk_1, "desk-1", "desks", true);
+  this->fixture.RunFor(milliseconds(700));
+  for (int i = 0; i < 4; ++i) {
+    CHECK_EQUAL(200, this->Call("a" + std::to_string(i), "/once/").status);
+  }
+  CHECK_EQUAL(0, this->fixture.desk_1->runs().size());
+}
+
+TEST(GatewaySessions, TakesAnAddressOutWhereAnotherUpstreamAnswers) {
+  this->fixture.Publish(1, 1'000);
+  // The entry names an id that the process at its address does not have.
+  this->fixture.store.Put("keyed.servers", "stale",
+                          this->fixture.desk_1->Entry("desks", "a", false));
+  this->fixture.RunFor(milliseconds(700));
+  for (int i = 0; i < 6; ++i) {
+    CHECK_EQUAL(200, this->Call("a" + std::to_string(i), "/once/").status);
+  }
+}
+
+TEST(GatewaySessions, NeverGoesBackToAnOlderConfiguration) {
+  this->fixture.Publish(5, 1'000);
+  this->fixture.Publish(4, 9'000);
+  CHECK_EQUAL(402, this->Call("a1", "/draft/", "5000,20").status);
+}
+
+TEST(GatewaySessions, ServesFromItsAllowanceWhileTheLogIsAway) {
+  this->fixture.Publish(1, 100'000);
+  CHECK_EQUAL(200, this->Call("a1", "/draft/", "100,20").status);
+  this->fixture.store.SetFault(StoreServer::Fault::kSilent);
+  this->fixture.RunFor(seconds(2));
+  CHECK_EQUAL(200, this->Call("a2", "/draft/", "100,20").status);
+  CHECK_EQUAL(200, this->Call("a3", "/once/").status);
+  this->fixture.store.SetFault(StoreServer::Fault::kNone);
+}
+
+TEST(GatewaySessions, KeepsItsBudgetThroughLostRepliesOfTheLog) {
+  this->fixture.Publish(1, 2'000);
+  this->fixture.store.SetFault(StoreServer::Fault::kLost);
+  int served = 0;
+  for (int i = 0; i < 30; ++i) {
+    const auto answer =
+        this->Call("a" + std::to_string(i), "/draft/", "100,20");
+    served += answer.status == 200 ? 1 : 0;
+    this->fixture.RunFor(milliseconds(20));
+  }
+  CHECK_TRUE(served > 0);
+  CHECK_TRUE(served * 120 <= 2'000);
+}
+
+TEST(GatewaySessions, GoesOnAfterTheHistoryWasDeleted) {
+  this->fixture.Publish(1, 100'000);
+  for (const char* const topic : {"keyed.fleet", "keyed.op", "keyed.servers"}) {
+    this->fixture.store.Put(topic, "unread", "x");
+    this->fixture.store.Put(topic, "unread", "y");
+    this->fixture.store.Compact(topic);
+  }
+  this->fixture.RunFor(seconds(1));
+  this->fixture.Publish(2, 200'000);
+  CHECK_EQUAL(200, this->Call("a1", "/draft/", "30000,20").status);
+}
+
+TEST(GatewaySessions, RefusesHostileBytesAndCloses) {
+  this->fixture.Publish(1, 1'000);
+  const std::string answer = this->fixture.SendRaw(
+      "POST /once/x HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n"
+      "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /smuggled "
+      "HTTP/1.1\r\n\r\n");
+  CHECK_TRUE(answer.starts_with("HTTP/1.1 400"));
+  CHECK_TRUE(answer.find("HTTP/1.1", 1) == std::string::npos);
+  CHECK_EQUAL(0, this->fixture.desk_1->runs().size() +
+                     this->fixture.desk_2->runs().size());
+}
--- a/tests/gateway/platform_test.cc
+++ b/tests/gateway/platform_test.cc
@@ -122,8 +122,7 @@
              gateway::AppendStatus::kDone);
   CHECK_TRUE(ReadAppendReply(503, "")->status ==
              gateway::AppendStatus::kRefused);
-  const auto reply =
-      ReadAppendReply(409, R"({"Reason":"seq","Sequence":4})");
+  const auto reply = ReadAppendReply(409, R"({"Reason":"seq","Sequence":4})");
   CHECK_TRUE(reply->status == gateway::AppendStatus::kOutOfOrder);
   CHECK_EQUAL(4, reply->expected_sequence);
   CHECK_FALSE(ReadAppendReply(500, "").has_value());
--- a/tests/support/allowance_fleet.h
+++ b/tests/support/allowance_fleet.h
@@ -15,9 +15,10 @@
 
 /** Routers that draw on one team's budget through a log, in virtual time.
 
-    Plays requests, appends that are slow, lost or late, routers that are cut off,
-    paused, killed and started again, and checks after each step that all lives of
-    all routers together have not spent or reserved more than the budget.
+    Plays requests, appends that are slow, lost or late, routers that are cut
+   off, paused, killed and started again, and checks after each step that all
+   lives of all routers together have not spent or reserved more than the
+   budget.
 */
 class AllowanceFleet {
  public:
@@ -28,8 +29,8 @@
     std::uint64_t most_tokens = 4'000;  ///< Of the largest request.
     bool passes_gifts = true;           ///< Whether routers help each other.
     bool charges_gifts = true;  ///< False puts a fault in, for the checker.
-    double lost_replies = 0.0;          ///< Part of the appends.
-    double late_appends = 0.0;          ///< Part of the appends.
+    double lost_replies = 0.0;  ///< Part of the appends.
+    double late_appends = 0.0;  ///< Part of the appends.
     AllowanceSettings allowances;
     std::uint64_t seed = 1;
   };
@@ -40,7 +41,7 @@
     std::uint64_t refused = 0;
     std::uint64_t refused_falsely = 0;  ///< The budget would have covered them.
     std::uint64_t spent = 0;            ///< Tokens, by all lives.
-    std::uint64_t stranded = 0;  ///< Held by dead lives and not spent.
+    std::uint64_t stranded = 0;         ///< Held by dead lives and not spent.
     std::uint64_t appends = 0;
     std::uint64_t append_bytes = 0;
     std::uint64_t gifts = 0;
--- /dev/null
+++ b/tests/support/gateway_fixture.cc
@@ -0,0 +1,174 @@
+#include "support/gateway_fixture.h"
+
+#include <stdexcept>
+#include <utility>
+
+#include "al_http1/http1_message.h"
+#include "al_net/tcp_connection.h"
+
+namespace auburnloft::testing {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const std::string kStore = "127.0.0.1:18301";
+const std::string kClients = "127.0.0.1:18310";
+const std::string kEntry = "127.0.0.1:18311";
+const std::string kReadiness = "127.0.0.1:18312";
+const std::string kPeers = "127.0.0.1:18313";
+
+/** A generous limit for one exchange on a busy machine. */
+constexpr Duration kExchangeLimit = seconds(20);
+
+auto MakeUpstream(SocketPoller& poller, const std::string& id, int port)
+    -> std::unique_ptr<standins::WireUpstream> {
+  standins::WireUpstream::Settings settings;
+  settings.id = id;
+  settings.address = "127.0.0.1:" + std::to_string(port);
+  settings.first_byte = milliseconds(2);
+  settings.between = milliseconds(2);
+  auto upstream = std::make_unique<standins::WireUpstream>(poller, settings);
+  if (!upstream->Listen()) {
+    throw std::runtime_error("a stand-in cannot listen");
+  }
+  return upstream;
+}
+
+}  // namespace
+
+GatewayFixture::GatewayFixture() {
+  if (!this->store.Listen(kStore)) {
+    throw std::runtime_error("the store cannot listen");
+  }
+  constexpr int kFirstPort = 18'321;
+  this->engine_1 = MakeUpstream(this->poller, "engine-1", kFirstPort);
+  this->engine_2 = MakeUpstream(this->poller, "engine-2", kFirstPort + 1);
+  this->desk_1 = MakeUpstream(this->poller, "desk-1", kFirstPort + 2);
+  this->desk_2 = MakeUpstream(this->poller, "desk-2", kFirstPort + 3);
+  this->List(*this->engine_1, "engine-1", "engines", false);
+  this->List(*this->engine_2, "engine-2", "engines", false);
+  this->List(*this->desk_1, "desk-1", "desks", false);
+  this->List(*this->desk_2, "desk-2", "desks", false);
+  gateway::GatewayDaemon::Options options;
+  options.self.name = "router-1";
+  options.self.incarnation = "router-1#1";
+  options.self.domain = "a";
+  options.self.client_address = kClients;
+  options.self.peer_address = kPeers;
+  options.entry_address = kEntry;
+  options.readiness_address = kReadiness;
+  options.log_address = kStore;
+  options.grace = seconds(2);
+  options.log_descriptor = -1;
+  this->router =
+      std::make_unique<gateway::GatewayDaemon>(this->loop, std::move(options));
+  if (!this->router->Start()) {
+    throw std::runtime_error("the router cannot listen");
+  }
+}
+
+GatewayFixture::~GatewayFixture() = default;
+
+auto GatewayFixture::Publish(std::uint64_t version, std::uint64_t prepaid)
+    -> void {
+  const std::string number = std::to_string(version);
+  const std::string tokens = std::to_string(prepaid);
+  this->store.Put("keyed.op", "config",
+                  R"({"Version":)" + number + R"(,"Routes":[
+      {"Name":"once","Host":"h","PathPrefix":"/once/","Type":"unsafe","Service":"desks","TimeoutMs":2000,"SloMs":300,"MaxAttempts":1},
+      {"Name":"read","Host":"h","PathPrefix":"/read/","Type":"safe","Service":"desks","TimeoutMs":2000,"SloMs":300,"MaxAttempts":2},
+      {"Name":"draft","Host":"h","PathPrefix":"/draft/","Type":"streaming","Service":"engines","TimeoutMs":4000,"SloMs":800,"MaxAttempts":1},
+      {"Name":"ask","Host":"h","PathPrefix":"/ask/","Type":"streaming","Service":"engines","TimeoutMs":4000,"SloMs":800,"MaxAttempts":2,"Resumable":true,"GapTargetMs":400}],
+      "Services":[{"Name":"engines","MaxConns":100,"Engine":{"BatchSlots":8,"Stride":5}},{"Name":"desks","MaxConns":100}],
+      "Limits":{"MaxHeaderBytes":4096,"MaxBodyBytes":1000,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000},
+      "Tenants":[{"Name":"blue","ApiKeys":["blue-key"],"Prepaid":)" +
+                      tokens + "}]}");
+  this->RunFor(milliseconds(700));
+}
+
+auto GatewayFixture::List(const standins::WireUpstream& upstream,
+                          const std::string& id,
+                          std::string_view service,
+                          bool leaving) -> void {
+  this->store.Put("keyed.servers", id, upstream.Entry(service, "a", leaving));
+}
+
+auto GatewayFixture::Send(const Call& call) -> Answer {
+  Http1Request request;
+  request.method = "POST";
+  request.target = call.path + "x";
+  request.fields.Add("Host", "h");
+  request.fields.Add("X-Attempt-Id", call.id);
+  request.fields.Add("X-Deadline-Ms", call.deadline_ms);
+  if (!call.key.empty()) {
+    request.fields.Add("Authorization", "Token " + call.key);
+  }
+  if (!call.tokens.empty()) {
+    request.fields.Add("X-Model", "m");
+    request.fields.Add("X-Token-Count", call.tokens);
+    request.fields.Add("X-Prompt-Prefix", "aa:10,bb:10");
+  }
+  request.body = "body";
+  return this->Exchange(kClients, request);
+}
+
+auto GatewayFixture::Ask(const std::string& address, const std::string& target)
+    -> Answer {
+  Http1Request request;
+  request.method = "GET";
+  request.target = target;
+  request.fields.Add("Host", "h");
+  return this->Exchange(address, request);
+}
+
+auto GatewayFixture::SendRaw(const std::string& bytes) -> std::string {
+  std::string received;
+  bool ended = false;
+  std::shared_ptr<TcpConnection> connection;
+  TcpConnection::Callbacks callbacks;
+  callbacks.on_connected = [&] { connection->Write(bytes); };
+  callbacks.on_input = [&] {
+    received.append(connection->input());
+    connection->Consume(connection->input().size());
+  };
+  callbacks.on_end = [&](TcpEnd /*end*/) { ended = true; };
+  connection =
+      TcpConnection::Connect(this->poller, kClients, seconds(2), callbacks);
+  this->loop.RunUntil([&] { return ended; }, milliseconds(600));
+  connection->SetCallbacks({});
+  connection->Close();
+  return received;
+}
+
+auto GatewayFixture::RunFor(Duration span) -> void {
+  this->loop.RunUntil([] { return false; }, span);
+}
+
+auto GatewayFixture::Exchange(const std::string& address,
+                              const Http1Request& request) -> Answer {
+  Answer answer;
+  bool done = false;
+  const auto connection =
+      Http1ClientConnection::Connect(this->poller, address, seconds(2));
+  Http1ClientConnection::ExchangeCallbacks callbacks;
+  callbacks.on_head = [&](const Http1ResponseHead& head) {
+    answer.status = head.status;
+    answer.retry_after = head.fields.Find("Retry-After").value_or("");
+    answer.seal = head.fields.Find("X-Server-Seal").value_or("");
+  };
+  callbacks.on_body = [&](const std::string& bytes) {
+    answer.body.append(bytes);
+  };
+  callbacks.on_done = [&](Http1Outcome outcome) {
+    answer.complete = outcome == Http1Outcome::kComplete;
+    done = true;
+  };
+  connection->Start(ToBytes(request), false, std::move(callbacks));
+  this->loop.RunUntil([&] { return done; }, kExchangeLimit);
+  connection->Close();
+  return answer;
+}
+
+}  // namespace auburnloft::testing
--- a/tests/support/session_recorder.cc
+++ b/tests/support/session_recorder.cc
@@ -1,5 +1,7 @@
 #include "support/session_recorder.h"
 
+#include "support/golden_file.h"
+
 #include <array>
 #include <cstdio>
 #include <cstdlib>
@@ -84,32 +86,7 @@
 
 auto SessionRecorder::CompareWith(const std::string& path) const
     -> std::string {
-  if (std::getenv("AUBURNLOFT_UPDATE_GOLDEN") != nullptr) {
-    std::ofstream file(path);
-    for (const std::string& line : this->recorded) {
-      file << line << "\n";
-    }
-    return {};
-  }
-  std::ifstream file(path);
-  std::vector<std::string> expected;
-  for (std::string line; std::getline(file, line);) {
-    expected.push_back(line);
-  }
-  for (std::size_t i = 0; i < std::max(expected.size(), this->recorded.size());
-       ++i) {
-    const std::string want = i < expected.size() ? expected[i] : "(end)";
-    const std::string have =
-        i < this->recorded.size() ? this->recorded[i] : "(end)";
-    if (want != have) {
-      std::ostringstream text;
-      text << path << ":" << i + 1 << "\n"
-           << (i > 0 ? "  " + expected[i - 1] + "\n" : "") << "- " << want
-           << "\n+ " << have << "\nregenerate: scripts/test --update-golden";
-      return text.str();
-    }
-  }
-  return {};
+  return CompareWithGolden(this->recorded, path);
 }
 
 }  // namespace auburnloft::testing
