--- a/modules/al_gateway/membership/router_registry.cc
+++ b/modules/al_gateway/membership/router_registry.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "al_core/text/digest.h"
+
 namespace auburnloft::gateway {
 
 namespace {
@@ -75,6 +77,20 @@
   return living ? &found->second.said : nullptr;
 }
 
+auto RouterRegistry::IsAmongFirst(std::string_view item,
+                                  int count,
+                                  Instant now) const -> bool {
+  const std::uint64_t own = StableHash(item, this->self);
+  int before = 0;
+  for (const auto& [name, member] : this->members) {
+    if (name != this->self && !member.said.leaving &&
+        this->IsAlive(member, now) && StableHash(item, name) > own) {
+      ++before;
+    }
+  }
+  return before < count;
+}
+
 auto RouterRegistry::VisitAll(
     Instant now,
     const std::function<void(const RouterAnnouncement&, bool)>& visit) const
--- a/modules/al_gateway/membership/router_registry.h
+++ b/modules/al_gateway/membership/router_registry.h
@@ -69,6 +69,13 @@
   [[nodiscard]] auto FindLiving(std::string_view incarnation, Instant now) const
       -> const RouterAnnouncement*;
 
+  /** True where this router is among the `count` living ones that come first in
+     the rendezvous order of `item`. All routers agree as far as they agree who
+     lives. */
+  [[nodiscard]] auto IsAmongFirst(std::string_view item,
+                                  int count,
+                                  Instant now) const -> bool;
+
   /** Calls `visit` with each router and whether it counts as alive. */
   auto VisitAll(
       Instant now,
--- a/modules/al_gateway/prepaid/allowance_desk.cc
+++ b/modules/al_gateway/prepaid/allowance_desk.cc
@@ -17,8 +17,8 @@
    stays on the log: all that is out is lost when all routers lose power. */
 constexpr double kDividedPart = 0.6;
 
-/** The part of what is available that is given to a router that asks. */
-constexpr std::uint64_t kGivenDivisor = 2;
+/** Own demand that a router keeps when it gives, and that it holds at least. */
+constexpr double kWorkingSeconds = 1.0;
 
 /** Demand that a router asks others to cover at once. */
 constexpr double kAskedSeconds = 1.5;
@@ -31,7 +31,7 @@
 constexpr double kSurplus = 1.25;
 
 /** The shortest time over which a rate is measured, in seconds. */
-constexpr double kLeastMeasuredSeconds = 0.5;
+constexpr double kLeastMeasuredSeconds = 2.0;
 
 auto DecayedDemand(double demand, Instant since, Instant now) -> double {
   return demand * std::exp(-ToSeconds(now - since) / kDemandSeconds);
@@ -90,8 +90,7 @@
 }
 
 auto AllowanceDesk::Plan(const AllowanceLedger& ledger,
-                         const AllowanceLedger::IsAlive& is_alive,
-                         int routers,
+                         const FleetView& fleet,
                          bool reports,
                          Instant now) -> std::vector<AllowanceEntry> {
   std::vector<AllowanceEntry> entries;
@@ -99,10 +98,12 @@
     return entries;
   }
   for (auto& [team, account] : this->accounts) {
-    const AllowanceLedger::Totals totals = ledger.TotalsOf(team, is_alive);
-    const std::uint64_t target = this->TargetOf(account, totals, routers, now);
+    const AllowanceLedger::Totals totals =
+        ledger.TotalsOf(team, fleet.is_alive);
+    const std::uint64_t target =
+        this->TargetOf(team, account, totals, fleet, now);
     const std::uint64_t taken =
-        this->TakenAfter(account, totals, target, routers);
+        this->TakenAfter(account, totals, target, fleet.reserve_holders);
     const bool withdraws = account.written > account.spendable;
     if (taken != account.written || withdraws ||
         (reports && account.settled_of_entries() != account.settled_written)) {
@@ -140,15 +141,18 @@
   }
 }
 
-auto AllowanceDesk::Give(std::string_view team, std::uint64_t asked)
-    -> std::uint64_t {
+auto AllowanceDesk::Give(std::string_view team,
+                         std::uint64_t asked,
+                         Instant now) -> std::uint64_t {
   const auto found = this->accounts.find(team);
   if (found == this->accounts.end()) {
     return 0;
   }
   Account& account = found->second;
+  const auto kept =
+      static_cast<std::uint64_t>(kWorkingSeconds * DemandOf(account, now));
   const std::uint64_t given =
-      std::min(asked, account.available() / kGivenDivisor);
+      std::min(asked, Minus(account.available(), kept));
   account.settled += given;
   return given;
 }
@@ -207,6 +211,9 @@
 //==============================================================================
 
 auto AllowanceDesk::DemandOf(const Account& account, Instant now) -> double {
+  if (account.demand_since == Instant()) {
+    return 0.0;
+  }
   // Right after the first request the decayed sum has not filled yet.
   const double measured =
       std::max(kLeastMeasuredSeconds, ToSeconds(now - account.demand_since));
@@ -214,26 +221,31 @@
          (1.0 - std::exp(-measured / kDemandSeconds));
 }
 
-auto AllowanceDesk::TargetOf(const Account& account,
+auto AllowanceDesk::TargetOf(std::string_view team,
+                             const Account& account,
                              const AllowanceLedger::Totals& totals,
-                             int routers,
+                             const FleetView& fleet,
                              Instant now) const -> std::uint64_t {
   const double demand = DemandOf(account, now);
   const double left = static_cast<double>(
       Minus(account.prepaid, totals.taken_by_dead + totals.settled_by_living));
-  const double even = 1.0 / std::max(1, routers);
+  const double working =
+      std::min(demand * kWorkingSeconds, left * kDividedPart);
+  if (!fleet.holds_reserve(team)) {
+    return static_cast<std::uint64_t>(working);
+  }
   const double all = std::max(totals.demand_of_living, demand);
-  const double share = all > 0.0 ? demand / all : even;
-  const double foreseen = std::min(demand * ToSeconds(this->settings.cover),
-                                   left * kDividedPart * share);
+  const double foreseen =
+      std::min(all * ToSeconds(this->settings.cover), left * kDividedPart);
+  const double reserve = std::max(foreseen, left * this->settings.even_part);
   return static_cast<std::uint64_t>(
-      std::max(foreseen, left * this->settings.even_part * even));
+      working + reserve / std::max(1, fleet.reserve_holders));
 }
 
 auto AllowanceDesk::TakenAfter(Account& account,
                                const AllowanceLedger::Totals& totals,
                                std::uint64_t target,
-                               int routers) -> std::uint64_t {
+                               int sharers) -> std::uint64_t {
   const std::uint64_t wanted = account.committed() + account.waiting + target;
   // An invalid raise is in the totals, but never became spendable.
   const std::uint64_t invalid = Minus(account.written, account.spendable);
@@ -248,7 +260,7 @@
     // The pool may be wanted by all at once: nobody takes more than an even
     // share of what is left in one step, but for requests that wait.
     const std::uint64_t share =
-        pool / static_cast<std::uint64_t>(std::max(1, routers)) + 1;
+        pool / static_cast<std::uint64_t>(std::max(1, sharers)) + 1;
     const std::uint64_t step = std::max(share, account.waiting);
     return account.spendable +
            std::min({wanted - account.spendable, pool, step});
--- a/modules/al_gateway/prepaid/allowance_desk.h
+++ b/modules/al_gateway/prepaid/allowance_desk.h
@@ -21,14 +21,27 @@
      survived. */
   Duration cover = std::chrono::seconds(5);
 
-  /** The part of what is left of a budget that all routers together hold at
-     least, in even shares: demand that is not yet known, or that moves. */
+  /** The part of what is left of a budget that is held in reserve at least:
+     demand that is not yet known, or that moves. */
   double even_part = 0.2;
 };
 
+/** What a router knows of the fleet when it plans. */
+struct FleetView {
+  int routers = 1;          ///< Alive, this one included.
+  int reserve_holders = 1;  ///< Routers that hold the reserve of a team.
+  /** Whether this router is one of those of a team. */
+  std::function<bool(std::string_view team)> holds_reserve;
+  AllowanceLedger::IsAlive is_alive;
+};
+
 /** One router's allowances: what it may spend of each team's budget, and what
    it asks of the log.
 
+    Each router holds a second of its own demand. The reserve that carries a team
+   through an outage of the log is held by a few routers, whom the others ask:
+   spread over a large fleet, no share of it would cover a request.
+
     A request reserves its most with TryReserve() before it is sent, and settles
    its use at its end. Plan() gives the entries to write; when they are read
    back in the order of the log, OnRecorded() makes a valid raise spendable.
@@ -64,11 +77,9 @@
 
   /** The entries to write now. Lowers at once what it returns. Empty where
      nothing has changed, or while entries are unrecorded.
-      @param routers  alive in the fleet, at least 1.
       @param reports  whether to write also what only tells of use. */
   [[nodiscard]] auto Plan(const AllowanceLedger& ledger,
-                          const AllowanceLedger::IsAlive& is_alive,
-                          int routers,
+                          const FleetView& fleet,
                           bool reports,
                           Instant now) -> std::vector<AllowanceEntry>;
 
@@ -83,8 +94,9 @@
   /** Gives another router a part of what is available, up to `asked`. Counts as
      spent here for good, so that the log needs no entry of it.
       @return what was given. */
-  [[nodiscard]] auto Give(std::string_view team, std::uint64_t asked)
-      -> std::uint64_t;
+  [[nodiscard]] auto Give(std::string_view team,
+                          std::uint64_t asked,
+                          Instant now) -> std::uint64_t;
 
   /** Takes what another router gave. It may be spent here beyond what this
      router's entries say. */
@@ -154,15 +166,16 @@
   /** Tokens that requests ask for, a second. */
   [[nodiscard]] static auto DemandOf(const Account& account, Instant now)
       -> double;
-  [[nodiscard]] auto TargetOf(const Account& account,
+  [[nodiscard]] auto TargetOf(std::string_view team,
+                              const Account& account,
                               const AllowanceLedger::Totals& totals,
-                              int routers,
+                              const FleetView& fleet,
                               Instant now) const -> std::uint64_t;
   /** What the next entry says is taken; lowers `spendable` for a return. */
   auto TakenAfter(Account& account,
                   const AllowanceLedger::Totals& totals,
                   std::uint64_t target,
-                  int routers) -> std::uint64_t;
+                  int sharers) -> std::uint64_t;
   auto EntryOf(const std::string& team,
                Account& account,
                std::uint64_t taken,
--- a/modules/al_gateway/prepaid/allowance_ledger.cc
+++ b/modules/al_gateway/prepaid/allowance_ledger.cc
@@ -35,6 +35,18 @@
   return totals;
 }
 
+auto AllowanceLedger::VisitTeam(
+    std::string_view team,
+    const std::function<void(const AllowanceEntry&)>& visit) const -> void {
+  const auto found = this->teams.find(std::string(team));
+  if (found == this->teams.end()) {
+    return;
+  }
+  for (const auto& [holder, entry] : found->second.by_holder) {
+    visit(entry);
+  }
+}
+
 auto AllowanceLedger::VisitAll(
     const std::function<void(const AllowanceEntry&)>& visit) const -> void {
   for (const auto& [team, entries] : this->teams) {
--- a/modules/al_gateway/prepaid/allowance_ledger.h
+++ b/modules/al_gateway/prepaid/allowance_ledger.h
@@ -60,6 +60,11 @@
   [[nodiscard]] auto TotalsOf(std::string_view team,
                               const IsAlive& is_alive) const -> Totals;
 
+  /** Calls `visit` with each entry of a team. */
+  auto VisitTeam(std::string_view team,
+                 const std::function<void(const AllowanceEntry&)>& visit) const
+      -> void;
+
   /** Calls `visit` with each entry. */
   auto VisitAll(const std::function<void(const AllowanceEntry&)>& visit) const
       -> void;
--- a/programs/gateway/budget_gate.cc
+++ b/programs/gateway/budget_gate.cc
@@ -24,6 +24,9 @@
                          OnAnswer on_answer) -> Ticket {
   const Instant now = this->loop.Now();
   const bool reserved = this->desk.TryReserve(team, tokens, true, now);
+  if (reserved && this->desk.Shortage(team, now) > 0) {
+    this->ask(team);  // For the requests to come.
+  }
   if (reserved || limit.count() <= 0 || this->spent(team, tokens)) {
     on_answer(reserved                    ? BudgetAnswer::kReserved
               : this->spent(team, tokens) ? BudgetAnswer::kSpent
@@ -61,11 +64,19 @@
     item = next;
   }
   this->UpdateWanted(team);
+  if (this->desk.Shortage(team, now) > 0 && this->IsAwaited(team)) {
+    this->ask(team);
+  }
   for (const Waiting& item : served) {
     item.answer(BudgetAnswer::kReserved);
   }
 }
 
+auto BudgetGate::IsAwaited(const std::string& team) const -> bool {
+  return std::any_of(this->waiting.begin(), this->waiting.end(),
+                     [&](const Waiting& item) { return item.team == team; });
+}
+
 auto BudgetGate::OnTimer() -> void {
   const Instant now = this->loop.Now();
   std::list<Waiting> late;
--- a/programs/gateway/budget_gate.h
+++ b/programs/gateway/budget_gate.h
@@ -74,6 +74,7 @@
     OnAnswer answer;
   };
 
+  [[nodiscard]] auto IsAwaited(const std::string& team) const -> bool;
   auto OnTimer() -> void;
   auto UpdateWanted(const std::string& team) -> void;
   auto StartTimer() -> void;
--- a/programs/gateway/fleet_link.cc
+++ b/programs/gateway/fleet_link.cc
@@ -1,5 +1,6 @@
 #include "gateway/fleet_link.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "al_edge/loop/event_loop.h"
@@ -20,6 +21,10 @@
 /** Pause between reads of the topic without news. */
 constexpr Duration kReadPause = std::chrono::milliseconds(400);
 
+/** Routers that hold the reserve of one team: enough that the loss of one leaves
+   most of it, few enough that a share covers a large request. */
+constexpr int kReserveHolders = 6;
+
 /** How long requests that wait for an allowance are gathered. */
 constexpr Duration kGatherPause = std::chrono::milliseconds(2);
 
@@ -124,6 +129,11 @@
   return this->routers.CountAlive(this->read_at);
 }
 
+auto FleetLink::HoldsReserve(std::string_view team) const -> bool {
+  return this->routers.IsAmongFirst(
+      team, std::min(this->CountAlive(), kReserveHolders), this->read_at);
+}
+
 auto FleetLink::IsAliveNow() const -> AllowanceLedger::IsAlive {
   return [this](std::string_view holder) {
     return holder == this->self.incarnation ||
@@ -164,13 +174,25 @@
   const Instant now = this->poller.loop().Now();
   const bool announce =
       this->announce_now || now - this->announced_at >= kAnnouncePause;
-  std::vector<AllowanceEntry> entries = this->desk.Plan(
-      this->allowances, this->IsAliveNow(), this->CountAlive(), announce, now);
+  std::vector<AllowanceEntry> entries =
+      this->desk.Plan(this->allowances, this->View(), announce, now);
   if (announce || !entries.empty()) {
     this->AppendBatch(std::move(entries), announce);
   }
 }
 
+auto FleetLink::View() const -> FleetView {
+  FleetView view;
+  view.routers = this->CountAlive();
+  view.reserve_holders = std::min(view.routers, kReserveHolders);
+  view.holds_reserve = [this, count = view.reserve_holders](
+                           std::string_view team) {
+    return this->routers.IsAmongFirst(team, count, this->read_at);
+  };
+  view.is_alive = this->IsAliveNow();
+  return view;
+}
+
 auto FleetLink::AppendBatch(std::vector<AllowanceEntry> entries, bool announce)
     -> void {
   std::vector<KeyedRecord> records;
--- a/programs/gateway/fleet_link.h
+++ b/programs/gateway/fleet_link.h
@@ -72,12 +72,15 @@
   /** When the topic was last read; what the registry says is as of then. */
   [[nodiscard]] auto as_of() const -> Instant { return this->read_at; }
   [[nodiscard]] auto CountAlive() const -> int;
+  /** Whether this router holds a part of the team's reserve. */
+  [[nodiscard]] auto HoldsReserve(std::string_view team) const -> bool;
   [[nodiscard]] auto IsAliveNow() const -> AllowanceLedger::IsAlive;
 
  private:
   auto OnContact(bool answered) -> void;
   auto OnTick() -> void;
   auto Write() -> void;
+  [[nodiscard]] auto View() const -> FleetView;
   auto AppendBatch(std::vector<AllowanceEntry> entries, bool announce) -> void;
   auto OnRecord(const KeyedRecord& record) -> void;
   auto OnRouterRecord(const std::string& bytes) -> void;
--- a/programs/gateway/gateway_daemon.cc
+++ b/programs/gateway/gateway_daemon.cc
@@ -91,13 +91,19 @@
           this->log,
           {[this](const std::string& team) { this->budgets.TryWaiting(team); },
            [this](bool answered) { this->OnContact(answered); }}),
-      peers(
-          this->poller,
-          this->options.self.incarnation,
-          this->desk,
-          this->fleet,
-          this->log,
-          [this](const std::string& team) { this->budgets.TryWaiting(team); }),
+      peers(this->poller,
+            this->options.self.incarnation,
+            this->desk,
+            this->fleet,
+            this->log,
+            {[this](const std::string& team) {
+               this->budgets.TryWaiting(team);
+             },
+             [this](const std::string& /*team*/) {
+               if (this->context.log_in_touch) {
+                 this->fleet.AskSoon();
+               }
+             }}),
       tick(std::make_unique<LoopTimer>(loop, [this] { this->OnTick(); })),
       drain_tick(
           std::make_unique<LoopTimer>(loop, [this] { this->OnDrainTick(); })) {
@@ -309,16 +315,17 @@
 }
 
 auto GatewayDaemon::OnShortage(const std::string& team) -> void {
-  const std::uint64_t budget = this->desk.BudgetOf(team);
-  const std::uint64_t taken = this->fleet.ledger().Taken(team);
-  const std::uint64_t pool = budget - std::min(budget, taken);
-  if (this->context.log_in_touch) {
+  // A holder of the reserve goes to the log, where it is filled; the others go
+  // to the holders, which answer sooner and spare the log their entries.
+  if (this->context.log_in_touch && this->fleet.HoldsReserve(team)) {
     this->fleet.AskSoon();
+    const std::uint64_t budget = this->desk.BudgetOf(team);
+    const std::uint64_t taken = this->fleet.ledger().Taken(team);
+    if (budget >= taken + this->desk.Shortage(team, this->loop.Now())) {
+      return;
+    }
   }
-  if (!this->context.log_in_touch ||
-      pool < this->desk.Shortage(team, this->loop.Now())) {
-    this->peers.AskFor(team);
-  }
+  this->peers.AskFor(team);
 }
 
 auto GatewayDaemon::OnTick() -> void {
--- a/programs/gateway/peer_link.cc
+++ b/programs/gateway/peer_link.cc
@@ -3,7 +3,9 @@
 #include <algorithm>
 #include <utility>
 
+#include "al_core/text/digest.h"
 #include "al_edge/loop/event_loop.h"
+#include "al_edge/loop/loop_timer.h"
 #include "fleet.pb.h"
 
 namespace auburnloft::gateway {
@@ -14,45 +16,64 @@
 constexpr int kBadRequest = 400;
 constexpr std::string_view kAskPath = "/allowance";
 
-/** How long another router may take to answer: some round trips between failure
-   domains, and a lost packet. */
+/** How long another router's answer is waited for. */
 constexpr Duration kAnswerLimit = std::chrono::milliseconds(250);
 
-/** Routers asked at once. */
-constexpr std::size_t kMostAsked = 3;
+/** After this long without an answer the next router is asked as well: some
+   round trips between failure domains. */
+constexpr Duration kNextAfter = std::chrono::milliseconds(15);
+
+/** Routers asked in one round. */
+constexpr int kMostAsked = 8;
+
+/** How long a router is passed over that gave less than it was asked for. */
+constexpr Duration kDrainedFor = std::chrono::milliseconds(1'000);
 
 /** Connections kept to one router: asks for several teams at once. */
 constexpr std::size_t kMostCallers = 2;
 
+auto DrainedKey(const std::string& team, const std::string& peer)
+    -> std::string {
+  return team + "/" + peer;
+}
+
 }  // namespace
 
+/** Asks for one team, from one router to the next. */
+struct PeerLink::Round {
+  std::string team;
+  std::vector<Peer> peers;  ///< Not asked yet, in their order.
+  int open = 0;             ///< Asked and not answered.
+  std::unique_ptr<LoopTimer> next;
+};
+
 PeerLink::PeerLink(SocketPoller& poller,
                    std::string own_incarnation,
                    AllowanceDesk& desk,
                    const FleetLink& fleet,
                    DecisionLog& log,
-                   OnReceived on_received)
+                   Callbacks callbacks)
     : poller(poller),
       self(std::move(own_incarnation)),
       desk(desk),
       fleet(fleet),
       log(log),
-      received(std::move(on_received)) {}
+      calls(std::move(callbacks)) {}
 
 PeerLink::~PeerLink() = default;
 
 auto PeerLink::AskFor(const std::string& team) -> void {
-  if (this->asks_open[team] > 0) {
+  std::unique_ptr<Round>& round = this->rounds[team];
+  if (round && (round->open > 0 || round->next->running())) {
     return;
   }
-  const std::uint64_t tokens =
-      this->desk.Shortage(team, this->poller.loop().Now());
-  if (tokens == 0) {
-    return;
-  }
-  for (const Peer& peer : this->RichestPeers(team)) {
-    this->Ask(peer, team, tokens);
-  }
+  round = std::make_unique<Round>();
+  round->team = team;
+  round->peers = this->PeersWith(team);
+  round->next = std::make_unique<LoopTimer>(
+      this->poller.loop(),
+      [this, started = round.get()] { this->AskNext(*started); });
+  this->AskNext(*round);
 }
 
 auto PeerLink::OnAsk(Http1ServerSession& session, const Http1Request& request)
@@ -65,15 +86,17 @@
     session.Answer(head, {});
     return;
   }
+  const Instant now = this->poller.loop().Now();
   wire::AllowanceGift gift;
   gift.set_team(ask.team());
-  gift.set_tokens(this->desk.Give(ask.team(), ask.tokens()));
+  gift.set_tokens(this->desk.Give(ask.team(), ask.tokens(), now));
   this->log.Line(DecisionLog::Weight::kRoutine, "allowance_given",
                  {{"team", ask.team()},
                   {"asker", ask.asker()},
                   {"asked", ask.tokens()},
-                  {"given", gift.tokens()}},
-                 this->poller.loop().Now());
+                  {"given", gift.tokens()},
+                  {"available", this->desk.Available(ask.team())}},
+                 now);
   head.status = kOk;
   head.reason = "OK";
   session.Answer(head, gift.SerializeAsString());
@@ -81,12 +104,14 @@
 
 //==============================================================================
 
-auto PeerLink::RichestPeers(const std::string& team) const
-    -> std::vector<Peer> {
+auto PeerLink::PeersWith(const std::string& team) const -> std::vector<Peer> {
+  const Instant now = this->poller.loop().Now();
   std::vector<Peer> peers;
-  this->fleet.ledger().VisitAll([&](const AllowanceEntry& entry) {
-    if (entry.team != team || entry.holder == this->self ||
-        entry.taken_tokens <= entry.settled_tokens) {
+  this->fleet.ledger().VisitTeam(team, [&](const AllowanceEntry& entry) {
+    const auto passed = this->drained.find(DrainedKey(team, entry.holder));
+    if (entry.holder == this->self ||
+        entry.taken_tokens <= entry.settled_tokens ||
+        (passed != this->drained.end() && now - passed->second < kDrainedFor)) {
       return;
     }
     if (const RouterAnnouncement* const router =
@@ -96,23 +121,47 @@
                        entry.taken_tokens - entry.settled_tokens});
     }
   });
+  // The rich first; among equals each router begins with another one.
   std::sort(peers.begin(), peers.end(),
-            [](const Peer& left, const Peer& right) {
-              return left.unspent > right.unspent;
+            [this](const Peer& left, const Peer& right) {
+              if (left.unspent / 2 > right.unspent ||
+                  right.unspent / 2 > left.unspent) {
+                return left.unspent > right.unspent;
+              }
+              return StableHash(this->self, left.incarnation) >
+                     StableHash(this->self, right.incarnation);
             });
-  peers.resize(std::min(peers.size(), kMostAsked));
+  peers.resize(std::min<std::size_t>(peers.size(), kMostAsked));
   return peers;
 }
 
-auto PeerLink::Ask(const Peer& peer,
-                   const std::string& team,
-                   std::uint64_t tokens) -> void {
+auto PeerLink::AskNext(Round& round) -> void {
+  const std::uint64_t tokens =
+      this->desk.Shortage(round.team, this->poller.loop().Now());
+  if (tokens == 0) {
+    return;
+  }
+  while (!round.peers.empty()) {
+    const Peer peer = round.peers.front();
+    round.peers.erase(round.peers.begin());
+    if (this->Ask(peer, round, tokens)) {
+      round.next->Start(kNextAfter);
+      return;
+    }
+  }
+  if (round.open == 0) {
+    this->calls.on_exhausted(round.team);
+  }
+}
+
+auto PeerLink::Ask(const Peer& peer, Round& round, std::uint64_t tokens)
+    -> bool {
   Http1Caller* const caller = this->CallerTo(peer);
   if (caller == nullptr) {
-    return;
+    return false;
   }
   wire::AllowanceAsk ask;
-  ask.set_team(team);
+  ask.set_team(round.team);
   ask.set_tokens(tokens);
   ask.set_asker(this->self);
   Http1Request request;
@@ -120,32 +169,44 @@
   request.target = std::string(kAskPath);
   request.fields.Add("Host", "peer");
   request.body = ask.SerializeAsString();
-  ++this->asks_open[team];
+  ++round.open;
   caller->Call(request, kAnswerLimit,
-               [this, team, name = peer.incarnation](
+               [this, peer, team = round.team, tokens](
                    const std::optional<Http1Caller::Reply>& reply) {
-                 this->OnGift(name, team, reply);
+                 this->OnGift(peer, team, tokens, reply);
                });
+  return true;
 }
 
-auto PeerLink::OnGift(const std::string& peer,
+auto PeerLink::OnGift(const Peer& peer,
                       const std::string& team,
+                      std::uint64_t asked,
                       const std::optional<Http1Caller::Reply>& reply) -> void {
-  --this->asks_open[team];
+  const Instant now = this->poller.loop().Now();
+  Round& round = *this->rounds[team];
   wire::AllowanceGift gift;
-  if (!reply || reply->status != kOk || !gift.ParseFromString(reply->body) ||
-      gift.team() != team) {
-    this->log.Line(DecisionLog::Weight::kNotable, "allowance_ask_failed",
-                   {{"team", team}, {"peer", peer}}, this->poller.loop().Now());
-    return;
+  const bool answered = reply && reply->status == kOk &&
+                        gift.ParseFromString(reply->body) &&
+                        gift.team() == team;
+  if (!answered || gift.tokens() < asked) {
+    this->drained[DrainedKey(team, peer.incarnation)] = now;
   }
-  if (gift.tokens() > 0) {
+  this->log.Line(answered ? DecisionLog::Weight::kRoutine
+                          : DecisionLog::Weight::kNotable,
+                 answered ? "allowance_received" : "allowance_ask_failed",
+                 {{"team", team},
+                  {"peer", peer.incarnation},
+                  {"asked", asked},
+                  {"tokens", gift.tokens()},
+                  {"seemed", peer.unspent}},
+                 now);
+  round.next->Stop();
+  if (answered && gift.tokens() > 0) {
     this->desk.Receive(team, gift.tokens());
-    this->log.Line(DecisionLog::Weight::kRoutine, "allowance_received",
-                   {{"team", team}, {"peer", peer}, {"tokens", gift.tokens()}},
-                   this->poller.loop().Now());
-    this->received(team);
+    this->calls.on_received(team);  // May ask again: the round is still open.
   }
+  --round.open;
+  this->AskNext(round);
 }
 
 auto PeerLink::CallerTo(const Peer& peer) -> Http1Caller* {
--- a/programs/gateway/peer_link.h
+++ b/programs/gateway/peer_link.h
@@ -5,6 +5,8 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -16,31 +18,37 @@
 
 namespace auburnloft::gateway {
 
-/** Allowances passed between routers without the log: while it is away, or when
-   all of a budget is out.
+/** Allowances passed between routers without the log: from those that hold a
+   team's reserve to those that are short of it.
 
-    The giver counts the tokens as spent before it answers; an answer that is
-   lost strands them, and never doubles them.
+    One router after the other is asked until nothing is short; one that is slow
+   to answer does not hold the next one up. The giver counts the tokens as spent
+   before it answers; an answer that is lost strands them, and never doubles them.
 
     Thread safety: none; used on the loop's thread.
 */
 class PeerLink {
  public:
-  using OnReceived = std::function<void(const std::string& team)>;
+  struct Callbacks {
+    /** Tokens of a team came. */
+    std::function<void(const std::string& team)> on_received;
+    /** All routers were asked, and tokens are still short. */
+    std::function<void(const std::string& team)> on_exhausted;
+  };
 
   PeerLink(SocketPoller& poller,
            std::string own_incarnation,
            AllowanceDesk& desk,
            const FleetLink& fleet,
            DecisionLog& log,
-           OnReceived on_received);
+           Callbacks callbacks);
   ~PeerLink();
 
   PeerLink(const PeerLink&) = delete;
   auto operator=(const PeerLink&) -> PeerLink& = delete;
 
-  /** Asks the routers that seem to have most of the team's budget in hand for
-     what is short. Does nothing while an ask for the team is under way. */
+  /** Asks for what is short of a team's budget. Does nothing while a round for
+     the team is under way. */
   auto AskFor(const std::string& team) -> void;
 
   /** Answers another router's ask. */
@@ -52,13 +60,15 @@
     std::string address;
     std::uint64_t unspent = 0;  ///< As its last entry tells.
   };
+  struct Round;
 
-  [[nodiscard]] auto RichestPeers(const std::string& team) const
+  [[nodiscard]] auto PeersWith(const std::string& team) const
       -> std::vector<Peer>;
-  auto Ask(const Peer& peer, const std::string& team, std::uint64_t tokens)
-      -> void;
-  auto OnGift(const std::string& peer,
+  auto AskNext(Round& round) -> void;
+  auto Ask(const Peer& peer, Round& round, std::uint64_t tokens) -> bool;
+  auto OnGift(const Peer& peer,
               const std::string& team,
+              std::uint64_t asked,
               const std::optional<Http1Caller::Reply>& reply) -> void;
   auto CallerTo(const Peer& peer) -> Http1Caller*;
 
@@ -67,9 +77,10 @@
   AllowanceDesk& desk;
   const FleetLink& fleet;
   DecisionLog& log;
-  OnReceived received;
+  Callbacks calls;
   std::map<std::string, std::vector<std::unique_ptr<Http1Caller>>> callers;
-  std::map<std::string, int> asks_open;  ///< By team.
+  std::map<std::string, std::unique_ptr<Round>> rounds;  ///< By team.
+  std::map<std::string, Instant> drained;  ///< By team and peer: when it was.
 };
 
 }  // namespace auburnloft::gateway
--- a/tests/gateway/allowance_test.cc
+++ b/tests/gateway/allowance_test.cc
@@ -18,6 +18,13 @@
   return entry;
 }
 
+auto AloneInTheFleet() -> FleetView {
+  FleetView view;
+  view.holds_reserve = [](std::string_view /*team*/) { return true; };
+  view.is_alive = [](std::string_view /*holder*/) { return true; };
+  return view;
+}
+
 }  // namespace
 
 TEST_GROUP(Allowance) {
@@ -36,9 +43,8 @@
   AllowanceDesk desk("a", AllowanceSettings());
   AllowanceLedger ledger;
   desk.SetBudget("team", 1'000);
-  const auto everybody = [](std::string_view /*holder*/) { return true; };
   const Instant now = FromUnixMillis(1'000);
-  auto entries = desk.Plan(ledger, everybody, 1, false, now);
+  auto entries = desk.Plan(ledger, AloneInTheFleet(), false, now);
   CHECK_EQUAL(1, entries.size());
   CHECK_FALSE(desk.TryReserve("team", 1, true, now));
   // Another holder took all of the budget before this entry.
@@ -47,7 +53,7 @@
   desk.OnRecorded(entries.front(), ledger.Taken("team"));
   CHECK_FALSE(desk.TryReserve("team", 1, false, now));
   // The invalid entry is withdrawn, so that it does not block others.
-  entries = desk.Plan(ledger, everybody, 1, false, now);
+  entries = desk.Plan(ledger, AloneInTheFleet(), false, now);
   CHECK_EQUAL(1, entries.size());
   CHECK_EQUAL(0, entries.front().taken_tokens);
 }
@@ -56,9 +62,8 @@
   AllowanceDesk desk("a", AllowanceSettings());
   AllowanceLedger ledger;
   desk.SetBudget("team", 1'000);
-  const auto everybody = [](std::string_view /*holder*/) { return true; };
   const auto entries =
-      desk.Plan(ledger, everybody, 1, false, FromUnixMillis(1'000));
+      desk.Plan(ledger, AloneInTheFleet(), false, FromUnixMillis(1'000));
   ledger.Apply(entries.front());
   desk.OnRecorded(entries.front(), ledger.Taken("team"));
   CHECK_TRUE(desk.Available("team") > 0);
@@ -71,13 +76,12 @@
   AllowanceDesk giver("a", AllowanceSettings());
   AllowanceLedger ledger;
   giver.SetBudget("team", 1'000);
-  const auto everybody = [](std::string_view /*holder*/) { return true; };
   const auto entries =
-      giver.Plan(ledger, everybody, 1, false, FromUnixMillis(1'000));
+      giver.Plan(ledger, AloneInTheFleet(), false, FromUnixMillis(1'000));
   ledger.Apply(entries.front());
   giver.OnRecorded(entries.front(), ledger.Taken("team"));
   const std::uint64_t before = giver.Available("team");
-  const std::uint64_t given = giver.Give("team", 40);
+  const std::uint64_t given = giver.Give("team", 40, FromUnixMillis(1'000));
   CHECK_EQUAL(40, given);
   CHECK_EQUAL(before - given, giver.Available("team"));
   // The entry that returns everything still covers the gift.
@@ -88,9 +92,8 @@
   AllowanceDesk desk("a", AllowanceSettings());
   AllowanceLedger ledger;
   desk.SetBudget("team", 1'000);
-  const auto everybody = [](std::string_view /*holder*/) { return true; };
   const auto entries =
-      desk.Plan(ledger, everybody, 1, false, FromUnixMillis(1'000));
+      desk.Plan(ledger, AloneInTheFleet(), false, FromUnixMillis(1'000));
   desk.OnHistoryLost();
   ledger.Apply(entries.front());
   desk.OnRecorded(entries.front(), ledger.Taken("team"));
@@ -124,6 +127,20 @@
   CHECK_TRUE((fleet.report().refused - before) * 50 < fleet.report().requests);
 }
 
+// Load pattern: many routers, each with few requests of the team, all cut off.
+TEST(Allowance, BearsACutOfAllInALargeFleetByAFewHoldersOfTheReserve) {
+  this->settings.routers = 85;
+  this->settings.budget = 3'000'000;
+  AllowanceFleet fleet(this->settings);
+  fleet.Run(seconds(8));
+  const std::uint64_t before = fleet.report().refused;
+  fleet.SetCut(-1, true);
+  fleet.Run(seconds(8));
+  CHECK_TRUE((fleet.report().refused - before) * 50 <
+             fleet.report().requests);
+  CHECK_FALSE(fleet.report().overspent);
+}
+
 TEST(Allowance, NeverOverspendsAfterATotalLoss) {
   AllowanceFleet fleet(this->settings);
   fleet.Run(seconds(10));
--- a/tests/support/allowance_fleet.cc
+++ b/tests/support/allowance_fleet.cc
@@ -224,10 +224,8 @@
     return;
   }
   const bool reports = this->now >= life.next_report;
-  std::vector<AllowanceEntry> entries = life.desk.Plan(
-      life.ledger,
-      [this](std::string_view holder) { return this->IsAlive(holder); },
-      this->settings.routers, reports, this->now);
+  std::vector<AllowanceEntry> entries =
+      life.desk.Plan(life.ledger, this->ViewOf(life), reports, this->now);
   if (reports) {
     life.next_report = this->now + kReportPause;
   }
@@ -248,6 +246,22 @@
   this->pending.push_back({life.holder, std::move(entries), at});
 }
 
+auto AllowanceFleet::ViewOf(const Life& life) const -> FleetView {
+  FleetView view;
+  view.routers = this->settings.routers;
+  view.reserve_holders =
+      std::min(this->settings.routers, this->settings.reserve_holders);
+  bool holds = false;
+  for (int i = 0; i < view.reserve_holders; ++i) {
+    holds = holds || this->lives[static_cast<std::size_t>(i)].get() == &life;
+  }
+  view.holds_reserve = [holds](std::string_view /*team*/) { return holds; };
+  view.is_alive = [this](std::string_view holder) {
+    return this->IsAlive(holder);
+  };
+  return view;
+}
+
 auto AllowanceFleet::AskOthers(Life& life) -> void {
   for (const auto& other : this->lives) {
     const std::uint64_t short_of = life.desk.Shortage(kTeam, this->now);
@@ -258,7 +272,7 @@
       continue;
     }
     const std::uint64_t given = this->settings.charges_gifts
-                                    ? other->desk.Give(kTeam, short_of)
+                                    ? other->desk.Give(kTeam, short_of, this->now)
                                     : short_of;
     life.desk.Receive(kTeam, given);
     this->seen.gifts += given > 0 ? 1 : 0;
--- a/tests/support/allowance_fleet.h
+++ b/tests/support/allowance_fleet.h
@@ -24,6 +24,7 @@
  public:
   struct Settings {
     int routers = 6;
+    int reserve_holders = 6;
     std::uint64_t budget = 1'000'000;
     double requests_per_second = 20.0;  ///< Of the whole fleet.
     std::uint64_t most_tokens = 4'000;  ///< Of the largest request.
@@ -91,6 +92,7 @@
   auto ExecuteDue() -> void;
   auto Read(Life& life) -> void;
   auto PlanAndAppend(Life& life) -> void;
+  [[nodiscard]] auto ViewOf(const Life& life) const -> FleetView;
   auto AskOthers(Life& life) -> void;
   auto StartLife(std::size_t router) -> void;
   [[nodiscard]] auto IsAlive(std::string_view holder) const -> bool;
