--- a/standins/wire/wire_upstream.cc
+++ b/standins/wire/wire_upstream.cc
@@ -75,6 +75,9 @@
     return;
   }
   this->ran.push_back(id);
+  if (this->fault == Fault::kSilent) {
+    return;
+  }
   if (this->fault == Fault::kAnswerLost) {
     session->Abort();
   } else if (this->fault == Fault::kFails) {
--- a/standins/wire/wire_upstream.h
+++ b/standins/wire/wire_upstream.h
@@ -41,6 +41,7 @@
     kBreaksStream,  ///< Closes in the middle of the second event.
     kExtraAnswer,   ///< Sends another request's answer first.
     kFails,         ///< Answers 500.
+    kSilent,        ///< Runs, and never answers.
   };
 
   WireUpstream(SocketPoller& poller, Settings settings);
--- a/tests/gateway/gateway_session_test.cc
+++ b/tests/gateway/gateway_session_test.cc
@@ -141,6 +141,19 @@
                      this->fixture.engine_2->runs().size());
 }
 
+TEST(GatewaySessions, GivesASilentStreamUpSoThatItsCallerMayComeAgain) {
+  this->fixture.Publish(1, 10'000);
+  this->fixture.engine_1->SetFault(WireUpstream::Fault::kSilent);
+  this->fixture.engine_2->SetFault(WireUpstream::Fault::kSilent);
+  const Instant start = this->fixture.loop.Now();
+  CHECK_EQUAL(504, this->Call("a1", "/ask/", "10,20").status);
+  // The route's time-out is 4 s; both upstreams were tried before.
+  CHECK_TRUE(this->fixture.loop.Now() - start > seconds(2));
+  CHECK_TRUE(this->fixture.loop.Now() - start < milliseconds(3'700));
+  CHECK_EQUAL(2, this->fixture.engine_1->runs().size() +
+                     this->fixture.engine_2->runs().size());
+}
+
 TEST(GatewaySessions, GivesNoCallerAnotherRequestsAnswer) {
   this->fixture.Publish(1, 1'000);
   this->fixture.desk_1->SetFault(WireUpstream::Fault::kExtraAnswer);
--- a/tests/support/gateway_fixture.cc
+++ b/tests/support/gateway_fixture.cc
@@ -80,7 +80,7 @@
       {"Name":"once","Host":"h","PathPrefix":"/once/","Type":"unsafe","Service":"desks","TimeoutMs":2000,"SloMs":300,"MaxAttempts":1},
       {"Name":"read","Host":"h","PathPrefix":"/read/","Type":"safe","Service":"desks","TimeoutMs":2000,"SloMs":300,"MaxAttempts":2},
       {"Name":"draft","Host":"h","PathPrefix":"/draft/","Type":"streaming","Service":"engines","TimeoutMs":4000,"SloMs":800,"MaxAttempts":1},
-      {"Name":"ask","Host":"h","PathPrefix":"/ask/","Type":"streaming","Service":"engines","TimeoutMs":4000,"SloMs":800,"MaxAttempts":2,"Resumable":true,"GapTargetMs":400}],
+      {"Name":"ask","Host":"h","PathPrefix":"/ask/","Type":"streaming","Service":"engines","TimeoutMs":4000,"SloMs":300,"MaxAttempts":2,"Resumable":true,"GapTargetMs":400}],
       "Services":[{"Name":"engines","MaxConns":100,"Engine":{"BatchSlots":8,"Stride":5}},{"Name":"desks","MaxConns":100}],
       "Limits":{"MaxHeaderBytes":4096,"MaxBodyBytes":1000,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000},
       "Tenants":[{"Name":"blue","ApiKeys":["blue-key"],"Prepaid":)" +
