--- a/modules/al_gateway/prepaid/allowance_desk.cc
+++ b/modules/al_gateway/prepaid/allowance_desk.cc
@@ -30,6 +30,14 @@
 /** An allowance above this multiple of its target is returned. */
 constexpr double kSurplus = 1.25;
 
+/** Weight of the newest request in the mean size of requests. */
+constexpr double kNewestWeight = 0.1;
+
+/** Requests a second from which a router holds tokens for those to come. In a
+   large fleet each router sees few requests of a team, and tokens held for them
+   everywhere would add up to most of a budget. */
+constexpr double kSteadyRequests = 2.0;
+
 /** The shortest time over which a rate is measured, in seconds. */
 constexpr double kLeastMeasuredSeconds = 2.0;
 
@@ -61,6 +69,10 @@
                                Instant now) -> bool {
   Account& account = this->accounts[std::string(team)];
   if (first_try) {
+    const auto size = static_cast<double>(tokens);
+    account.mean_request +=
+        (account.mean_request > 0.0 ? kNewestWeight : 1.0) *
+        (size - account.mean_request);
     if (account.demand_since == Instant()) {
       account.demand_since = now;
     }
@@ -150,7 +162,8 @@
   }
   Account& account = found->second;
   const auto kept =
-      static_cast<std::uint64_t>(kWorkingSeconds * DemandOf(account, now));
+      static_cast<std::uint64_t>(kWorkingSeconds *
+                                 SteadyDemandOf(account, now));
   const std::uint64_t given = std::min(asked, Minus(account.available(), kept));
   account.settled += given;
   return given;
@@ -202,7 +215,7 @@
     return 0;
   }
   const Account& account = found->second;
-  const double soon = kAskedSeconds * DemandOf(account, now);
+  const double soon = kAskedSeconds * SteadyDemandOf(account, now);
   return Minus(account.waiting + static_cast<std::uint64_t>(soon),
                account.available());
 }
@@ -220,6 +233,12 @@
          (1.0 - std::exp(-measured / kDemandSeconds));
 }
 
+auto AllowanceDesk::SteadyDemandOf(const Account& account, Instant now)
+    -> double {
+  const double demand = DemandOf(account, now);
+  return demand >= kSteadyRequests * account.mean_request ? demand : 0.0;
+}
+
 auto AllowanceDesk::TargetOf(std::string_view team,
                              const Account& account,
                              const AllowanceLedger::Totals& totals,
@@ -228,8 +247,8 @@
   const double demand = DemandOf(account, now);
   const auto left = static_cast<double>(
       Minus(account.prepaid, totals.taken_by_dead + totals.settled_by_living));
-  const double working =
-      std::min(demand * kWorkingSeconds, left * kDividedPart);
+  const double working = std::min(
+      SteadyDemandOf(account, now) * kWorkingSeconds, left * kDividedPart);
   if (!fleet.holds_reserve(team)) {
     return static_cast<std::uint64_t>(working);
   }
--- a/modules/al_gateway/prepaid/allowance_desk.h
+++ b/modules/al_gateway/prepaid/allowance_desk.h
@@ -145,6 +145,7 @@
     double demand = 0.0;  ///< Tokens a second, as of `demand_at`.
     Instant demand_at{};
     Instant demand_since{};  ///< Of the first request.
+    double mean_request = 0.0;  ///< Tokens of a request at its most.
     std::uint64_t pending_revision = 0;
 
     /** Spent or reserved of what the entries cover; what was received goes
@@ -166,6 +167,9 @@
   /** Tokens that requests ask for, a second. */
   [[nodiscard]] static auto DemandOf(const Account& account, Instant now)
       -> double;
+  /** The same where requests come often enough to hold tokens for them. */
+  [[nodiscard]] static auto SteadyDemandOf(const Account& account, Instant now)
+      -> double;
   [[nodiscard]] auto TargetOf(std::string_view team,
                               const Account& account,
                               const AllowanceLedger::Totals& totals,
