--- a/modules/al_gateway/prepaid/allowance_desk.cc
+++ b/modules/al_gateway/prepaid/allowance_desk.cc
@@ -30,6 +30,9 @@
 /** An allowance above this multiple of its target is returned. */
 constexpr double kSurplus = 1.25;
 
+/** A demand that fell below this part of what was last written is news. */
+constexpr double kFallenDemand = 0.5;
+
 /** Weight of the newest request in the mean size of requests. */
 constexpr double kNewestWeight = 0.1;
 
@@ -118,7 +121,7 @@
         this->TakenAfter(account, totals, target, fleet.reserve_holders);
     const bool withdraws = account.written > account.spendable;
     if (taken != account.written || withdraws ||
-        (reports && account.settled_of_entries() != account.settled_written)) {
+        (reports && IsNews(account, now))) {
       entries.push_back(this->EntryOf(team, account, taken, now));
     }
   }
@@ -233,6 +236,15 @@
          (1.0 - std::exp(-measured / kDemandSeconds));
 }
 
+auto AllowanceDesk::IsNews(const Account& account, Instant now) -> bool {
+  if (account.settled_of_entries() != account.settled_written) {
+    return true;
+  }
+  // A demand that has ended is told once, or others would go on to cover it.
+  return DemandOf(account, now) < account.demand_written * kFallenDemand &&
+         account.demand_written > account.mean_request * kFallenDemand;
+}
+
 auto AllowanceDesk::SteadyDemandOf(const Account& account, Instant now)
     -> double {
   const double demand = DemandOf(account, now);
@@ -305,6 +317,7 @@
   entry.revision = ++this->last_revision;
   account.written = taken;
   account.settled_written = entry.settled_tokens;
+  account.demand_written = entry.demand_per_second;
   account.pending_revision = entry.revision;
   return entry;
 }
--- a/modules/al_gateway/prepaid/allowance_desk.h
+++ b/modules/al_gateway/prepaid/allowance_desk.h
@@ -145,6 +145,7 @@
     double demand = 0.0;  ///< Tokens a second, as of `demand_at`.
     Instant demand_at{};
     Instant demand_since{};  ///< Of the first request.
+    double demand_written = 0.0;
     double mean_request = 0.0;  ///< Tokens of a request at its most.
     std::uint64_t pending_revision = 0;
 
@@ -167,6 +168,9 @@
   /** Tokens that requests ask for, a second. */
   [[nodiscard]] static auto DemandOf(const Account& account, Instant now)
       -> double;
+  /** Whether what the last entry tells of use and demand is outdated. */
+  [[nodiscard]] static auto IsNews(const Account& account, Instant now) -> bool;
+
   /** The same where requests come often enough to hold tokens for them. */
   [[nodiscard]] static auto SteadyDemandOf(const Account& account, Instant now)
       -> double;
