--- a/modules/al_gateway/upstreams/upstream_chooser.cc
+++ b/modules/al_gateway/upstreams/upstream_chooser.cc
@@ -15,7 +15,7 @@
 
 /** What it weighs to read a shared token again that another engine keeps: it
    also delays the events of all requests that run there. */
-constexpr double kSharedMsPerToken = 0.08;
+constexpr double kSharedMsPerToken = 0.15;
 
 /** Other routers send work too: how much more waits than this router knows. */
 constexpr double kUnseenWork = 2.0;
