--- a/bench/allowance_main.cc
+++ b/bench/allowance_main.cc
@@ -1,5 +1,5 @@
-// Compares ways to hold budgets, in virtual time: one team, a cut of all routers
-// off the log, then a loss of all routers.
+// Compares ways to hold budgets, in virtual time: one team, a cut of all
+// routers off the log, then a loss of all routers.
 #include <array>
 #include <cstdio>
 #include <string_view>
@@ -43,8 +43,8 @@
   fleet.SetCut(-1, false);
   fleet.Run(kAfter);
   fleet.Kill(-1);
-  const double asked =
-      static_cast<double>(after.requests) - static_cast<double>(before.requests);
+  const double asked = static_cast<double>(after.requests) -
+                       static_cast<double>(before.requests);
   const double refused = static_cast<double>(after.refused_falsely) -
                          static_cast<double>(before.refused_falsely);
   const double node_seconds = routers * ToSeconds(kBefore);
--- /dev/null
+++ b/modules/al_gateway/limits/attempt_patience.cc
@@ -0,0 +1,52 @@
+#include "al_gateway/limits/attempt_patience.h"
+
+#include <algorithm>
+
+namespace auburnloft::gateway {
+
+namespace {
+
+/** An eighth of the objective: some round trips to the log. A caller that is
+   refused so early can come back in time. */
+constexpr double kAllowancePart = 0.12;
+
+/** An attempt is given up for another one after this multiple of the objective,
+   but not before the least: the longest usual work of a plain service. */
+constexpr double kFirstByteMultiple = 1.5;
+constexpr Duration kLeastFirstByte = std::chrono::milliseconds(250);
+
+/** A stream goes on elsewhere after this multiple of the longest pause that
+   still counts as on time. */
+constexpr double kPauseMultiple = 2.5;
+
+/** Callers abandon a stream at four times the objective or two seconds. */
+constexpr double kSilenceMultiple = 4.0;
+constexpr Duration kLeastSilence = std::chrono::milliseconds(2'000);
+
+auto Scaled(Duration duration, double factor) -> Duration {
+  return Duration(static_cast<std::int64_t>(
+      static_cast<double>(duration.count()) * factor));
+}
+
+}  // namespace
+
+auto AllowancePatience(const RouteRule& route) -> Duration {
+  return Scaled(route.latency_objective, kAllowancePart);
+}
+
+auto FirstBytePatience(const RouteRule& route) -> Duration {
+  return std::max(kLeastFirstByte,
+                  Scaled(route.latency_objective, kFirstByteMultiple));
+}
+
+auto PausePatience(const RouteRule& route) -> Duration {
+  return std::max(kLeastFirstByte,
+                  Scaled(route.pause_objective, kPauseMultiple));
+}
+
+auto SilencePatience(const RouteRule& route) -> Duration {
+  return std::max(kLeastSilence,
+                  Scaled(route.latency_objective, kSilenceMultiple));
+}
+
+}  // namespace auburnloft::gateway
--- /dev/null
+++ b/modules/al_gateway/limits/attempt_patience.h
@@ -0,0 +1,25 @@
+#ifndef AL_GATEWAY_LIMITS_ATTEMPT_PATIENCE_H_
+#define AL_GATEWAY_LIMITS_ATTEMPT_PATIENCE_H_
+
+#include "al_core/time/instant.h"
+#include "al_gateway/model/fleet_config.h"
+
+/** How long a request waits for what, from the objectives of its route. */
+namespace auburnloft::gateway {
+
+/** For an allowance of its team. */
+[[nodiscard]] auto AllowancePatience(const RouteRule& route) -> Duration;
+
+/** For the first byte of an attempt that may be repeated elsewhere. */
+[[nodiscard]] auto FirstBytePatience(const RouteRule& route) -> Duration;
+
+/** For the next event of a stream that may go on elsewhere. */
+[[nodiscard]] auto PausePatience(const RouteRule& route) -> Duration;
+
+/** For the first event of a stream that may be repeated, when no attempt is
+   left: its caller is told then, and may send it again. */
+[[nodiscard]] auto SilencePatience(const RouteRule& route) -> Duration;
+
+}  // namespace auburnloft::gateway
+
+#endif  // AL_GATEWAY_LIMITS_ATTEMPT_PATIENCE_H_
--- a/modules/al_gateway/prepaid/allowance_desk.cc
+++ b/modules/al_gateway/prepaid/allowance_desk.cc
@@ -73,9 +73,8 @@
   Account& account = this->accounts[std::string(team)];
   if (first_try) {
     const auto size = static_cast<double>(tokens);
-    account.mean_request +=
-        (account.mean_request > 0.0 ? kNewestWeight : 1.0) *
-        (size - account.mean_request);
+    account.mean_request += (account.mean_request > 0.0 ? kNewestWeight : 1.0) *
+                            (size - account.mean_request);
     if (account.demand_since == Instant()) {
       account.demand_since = now;
     }
@@ -164,9 +163,8 @@
     return 0;
   }
   Account& account = found->second;
-  const auto kept =
-      static_cast<std::uint64_t>(kWorkingSeconds *
-                                 SteadyDemandOf(account, now));
+  const auto kept = static_cast<std::uint64_t>(kWorkingSeconds *
+                                               SteadyDemandOf(account, now));
   const std::uint64_t given = std::min(asked, Minus(account.available(), kept));
   account.settled += given;
   return given;
--- a/programs/gateway/budget_gate.cc
+++ b/programs/gateway/budget_gate.cc
@@ -124,11 +124,11 @@
   if (this->waiting.empty()) {
     return;
   }
-  const auto first = std::min_element(
-      this->waiting.begin(), this->waiting.end(),
-      [](const Waiting& left, const Waiting& right) {
-        return left.until < right.until;
-      });
+  const auto first =
+      std::min_element(this->waiting.begin(), this->waiting.end(),
+                       [](const Waiting& left, const Waiting& right) {
+                         return left.until < right.until;
+                       });
   this->timer->Start(std::min(first->until - this->loop.Now(), kAskAgain));
 }
 
--- a/programs/gateway/gateway_daemon.cc
+++ b/programs/gateway/gateway_daemon.cc
@@ -1,10 +1,10 @@
 #include "gateway/gateway_daemon.h"
 
-#include <nlohmann/json.hpp>
 #include <utility>
 
 #include "al_edge/loop/loop_timer.h"
 #include "gateway/request_run.h"
+#include "gateway/state_dump.h"
 #include "platform/config_codec.h"
 #include "platform/entry_codec.h"
 #include "platform/request_codec.h"
@@ -385,35 +385,8 @@
 //==============================================================================
 
 auto GatewayDaemon::StateDump() const -> std::string {
-  nlohmann::json state;
-  state["router"] = this->options.self.name;
-  state["incarnation"] = this->options.self.incarnation;
-  state["config_version"] =
-      this->context.table ? this->context.table->config().version : 0;
-  state["log_in_touch"] = this->context.log_in_touch;
-  state["open_requests"] = this->context.open_requests;
-  state["sockets"] = this->poller.size();
-  state["upstreams"] = this->upstreams.size();
-  state["log_lines_left_out"] = this->log.dropped();
-  state["routers"] = nlohmann::json::array();
-  this->fleet.registry().VisitAll(
-      this->fleet.as_of(),
-      [&state](const RouterAnnouncement& router, bool alive) {
-        state["routers"].push_back({{"name", router.name},
-                                    {"incarnation", router.incarnation},
-                                    {"domain", router.domain},
-                                    {"alive", alive},
-                                    {"leaving", router.leaving},
-                                    {"config_version", router.config_version}});
-      });
-  state["allowances"] = nlohmann::json::array();
-  this->fleet.ledger().VisitAll([&state](const AllowanceEntry& entry) {
-    state["allowances"].push_back({{"team", entry.team},
-                                   {"holder", entry.holder},
-                                   {"taken", entry.taken_tokens},
-                                   {"settled", entry.settled_tokens}});
-  });
-  return state.dump();
+  return DumpState({this->options.self, this->context, this->fleet,
+                    this->upstreams.size(), this->poller.size()});
 }
 
 }  // namespace auburnloft::gateway
--- a/programs/gateway/request_run.cc
+++ b/programs/gateway/request_run.cc
@@ -1,10 +1,11 @@
 #include "gateway/request_run.h"
 
 #include <algorithm>
-#include <array>
 #include <utility>
 
 #include "al_edge/loop/loop_timer.h"
+#include "al_gateway/limits/attempt_patience.h"
+#include "al_gateway/routing/admission.h"
 #include "platform/request_codec.h"
 
 namespace auburnloft::gateway {
@@ -12,46 +13,20 @@
 namespace {
 
 constexpr int kOk = 200;
-constexpr int kUnauthorized = 401;
 constexpr int kPaymentRequired = 402;
-constexpr int kNotFound = 404;
 constexpr int kBadGateway = 502;
 constexpr int kUnavailable = 503;
 constexpr int kTimedOut = 504;
 constexpr int kFirstFailure = 500;
 constexpr int kFirstRedirect = 300;
 
-/** When a refused caller is to come back: work of the kind that fills the slots
-   has ended by then. */
-constexpr Duration kRetryAfter = std::chrono::milliseconds(300);
-
 /** Sends of one request that upstreams refused without running it. */
 constexpr int kMostSends = 3;
 
-/** The part of the latency objective for which a request waits for an
-   allowance: some round trips to the log. A caller that is refused so early can
-   come back in time. */
-constexpr double kBudgetWaitPart = 0.12;
-
 /** When a caller is to come back that found no allowance: streams that hold
    reservations have ended by then, or the log has given more. */
 constexpr Duration kRetryAfterAllowance = std::chrono::milliseconds(1'000);
 
-/** An attempt that may be repeated is given up for another one after this
-   multiple of the latency objective, but not before the least. */
-constexpr double kAttemptPatience = 1.5;
-constexpr Duration kLeastAttemptPatience = std::chrono::milliseconds(250);
-
-/** A resumable stream goes on elsewhere after this multiple of the longest
-   pause that still counts as on time. */
-constexpr double kPausePatience = 2.5;
-
-/** A stream that may be repeated, and for which no attempt is left, is given up
-   when no event came for this multiple of the objective, but not before the
-   least: callers abandon it at four times the objective or two seconds. */
-constexpr double kSilencePatience = 4.0;
-constexpr Duration kLeastSilence = std::chrono::milliseconds(2'000);
-
 /** Unsent bytes to a caller at which reading from the upstream pauses. */
 constexpr std::size_t kMostUnsent = 128 * 1024;
 
@@ -60,11 +35,6 @@
 constexpr double kUsedConnections = 0.9;
 constexpr int kLeastConnections = 4;
 
-auto Scaled(Duration duration, double factor) -> Duration {
-  return Duration(static_cast<std::int64_t>(
-      static_cast<double>(duration.count()) * factor));
-}
-
 }  // namespace
 
 RequestRun::RequestRun(GatewayContext& context,
@@ -86,33 +56,23 @@
       {[this] { this->OnCallerGone(); },
        [this] {
          if (this->attempt) {
-           this->attempt->connection->PauseReading(false);
+           this->attempt->connection().PauseReading(false);
          }
        }});
-  this->Admit();
+  this->Begin();
 }
 
 //==============================================================================
 // Before the first send
 
-auto RequestRun::Admit() -> void {
-  if (!this->table) {
-    this->Refuse(kUnavailable, "no configuration yet", kRetryAfter);
-    return;
-  }
-  this->route = this->table->FindRoute(this->facts.host, this->facts.path);
-  if (this->route == nullptr) {
-    this->Refuse(kNotFound, "no route", Duration(0));
-    return;
-  }
-  if (this->facts.key) {
-    this->team = this->table->FindTeam(*this->facts.key);
-  }
-  if (this->team == nullptr && this->route->needs_key &&
-      !this->table->config().teams.empty()) {
-    this->Refuse(kUnauthorized, "unknown key", Duration(0));
+auto RequestRun::Begin() -> void {
+  const auto decided = Admit(this->table.get(), this->facts);
+  if (const OwnAnswer* const refusal = std::get_if<OwnAnswer>(&decided)) {
+    this->Refuse(refusal->status, refusal->why, refusal->retry_after);
     return;
   }
+  this->route = std::get<Admission>(decided).route;
+  this->team = std::get<Admission>(decided).team;
   const Duration patience =
       this->facts.patience
           ? std::min(*this->facts.patience, this->route->timeout)
@@ -135,10 +95,9 @@
     this->Dispatch();
     return;
   }
-  const Duration wait = Scaled(this->route->latency_objective, kBudgetWaitPart);
   const auto ticket = this->context.budgets.Reserve(
-      this->team->name, this->facts.generation->most_tokens(), wait,
-      [this](BudgetAnswer answer) {
+      this->team->name, this->facts.generation->most_tokens(),
+      AllowancePatience(*this->route), [this](BudgetAnswer answer) {
         this->budget_ticket = 0;
         this->OnBudget(answer);
       });
@@ -197,16 +156,12 @@
 
 auto RequestRun::SendTo(Choice choice,
                         UpstreamConnections::Connection connection) -> void {
-  this->attempt = std::make_unique<Attempt>();
-  this->attempt->sent_at = this->context.loop.Now();
-  this->attempt->pending_prefill = choice.prefill_tokens;
-  this->attempt->connection = std::move(connection);
-  this->attempt->choice = std::move(choice);
-  UpstreamState& upstream = *this->attempt->choice.upstream;
-  upstream.NoteSent(this->attempt->pending_prefill);
+  this->attempt = std::make_unique<UpstreamAttempt>(
+      this->context, std::move(choice), std::move(connection));
+  const UpstreamState& upstream = this->attempt->upstream();
   if (this->facts.generation) {
     this->context.chooser.NotePrompt(*this->facts.generation, upstream,
-                                     this->attempt->sent_at);
+                                     this->attempt->sent_at());
   }
   ++this->sends;
   ++this->runs;
@@ -219,12 +174,20 @@
       DecisionLog::Weight::kRoutine, "send",
       {{"id", this->facts.attempt_id},
        {"upstream", upstream.record().id},
-       {"prefill", this->attempt->choice.prefill_tokens},
-       {"expected_ms", this->attempt->choice.expected},
+       {"prefill", this->attempt->choice().prefill_tokens},
+       {"expected_ms", this->attempt->choice().expected},
        {"open", upstream.open_requests()},
-       {"late_ms", upstream.ExcessLatency(this->attempt->sent_at)},
+       {"late_ms", upstream.ExcessLatency(this->attempt->sent_at())},
        {"send", this->sends}},
-      this->attempt->sent_at);
+      this->attempt->sent_at());
+  if (this->route->repeatable()) {
+    this->attempt_timer->Start(FirstBytePatience(*this->route));
+  }
+  this->attempt->connection().Start(
+      ToBytes(sent), this->request.method == "HEAD", this->MakeCallbacks());
+}
+
+auto RequestRun::MakeCallbacks() -> Http1ClientConnection::ExchangeCallbacks {
   Http1ClientConnection::ExchangeCallbacks callbacks;
   callbacks.is_mine =
       [id = this->facts.attempt_id](const Http1ResponseHead& head) {
@@ -232,19 +195,15 @@
         return answer.attempt_id.empty() || answer.attempt_id == id;
       };
   callbacks.on_head = [this](const Http1ResponseHead& head) {
-    this->OnHead(head);
-  };
-  callbacks.on_body = [this](std::string bytes) {
-    this->OnBody(std::move(bytes));
+    this->attempt->SetHead(head);
+    if (this->route->kind != RouteKind::kStream &&
+        !this->attempt->answer().not_run) {
+      this->attempt->NoteFirstByte();
+    }
   };
+  callbacks.on_body = [this](const std::string& bytes) { this->OnBody(bytes); };
   callbacks.on_done = [this](Http1Outcome outcome) { this->OnDone(outcome); };
-  if (this->route->repeatable()) {
-    this->attempt_timer->Start(
-        std::max(kLeastAttemptPatience,
-                 Scaled(this->route->latency_objective, kAttemptPatience)));
-  }
-  this->attempt->connection->Start(
-      ToBytes(sent), this->request.method == "HEAD", std::move(callbacks));
+  return callbacks;
 }
 
 auto RequestRun::MakeOrders(const UpstreamState& upstream) const
@@ -279,60 +238,39 @@
 //==============================================================================
 // Events of the attempt
 
-auto RequestRun::OnHead(const Http1ResponseHead& head) -> void {
-  Attempt& current = *this->attempt;
-  const Instant now = this->context.loop.Now();
-  current.head = head;
-  current.answer = platform::ReadAnswerFacts(head);
-  current.idle_limit = current.answer.idle_limit;
-  if (this->route->kind != RouteKind::kStream && !current.answer.not_run) {
-    current.has_first_byte = true;
-    current.choice.upstream->NoteFirstByte(
-        std::exchange(current.pending_prefill, 0), now - current.sent_at,
-        current.choice.expected, now);
-  }
-}
-
-auto RequestRun::OnBody(std::string bytes) -> void {
-  Attempt& current = *this->attempt;
-  const bool is_stream = this->route->kind == RouteKind::kStream &&
-                         current.head.status < kFirstRedirect &&
-                         !current.answer.not_run && !current.answer.encoded;
-  if (!is_stream) {
-    current.body.append(bytes);
+auto RequestRun::OnBody(const std::string& bytes) -> void {
+  const bool passes_events = this->route->kind == RouteKind::kStream &&
+                             this->attempt->head().status < kFirstRedirect &&
+                             !this->attempt->answer().not_run &&
+                             !this->attempt->answer().encoded;
+  if (!passes_events) {
+    this->attempt->AppendBody(bytes);
     return;
   }
   const std::string whole = this->events.Feed(bytes);
   if (this->events.has_gap()) {
     this->BreakStream("events are missing");
-    return;
-  }
-  if (whole.empty()) {
-    return;
-  }
-  const Instant now = this->context.loop.Now();
-  if (!current.has_first_byte) {
-    current.has_first_byte = true;
-    current.choice.upstream->NoteFirstByte(
-        std::exchange(current.pending_prefill, 0), now - current.sent_at,
-        current.choice.expected, now);
+  } else if (!whole.empty()) {
+    this->PassEventsOn(whole);
   }
+}
+
+auto RequestRun::PassEventsOn(std::string_view whole) -> void {
+  this->attempt->NoteFirstByte();
   if (!this->stream_started) {
     this->stream_started = true;
-    this->first_event_after = now - this->arrived_at;
+    this->first_event_after = this->context.loop.Now() - this->arrived_at;
     this->context.metrics.AddFirstByte(this->first_event_after);
-    Http1ResponseHead head = current.head;
+    Http1ResponseHead head = this->attempt->head();
     head.fields.RemoveConnectionFields();
     this->session->StartAnswer(head);
   }
   this->session->Send(whole);
   if (this->route->resumable) {
-    this->attempt_timer->Start(
-        std::max(kLeastAttemptPatience,
-                 Scaled(this->route->pause_objective, kPausePatience)));
+    this->attempt_timer->Start(PausePatience(*this->route));
   }
   if (this->session->unsent() > kMostUnsent) {
-    current.connection->PauseReading(true);
+    this->attempt->connection().PauseReading(true);
   }
 }
 
@@ -342,11 +280,11 @@
     this->OnFailedAttempt(outcome);
     return;
   }
-  if (this->attempt->answer.not_run) {
+  if (this->attempt->answer().not_run) {
     this->OnNotRun();
     return;
   }
-  if (this->attempt->answer.encoded) {
+  if (this->attempt->answer().encoded) {
     this->OnFailedAttempt(Http1Outcome::kBroken);
     return;
   }
@@ -354,9 +292,9 @@
 }
 
 auto RequestRun::OnWholeAnswer() -> void {
-  const int status = this->attempt->head.status;
+  const int status = this->attempt->head().status;
   const bool failed = status >= kFirstFailure;
-  const std::unique_ptr<Attempt> finished = this->EndAttempt(
+  const std::unique_ptr<UpstreamAttempt> finished = this->EndAttempt(
       failed ? UpstreamResult::kFailed : UpstreamResult::kAnswered);
   if (this->stream_started && status < kFirstRedirect) {
     this->FinishStream();
@@ -375,9 +313,10 @@
 
 auto RequestRun::OnNotRun() -> void {
   --this->runs;
-  this->EndAttempt(this->attempt->answer.replaced ? UpstreamResult::kReplaced
-                                                  : UpstreamResult::kShed);
-  if (this->sends<kMostSends&& this->TimeLeft()> Duration(0) &&
+  this->EndAttempt(this->attempt->answer().replaced ? UpstreamResult::kReplaced
+                                                    : UpstreamResult::kShed);
+  const bool may_send = this->sends < kMostSends && this->HasTimeLeft();
+  if (may_send &&
       this->context.retries.TryTake(this->service, this->context.routers,
                                     this->context.loop.Now())) {
     this->Dispatch();
@@ -419,10 +358,9 @@
     return;
   }
   const Instant now = this->context.loop.Now();
-  if (this->MayRunAgain() &&
-      this->context.retries.TryTake(this->service, this->context.routers,
-                                    now)) {
-    this->attempt->connection->Close();
+  if (this->MayRunAgain() && this->context.retries.TryTake(
+                                 this->service, this->context.routers, now)) {
+    this->attempt->Cancel();
     this->EndAttempt(UpstreamResult::kFailed);
     this->Dispatch();
     return;
@@ -430,16 +368,14 @@
   if (this->stream_started || this->route->kind != RouteKind::kStream) {
     return;  // The answer may still come until the deadline.
   }
-  const Duration silent_for = now - this->attempt->sent_at;
-  const Duration limit =
-      std::max(kLeastSilence,
-               Scaled(this->route->latency_objective, kSilencePatience));
+  const Duration silent_for = now - this->attempt->sent_at();
+  const Duration limit = SilencePatience(*this->route);
   if (silent_for < limit) {
     this->attempt_timer->Start(limit - silent_for);
     return;
   }
   // Nothing more can be tried here, and the caller may send it again.
-  this->attempt->connection->Close();
+  this->attempt->Cancel();
   this->EndAttempt(UpstreamResult::kFailed);
   this->Refuse(kTimedOut, "upstreams stay silent", Duration(0));
 }
@@ -448,8 +384,8 @@
 // Decisions
 
 auto RequestRun::MayRunAgain() const -> bool {
-  return this->route->repeatable() &&
-         this->runs<this->route->max_attempts&& this->TimeLeft()> Duration(0);
+  const bool has_runs_left = this->runs < this->route->max_attempts;
+  return this->route->repeatable() && has_runs_left && this->HasTimeLeft();
 }
 
 auto RequestRun::TryRunAgain(std::string_view why) -> bool {
@@ -468,6 +404,10 @@
   return true;
 }
 
+auto RequestRun::HasTimeLeft() const -> bool {
+  return this->TimeLeft().count() > 0;
+}
+
 auto RequestRun::TimeLeft() const -> Duration {
   return this->deadline - this->context.loop.Now();
 }
@@ -477,7 +417,7 @@
 
 auto RequestRun::OnDeadline() -> void {
   if (this->attempt) {
-    this->attempt->connection->Close();
+    this->attempt->Cancel();
     this->EndAttempt(UpstreamResult::kFailed);
   }
   if (this->stream_started) {
@@ -491,16 +431,16 @@
 
 auto RequestRun::OnCallerGone() -> void {
   if (this->attempt) {
-    this->attempt->connection->Close();
+    this->attempt->Cancel();
     this->EndAttempt(UpstreamResult::kShed);
   }
   this->End("caller_left", 0, "the caller closed the connection");
 }
 
-auto RequestRun::Deliver(const Attempt& finished) -> void {
-  Http1ResponseHead head = finished.head;
+auto RequestRun::Deliver(const UpstreamAttempt& finished) -> void {
+  Http1ResponseHead head = finished.head();
   head.fields.RemoveConnectionFields();
-  const std::string body = finished.body + std::string(this->events.rest());
+  const std::string body = finished.body() + std::string(this->events.rest());
   this->context.metrics.AddFirstByte(this->context.loop.Now() -
                                      this->arrived_at);
   const auto answered = this->session;
@@ -519,7 +459,7 @@
 
 auto RequestRun::BreakStream(std::string_view why) -> void {
   if (this->attempt) {
-    this->attempt->connection->Close();
+    this->attempt->Cancel();
     this->EndAttempt(UpstreamResult::kFailed);
   }
   const auto answered = this->session;
@@ -542,25 +482,9 @@
   answered->Answer(head, {});
 }
 
-auto RequestRun::EndAttempt(UpstreamResult result) -> std::unique_ptr<Attempt> {
-  Attempt& current = *this->attempt;
-  static constexpr std::array<std::string_view, 5> kNames = {
-      "answered", "failed", "shed", "unreachable", "replaced"};
-  this->context.metrics.CountSend(kNames[static_cast<std::size_t>(result)]);
-  const Instant now = this->context.loop.Now();
-  if (result != UpstreamResult::kAnswered) {
-    this->context.log.Line(
-        DecisionLog::Weight::kNotable, "send_failed",
-        {{"id", this->facts.attempt_id},
-         {"upstream", current.choice.upstream->record().id},
-         {"result", kNames[static_cast<std::size_t>(result)]},
-         {"status", current.head.status},
-         {"after_ms", now - current.sent_at}},
-        now);
-  }
-  current.choice.upstream->NoteEnded(current.pending_prefill, result, now);
-  this->context.connections.Return(current.choice.upstream->record().id,
-                                   current.connection, current.idle_limit);
+auto RequestRun::EndAttempt(UpstreamResult result)
+    -> std::unique_ptr<UpstreamAttempt> {
+  this->attempt->Finish(result, this->facts.attempt_id);
   return std::move(this->attempt);
 }
 
--- a/programs/gateway/request_run.h
+++ b/programs/gateway/request_run.h
@@ -13,6 +13,7 @@
 #include "al_http1/http1_client_connection.h"
 #include "al_http1/http1_server_session.h"
 #include "gateway/gateway_context.h"
+#include "gateway/upstream_attempt.h"
 
 namespace auburnloft::gateway {
 
@@ -42,21 +43,8 @@
   auto Start() -> void;
 
  private:
-  /** The exchange with one upstream. */
-  struct Attempt {
-    Choice choice;
-    UpstreamConnections::Connection connection;
-    Instant sent_at{};
-    std::uint64_t pending_prefill = 0;
-    bool has_first_byte = false;
-    AnswerFacts answer;
-    Http1ResponseHead head;
-    std::string body;
-    std::optional<Duration> idle_limit;
-  };
-
   // Before the first send.
-  auto Admit() -> void;
+  auto Begin() -> void;
   auto ReserveBudget() -> void;
   auto OnBudget(BudgetAnswer answer) -> void;
 
@@ -64,13 +52,15 @@
   auto Dispatch() -> void;
   auto SendTo(Choice choice, UpstreamConnections::Connection connection)
       -> void;
+  [[nodiscard]] auto MakeCallbacks()
+      -> Http1ClientConnection::ExchangeCallbacks;
   [[nodiscard]] auto MakeOrders(const UpstreamState& upstream) const
       -> UpstreamOrders;
   [[nodiscard]] auto ConnectionBound() const -> int;
 
   // Events of the attempt.
-  auto OnHead(const Http1ResponseHead& head) -> void;
-  auto OnBody(std::string bytes) -> void;
+  auto OnBody(const std::string& bytes) -> void;
+  auto PassEventsOn(std::string_view whole) -> void;
   auto OnDone(Http1Outcome outcome) -> void;
   auto OnAttemptTimeout() -> void;
   auto OnWholeAnswer() -> void;
@@ -80,16 +70,17 @@
   // Decisions.
   [[nodiscard]] auto MayRunAgain() const -> bool;
   auto TryRunAgain(std::string_view why) -> bool;
+  [[nodiscard]] auto HasTimeLeft() const -> bool;
   [[nodiscard]] auto TimeLeft() const -> Duration;
 
   // The end.
   auto OnDeadline() -> void;
   auto OnCallerGone() -> void;
-  auto Deliver(const Attempt& finished) -> void;
+  auto Deliver(const UpstreamAttempt& finished) -> void;
   auto FinishStream() -> void;
   auto BreakStream(std::string_view why) -> void;
   auto Refuse(int status, std::string_view why, Duration retry_after) -> void;
-  auto EndAttempt(UpstreamResult result) -> std::unique_ptr<Attempt>;
+  auto EndAttempt(UpstreamResult result) -> std::unique_ptr<UpstreamAttempt>;
   auto End(std::string_view outcome, int status, std::string_view why) -> void;
   [[nodiscard]] auto UsedTokens() const -> std::uint64_t;
 
@@ -107,7 +98,7 @@
   std::unique_ptr<LoopTimer> attempt_timer;
   BudgetGate::Ticket budget_ticket = 0;
   std::uint64_t reserved_tokens = 0;
-  std::unique_ptr<Attempt> attempt;
+  std::unique_ptr<UpstreamAttempt> attempt;
   std::vector<std::string> tried;  ///< Ids of upstreams that had their turn.
   int sends = 0;                   ///< Sends that may have reached an upstream.
   int runs = 0;                    ///< Sends that may have run.
--- /dev/null
+++ b/programs/gateway/state_dump.cc
@@ -0,0 +1,42 @@
+#include "gateway/state_dump.h"
+
+#include <nlohmann/json.hpp>
+
+#include "gateway/fleet_link.h"
+#include "gateway/gateway_context.h"
+
+namespace auburnloft::gateway {
+
+auto DumpState(const StateView& view) -> std::string {
+  nlohmann::json state;
+  state["router"] = view.self.name;
+  state["incarnation"] = view.self.incarnation;
+  state["config_version"] =
+      view.context.table ? view.context.table->config().version : 0;
+  state["log_in_touch"] = view.context.log_in_touch;
+  state["open_requests"] = view.context.open_requests;
+  state["sockets"] = view.sockets;
+  state["upstreams"] = view.upstreams;
+  state["log_lines_left_out"] = view.context.log.dropped();
+  state["routers"] = nlohmann::json::array();
+  view.fleet.registry().VisitAll(
+      view.fleet.as_of(),
+      [&state](const RouterAnnouncement& router, bool alive) {
+        state["routers"].push_back({{"name", router.name},
+                                    {"incarnation", router.incarnation},
+                                    {"domain", router.domain},
+                                    {"alive", alive},
+                                    {"leaving", router.leaving},
+                                    {"config_version", router.config_version}});
+      });
+  state["allowances"] = nlohmann::json::array();
+  view.fleet.ledger().VisitAll([&state](const AllowanceEntry& entry) {
+    state["allowances"].push_back({{"team", entry.team},
+                                   {"holder", entry.holder},
+                                   {"taken", entry.taken_tokens},
+                                   {"settled", entry.settled_tokens}});
+  });
+  return state.dump();
+}
+
+}  // namespace auburnloft::gateway
--- /dev/null
+++ b/programs/gateway/state_dump.h
@@ -0,0 +1,28 @@
+#ifndef GATEWAY_STATE_DUMP_H_
+#define GATEWAY_STATE_DUMP_H_
+
+#include <cstddef>
+#include <string>
+
+#include "al_gateway/membership/router_registry.h"
+
+namespace auburnloft::gateway {
+
+class FleetLink;
+struct GatewayContext;
+
+/** What a dump is made of. */
+struct StateView {
+  const RouterAnnouncement& self;
+  const GatewayContext& context;
+  const FleetLink& fleet;
+  std::size_t upstreams = 0;  ///< Listed.
+  std::size_t sockets = 0;    ///< Open.
+};
+
+/** What the process knows, as a JSON object. */
+[[nodiscard]] auto DumpState(const StateView& view) -> std::string;
+
+}  // namespace auburnloft::gateway
+
+#endif  // GATEWAY_STATE_DUMP_H_
--- a/tests/gateway/gateway_session_test.cc
+++ b/tests/gateway/gateway_session_test.cc
@@ -202,8 +202,8 @@
   this->fixture.store.SetFault(StoreServer::Fault::kNone);
 }
 
-// A request that is larger than what any one router holds, without the log: gifts
-// of several routers, one after the other, in one round of asks.
+// A request that is larger than what any one router holds, without the log:
+// gifts of several routers, one after the other, in one round of asks.
 TEST(GatewaySessions, GathersGiftsOfSeveralRoutersWhileTheLogIsAway) {
   this->fixture.AddRouter(2);
   this->fixture.AddRouter(3);
