--- a/programs/gateway/request_run.cc
+++ b/programs/gateway/request_run.cc
@@ -27,9 +27,6 @@
    reservations have ended by then, or the log has given more. */
 constexpr Duration kRetryAfterAllowance = std::chrono::milliseconds(1'000);
 
-/** Unsent bytes to a caller at which reading from the upstream pauses. */
-constexpr std::size_t kMostUnsent = 128 * 1024;
-
 /** The part of an upstream's connections that routers use: the rest is for
    routers that come and go. */
 constexpr double kUsedConnections = 0.9;
@@ -41,9 +38,10 @@
                        std::shared_ptr<Http1ServerSession> session,
                        Http1Request request)
     : context(context),
-      session(std::move(session)),
       request(std::move(request)),
       facts(platform::ReadRequestFacts(this->request)),
+      caller(std::make_shared<CallerAnswer>(std::move(session),
+                                            this->facts.attempt_id)),
       table(context.table),
       arrived_at(context.loop.Now()) {}
 
@@ -52,13 +50,13 @@
 auto RequestRun::Start() -> void {
   this->self = this->shared_from_this();
   ++this->context.open_requests;
-  this->session->SetExchangeCallbacks(
-      {[this] { this->OnCallerGone(); },
-       [this] {
-         if (this->attempt) {
-           this->attempt->connection().PauseReading(false);
-         }
-       }});
+  this->caller->SetCallbacks(
+      [this] { this->OnCallerGone(); },
+      [this] {
+        if (this->attempt) {
+          this->attempt->connection().PauseReading(false);
+        }
+      });
   this->Begin();
 }
 
@@ -147,7 +145,7 @@
   }
   if (this->runs == 0) {
     this->Refuse(kUnavailable, "no upstream", kRetryAfter);
-  } else if (this->stream_started) {
+  } else if (this->caller->has_started()) {
     this->BreakStream("no upstream to go on");
   } else {
     this->Refuse(kBadGateway, "no other upstream", Duration(0));
@@ -257,19 +255,15 @@
 
 auto RequestRun::PassEventsOn(std::string_view whole) -> void {
   this->attempt->NoteFirstByte();
-  if (!this->stream_started) {
-    this->stream_started = true;
+  if (!this->caller->has_started()) {
     this->first_event_after = this->context.loop.Now() - this->arrived_at;
     this->context.metrics.AddFirstByte(this->first_event_after);
-    Http1ResponseHead head = this->attempt->head();
-    head.fields.RemoveConnectionFields();
-    this->session->StartAnswer(head);
   }
-  this->session->Send(whole);
+  this->caller->PassEvents(this->attempt->head(), whole);
   if (this->route->resumable) {
     this->attempt_timer->Start(PausePatience(*this->route));
   }
-  if (this->session->unsent() > kMostUnsent) {
+  if (this->caller->is_behind()) {
     this->attempt->connection().PauseReading(true);
   }
 }
@@ -296,7 +290,7 @@
   const bool failed = status >= kFirstFailure;
   const std::unique_ptr<UpstreamAttempt> finished = this->EndAttempt(
       failed ? UpstreamResult::kFailed : UpstreamResult::kAnswered);
-  if (this->stream_started && status < kFirstRedirect) {
+  if (this->caller->has_started() && status < kFirstRedirect) {
     this->FinishStream();
     return;
   }
@@ -304,7 +298,7 @@
       this->TryRunAgain("upstream failed")) {
     return;
   }
-  if (this->stream_started) {
+  if (this->caller->has_started()) {
     this->BreakStream("the stream was not resumed");
     return;
   }
@@ -322,7 +316,7 @@
     this->Dispatch();
     return;
   }
-  if (this->stream_started) {
+  if (this->caller->has_started()) {
     this->BreakStream("no upstream resumes the stream");
   } else if (this->runs == 0) {
     this->Refuse(kUnavailable, "upstream is full", kRetryAfter);
@@ -346,7 +340,7 @@
   if (this->TryRunAgain(why)) {
     return;
   }
-  if (this->stream_started) {
+  if (this->caller->has_started()) {
     this->BreakStream(why);
   } else {
     this->Refuse(kBadGateway, why, Duration(0));
@@ -365,7 +359,7 @@
     this->Dispatch();
     return;
   }
-  if (this->stream_started || this->route->kind != RouteKind::kStream) {
+  if (this->caller->has_started() || this->route->kind != RouteKind::kStream) {
     return;  // The answer may still come until the deadline.
   }
   const Duration silent_for = now - this->attempt->sent_at();
@@ -420,7 +414,7 @@
     this->attempt->Cancel();
     this->EndAttempt(UpstreamResult::kFailed);
   }
-  if (this->stream_started) {
+  if (this->caller->has_started()) {
     this->BreakStream("timeout");
   } else if (this->runs == 0) {
     this->Refuse(kUnavailable, "timeout before it was sent", kRetryAfter);
@@ -438,23 +432,18 @@
 }
 
 auto RequestRun::Deliver(const UpstreamAttempt& finished) -> void {
-  Http1ResponseHead head = finished.head();
-  head.fields.RemoveConnectionFields();
+  const int status = finished.head().status;
   const std::string body = finished.body() + std::string(this->events.rest());
   this->context.metrics.AddFirstByte(this->context.loop.Now() -
                                      this->arrived_at);
-  const auto answered = this->session;
-  this->End(head.status < kFirstFailure ? "served" : "upstream_failed",
-            head.status, "answer of the upstream");
-  answered->Answer(head, body);
+  this->End(status < kFirstFailure ? "served" : "upstream_failed", status,
+            "answer of the upstream");
+  this->caller->Deliver(finished.head(), body);
 }
 
 auto RequestRun::FinishStream() -> void {
-  const auto answered = this->session;
-  const std::string rest(this->events.rest());
   this->End("served", kOk, "stream complete");
-  answered->Send(rest);
-  answered->FinishAnswer();
+  this->caller->FinishStream(this->events.rest());
 }
 
 auto RequestRun::BreakStream(std::string_view why) -> void {
@@ -462,24 +451,14 @@
     this->attempt->Cancel();
     this->EndAttempt(UpstreamResult::kFailed);
   }
-  const auto answered = this->session;
-  const bool started = this->stream_started;
-  const std::string id = this->facts.attempt_id;
   this->End("broken_off", 0, why);
-  if (started) {
-    answered->Abort();
-  } else {
-    answered->Answer(platform::MakeOwnAnswer(kBadGateway, id, Duration(0)), {});
-  }
+  this->caller->Break();
 }
 
 auto RequestRun::Refuse(int status, std::string_view why, Duration retry_after)
     -> void {
-  const auto answered = this->session;
-  const Http1ResponseHead head =
-      platform::MakeOwnAnswer(status, this->facts.attempt_id, retry_after);
   this->End(status == kUnavailable ? "refused" : "failed", status, why);
-  answered->Answer(head, {});
+  this->caller->Own({status, why, retry_after});
 }
 
 auto RequestRun::EndAttempt(UpstreamResult result)
@@ -493,7 +472,6 @@
   if (std::exchange(this->ended, true)) {
     return;
   }
-  const Instant now = this->context.loop.Now();
   if (this->budget_ticket != 0) {
     this->context.budgets.Cancel(this->budget_ticket);
   }
@@ -502,6 +480,20 @@
     this->context.desk.Settle(this->team->name, this->reserved_tokens, used);
   }
   this->context.metrics.CountRequest(outcome);
+  this->LogEnd(outcome, status, why, used);
+  this->deadline_timer.reset();
+  this->attempt_timer.reset();
+  --this->context.open_requests;
+  this->caller->Release();
+  // The run may be in use up the stack; it goes with the loop's next round.
+  this->context.loop.Defer([kept = std::move(this->self)] {});
+}
+
+auto RequestRun::LogEnd(std::string_view outcome,
+                        int status,
+                        std::string_view why,
+                        std::uint64_t used) const -> void {
+  const Instant now = this->context.loop.Now();
   const bool routine = outcome == "served";
   this->context.log.Line(
       routine ? DecisionLog::Weight::kRoutine : DecisionLog::Weight::kNotable,
@@ -524,14 +516,6 @@
        {"first_ms", this->first_event_after},
        {"ms", now - this->arrived_at}},
       now);
-  this->deadline_timer.reset();
-  this->attempt_timer.reset();
-  --this->context.open_requests;
-  if (this->session->serving()) {
-    this->session->SetExchangeCallbacks({});
-  }
-  // The run may be in use up the stack; it goes with the loop's next round.
-  this->context.loop.Defer([kept = std::move(this->self)] {});
 }
 
 auto RequestRun::UsedTokens() const -> std::uint64_t {
--- a/programs/gateway/request_run.h
+++ b/programs/gateway/request_run.h
@@ -12,6 +12,7 @@
 #include "al_gateway/upstreams/upstream_chooser.h"
 #include "al_http1/http1_client_connection.h"
 #include "al_http1/http1_server_session.h"
+#include "gateway/caller_answer.h"
 #include "gateway/gateway_context.h"
 #include "gateway/upstream_attempt.h"
 
@@ -82,12 +83,16 @@
   auto Refuse(int status, std::string_view why, Duration retry_after) -> void;
   auto EndAttempt(UpstreamResult result) -> std::unique_ptr<UpstreamAttempt>;
   auto End(std::string_view outcome, int status, std::string_view why) -> void;
+  auto LogEnd(std::string_view outcome,
+              int status,
+              std::string_view why,
+              std::uint64_t used) const -> void;
   [[nodiscard]] auto UsedTokens() const -> std::uint64_t;
 
   GatewayContext& context;
-  std::shared_ptr<Http1ServerSession> session;
   Http1Request request;
   RequestFacts facts;
+  std::shared_ptr<CallerAnswer> caller;
   std::shared_ptr<const RouteTable> table;
   const RouteRule* route = nullptr;
   const TeamRule* team = nullptr;
@@ -104,7 +109,6 @@
   int runs = 0;                    ///< Sends that may have run.
   EventSplitter events;
   Duration first_event_after{0};
-  bool stream_started = false;
   bool ended = false;
   std::shared_ptr<RequestRun> self;  ///< Until the end.
 };
--- a/tests/gateway/decisions_test.cc
+++ b/tests/gateway/decisions_test.cc
@@ -1,5 +1,7 @@
 // Where requests go, what is sent again, and who is in the fleet.
 #include "al_gateway/al_gateway.h"
+#include "al_gateway/limits/attempt_patience.h"
+#include "al_gateway/routing/admission.h"
 #include "al_gateway/streams/event_splitter.h"
 #include "support/test_harness.h"
 
@@ -256,3 +258,36 @@
   CHECK_EQUAL(std::string("/"), table.FindRoute("h", "/x")->name);
   CHECK_TRUE(table.FindRoute("other", "/a/") == nullptr);
 }
+
+//==============================================================================
+// Requests before their first send
+
+TEST(Decisions, AnswersForItselfWhereARequestMayNotGoOn) {
+  RequestFacts facts;
+  facts.host = "h";
+  facts.path = "/a/x";
+  CHECK_EQUAL(503, std::get<OwnAnswer>(Admit(nullptr, facts)).status);
+  FleetConfig config;
+  RouteRule route;
+  route.host = "h";
+  route.path_prefix = "/a/";
+  config.routes.push_back(route);
+  config.teams.push_back({"blue", {"blue-key"}, std::nullopt, std::nullopt});
+  const RouteTable table(std::move(config));
+  CHECK_EQUAL(401, std::get<OwnAnswer>(Admit(&table, facts)).status);
+  facts.key = "blue-key";
+  CHECK_EQUAL(std::string("blue"),
+              std::get<Admission>(Admit(&table, facts)).team->name);
+  facts.path = "/b/x";
+  CHECK_EQUAL(404, std::get<OwnAnswer>(Admit(&table, facts)).status);
+}
+
+TEST(Decisions, GivesAnAttemptUpBeforeCallersAbandonTheirRequest) {
+  RouteRule route;
+  route.latency_objective = milliseconds(400);
+  route.pause_objective = milliseconds(400);
+  CHECK_TRUE(AllowancePatience(route) < milliseconds(50));
+  CHECK_TRUE(FirstBytePatience(route) == milliseconds(600));
+  CHECK_TRUE(PausePatience(route) == seconds(1));
+  CHECK_TRUE(SilencePatience(route) == seconds(2));
+}
