--- a/modules/al_edge/loop/event_loop.cc
+++ b/modules/al_edge/loop/event_loop.cc
@@ -35,9 +35,12 @@
 std::atomic<lws_context*> signal_context{nullptr};
 std::atomic<bool> interrupted{false};
 std::atomic<bool> terminated{false};
+std::atomic<bool> hung_up{false};
 
 auto OnSignal(int signal_number) -> void {
-  (signal_number == SIGTERM ? terminated : interrupted) = true;
+  (signal_number == SIGTERM  ? terminated
+   : signal_number == SIGHUP ? hung_up
+                             : interrupted) = true;
   if (lws_context* const context = signal_context) {
     lws_cancel_service(context);
   }
@@ -105,9 +108,7 @@
     if (lws_service(this->lws, 0) < 0) {
       break;
     }
-    if (terminated.exchange(false) && this->terminate) {
-      this->terminate();
-    }
+    this->RunSignalHandlers();
   }
 }
 
@@ -121,6 +122,7 @@
     if (lws_service(this->lws, 0) < 0) {
       break;
     }
+    this->RunSignalHandlers();
     timed_out = this->Now() >= end;
   }
   return is_done();
@@ -139,6 +141,21 @@
   std::signal(SIGPIPE, SIG_IGN);
 }
 
+auto EventLoop::HandleHangup(Callback on_hangup) -> void {
+  this->hangup = std::move(on_hangup);
+  signal_context = this->lws;
+  std::signal(SIGHUP, OnSignal);
+}
+
+auto EventLoop::RunSignalHandlers() -> void {
+  if (terminated.exchange(false) && this->terminate) {
+    this->terminate();
+  }
+  if (hung_up.exchange(false) && this->hangup) {
+    this->hangup();
+  }
+}
+
 auto EventLoop::RunPosted() -> void {
   while (!this->posted.empty()) {
     for (const Callback& callback : std::exchange(this->posted, {})) {
--- a/modules/al_edge/loop/event_loop.h
+++ b/modules/al_edge/loop/event_loop.h
@@ -48,6 +48,10 @@
    * SIGTERM. */
   auto HandleSignals(Callback on_terminate) -> void;
 
+  /** Calls `on_hangup` on the loop after a SIGHUP, which else ends a process.
+   */
+  auto HandleHangup(Callback on_hangup) -> void;
+
   /** Calls `callback` every `interval` until the loop ends. */
   auto Every(Duration interval, Callback callback) -> void;
 
@@ -81,6 +85,7 @@
   struct Timer;
 
   auto RunPosted() -> void;
+  auto RunSignalHandlers() -> void;
   auto StartTimer(Timer& timer) -> void;
 
   lws_context* lws = nullptr;
@@ -91,6 +96,7 @@
   std::list<Callback> watches;
   std::vector<Callback> posted;
   Callback terminate;
+  Callback hangup;
 };
 
 }  // namespace auburnloft
--- a/programs/gateway/gateway_daemon.cc
+++ b/programs/gateway/gateway_daemon.cc
@@ -356,6 +356,12 @@
   this->drain_tick->Start(kDrainPause);
 }
 
+auto GatewayDaemon::NoteHangup() -> void {
+  this->log.Line(DecisionLog::Weight::kNotable, "hangup",
+                 {{"settings", "unchanged until a new start"}},
+                 this->loop.Now());
+}
+
 auto GatewayDaemon::OnDrainTick() -> void {
   const Duration passed = this->loop.Now() - *this->draining_since;
   const bool idle = passed >= kLeastDrain && this->context.open_requests == 0;
--- a/programs/gateway/gateway_daemon.h
+++ b/programs/gateway/gateway_daemon.h
@@ -49,6 +49,10 @@
   /** Stops taking new callers, finishes what runs, and ends the loop. */
   auto Drain() -> void;
 
+  /** Logs that the settings may have changed. They come with the environment of
+     the process, so that a new start is what applies them. */
+  auto NoteHangup() -> void;
+
   /** What the process knows, as JSON. */
   [[nodiscard]] auto StateDump() const -> std::string;
 
--- /dev/null
+++ b/tests/gateway/signal_test.cc
@@ -0,0 +1,20 @@
+// Signals that the platform sends to a running process.
+#include <csignal>
+
+#include "al_edge/loop/event_loop.h"
+#include "support/test_harness.h"
+
+using namespace auburnloft;  // NOLINT(google-build-using-namespace)
+
+TEST_GROUP(Signals){};
+
+// Without a handler the signal would end this process.
+TEST(Signals, SurvivesAHangup) {
+  EventLoop loop;
+  bool told = false;
+  loop.HandleHangup([&told] { told = true; });
+  std::raise(SIGHUP);
+  loop.RunUntil([] { return false; }, std::chrono::milliseconds(50));
+  std::signal(SIGHUP, SIG_DFL);
+  CHECK_TRUE(told);
+}
