Begin no stream late in a shutdown

Streams are refused from 3 s on, plain requests are served. Callers still come 7 s after SIGTERM: traced next.

--- a/programs/gateway/gateway_daemon.cc
+++ b/programs/gateway/gateway_daemon.cc
@@ -22,9 +22,14 @@
 /** How long callers keep the addresses that they were told. */
 constexpr Duration kEntryLifetime = std::chrono::seconds(1);
 
-/** After SIGTERM: how long callers may still come that hold an older answer,
-   some of them three times its lifetime. */
-constexpr Duration kLeastDrain = std::chrono::milliseconds(3'300);
+/** After SIGTERM: how long streams are begun for callers that hold an older
+   answer, some of them three times its lifetime. Later there may be no time
+   left to finish one. */
+constexpr Duration kTakesStreams = std::chrono::milliseconds(3'000);
+
+/** After SIGTERM: the least time until the end, in which callers that still
+   come get an answer. */
+constexpr Duration kLeastDrain = std::chrono::milliseconds(3'500);
 
 /** Before the grace period ends: the time to return allowances and to end. */
 constexpr Duration kEndReserve = std::chrono::milliseconds(900);
@@ -364,6 +369,7 @@
 
 auto GatewayDaemon::OnDrainTick() -> void {
   const Duration passed = this->loop.Now() - *this->draining_since;
+  this->context.takes_streams = passed < kTakesStreams;
   const bool idle = passed >= kLeastDrain && this->context.open_requests == 0;
   if (!idle && passed < this->options.grace - kEndReserve) {
     this->drain_tick->Start(kDrainPause);
@@ -373,8 +379,16 @@
 }
 
 auto GatewayDaemon::FinishDrain() -> void {
+  const auto end = [this] {
+    this->drain_tick->Stop();
+    if (this->options.on_ended) {
+      this->options.on_ended();
+    } else {
+      this->loop.Stop();
+    }
+  };
   if (std::exchange(this->returning, true)) {
-    this->loop.Stop();
+    end();  // The log does not take the return in time.
     return;
   }
   for (const auto& door : this->doors) {
@@ -384,7 +398,7 @@
                  {{"open", this->context.open_requests},
                   {"left_out", this->log.dropped()}},
                  this->loop.Now());
-  this->fleet.ReturnAll([this] { this->loop.Stop(); });
+  this->fleet.ReturnAll(end);
   this->drain_tick->Start(kReturnLimit);
 }
 
--- a/programs/gateway/gateway_daemon.h
+++ b/programs/gateway/gateway_daemon.h
@@ -1,6 +1,7 @@
 #ifndef GATEWAY_GATEWAY_DAEMON_H_
 #define GATEWAY_GATEWAY_DAEMON_H_
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -32,8 +33,9 @@
     RetryBound retry_bound;
     Duration grace = std::chrono::seconds(8);  ///< From SIGTERM to the end.
     std::uint64_t seed = 1;
-    int log_descriptor = 1;  ///< Where log lines go; -1: nowhere.
-    bool quiet = false;      ///< Whether routine log lines are left out.
+    std::function<void()> on_ended;  ///< After a drain; ends the loop if empty.
+    int log_descriptor = 1;          ///< Where log lines go; -1: nowhere.
+    bool quiet = false;  ///< Whether routine log lines are left out.
   };
 
   GatewayDaemon(EventLoop& loop, Options options);
--- a/programs/gateway/request_run.cc
+++ b/programs/gateway/request_run.cc
@@ -71,6 +71,10 @@
   }
   this->route = std::get<Admission>(decided).route;
   this->team = std::get<Admission>(decided).team;
+  if (this->route->kind == RouteKind::kStream && !this->context.takes_streams) {
+    this->Refuse(kUnavailable, "shutting down", kRetryAfter);
+    return;
+  }
   const Duration patience =
       this->facts.patience
           ? std::min(*this->facts.patience, this->route->timeout)
--- a/tests/gateway/gateway_session_test.cc
+++ b/tests/gateway/gateway_session_test.cc
@@ -77,6 +77,21 @@
   CHECK_TRUE_TEXT(difference.empty(), difference.c_str());
 }
 
+// A caller that holds an old answer comes late in a shutdown: its stream could
+// be cut off at the end, so it is not begun.
+TEST(GatewaySessions, BeginsNoStreamLateInAShutdown) {
+  this->fixture.Publish(1, 100'000);
+  this->fixture.router->Drain();
+  CHECK_EQUAL(200, this->Call("a1", "/draft/", "100,20").status);
+  this->fixture.RunFor(milliseconds(3'200));
+  const auto late = this->Call("a2", "/draft/", "100,20");
+  CHECK_EQUAL(503, late.status);
+  CHECK_FALSE(late.retry_after.empty());
+  CHECK_EQUAL(200, this->Call("a3", "/once/").status);
+  CHECK_EQUAL(1, this->fixture.engine_1->runs().size() +
+                     this->fixture.engine_2->runs().size());
+}
+
 TEST(GatewaySessions, RunsAtMostOnceWhenAnAnswerIsLost) {
   this->fixture.Publish(1, 1'000);
   this->fixture.desk_1->SetFault(WireUpstream::Fault::kAnswerLost);
--- a/tests/support/gateway_fixture.cc
+++ b/tests/support/gateway_fixture.cc
@@ -76,7 +76,8 @@
   options.entry_address = address(1);
   options.readiness_address = address(2);
   options.log_address = kStore;
-  options.grace = seconds(2);
+  options.grace = seconds(8);
+  options.on_ended = [] {};
   options.log_descriptor = -1;
   auto started =
       std::make_unique<gateway::GatewayDaemon>(this->loop, std::move(options));
@@ -110,7 +111,7 @@
   this->store.Put("keyed.servers", id, upstream.Entry(service, "a", leaving));
 }
 
-auto GatewayFixture::Send(const Call& call) -> Answer {
+auto GatewayFixture::MakeRequest(const Call& call) -> Http1Request {
   Http1Request request;
   request.method = "POST";
   request.target = call.path + "x";
@@ -126,7 +127,11 @@
     request.fields.Add("X-Prompt-Prefix", "aa:10,bb:10");
   }
   request.body = "body";
-  return this->Exchange(kClients, request);
+  return request;
+}
+
+auto GatewayFixture::Send(const Call& call) -> Answer {
+  return this->Exchange(kClients, MakeRequest(call));
 }
 
 auto GatewayFixture::Ask(const std::string& address, const std::string& target)
@@ -163,10 +168,18 @@
 
 auto GatewayFixture::Exchange(const std::string& address,
                               const Http1Request& request) -> Answer {
-  Answer answer;
-  bool done = false;
   const auto connection =
       Http1ClientConnection::Connect(this->poller, address, seconds(2));
+  const Answer answer = this->ExchangeOn(connection, request);
+  connection->Close();
+  return answer;
+}
+
+auto GatewayFixture::ExchangeOn(
+    const std::shared_ptr<Http1ClientConnection>& connection,
+    const Http1Request& request) -> Answer {
+  Answer answer;
+  bool done = false;
   Http1ClientConnection::ExchangeCallbacks callbacks;
   callbacks.on_head = [&](const Http1ResponseHead& head) {
     answer.status = head.status;
@@ -182,7 +195,6 @@
   };
   connection->Start(ToBytes(request), false, std::move(callbacks));
   this->loop.RunUntil([&] { return done; }, kExchangeLimit);
-  connection->Close();
   return answer;
 }
 
--- a/tests/support/gateway_fixture.h
+++ b/tests/support/gateway_fixture.h
@@ -83,6 +83,9 @@
   auto StartRouter(int number) -> std::unique_ptr<gateway::GatewayDaemon>;
   auto Exchange(const std::string& address, const Http1Request& request)
       -> Answer;
+  auto ExchangeOn(const std::shared_ptr<Http1ClientConnection>& connection,
+                  const Http1Request& request) -> Answer;
+  static auto MakeRequest(const Call& call) -> Http1Request;
 };
 
 }  // namespace auburnloft::testing
