Close idle connections in a shutdown; begin only streams that have the time to finish

Cause: callers with open connections do not ask where to connect, and came up to 7 s after SIGTERM; their streams were refused (125 answers 503 on the seed of the finding before).

--- a/modules/al_gateway/limits/attempt_patience.cc
+++ b/modules/al_gateway/limits/attempt_patience.cc
@@ -23,6 +23,11 @@
 constexpr double kSilenceMultiple = 4.0;
 constexpr Duration kLeastSilence = std::chrono::milliseconds(2'000);
 
+/** An engine makes a token in some five milliseconds, and begins after the
+   prompts that wait there. */
+constexpr Duration kTimeOfToken = std::chrono::microseconds(5'500);
+constexpr Duration kTimeToBegin = std::chrono::milliseconds(300);
+
 auto Scaled(Duration duration, double factor) -> Duration {
   return Duration(static_cast<std::int64_t>(
       static_cast<double>(duration.count()) * factor));
@@ -44,6 +49,12 @@
                   Scaled(route.pause_objective, kPauseMultiple));
 }
 
+auto LongestStream(const RequestFacts& facts) -> Duration {
+  const std::uint64_t tokens =
+      facts.generation ? facts.generation->most_output_tokens : 0;
+  return kTimeToBegin + kTimeOfToken * static_cast<std::int64_t>(tokens);
+}
+
 auto SilencePatience(const RouteRule& route) -> Duration {
   return std::max(kLeastSilence,
                   Scaled(route.latency_objective, kSilenceMultiple));
--- a/modules/al_gateway/limits/attempt_patience.h
+++ b/modules/al_gateway/limits/attempt_patience.h
@@ -3,6 +3,7 @@
 
 #include "al_core/time/instant.h"
 #include "al_gateway/model/fleet_config.h"
+#include "al_gateway/model/request_facts.h"
 
 /** How long a request waits for what, from the objectives of its route. */
 namespace auburnloft::gateway {
@@ -16,6 +17,10 @@
 /** For the next event of a stream that may go on elsewhere. */
 [[nodiscard]] auto PausePatience(const RouteRule& route) -> Duration;
 
+/** How long a stream may run until its last event, by the tokens it may have.
+ */
+[[nodiscard]] auto LongestStream(const RequestFacts& facts) -> Duration;
+
 /** For the first event of a stream that may be repeated, when no attempt is
    left: its caller is told then, and may send it again. */
 [[nodiscard]] auto SilencePatience(const RouteRule& route) -> Duration;
--- a/modules/al_http1/http1_server.cc
+++ b/modules/al_http1/http1_server.cc
@@ -19,14 +19,18 @@
   return this->listener.Listen(address);
 }
 
-auto Http1Server::StopListening() -> void {
-  this->listener.Close();
+auto Http1Server::CloseIdle(Duration least) -> void {
   const auto open = this->sessions;  // Closing takes a session off the set.
   for (const auto& session : open) {
-    session->CloseIfIdle();
+    session->CloseIfIdle(least);
   }
 }
 
+auto Http1Server::StopListening() -> void {
+  this->listener.Close();
+  this->CloseIdle(Duration(0));
+}
+
 auto Http1Server::OnAccepted(int descriptor) -> void {
   auto session = Http1ServerSession::Open(
       this->poller, descriptor, this->limits, this->requested,
--- a/modules/al_http1/http1_server.h
+++ b/modules/al_http1/http1_server.h
@@ -32,6 +32,9 @@
    */
   auto StopListening() -> void;
 
+  /** Closes connections on which no request has begun for `least`. */
+  auto CloseIdle(Duration least) -> void;
+
  private:
   auto OnAccepted(int descriptor) -> void;
 
--- a/modules/al_http1/http1_server_session.cc
+++ b/modules/al_http1/http1_server_session.cc
@@ -73,6 +73,7 @@
   if (!session->connection) {
     return nullptr;
   }
+  session->idle_since = poller.loop().Now();
   session->timer->Start(limits.idle_timeout);
   return session;
 }
@@ -127,9 +128,11 @@
 //==============================================================================
 // Commands of the server
 
-auto Http1ServerSession::CloseIfIdle() -> void {
-  if (this->state == State::kReading && !this->reader->started() &&
-      this->connection->input().empty()) {
+auto Http1ServerSession::CloseIfIdle(Duration least) -> void {
+  const bool is_idle = this->state == State::kReading &&
+                       !this->reader->started() &&
+                       this->connection->input().empty();
+  if (is_idle && this->poller.loop().Now() - this->idle_since >= least) {
     this->connection->CloseAfterWrite(kLingerLimit);
     this->Closed();
   }
@@ -197,7 +200,7 @@
   if (this->reader->started()) {
     this->Refuse(kRequestTimeout);
   } else {
-    this->CloseIfIdle();
+    this->CloseIfIdle(Duration(0));
   }
 }
 
@@ -219,6 +222,7 @@
     return;
   }
   this->state = State::kReading;
+  this->idle_since = this->poller.loop().Now();
   this->timer->Start(this->limits.idle_timeout);
   if (!this->connection->input().empty()) {
     this->poller.loop().Defer([weak = this->weak_from_this()] {
--- a/modules/al_http1/http1_server_session.h
+++ b/modules/al_http1/http1_server_session.h
@@ -83,8 +83,8 @@
   //============================================================================
   // Commands of the server
 
-  /** Closes the connection where no request has begun on it. */
-  auto CloseIfIdle() -> void;
+  /** Closes the connection where no request has begun on it for `least`. */
+  auto CloseIfIdle(Duration least) -> void;
 
   //============================================================================
   // Queries
@@ -117,6 +117,7 @@
   std::shared_ptr<TcpConnection> connection;
   std::unique_ptr<Http1RequestReader> reader;
   std::unique_ptr<LoopTimer> timer;
+  Instant idle_since{};
   ExchangeCallbacks exchange;
   State state = State::kReading;
   bool caller_keeps_alive = true;
--- a/programs/gateway/gateway_context.h
+++ b/programs/gateway/gateway_context.h
@@ -33,7 +33,7 @@
   DecisionLog& log;
   GatewayMetrics& metrics;
   int routers = 1;            ///< Alive in the fleet.
-  bool takes_streams = true;  ///< False late in a shutdown.
+  Duration stream_limit{0};   ///< Late in a shutdown: time to finish a stream.
   int open_requests = 0;      ///< Under way in this process.
   bool log_in_touch = false;  ///< Whether the platform's log answers.
 };
--- a/programs/gateway/gateway_daemon.cc
+++ b/programs/gateway/gateway_daemon.cc
@@ -27,6 +27,14 @@
    left to finish one. */
 constexpr Duration kTakesStreams = std::chrono::milliseconds(3'000);
 
+/** After SIGTERM: how long idle connections stay open. Callers that come back
+   then are told of other routers. */
+constexpr Duration kKeepsIdle = std::chrono::milliseconds(1'500);
+
+/** A connection counts as idle after this long: one that is just made is about
+   to carry a request. */
+constexpr Duration kIdleFor = std::chrono::milliseconds(300);
+
 /** After SIGTERM: the least time until the end, in which callers that still
    come get an answer. */
 constexpr Duration kLeastDrain = std::chrono::milliseconds(3'500);
@@ -369,7 +377,14 @@
 
 auto GatewayDaemon::OnDrainTick() -> void {
   const Duration passed = this->loop.Now() - *this->draining_since;
-  this->context.takes_streams = passed < kTakesStreams;
+  if (passed >= kTakesStreams) {
+    const Duration left = this->options.grace - kEndReserve - passed;
+    this->context.stream_limit = std::max(Duration(1), left);
+  }
+  if (passed >= kKeepsIdle) {
+    // Callers do not ask where to connect while they have an open connection.
+    this->doors.front()->CloseIdle(kIdleFor);
+  }
   const bool idle = passed >= kLeastDrain && this->context.open_requests == 0;
   if (!idle && passed < this->options.grace - kEndReserve) {
     this->drain_tick->Start(kDrainPause);
--- a/programs/gateway/gateway_daemon.h
+++ b/programs/gateway/gateway_daemon.h
@@ -96,7 +96,7 @@
   std::unique_ptr<TopicFollower> config_follower;
   std::unique_ptr<TopicFollower> upstream_follower;
   Http1SessionLimits limits;
-  std::vector<std::unique_ptr<Http1Server>> doors;
+  std::vector<std::unique_ptr<Http1Server>> doors;  ///< The callers' first.
   std::unique_ptr<LoopTimer> tick;
   std::unique_ptr<LoopTimer> drain_tick;
   Instant last_contact{};
--- a/programs/gateway/request_run.cc
+++ b/programs/gateway/request_run.cc
@@ -71,7 +71,9 @@
   }
   this->route = std::get<Admission>(decided).route;
   this->team = std::get<Admission>(decided).team;
-  if (this->route->kind == RouteKind::kStream && !this->context.takes_streams) {
+  if (this->route->kind == RouteKind::kStream &&
+      this->context.stream_limit.count() > 0 &&
+      LongestStream(this->facts) > this->context.stream_limit) {
     this->Refuse(kUnavailable, "shutting down", kRetryAfter);
     return;
   }
