--- a/programs/gateway/gateway_daemon.cc
+++ b/programs/gateway/gateway_daemon.cc
@@ -22,9 +22,9 @@
 /** How long callers keep the addresses that they were told. */
 constexpr Duration kEntryLifetime = std::chrono::seconds(1);
 
-/** After SIGTERM: how long streams are begun for callers that hold an older
-   answer, some of them three times its lifetime. Later there may be no time
-   left to finish one. */
+/** After SIGTERM: how long any stream is begun for callers that hold an older
+   answer, some of them three times its lifetime. Later only those are that have
+   the time to finish. */
 constexpr Duration kTakesStreams = std::chrono::milliseconds(3'000);
 
 /** After SIGTERM: how long idle connections stay open. Callers that come back
--- a/programs/gateway/peer_link.cc
+++ b/programs/gateway/peer_link.cc
@@ -189,6 +189,9 @@
                         gift.ParseFromString(reply->body) &&
                         gift.team() == team;
   if (!answered || gift.tokens() < asked) {
+    std::erase_if(this->drained, [now](const auto& item) {
+      return now - item.second >= kDrainedFor;
+    });
     this->drained[DrainedKey(team, peer.incarnation)] = now;
   }
   this->log.Line(
