--- a/bench/slope.cc
+++ b/bench/slope.cc
@@ -59,11 +59,11 @@
       << "\" y2=\"" << y_of(slope.intercept + slope.slope * most_size)
       << "\" stroke=\"steelblue\"/>\n";
   for (const Point& point : slope.points) {
-    out << "<circle cx=\"" << x_of(point.size) << "\" cy=\""
+    out << R"(<circle cx=")" << x_of(point.size) << R"(" cy=")"
         << y_of(point.value) << R"(" r="4" fill="firebrick"/>)"
         << "\n";
   }
-  out << "<text x=\"48\" y=\"24\">" << slope.name << ": " << slope.slope << " "
+  out << R"(<text x="48" y="24">)" << slope.name << ": " << slope.slope << " "
       << slope.unit << " a " << slope.per
       << "</text>\n<text x=\"48\" y=\"244\">0</text><text x=\"330\" y=\"244\">"
       << most_size << " " << slope.per << "</text>\n<text x=\"4\" y=\"44\">"
--- a/modules/al_net/tcp_connection.cc
+++ b/modules/al_net/tcp_connection.cc
@@ -20,10 +20,10 @@
 
 /** Unread bytes at which reading pauses: a header of the largest kind and some
    events of a stream fit. */
-constexpr std::size_t kMostUnread = 256 * 1024;
+constexpr std::size_t kMostUnread = std::size_t{256} * 1024;
 
 /** Bytes read by one call. */
-constexpr std::size_t kReadChunk = 16 * 1024;
+constexpr std::size_t kReadChunk = std::size_t{16} * 1024;
 
 /** Unacknowledged bytes end a connection after this; a partition that heals
    sooner does not. In milliseconds. */
@@ -185,13 +185,9 @@
   if (this->unsent() == 0) {
     shutdown(this->descriptor, SHUT_WR);
   }
-  this->timer = std::make_unique<LoopTimer>(this->poller.loop(),
-                                            [self = this->shared_from_this()] {
-                                              // The timer holds the connection
-                                              // until it is closed.
-                                              const auto keep = self;
-                                              keep->Close();
-                                            });
+  this->timer = std::make_unique<LoopTimer>(
+      this->poller.loop(),
+      [self = this->shared_from_this()] { self->Close(); });
   this->timer->Start(limit);
 }
 
--- a/programs/gateway/fleet_link.cc
+++ b/programs/gateway/fleet_link.cc
@@ -178,17 +178,16 @@
     return;
   }
   if (this->returned) {
-    std::vector<AllowanceEntry> entries = this->desk.PlanReturn();
-    this->AppendBatch(std::move(entries), true);
+    this->AppendBatch(this->desk.PlanReturn(), true);
     return;
   }
   const Instant now = this->poller.loop().Now();
   const bool announce =
       this->announce_now || now - this->announced_at >= kAnnouncePause;
-  std::vector<AllowanceEntry> entries =
+  const std::vector<AllowanceEntry> entries =
       this->desk.Plan(this->allowances, this->View(), announce, now);
   if (announce || !entries.empty()) {
-    this->AppendBatch(std::move(entries), announce);
+    this->AppendBatch(entries, announce);
   }
 }
 
@@ -204,8 +203,8 @@
   return view;
 }
 
-auto FleetLink::AppendBatch(std::vector<AllowanceEntry> entries, bool announce)
-    -> void {
+auto FleetLink::AppendBatch(std::span<const AllowanceEntry> entries,
+                            bool announce) -> void {
   std::vector<KeyedRecord> records;
   if (announce) {
     ++this->self.beat;
--- a/programs/gateway/fleet_link.h
+++ b/programs/gateway/fleet_link.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -85,7 +86,8 @@
   auto OnTick() -> void;
   auto Write() -> void;
   [[nodiscard]] auto View() const -> FleetView;
-  auto AppendBatch(std::vector<AllowanceEntry> entries, bool announce) -> void;
+  auto AppendBatch(std::span<const AllowanceEntry> entries, bool announce)
+      -> void;
   auto OnRecord(const KeyedRecord& record) -> void;
   auto OnRouterRecord(const std::string& bytes) -> void;
   auto OnAllowanceRecord(const std::string& bytes) -> void;
--- a/tests/gateway/decision_log_test.cc
+++ b/tests/gateway/decision_log_test.cc
@@ -60,7 +60,7 @@
 TEST(DecisionLog, NeverBlocksOnAReaderThatDoesNotRead) {
   gateway::DecisionLog log(this->pipe_ends[1]);
   const auto start = std::chrono::steady_clock::now();
-  for (int second = 1; second <= 5'000; ++second) {
+  for (std::int64_t second = 1; second <= 5'000; ++second) {
     log.Line(gateway::DecisionLog::Weight::kNotable, "failed",
              {{"text", std::string(100, 'x')}}, FromUnixMillis(second * 1'000));
   }
--- a/tests/support/gateway_fixture.cc
+++ b/tests/support/gateway_fixture.cc
@@ -170,7 +170,7 @@
                               const Http1Request& request) -> Answer {
   const auto connection =
       Http1ClientConnection::Connect(this->poller, address, seconds(2));
-  const Answer answer = this->ExchangeOn(connection, request);
+  Answer answer = this->ExchangeOn(connection, request);
   connection->Close();
   return answer;
 }
--- a/tests/support/session_recorder.h
+++ b/tests/support/session_recorder.h
@@ -35,7 +35,7 @@
   [[nodiscard]] auto CompareWith(const std::string& path) const -> std::string;
 
  private:
-  auto Stamp() const -> std::string;
+  [[nodiscard]] auto Stamp() const -> std::string;
 
   VirtualFleet& fleet;
   Instant start;
--- a/tests/support/test_harness.h
+++ b/tests/support/test_harness.h
@@ -11,7 +11,7 @@
 
 /** How CppUTest prints a text. */
 inline auto StringFrom(const std::string_view& text) -> SimpleString {
-  return SimpleString(std::string(text).c_str());
+  return {std::string(text).c_str()};
 }
 
 #endif  // TESTS_SUPPORT_TEST_HARNESS_H_
