--- a/modules/al_platform/log/log_client.cc
+++ b/modules/al_platform/log/log_client.cc
@@ -76,9 +76,9 @@
   });
 }
 
-auto LogClient::Send(HttpCall call,
-                     std::function<void(std::optional<std::string>)> on_body)
-    -> void {
+auto LogClient::Send(
+    HttpCall call,
+    const std::function<void(std::optional<std::string>)>& on_body) -> void {
   struct Answer {
     int status = 0;
     std::string body;
--- a/modules/al_platform/log/log_client.h
+++ b/modules/al_platform/log/log_client.h
@@ -36,7 +36,8 @@
 
  private:
   auto Send(HttpCall call,
-            std::function<void(std::optional<std::string>)> on_body) -> void;
+            const std::function<void(std::optional<std::string>)>& on_body)
+      -> void;
 
   HttpClient& http;
   std::string address;
--- a/modules/al_platform/vms/vm_list_client.cc
+++ b/modules/al_platform/vms/vm_list_client.cc
@@ -13,7 +13,7 @@
       address(std::move(address)),
       client_name(std::move(client_name)) {}
 
-auto VmListClient::Fetch(OnList on_list) -> void {
+auto VmListClient::Fetch(const OnList& on_list) -> void {
   auto body = std::make_shared<std::string>();
   HttpCall call;
   call.address = this->address;
--- a/modules/al_platform/vms/vm_list_client.h
+++ b/modules/al_platform/vms/vm_list_client.h
@@ -21,7 +21,7 @@
 
   VmListClient(HttpClient& http, std::string address, std::string client_name);
 
-  auto Fetch(OnList on_list) -> void;
+  auto Fetch(const OnList& on_list) -> void;
 
   /** Parses the list's JSON; empty where it is malformed. */
   [[nodiscard]] static auto Parse(std::string_view body)
--- a/programs/load/caller.cc
+++ b/programs/load/caller.cc
@@ -72,15 +72,15 @@
   if (this->result.attempts == 0) {
     this->started = this->loop.Now();
   }
-  this->entries.Pick(this->request.team->team, this->request.team->key,
-                     this->address,
-                     [self = this->shared_from_this()](std::string address) {
-                       if (address.empty()) {
-                         self->OnError("no address is known");
-                         return;
-                       }
-                       self->Send(address);
-                     });
+  this->entries.Pick(
+      this->request.team->team, this->request.team->key, this->address,
+      [self = this->shared_from_this()](const std::string& address) {
+        if (address.empty()) {
+          self->OnError("no address is known");
+          return;
+        }
+        self->Send(address);
+      });
 }
 
 auto Caller::Send(const std::string& to) -> void {
--- a/programs/load/caller.h
+++ b/programs/load/caller.h
@@ -47,7 +47,7 @@
   [[nodiscard]] auto Upper() const -> Tokens;
 
  private:
-  auto Send(const std::string& address) -> void;
+  auto Send(const std::string& to) -> void;
   auto OnData(std::string_view data) -> void;
   auto OnEvent(const SseEvent& event) -> void;
   auto OnEnd() -> void;
--- a/programs/load/report.cc
+++ b/programs/load/report.cc
@@ -25,7 +25,7 @@
   }
   std::ranges::sort(values);
   const auto place = static_cast<std::size_t>(
-      part * static_cast<double>(values.size() - 1) + 0.5);
+      std::lround(part * static_cast<double>(values.size() - 1)));
   constexpr double kRound = 1000.0;
   return std::round(values[place] * kRound) / kRound;
 }
--- a/programs/router/request_relay.h
+++ b/programs/router/request_relay.h
@@ -69,8 +69,8 @@
   }
 
  private:
-  auto Send(HttpCall call) -> void;
-  auto OnHead(int status, const HttpHeaders& headers) -> void;
+  auto Send(HttpCall next) -> void;
+  auto OnHead(int code, const HttpHeaders& headers) -> void;
   auto OnData(std::string_view data) -> void;
   auto OnEvent(const SseEvent& event) -> void;
   auto OnPiece(const SseEvent& event, std::uint64_t sequence) -> void;
@@ -78,7 +78,7 @@
   auto OnError(bool sent, std::string_view text) -> void;
   auto Fail(bool sent, bool refused, std::string_view text) -> void;
   auto BeginStream() -> void;
-  auto WholeAnswer() const -> std::string;
+  [[nodiscard]] auto WholeAnswer() const -> std::string;
   auto Close() -> void;
 
   HttpClient& http;
--- a/standins/engine/generation.cc
+++ b/standins/engine/generation.cc
@@ -10,7 +10,7 @@
                        std::size_t prompt_tokens,
                        int priority)
     : stream_name(std::move(name)),
-      script(std::move(script)),
+      script(script),
       prompt_tokens(prompt_tokens),
       order(priority) {}
 
@@ -66,13 +66,12 @@
   }
   if (this->sent == this->script.size() && !this->ended) {
     const std::size_t total = this->prompt_tokens + this->script.size();
-    text += "data: {\"id\":\"" + this->stream_name +
-            "\",\"object\":\"chat.completion.chunk\",\"choices\":[],\"usage\":"
-            "{\"prompt_tokens\":" +
-            std::to_string(this->prompt_tokens) +
-            ",\"completion_tokens\":" + std::to_string(this->script.size()) +
-            ",\"total_tokens\":" + std::to_string(total) +
-            "}}\n\ndata: [DONE]\n\n";
+    text += R"(data: {"id":")" + this->stream_name +
+            R"(","object":"chat.completion.chunk","choices":[],"usage":)"
+            R"({"prompt_tokens":)" +
+            std::to_string(this->prompt_tokens) + R"(,"completion_tokens":)" +
+            std::to_string(this->script.size()) + R"(,"total_tokens":)" +
+            std::to_string(total) + "}}\n\ndata: [DONE]\n\n";
     this->reader->Write(text);
     this->reader->End();
     this->ended = true;
--- a/tests/http/hostile_test.cc
+++ b/tests/http/hostile_test.cc
@@ -33,17 +33,17 @@
 
 TEST(HostileRequests, BadJsonGetsAClearError) {
   const std::string answer = this->fixture.Exchange(
-      HttpFixture::Chat("blue-key", "", "{\"model\":"), "}}");
+      HttpFixture::Chat("blue-key", "", R"({"model":)"), "}}");
   this->Expect(answer, " 400 ");
-  this->Expect(answer, "\"code\":\"bad_request\"");
+  this->Expect(answer, R"("code":"bad_request")");
   this->Expect(answer, "the body is not a JSON object");
-  this->Expect(answer, "\"run\":\"no\"");
+  this->Expect(answer, R"("run":"no")");
 }
 
 TEST(HostileRequests, AWrongKeyGetsAClearError) {
   this->Expect(
       this->fixture.Exchange(HttpFixture::Chat("nobody", "", kGood), "}}"),
-      "\"code\":\"unauthorized\"");
+      R"("code":"unauthorized")");
 }
 
 TEST(HostileRequests, AHugeBodyIsRefusedBeforeItIsRead) {
@@ -52,7 +52,7 @@
       "99999999\r\n\r\nxxxx",
       "}}");
   this->Expect(answer, " 413 ");
-  this->Expect(answer, "\"code\":\"too_large\"");
+  this->Expect(answer, R"("code":"too_large")");
 }
 
 TEST(HostileRequests, ABodyOfUnknownLengthIsRefused) {
@@ -72,7 +72,7 @@
 
 TEST(HostileRequests, RubbishEndsItsConnectionOnly) {
   const std::string answer = this->fixture.Exchange(
-      std::string("\0\x16\x03\x01 no http at all\r\n\r\n", 26), "}}");
+      std::string("\0\x16\x03\x01", 4) + " no http at all\r\n\r\n", "}}");
   CHECK_TRUE(answer.find("chat.completion") == std::string::npos);
 }
 
--- a/tests/http/http_fixture.cc
+++ b/tests/http/http_fixture.cc
@@ -12,6 +12,8 @@
 #include "al_core/text/digest.h"
 #include "al_ledger/records/partition_map.h"
 
+#include "support/test_harness.h"
+
 namespace auburnloft::testing {
 
 namespace {
@@ -34,8 +36,11 @@
     address.sin_family = AF_INET;
     address.sin_port = htons(kRouterPort);
     inet_pton(AF_INET, "127.0.0.1", &address.sin_addr);
-    connect(this->descriptor, reinterpret_cast<sockaddr*>(&address),
-            sizeof(address));
+    // A failed connection shows as the end of what can be received.
+    const int connected =
+        connect(this->descriptor, reinterpret_cast<sockaddr*>(&address),
+                sizeof(address));
+    CHECK_EQUAL(0, connected);
     fcntl(this->descriptor, F_SETFL, O_NONBLOCK);
   }
   ~RawConnection() { close(this->descriptor); }
--- a/tests/support/fake_log.cc
+++ b/tests/support/fake_log.cc
@@ -26,7 +26,7 @@
 }
 
 auto FakeLog::Append(const StreamId& stream,
-                     std::string bytes,
+                     const std::string& bytes,
                      OnAppended done,
                      OnFailed failed) -> void {
   const Duration delay = this->Delay();
--- a/tests/support/fake_log.h
+++ b/tests/support/fake_log.h
@@ -33,7 +33,7 @@
       : queue(queue), random(random) {}
 
   auto Append(const StreamId& stream,
-              std::string bytes,
+              const std::string& bytes,
               OnAppended done,
               OnFailed failed) -> void;
   auto Read(const StreamId& stream,
--- a/tests/support/fake_upstreams.cc
+++ b/tests/support/fake_upstreams.cc
@@ -7,9 +7,9 @@
 auto FakeUpstreams::Send(RequestHandle handle,
                          int attempt,
                          const ArrivingRequest& arrival,
-                         std::function<void()> on_executed,
-                         OnDone done,
-                         OnFailed failed) -> void {
+                         const std::function<void()>& on_executed,
+                         const OnDone& done,
+                         const OnFailed& failed) -> void {
   const Duration travel =
       std::chrono::microseconds(300 + this->random.Below(2000));
   UpstreamFailed failure;
@@ -46,7 +46,7 @@
       answer.attempt = attempt;
       answer.spent = spent;
       answer.content_type = "application/json";
-      answer.body = "{\"done\":\"" + arrival.key.value() + "\"}";
+      answer.body = R"({"done":")" + arrival.key.value() + R"("})";
       done(answer);
     });
   });
--- a/tests/support/fake_upstreams.h
+++ b/tests/support/fake_upstreams.h
@@ -31,9 +31,9 @@
   auto Send(RequestHandle handle,
             int attempt,
             const ArrivingRequest& arrival,
-            std::function<void()> on_executed,
-            OnDone done,
-            OnFailed failed) -> void;
+            const std::function<void()>& on_executed,
+            const OnDone& done,
+            const OnFailed& failed) -> void;
 
   Faults faults;
   Duration work = std::chrono::milliseconds(20);
--- a/tests/support/fault_schedule.cc
+++ b/tests/support/fault_schedule.cc
@@ -104,9 +104,28 @@
       (node + 1 + this->chance.Below(kRouters - 1)) % kRouters;
   const Duration span =
       std::chrono::milliseconds(200 + this->chance.Below(9000));
+  constexpr std::uint64_t kKinds = 13;
+  constexpr std::uint64_t kFirstOfLinks = 4;
+  constexpr std::uint64_t kFirstOfLog = 7;
+  constexpr std::uint64_t kFirstOfOperators = 11;
+  const std::uint64_t kind = this->chance.Below(kKinds);
+  if (kind < kFirstOfLinks) {
+    this->InjectRouterFault(kind, node, span);
+  } else if (kind < kFirstOfLog) {
+    this->InjectLinkFault(kind, node, other, span);
+  } else if (kind < kFirstOfOperators) {
+    this->InjectLogFault(kind, span);
+  } else {
+    this->InjectOperatorRace(kind);
+  }
+}
+
+auto FaultSchedule::InjectRouterFault(std::uint64_t kind,
+                                      std::size_t node,
+                                      Duration span) -> void {
   const std::string who = " router " + std::to_string(node);
   EventQueue& queue = this->fleet.queue;
-  switch (this->chance.Below(13)) {
+  switch (kind) {
     case 0:
       this->Note("kill" + who);
       this->checker.BeforeKill(node);
@@ -129,12 +148,21 @@
         }
       });
       break;
-    case 2:
-    case 3:
+    default:
       this->Note("pause" + who);
       this->fleet.Pause(node);
       queue.After(span * 2, [this, node] { this->fleet.Wake(node); });
       break;
+  }
+}
+
+auto FaultSchedule::InjectLinkFault(std::uint64_t kind,
+                                    std::size_t node,
+                                    std::size_t other,
+                                    Duration span) -> void {
+  const std::string who = " router " + std::to_string(node);
+  EventQueue& queue = this->fleet.queue;
+  switch (kind) {
     case 4:
       this->Note("cut" + who + " off from router " + std::to_string(other) +
                  ", one way");
@@ -151,11 +179,17 @@
       }
       queue.After(span, [this] { this->fleet.HealCuts(); });
       break;
-    case 6:
+    default:
       this->Note("cut" + who + " off from the log");
       this->fleet.CutLog(node);
       queue.After(span, [this] { this->fleet.HealCuts(); });
       break;
+  }
+}
+
+auto FaultSchedule::InjectLogFault(std::uint64_t kind, Duration span) -> void {
+  EventQueue& queue = this->fleet.queue;
+  switch (kind) {
     case 7:
       this->Note("outage of the log");
       this->fleet.log.faults.outage = true;
@@ -180,32 +214,33 @@
         this->fleet.upstreams.faults = {};
       });
       break;
-    case 10:
+    default:
       this->Note("the log forgets old records");
       this->fleet.log.Retain(120);
       break;
-    case 11: {
-      this->Note("top-up");
-      const std::string id = "id-" + std::to_string(this->next_top_up++);
-      this->fleet.TopUp(TeamId("small"), 500, id);
-      this->fleet.TopUp(TeamId("small"), 500, id);  // Sent twice, counted once.
-      break;
-    }
-    default: {
-      this->Note("two operators publish at once");
-      std::uint64_t newest = 0;
-      for (const VirtualFleet::Node& item : this->fleet.nodes) {
-        if (item.core != nullptr && item.core->configuration() != nullptr) {
-          newest = std::max(newest, item.core->configuration()->version);
-        }
-      }
-      this->fleet.Publish(
-          newest, {{"defaults", {{"max_output_tokens", 100 + newest}}}});
-      this->fleet.Publish(
-          newest, {{"defaults", {{"max_output_tokens", 5000 + newest}}}});
-      break;
+  }
+}
+
+auto FaultSchedule::InjectOperatorRace(std::uint64_t kind) -> void {
+  constexpr std::uint64_t kTopUp = 11;
+  if (kind == kTopUp) {
+    this->Note("top-up");
+    const std::string id = "id-" + std::to_string(this->next_top_up++);
+    this->fleet.TopUp(TeamId("small"), 500, id);
+    this->fleet.TopUp(TeamId("small"), 500, id);  // Sent twice, counted once.
+    return;
+  }
+  this->Note("two operators publish at once");
+  std::uint64_t newest = 0;
+  for (const VirtualFleet::Node& item : this->fleet.nodes) {
+    if (item.core != nullptr && item.core->configuration() != nullptr) {
+      newest = std::max(newest, item.core->configuration()->version);
     }
   }
+  this->fleet.Publish(newest,
+                      {{"defaults", {{"max_output_tokens", 100 + newest}}}});
+  this->fleet.Publish(newest,
+                      {{"defaults", {{"max_output_tokens", 5000 + newest}}}});
 }
 
 auto FaultSchedule::Heal() -> void {
--- a/tests/support/fault_schedule.h
+++ b/tests/support/fault_schedule.h
@@ -38,6 +38,14 @@
  private:
   auto ScheduleFault() -> void;
   auto InjectFault() -> void;
+  auto InjectRouterFault(std::uint64_t kind, std::size_t node, Duration span)
+      -> void;
+  auto InjectLinkFault(std::uint64_t kind,
+                       std::size_t node,
+                       std::size_t other,
+                       Duration span) -> void;
+  auto InjectLogFault(std::uint64_t kind, Duration span) -> void;
+  auto InjectOperatorRace(std::uint64_t kind) -> void;
   auto ScheduleRequest() -> void;
   auto SendRequest() -> void;
   auto Heal() -> void;
--- a/tests/support/promise_checker.h
+++ b/tests/support/promise_checker.h
@@ -34,7 +34,7 @@
 
   /** Notes the bills of which a router that is about to die has the last copy.
    */
-  auto BeforeKill(std::size_t node) -> void;
+  auto BeforeKill(std::size_t index) -> void;
 
   [[nodiscard]] auto violation() const -> const std::string& {
     return this->found;
--- a/tests/support/virtual_fleet.cc
+++ b/tests/support/virtual_fleet.cc
@@ -235,13 +235,13 @@
 
 auto VirtualFleet::Deliver(std::size_t index,
                            std::uint64_t life,
-                           EventQueue::Event event) -> void {
+                           const EventQueue::Event& event) -> void {
   Node& node = this->nodes[index];
   if (node.life != life || node.core == nullptr) {
     return;
   }
   if (node.paused) {
-    node.inbox.push_back(
+    node.inbox.emplace_back(
         [this, index, life, event] { this->Deliver(index, life, event); });
     return;
   }
@@ -420,10 +420,10 @@
       });
 }
 
-auto VirtualFleet::CarryOut(std::size_t /*node*/,
+auto VirtualFleet::CarryOut(std::size_t /*index*/,
                             const ResumeUpstream& /*action*/) -> void {}
 
-auto VirtualFleet::CarryOut(std::size_t /*node*/,
+auto VirtualFleet::CarryOut(std::size_t /*index*/,
                             const CancelUpstream& /*action*/) -> void {}
 
 auto VirtualFleet::EndCaller(std::size_t index, RequestHandle handle)
--- a/tests/support/virtual_fleet.h
+++ b/tests/support/virtual_fleet.h
@@ -59,7 +59,7 @@
     std::uint64_t peer_bytes = 0;
   };
 
-  explicit VirtualFleet(Options options);
+  explicit VirtualFleet(Options given);
 
   VirtualFleet(const VirtualFleet&) = delete;
   auto operator=(const VirtualFleet&) -> VirtualFleet& = delete;
@@ -67,11 +67,11 @@
   //============================================================================
   // Faults and operators
 
-  auto Start(std::size_t node) -> void;
-  auto Kill(std::size_t node) -> void;
-  auto Pause(std::size_t node) -> void;
-  auto Wake(std::size_t node) -> void;
-  auto SetListed(std::size_t node, bool listed) -> void;
+  auto Start(std::size_t index) -> void;
+  auto Kill(std::size_t index) -> void;
+  auto Pause(std::size_t index) -> void;
+  auto Wake(std::size_t index) -> void;
+  auto SetListed(std::size_t index, bool listed) -> void;
 
   /** Drops messages from one router to another. */
   auto CutLink(std::size_t from, std::size_t to) -> void {
@@ -125,10 +125,10 @@
   //============================================================================
 
   /** Reports of upstreams that are modelled elsewhere. */
-  auto ReportDone(std::size_t node,
+  auto ReportDone(std::size_t index,
                   std::uint64_t life,
                   const UpstreamDone& done) -> void;
-  auto ReportFailed(std::size_t node,
+  auto ReportFailed(std::size_t index,
                     std::uint64_t life,
                     const UpstreamFailed& failed) -> void;
 
@@ -147,24 +147,25 @@
 
  private:
   auto ListVms() -> VmList;
-  auto Deliver(std::size_t node, std::uint64_t life, EventQueue::Event event)
-      -> void;
-  auto Tick(std::size_t node, std::uint64_t life) -> void;
-  auto FetchVms(std::size_t node, std::uint64_t life) -> void;
-  auto Pump(std::size_t node) -> void;
-  auto CarryOut(std::size_t node, const SendPeer& action) -> void;
-  auto CarryOut(std::size_t node, const AppendRecord& action) -> void;
-  auto CarryOut(std::size_t node, const ReadRecords& action) -> void;
-  auto CarryOut(std::size_t node, const StartUpstream& action) -> void;
-  auto CarryOut(std::size_t node, const ResumeUpstream& action) -> void;
-  auto CarryOut(std::size_t node, const CancelUpstream& action) -> void;
-  auto CarryOut(std::size_t node, const RefuseRequest& action) -> void;
-  auto CarryOut(std::size_t node, const ReplayAnswer& action) -> void;
-  auto CarryOut(std::size_t node, const ReleaseAnswer& action) -> void;
+  auto Deliver(std::size_t index,
+               std::uint64_t life,
+               const EventQueue::Event& event) -> void;
+  auto Tick(std::size_t index, std::uint64_t life) -> void;
+  auto FetchVms(std::size_t index, std::uint64_t life) -> void;
+  auto Pump(std::size_t index) -> void;
+  auto CarryOut(std::size_t index, const SendPeer& action) -> void;
+  auto CarryOut(std::size_t index, const AppendRecord& action) -> void;
+  auto CarryOut(std::size_t index, const ReadRecords& action) -> void;
+  auto CarryOut(std::size_t index, const StartUpstream& action) -> void;
+  auto CarryOut(std::size_t index, const ResumeUpstream& action) -> void;
+  auto CarryOut(std::size_t index, const CancelUpstream& action) -> void;
+  auto CarryOut(std::size_t index, const RefuseRequest& action) -> void;
+  auto CarryOut(std::size_t index, const ReplayAnswer& action) -> void;
+  auto CarryOut(std::size_t index, const ReleaseAnswer& action) -> void;
   auto TellEnd(const CallerRecord& caller) -> void;
-  auto Try(std::size_t caller, std::size_t node) -> void;
-  auto EndCaller(std::size_t node, RequestHandle handle) -> CallerRecord*;
-  auto TellLogFailed(std::size_t node, std::uint64_t life, LogTag tag) -> void;
+  auto Try(std::size_t number, std::size_t index) -> void;
+  auto EndCaller(std::size_t index, RequestHandle handle) -> CallerRecord*;
+  auto TellLogFailed(std::size_t index, std::uint64_t life, LogTag tag) -> void;
 
   Options options;
   std::set<std::pair<std::size_t, std::size_t>> cut_links;
--- a/tests/unit/config_test.cc
+++ b/tests/unit/config_test.cc
@@ -49,8 +49,8 @@
         "$.defaults.colour: is not a known setting",
         "$.defaults.chat_class: class \"none\" does not exist",
         "$.classes.quick.patience: \"hasty\" is none of: quick, patient",
-        "$.teams.blue.key_sha256: is not a SHA-256 digest in lower-case "
-        "hexadecimal",
+        ("$.teams.blue.key_sha256: is not a SHA-256 digest in lower-case "
+         "hexadecimal"),
         "$.upstreams.e1.address: \"nowhere\" is not ip:port",
         "$.upstreams.e1.models: is required for an engine",
         "$.exceptions.ghost.reason: is required and must not be empty",
--- a/tests/unit/ledger_test.cc
+++ b/tests/unit/ledger_test.cc
@@ -189,7 +189,7 @@
 
 TEST(Ledger, RefusesABillFromBeforeTheHorizon) {
   this->Begin(100);
-  constexpr std::int64_t kSevenHoursMs = 7 * 3'600'000;
+  constexpr std::int64_t kSevenHoursMs = std::int64_t{7} * 3'600'000;
   wire::LedgerBatch batch = Records::By("k", 1, 1, kSevenHoursMs);
   Records::AddGrant(batch, "h", 1, 50);
   Records::AddBill(batch, "h", "old", "run", 10, 0);
