In large fleets few routers read the upstreams' entries and tell the others; configurations in a row are read once

Each router read every renewal of every upstream's entry: 3,000 upstreams at 1.2 s and 300 routers are more than the 80 MB/s that all reads share, so configuration and allowances came late too, and after the loss of all nothing was served for 30 s. Change: fleets of more than 12 routers elect readers by rendezvous, one for 24 routers and at least six; the others ask one of their domain each 0.4 s for what has changed, leave one that is behind their own contact with the log, and read the log themselves where two fail. A batch of configurations is read newest first and only; a long answer is waited for while bytes come.

--- a/modules/al_gateway/al_gateway.h
+++ b/modules/al_gateway/al_gateway.h
@@ -9,12 +9,15 @@
     - upstreams/   UpstreamDirectory, UpstreamChooser and what they remember
     - limits/      RetryAllowance: this router's share of the fleet's retries
     - prepaid/     AllowanceLedger and AllowanceDesk: budgets without a keeper
-    - membership/  RouterRegistry: which routers callers are sent to
+    - membership/  RouterRegistry: which routers callers are sent to; FeedPlan
+                   and FeedSource: who reads upstreams' entries for whom
 */
 #ifndef AL_GATEWAY_AL_GATEWAY_H_
 #define AL_GATEWAY_AL_GATEWAY_H_
 
 #include "al_gateway/limits/retry_allowance.h"
+#include "al_gateway/membership/feed_plan.h"
+#include "al_gateway/membership/feed_source.h"
 #include "al_gateway/membership/router_registry.h"
 #include "al_gateway/model/fleet_config.h"
 #include "al_gateway/model/request_facts.h"
@@ -24,5 +27,6 @@
 #include "al_gateway/routing/route_table.h"
 #include "al_gateway/upstreams/upstream_chooser.h"
 #include "al_gateway/upstreams/upstream_directory.h"
+#include "al_gateway/upstreams/upstream_history.h"
 
 #endif  // AL_GATEWAY_AL_GATEWAY_H_
--- /dev/null
+++ b/modules/al_gateway/membership/feed_source.cc
@@ -0,0 +1,60 @@
+#include "al_gateway/membership/feed_source.h"
+
+#include <cassert>
+#include <utility>
+
+namespace auburnloft::gateway {
+
+namespace {
+
+/** Readers that fail one after the other before the log itself is read: with
+   the pause between asks, news then come well within the time that leaving
+   upstreams still serve. */
+constexpr std::size_t kMostFailures = 2;
+
+/** How long the log is read after readers have failed: the fleet knows of lost
+   routers by then. */
+constexpr Duration kLogPeriod = std::chrono::milliseconds(5'000);
+
+/** How far a reader may be behind this router's own contact with the log: a
+   pause between reads and half of it. */
+constexpr Duration kMostBehind = std::chrono::milliseconds(600);
+
+}  // namespace
+
+//==============================================================================
+// Commands
+
+auto FeedSource::SetPlan(FeedPlan next) -> void {
+  if (next == this->plan) {
+    return;
+  }
+  this->plan = std::move(next);
+  this->chosen = 0;
+  this->failures = 0;
+}
+
+auto FeedSource::NoteFailure(bool log_in_touch, Instant now) -> void {
+  ++this->failures;
+  if (!this->plan.peers.empty()) {
+    this->chosen = (this->chosen + 1) % this->plan.peers.size();
+  }
+  if (this->failures >= kMostFailures && log_in_touch) {
+    this->failures = 0;
+    this->log_until = now + kLogPeriod;
+  }
+}
+
+//==============================================================================
+// Queries
+
+auto FeedSource::peer() const -> const std::string& {
+  assert(!this->plan.peers.empty());
+  return this->plan.peers[this->chosen];
+}
+
+auto FeedSource::IsFresh(const FeedAge& age) -> bool {
+  return age.reader < age.own + kMostBehind;
+}
+
+}  // namespace auburnloft::gateway
--- /dev/null
+++ b/modules/al_gateway/membership/feed_source.h
@@ -0,0 +1,67 @@
+#ifndef AL_GATEWAY_MEMBERSHIP_FEED_SOURCE_H_
+#define AL_GATEWAY_MEMBERSHIP_FEED_SOURCE_H_
+
+#include <cstddef>
+#include <string>
+
+#include "al_core/time/instant.h"
+#include "al_gateway/membership/feed_plan.h"
+
+namespace auburnloft::gateway {
+
+/** How old news are, by the last answer that each side had from the log. */
+struct FeedAge {
+  Duration reader{0};  ///< Since the asked reader read the log.
+  Duration own{0};     ///< Since the log answered this router at all.
+};
+
+/** From whom this router takes the news of upstreams at the moment: a reader,
+   or the log itself where readers do not answer or are behind.
+
+    Beware: while the log is away from this router too, it stays with its
+   readers. There is nothing to win, and on its return all routers would read
+   the whole list at once.
+
+    Thread safety: none; used on one thread.
+*/
+class FeedSource {
+ public:
+  FeedSource() = default;
+
+  FeedSource(const FeedSource&) = delete;
+  auto operator=(const FeedSource&) -> FeedSource& = delete;
+
+  //============================================================================
+  // Commands
+
+  auto SetPlan(FeedPlan next) -> void;
+
+  /** The asked reader gave news that may be used. */
+  auto NoteAnswer() -> void { this->failures = 0; }
+
+  /** The asked reader gave no answer, or one that is behind. */
+  auto NoteFailure(bool log_in_touch, Instant now) -> void;
+
+  //============================================================================
+  // Queries
+
+  [[nodiscard]] auto reads_log(Instant now) const -> bool {
+    return this->plan.reads_log || now < this->log_until;
+  }
+
+  /** The reader to ask. @pre !reads_log(). */
+  [[nodiscard]] auto peer() const -> const std::string&;
+
+  /** Whether news are no more behind than the pause between reads explains. */
+  [[nodiscard]] static auto IsFresh(const FeedAge& age) -> bool;
+
+ private:
+  FeedPlan plan;
+  std::size_t chosen = 0;
+  std::size_t failures = 0;  ///< In a row.
+  Instant log_until{};
+};
+
+}  // namespace auburnloft::gateway
+
+#endif  // AL_GATEWAY_MEMBERSHIP_FEED_SOURCE_H_
--- a/modules/al_http1/http1_caller.cc
+++ b/modules/al_http1/http1_caller.cc
@@ -48,7 +48,8 @@
   callbacks.on_head = [this](const Http1ResponseHead& head) {
     this->reply.status = head.status;
   };
-  callbacks.on_body = [this](const std::string& bytes) {
+  callbacks.on_body = [this, limit](const std::string& bytes) {
+    this->timer->Start(limit);
     this->reply.body.append(bytes);
   };
   callbacks.on_done = [this](Http1Outcome outcome) {
--- a/modules/al_http1/http1_caller.h
+++ b/modules/al_http1/http1_caller.h
@@ -34,7 +34,8 @@
   Http1Caller(const Http1Caller&) = delete;
   auto operator=(const Http1Caller&) -> Http1Caller& = delete;
 
-  /** Sends a call; gives it up after `limit`. @pre !busy(). */
+  /** Sends a call; gives it up where nothing came for `limit`: a long answer
+     over a busy link is waited for as long as it goes on. @pre !busy(). */
   auto Call(const Http1Request& request, Duration limit, OnReply on_reply)
       -> void;
 
--- a/modules/al_logstore/topic_follower.cc
+++ b/modules/al_logstore/topic_follower.cc
@@ -1,6 +1,8 @@
 #include "al_logstore/topic_follower.h"
 
 #include <algorithm>
+#include <map>
+#include <string_view>
 #include <utility>
 
 #include "al_edge/loop/event_loop.h"
@@ -126,15 +128,28 @@
     this->Continue(Duration(0));
     return;
   }
-  for (const gateway::KeyedRecord& record : batch->records) {
-    this->calls.on_record(record);
-  }
+  this->TellBatch(batch->records);
   this->next_offset = batch->next_offset;
   const bool caught_up = this->next_offset >= batch->end_offset;
   this->Continue(caught_up && !this->reads_again ? this->settings.interval
                                                  : Duration(0));
 }
 
+auto TopicFollower::TellBatch(const std::vector<gateway::KeyedRecord>& records)
+    -> void {
+  std::map<std::string_view, const gateway::KeyedRecord*> newest;
+  if (this->settings.newest_only) {
+    for (const gateway::KeyedRecord& record : records) {
+      newest[record.key] = &record;
+    }
+  }
+  for (const gateway::KeyedRecord& record : records) {
+    if (!this->settings.newest_only || newest[record.key] == &record) {
+      this->calls.on_record(record);
+    }
+  }
+}
+
 auto TopicFollower::Continue(Duration delay) -> void {
   if (delay.count() == 0) {
     this->Step();
--- a/modules/al_logstore/topic_follower.h
+++ b/modules/al_logstore/topic_follower.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "al_core/time/instant.h"
 #include "al_gateway/model/log_messages.h"
@@ -26,6 +27,9 @@
     std::string topic;
     Duration wait{0};      ///< How long the log may hold a read without news.
     Duration interval{0};  ///< Least time between two reads without news.
+    /** Whether only the newest record of each key in one answer is told: for
+       records that are costly to read and replace each other. */
+    bool newest_only = false;
   };
 
   struct Callbacks {
@@ -60,6 +64,7 @@
   auto CallRead() -> void;
   auto OnNewest(const std::optional<Http1Caller::Reply>& reply) -> void;
   auto OnRead(const std::optional<Http1Caller::Reply>& reply) -> void;
+  auto TellBatch(const std::vector<gateway::KeyedRecord>& records) -> void;
   auto Continue(Duration delay) -> void;
   auto Failed() -> void;
 
--- a/programs/gateway/fleet_link.cc
+++ b/programs/gateway/fleet_link.cc
@@ -89,6 +89,7 @@
                 },
                 [this](const std::set<std::string>& /*keys*/) {
                   this->listed = true;
+                  this->calls.on_listed();
                 },
                 [this](bool answered) { this->OnContact(answered); }}),
       lane(poller,
--- a/programs/gateway/fleet_link.h
+++ b/programs/gateway/fleet_link.h
@@ -29,6 +29,8 @@
     /** A raise of this router's allowance was read back. */
     std::function<void(const std::string& team)> on_allowance;
     std::function<void(bool answered)> on_contact;
+    /** The fleet's routers were listed for the first time, or anew. */
+    std::function<void()> on_listed;
   };
 
   FleetLink(SocketPoller& poller,
--- a/programs/gateway/gateway_daemon.cc
+++ b/programs/gateway/gateway_daemon.cc
@@ -8,7 +8,6 @@
 #include "platform/config_codec.h"
 #include "platform/entry_codec.h"
 #include "platform/request_codec.h"
-#include "platform/upstream_codec.h"
 #include "platform/wire_names.h"
 
 namespace auburnloft::gateway {
@@ -54,10 +53,6 @@
 /** How long the log may hold a question for a newer configuration. */
 constexpr Duration kConfigWait = std::chrono::milliseconds(1'000);
 
-/** Pause between looks at the upstreams' entries: well within the time that
-   leaving ones still serve. */
-constexpr Duration kUpstreamPause = std::chrono::milliseconds(400);
-
 auto Respond(Http1ServerSession& session,
              int status,
              std::string_view type,
@@ -103,7 +98,8 @@
           this->desk,
           this->log,
           {[this](const std::string& team) { this->budgets.TryWaiting(team); },
-           [this](bool answered) { this->OnContact(answered); }}),
+           [this](bool answered) { this->OnContact(answered); },
+           [this] { this->feed.Start(); }}),
       peers(
           this->poller,
           this->options.self.incarnation,
@@ -116,6 +112,13 @@
                this->fleet.AskSoon();
              }
            }}),
+      feed(this->poller,
+           {this->options.log_address, this->options.self.name,
+            this->options.self.incarnation, this->options.self.domain},
+           this->fleet,
+           this->upstreams,
+           this->log,
+           [this](bool answered) { this->OnContact(answered); }),
       tick(std::make_unique<LoopTimer>(loop, [this] { this->OnTick(); })),
       drain_tick(
           std::make_unique<LoopTimer>(loop, [this] { this->OnDrainTick(); })) {
@@ -152,7 +155,7 @@
       this->OpenDoor(this->options.self.peer_address,
                      [this](const std::shared_ptr<Http1ServerSession>& session,
                             const Http1Request& request) {
-                       this->peers.OnAsk(*session, request);
+                       this->OnPeerQuestion(*session, request);
                      }) &&
       (this->options.metrics_address.empty() ||
        this->OpenDoor(this->options.metrics_address,
@@ -216,6 +219,15 @@
   Respond(session, this->ready() ? kOk : kUnavailable, "", "");
 }
 
+auto GatewayDaemon::OnPeerQuestion(Http1ServerSession& session,
+                                   const Http1Request& request) -> void {
+  if (request.target == UpstreamFeed::kPath) {
+    this->feed.OnAsk(session, request);
+  } else {
+    this->peers.OnAsk(session, request);
+  }
+}
+
 auto GatewayDaemon::OnMetricsQuestion(Http1ServerSession& session,
                                       const Http1Request& request) -> void {
   if (request.target == "/metrics") {
@@ -246,23 +258,9 @@
   this->config_follower = std::make_unique<TopicFollower>(
       this->poller, this->options.log_address,
       TopicFollower::Settings{std::string(platform::kOperatorTopic),
-                              kConfigWait, Duration(0)},
+                              kConfigWait, Duration(0), true},
       std::move(config_calls));
-  TopicFollower::Callbacks upstream_calls;
-  upstream_calls.on_record = [this](const KeyedRecord& record) {
-    this->OnUpstreamRecord(record);
-  };
-  upstream_calls.on_listed = [this](const std::set<std::string>& keys) {
-    this->upstreams.KeepOnly(keys, this->loop.Now());
-  };
-  upstream_calls.on_contact = contact;
-  this->upstream_follower = std::make_unique<TopicFollower>(
-      this->poller, this->options.log_address,
-      TopicFollower::Settings{std::string(platform::kUpstreamTopic),
-                              Duration(0), kUpstreamPause},
-      std::move(upstream_calls));
   this->config_follower->Start();
-  this->upstream_follower->Start();
   this->fleet.Start();
 }
 
@@ -298,17 +296,6 @@
   this->context.table = std::make_shared<RouteTable>(std::move(*config));
 }
 
-auto GatewayDaemon::OnUpstreamRecord(const KeyedRecord& record) -> void {
-  auto upstream = record.value
-                      ? platform::ReadUpstream(record.key, *record.value)
-                      : std::nullopt;
-  if (upstream) {
-    this->upstreams.Put(std::move(*upstream));
-  } else {
-    this->upstreams.Remove(record.key, this->loop.Now());
-  }
-}
-
 auto GatewayDaemon::OnContact(bool answered) -> void {
   const Instant now = this->loop.Now();
   if (!answered) {
@@ -317,6 +304,7 @@
   const bool was_away =
       this->last_contact != Instant() && now - this->last_contact >= kAwayAfter;
   this->last_contact = now;
+  this->feed.NoteContact(now);
   if (!this->context.log_in_touch) {
     this->context.log_in_touch = true;
     this->log.Line(DecisionLog::Weight::kNotable, "log_regained", {}, now);
@@ -346,6 +334,7 @@
   const Instant now = this->loop.Now();
   this->upstreams.Expire(now);
   this->context.routers = this->fleet.CountAlive();
+  this->feed.Plan();
   if (this->context.log_in_touch && now - this->last_contact >= kAwayAfter) {
     this->context.log_in_touch = false;
     this->log.Line(DecisionLog::Weight::kNotable, "log_lost",
--- a/programs/gateway/gateway_daemon.h
+++ b/programs/gateway/gateway_daemon.h
@@ -14,6 +14,7 @@
 #include "gateway/gateway_context.h"
 #include "gateway/gateway_metrics.h"
 #include "gateway/peer_link.h"
+#include "gateway/upstream_feed.h"
 
 namespace auburnloft::gateway {
 
@@ -65,12 +66,13 @@
       -> void;
   auto OnReadinessQuestion(Http1ServerSession& session,
                            const Http1Request& request) -> void;
+  auto OnPeerQuestion(Http1ServerSession& session, const Http1Request& request)
+      -> void;
   auto OnMetricsQuestion(Http1ServerSession& session,
                          const Http1Request& request) -> void;
 
   auto FollowLog() -> void;
   auto OnConfigRecord(const KeyedRecord& record) -> void;
-  auto OnUpstreamRecord(const KeyedRecord& record) -> void;
   auto OnContact(bool answered) -> void;
   auto OnShortage(const std::string& team) -> void;
   auto OnTick() -> void;
@@ -93,8 +95,8 @@
   GatewayContext context;
   FleetLink fleet;
   PeerLink peers;
+  UpstreamFeed feed;
   std::unique_ptr<TopicFollower> config_follower;
-  std::unique_ptr<TopicFollower> upstream_follower;
   Http1SessionLimits limits;
   std::vector<std::unique_ptr<Http1Server>> doors;  ///< The callers' first.
   std::unique_ptr<LoopTimer> tick;
--- a/standins/store/store_server.cc
+++ b/standins/store/store_server.cc
@@ -216,6 +216,7 @@
     PutBigEndian(body, record.key.size(), 1);
     body.append(record.key).append(value);
   }
+  this->bytes_read[topic] += body.size();
   Respond(session, 200, body);
 }
 
--- a/standins/store/store_server.h
+++ b/standins/store/store_server.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <list>
+#include <map>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -56,6 +57,13 @@
 
   [[nodiscard]] auto calls() const -> std::uint64_t { return this->call_count; }
 
+  /** Bytes of answers to reads of a topic. */
+  [[nodiscard]] auto BytesRead(const std::string& topic) const
+      -> std::uint64_t {
+    const auto found = this->bytes_read.find(topic);
+    return found == this->bytes_read.end() ? 0 : found->second;
+  }
+
  private:
   using Session = std::shared_ptr<Http1ServerSession>;
   struct WaitingRead;
@@ -77,6 +85,7 @@
   Fault fault = Fault::kNone;
   std::list<std::unique_ptr<WaitingRead>> waiting;
   std::uint64_t call_count = 0;
+  std::map<std::string, std::uint64_t> bytes_read;  ///< By topic.
   Http1Server server;
 };
 
--- /dev/null
+++ b/tests/gateway/feed_test.cc
@@ -0,0 +1,221 @@
+// Who reads the upstreams' entries in a large fleet, and what the others get.
+#include <map>
+#include <memory>
+#include <set>
+
+#include "al_gateway/al_gateway.h"
+#include "support/gateway_fixture.h"
+#include "support/test_harness.h"
+
+using namespace auburnloft;           // NOLINT(google-build-using-namespace)
+using namespace auburnloft::gateway;  // NOLINT(google-build-using-namespace)
+using auburnloft::testing::GatewayFixture;
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+auto Name(int number) -> std::string {
+  return "router-" + std::to_string(number);
+}
+
+/** The failure domain of a router: three of them in turn. */
+auto DomainOf(int number) -> std::string {
+  return std::string(1, static_cast<char>('a' + number % 3));
+}
+
+auto Record(const std::string& id) -> UpstreamRecord {
+  UpstreamRecord record;
+  record.id = id;
+  record.service = "s";
+  record.address = "127.0.0.1:1";
+  return record;
+}
+
+}  // namespace
+
+TEST_GROUP(UpstreamFeed) {
+  Instant now = FromUnixMillis(1'000'000);
+  RouterRegistry registry{Name(0)};
+  UpstreamHistory history;
+
+  auto Announce(int routers)->void {
+    for (int number = 0; number < routers; ++number) {
+      RouterAnnouncement said;
+      said.name = Name(number);
+      said.incarnation = Name(number) + "#1";
+      said.domain = DomainOf(number);
+      said.peer_address = Name(number);
+      this->registry.Apply(said, this->now);
+    }
+  }
+
+  auto PlanOf(int number)->FeedPlan {
+    return PlanFeed(this->registry, Name(number), DomainOf(number), this->now);
+  }
+};
+
+TEST(UpstreamFeed, AllRoutersOfASmallFleetReadTheLog) {
+  this->Announce(12);
+  for (int number = 0; number < 12; ++number) {
+    CHECK_TRUE(this->PlanOf(number).reads_log);
+  }
+}
+
+/** Load pattern: 420 routers before 600 upstreams that renew their entries. */
+TEST(UpstreamFeed, FewOf420RoutersReadAndShareTheOthers) {
+  constexpr int kRouters = 420;
+  this->Announce(kRouters);
+  std::set<std::string> readers;
+  std::map<std::string, int> asked_by;
+  int asks_near = 0;
+  for (int number = 0; number < kRouters; ++number) {
+    const FeedPlan plan = this->PlanOf(number);
+    if (plan.reads_log) {
+      readers.insert(Name(number));
+      continue;
+    }
+    ++asked_by[plan.peers.front()];
+    const int reader = std::stoi(plan.peers.front().substr(7));
+    asks_near += DomainOf(reader) == DomainOf(number) ? 1 : 0;
+  }
+  CHECK_EQUAL(18U, readers.size());
+  CHECK_EQUAL(kRouters - 18, asks_near);  // Each domain has a reader.
+  for (const auto& [reader, count] : asked_by) {
+    CHECK_TRUE(readers.contains(reader));
+    // Each asks every 0.4 s: below 200 answers a second.
+    CHECK_TRUE_TEXT(count <= 80, std::to_string(count).c_str());
+  }
+}
+
+TEST(UpstreamFeed, ALeavingReaderIsReplaced) {
+  this->Announce(60);
+  FeedPlan plan;
+  int follower = 0;
+  while ((plan = this->PlanOf(follower)).reads_log) {
+    ++follower;
+  }
+  RouterAnnouncement leaving;
+  leaving.name = plan.peers.front();
+  leaving.peer_address = leaving.name;
+  leaving.leaving = true;
+  this->registry.Apply(leaving, this->now);
+  const FeedPlan next = this->PlanOf(follower);
+  CHECK_TRUE(next.reads_log || next.peers.front() != plan.peers.front());
+}
+
+TEST(UpstreamFeed, ReadersThatFailAreLeftForTheLogForAWhile) {
+  FeedSource source;
+  FeedPlan plan;
+  plan.reads_log = false;
+  plan.peers = {"first", "second", "third"};
+  source.SetPlan(plan);
+  STRCMP_EQUAL("first", source.peer().c_str());
+  source.NoteFailure(true, this->now);
+  CHECK_FALSE(source.reads_log(this->now));
+  STRCMP_EQUAL("second", source.peer().c_str());
+  source.NoteFailure(true, this->now);
+  CHECK_TRUE(source.reads_log(this->now + seconds(4)));
+  CHECK_FALSE(source.reads_log(this->now + seconds(6)));
+  STRCMP_EQUAL("third", source.peer().c_str());
+}
+
+TEST(UpstreamFeed, ReadersAreKeptWhileTheLogIsAwayFromAll) {
+  FeedSource source;
+  FeedPlan plan;
+  plan.reads_log = false;
+  plan.peers = {"first", "second"};
+  source.SetPlan(plan);
+  for (int i = 0; i < 5; ++i) {
+    source.NoteFailure(false, this->now);
+  }
+  CHECK_FALSE(source.reads_log(this->now));
+}
+
+TEST(UpstreamFeed, AReaderThatIsCutOffFromTheLogIsNotBelieved) {
+  CHECK_TRUE(FeedSource::IsFresh({milliseconds(400), milliseconds(10)}));
+  CHECK_FALSE(FeedSource::IsFresh({milliseconds(700), milliseconds(10)}));
+  // Both are without the log: its news are as good as any.
+  CHECK_TRUE(FeedSource::IsFresh({seconds(8), seconds(8)}));
+}
+
+TEST(UpstreamFeed, TellsWhatChangedAndNoRenewals) {
+  this->history.Note("e1", Record("e1"));
+  this->history.Note("e2", Record("e2"));
+  const std::uint64_t seen = this->history.newest();
+  this->history.Note("e1", Record("e1"));
+  CHECK_TRUE(this->history.Since(seen).changes.empty());
+  this->history.Note("e2", std::nullopt);
+  UpstreamRecord leaving = Record("e1");
+  leaving.leaving = true;
+  this->history.Note("e1", leaving);
+  const UpstreamNews news = this->history.Since(seen);
+  CHECK_FALSE(news.whole);
+  CHECK_EQUAL(2U, news.changes.size());
+  CHECK_FALSE(news.changes[0].record.has_value());
+  CHECK_TRUE(news.changes[1].record->leaving);
+  const UpstreamNews all = this->history.Since(0);
+  CHECK_TRUE(all.whole);
+  CHECK_EQUAL(1U, all.changes.size());
+}
+
+TEST(UpstreamFeed, WhoMissedForgottenRemovalsGetsTheWholeList) {
+  this->history.Note("kept", Record("kept"));
+  const std::uint64_t seen = this->history.newest();
+  for (int i = 0; i < 3'000; ++i) {
+    const std::string id = "e" + std::to_string(i);
+    this->history.Note(id, Record(id));
+    this->history.Note(id, std::nullopt);
+  }
+  CHECK_TRUE(this->history.Since(seen).whole);
+  CHECK_EQUAL(1U, this->history.Since(seen).changes.size());
+  CHECK_FALSE(this->history.Since(this->history.newest() - 10).whole);
+}
+
+TEST(UpstreamFeed, RemovesWhatAListNoLongerNames) {
+  this->history.Note("e1", Record("e1"));
+  this->history.Note("e2", Record("e2"));
+  const std::uint64_t seen = this->history.newest();
+  this->history.KeepOnly({"e1"});
+  const UpstreamNews news = this->history.Since(seen);
+  CHECK_EQUAL(1U, news.changes.size());
+  STRCMP_EQUAL("e2", news.changes[0].id.c_str());
+}
+
+/** Load pattern: many routers, and upstreams whose renewals are most of what
+   the log holds. */
+TEST(UpstreamFeed, FourteenRoutersReadRenewalsSixTimesAndKnowOfALeavingOne) {
+  GatewayFixture fixture;
+  fixture.Publish(1, 1'000'000);
+  constexpr int kRouters = 14;
+  for (int number = 2; number <= kRouters; ++number) {
+    fixture.AddRouter(number);
+  }
+  fixture.RunFor(seconds(3));
+  const std::uint64_t before = fixture.store.BytesRead("keyed.servers");
+  std::uint64_t written = 0;
+  for (int beat = 0; beat < 200; ++beat) {
+    const std::string entry =
+        R"({"Service":"other","Address":"127.0.0.1:9","Zone":"a","BatchSlots":8,)"
+        R"("State":"ready","born":1,"Sequence":)" +
+        std::to_string(beat) + "}";
+    fixture.store.Put("keyed.servers", "other-1", entry);
+    written += entry.size();
+    fixture.RunFor(milliseconds(10));
+  }
+  fixture.RunFor(seconds(1));
+  const std::uint64_t read = fixture.store.BytesRead("keyed.servers") - before;
+  CHECK_TRUE_TEXT(read < 8 * written, std::to_string(read).c_str());
+
+  // All routers, readers or not, stop sending to an upstream that leaves.
+  fixture.List(*fixture.desk_1, "desk-1", "desks", true);
+  fixture.List(*fixture.desk_2, "desk-2", "desks", true);
+  fixture.RunFor(seconds(2));
+  for (int number = 2; number <= kRouters; ++number) {
+    const std::string clients =
+        "127.0.0.1:" + std::to_string(18'300 + (number + 1) * 10);
+    const auto answer = fixture.SendTo(clients, GatewayFixture::Call());
+    CHECK_EQUAL(503, answer.status);
+  }
+}
--- /dev/null
+++ b/tests/gateway/log_reading_test.cc
@@ -0,0 +1,120 @@
+// Reading the platform's log where answers are long or many.
+#include <memory>
+
+#include "al_edge/loop/event_loop.h"
+#include "al_edge/loop/loop_timer.h"
+#include "al_http1/http1_caller.h"
+#include "al_http1/http1_server.h"
+#include "al_logstore/topic_follower.h"
+#include "store/store_server.h"
+#include "support/test_harness.h"
+
+using namespace auburnloft;  // NOLINT(google-build-using-namespace)
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const std::string kAddress = "127.0.0.1:18390";
+
+/** Answers with a piece each 40 ms, as a long answer does that comes over a
+   busy link. */
+class SlowServer {
+ public:
+  SlowServer(SocketPoller& poller, int pieces)
+      : left(pieces),
+        timer(poller.loop(), [this] { this->SendPiece(); }),
+        server(poller,
+               this->limits,
+               [this](std::shared_ptr<Http1ServerSession> opened,
+                      const Http1Request& /*request*/) {
+                 this->session = std::move(opened);
+                 Http1ResponseHead head;
+                 head.status = 200;
+                 this->session->StartAnswer(head);
+                 this->SendPiece();
+               }) {}
+
+  [[nodiscard]] auto Listen() -> bool { return this->server.Listen(kAddress); }
+
+ private:
+  auto SendPiece() -> void {
+    if (this->left-- == 0) {
+      this->session->FinishAnswer();
+      return;
+    }
+    this->session->Send("piece ");
+    this->timer.Start(milliseconds(40));
+  }
+
+  int left;
+  Http1SessionLimits limits;
+  std::shared_ptr<Http1ServerSession> session;
+  LoopTimer timer;
+  Http1Server server;
+};
+
+}  // namespace
+
+TEST_GROUP(LogReading) {
+  EventLoop loop;
+  SocketPoller poller{loop};
+
+  auto Call(Duration limit)->std::optional<Http1Caller::Reply> {
+    Http1Caller caller(this->poller, kAddress);
+    std::optional<Http1Caller::Reply> result;
+    bool done = false;
+    Http1Request request;
+    request.method = "GET";
+    request.target = "/";
+    caller.Call(request, limit,
+                [&](const std::optional<Http1Caller::Reply>& reply) {
+                  result = reply;
+                  done = true;
+                });
+    this->loop.RunUntil([&] { return done; }, seconds(10));
+    return result;
+  }
+};
+
+TEST(LogReading, WaitsForALongAnswerAsLongAsItGoesOn) {
+  SlowServer server(this->poller, 12);
+  CHECK_TRUE(server.Listen());
+  const auto reply = this->Call(milliseconds(200));
+  CHECK_TRUE(reply.has_value());
+  CHECK_EQUAL(12U * 6U, reply->body.size());
+}
+
+TEST(LogReading, GivesASilentAnswerUp) {
+  SlowServer server(this->poller, 3);
+  CHECK_TRUE(server.Listen());
+  CHECK_FALSE(this->Call(milliseconds(15)).has_value());
+}
+
+/** Load pattern: configurations in quick succession, each with many routes. */
+TEST(LogReading, TellsOnlyTheNewestOfRecordsThatReplaceEachOther) {
+  standins::StoreServer store(this->poller);
+  CHECK_TRUE(store.Listen(kAddress));
+  std::vector<std::string> told;
+  TopicFollower::Callbacks calls;
+  calls.on_record = [&](const gateway::KeyedRecord& record) {
+    told.push_back(record.key + "=" + record.value.value_or("none"));
+  };
+  calls.on_listed = [](const std::set<std::string>& /*keys*/) {};
+  calls.on_contact = [](bool /*answered*/) {};
+  TopicFollower follower(this->poller, kAddress,
+                         {"keyed.storm", Duration(0), milliseconds(100), true},
+                         std::move(calls));
+  follower.Start();
+  this->loop.RunUntil([] { return false; }, milliseconds(50));
+  for (int version = 1; version <= 5; ++version) {
+    store.Put("keyed.storm", "config", std::to_string(version));
+    store.Put("keyed.storm", "other", std::to_string(version));
+  }
+  store.Put("keyed.storm", "config", std::nullopt);
+  this->loop.RunUntil([] { return false; }, milliseconds(300));
+  CHECK_EQUAL(2U, told.size());
+  STRCMP_EQUAL("other=5", told[0].c_str());
+  STRCMP_EQUAL("config=none", told[1].c_str());
+}
--- a/tests/support/gateway_fixture.cc
+++ b/tests/support/gateway_fixture.cc
@@ -134,6 +134,11 @@
   return this->Exchange(kClients, MakeRequest(call));
 }
 
+auto GatewayFixture::SendTo(const std::string& address, const Call& call)
+    -> Answer {
+  return this->Exchange(address, MakeRequest(call));
+}
+
 auto GatewayFixture::Ask(const std::string& address, const std::string& target)
     -> Answer {
   Http1Request request;
--- a/tests/support/gateway_fixture.h
+++ b/tests/support/gateway_fixture.h
@@ -59,6 +59,9 @@
   /** Sends a request and waits for its end. */
   auto Send(const Call& call) -> Answer;
 
+  /** Sends a request to the door for callers of another router. */
+  auto SendTo(const std::string& address, const Call& call) -> Answer;
+
   /** Sends bytes as they are, and returns what comes until the connection ends
      or nothing came for a while. */
   auto SendRaw(const std::string& bytes) -> std::string;
