--- /dev/null
+++ b/modules/al_gateway/limits/run_count.cc
@@ -0,0 +1,47 @@
+#include "al_gateway/limits/run_count.h"
+
+#include <cassert>
+
+#include "al_gateway/model/fleet_config.h"
+
+namespace auburnloft::gateway {
+
+namespace {
+
+/** Sends of one request that upstreams refused without running it. */
+constexpr int kMostSends = 3;
+
+}  // namespace
+
+//==============================================================================
+// Commands
+
+auto RunCount::NoteSent() -> void {
+  ++this->send_count;
+  ++this->run_count;
+}
+
+auto RunCount::NoteNotRun() -> void {
+  assert(this->run_count > 0);
+  --this->run_count;
+}
+
+auto RunCount::NoteNotSent() -> void {
+  this->NoteNotRun();
+  --this->send_count;
+}
+
+//==============================================================================
+// Queries
+
+auto RunCount::MayRunAgain(const RouteRule& route, Duration time_left) const
+    -> bool {
+  return route.repeatable() && this->run_count < route.max_attempts &&
+         time_left.count() > 0;
+}
+
+auto RunCount::MayGoElsewhere(Duration time_left) const -> bool {
+  return this->send_count < kMostSends && time_left.count() > 0;
+}
+
+}  // namespace auburnloft::gateway
--- a/programs/ctl/commands.cc
+++ b/programs/ctl/commands.cc
@@ -11,6 +11,7 @@
 #include "al_config/check/configuration_parser.h"
 #include "al_core/text/digest.h"
 #include "al_operator/session/operator_session.h"
+#include "ctl/fleet_commands.h"
 #include "ctl/json_diff.h"
 
 namespace auburnloft {
@@ -325,7 +326,9 @@
          "team create NAME [--key KEY] | topup TEAM TOKENS [--id ID] | "
          "balance TEAM | bills TEAM | unknown list TEAM | "
          "unknown resolve TEAM KEY ran|not-run --reason TEXT | "
-         "state ADDRESS | drain ADDRESS --admin-key KEY";
+         "state ADDRESS | drain ADDRESS --admin-key KEY; "
+         "on the users' platform, with --log-address: fleet balances | "
+         "fleet routers; explain ID FILE...";
 }
 
 auto RunCommand(Words words, const SettingsReader& settings) -> CtlExit {
@@ -334,6 +337,9 @@
   if (is_check) {
     return Commands::CheckConfig(words.subspan(2));
   }
+  if (const auto exit = RunFleetCommand(words, settings)) {
+    return *exit;
+  }
   for (const CommandRow& row : kCommands) {
     const std::size_t names = row.second.empty() ? 1 : 2;
     const bool matches = words.size() == names + row.arguments &&
--- /dev/null
+++ b/programs/ctl/fleet_commands.cc
@@ -0,0 +1,71 @@
+#include "ctl/fleet_commands.h"
+
+#include <fstream>
+#include <iostream>
+#include <nlohmann/json.hpp>
+
+#include "ctl/explanation.h"
+#include "ctl/fleet_reader.h"
+#include "ctl/fleet_view.h"
+#include "ctl/log_lines.h"
+
+namespace auburnloft {
+
+namespace {
+
+using Words = std::span<const std::string>;
+
+auto ShowFleet(bool balances, const SettingsReader& settings) -> CtlExit {
+  const std::string address = settings.Text("log-address");
+  if (address.empty()) {
+    std::cerr << "--log-address or AUBURNLOFT_LOG_ADDRESS: is required for "
+                 "this command\n";
+    return CtlExit::kUsage;
+  }
+  FleetView view;
+  const auto watch = std::chrono::milliseconds(settings.Whole("watch-ms"));
+  if (!ReadFleet(address, watch, view)) {
+    return CtlExit::kUsage;
+  }
+  std::cout << (balances ? view.BalancesAsJson() : view.RoutersAsJson()).dump(2)
+            << "\n";
+  return CtlExit::kDone;
+}
+
+auto Explain(const std::string& id, Words files) -> CtlExit {
+  Explanation explanation(id);
+  for (const std::string& file : files) {
+    std::ifstream input(file);
+    if (!input) {
+      std::cerr << file << ": cannot be read\n";
+      return CtlExit::kUsage;
+    }
+    for (std::string text; std::getline(input, text);) {
+      if (const auto line = ReadLogLine(text, file)) {
+        explanation.Add(*line);
+      }
+    }
+  }
+  if (!explanation.found()) {
+    std::cerr << "no line of request " << id << " is in these files\n";
+    return CtlExit::kRefused;
+  }
+  std::cout << explanation.ToText();
+  return CtlExit::kDone;
+}
+
+}  // namespace
+
+auto RunFleetCommand(Words words, const SettingsReader& settings)
+    -> std::optional<CtlExit> {
+  if (words.size() == 2 && words[0] == "fleet" &&
+      (words[1] == "balances" || words[1] == "routers")) {
+    return ShowFleet(words[1] == "balances", settings);
+  }
+  if (words.size() >= 3 && words[0] == "explain") {
+    return Explain(words[1], words.subspan(2));
+  }
+  return std::nullopt;
+}
+
+}  // namespace auburnloft
--- a/programs/ctl/main.cc
+++ b/programs/ctl/main.cc
@@ -7,6 +7,11 @@
   auburnloft::SettingsReader settings(
       "Operates a fleet of routers: configuration, budgets, unknown outcomes.");
   settings.DeclareText("platform-address", "where the log is, as ip:port", "");
+  settings.DeclareText("log-address",
+                       "where the users' platform has its log, as ip:port", "");
+  settings.DeclareWhole("watch-ms",
+                        "how long routers are watched to see which live", 1'500,
+                        0, 60'000);
   settings.DeclareText("operator", "who does this, for the record", "operator");
   settings.DeclareText("reason", "why, for the record", "");
   settings.DeclareText("id", "id of a top-up; a repeat has no effect", "");
--- a/programs/gateway/fleet_link.cc
+++ b/programs/gateway/fleet_link.cc
@@ -5,7 +5,7 @@
 
 #include "al_edge/loop/event_loop.h"
 #include "al_edge/loop/loop_timer.h"
-#include "fleet.pb.h"
+#include "gateway/fleet_records.h"
 #include "platform/wire_names.h"
 
 namespace auburnloft::gateway {
@@ -36,35 +36,6 @@
 constexpr Duration kPromptRead = std::chrono::milliseconds(600);
 constexpr Duration kPromptAppend = std::chrono::milliseconds(20);
 
-constexpr std::string_view kRouterKey = "r/";
-constexpr std::string_view kAllowanceKey = "a/";
-
-auto ToRecord(const RouterAnnouncement& said) -> KeyedRecord {
-  wire::RouterRecord message;
-  message.set_name(said.name);
-  message.set_incarnation(said.incarnation);
-  message.set_domain(said.domain);
-  message.set_region(said.region);
-  message.set_client_address(said.client_address);
-  message.set_peer_address(said.peer_address);
-  message.set_leaving(said.leaving);
-  message.set_beat(said.beat);
-  message.set_config_version(said.config_version);
-  return {std::string(kRouterKey) + said.name, message.SerializeAsString()};
-}
-
-auto ToRecord(const AllowanceEntry& entry) -> KeyedRecord {
-  wire::AllowanceRecord message;
-  message.set_team(entry.team);
-  message.set_holder(entry.holder);
-  message.set_taken_tokens(entry.taken_tokens);
-  message.set_settled_tokens(entry.settled_tokens);
-  message.set_demand_per_second(entry.demand_per_second);
-  message.set_revision(entry.revision);
-  return {std::string(kAllowanceKey) + entry.team + "/" + entry.holder,
-          message.SerializeAsString()};
-}
-
 }  // namespace
 
 FleetLink::FleetLink(SocketPoller& poller,
@@ -229,46 +200,14 @@
 }
 
 auto FleetLink::OnRecord(const KeyedRecord& record) -> void {
-  if (!record.value) {
-    return;
-  }
-  if (record.key.starts_with(kRouterKey)) {
-    this->OnRouterRecord(*record.value);
-  } else if (record.key.starts_with(kAllowanceKey)) {
-    this->OnAllowanceRecord(*record.value);
+  if (auto said = ReadAnnouncement(record)) {
+    this->routers.Apply(std::move(*said), this->poller.loop().Now());
+  } else if (const auto entry = ReadAllowance(record)) {
+    this->OnAllowance(*entry);
   }
 }
 
-auto FleetLink::OnRouterRecord(const std::string& bytes) -> void {
-  wire::RouterRecord message;
-  if (!message.ParseFromString(bytes)) {
-    return;
-  }
-  RouterAnnouncement said;
-  said.name = message.name();
-  said.incarnation = message.incarnation();
-  said.domain = message.domain();
-  said.region = message.region();
-  said.client_address = message.client_address();
-  said.peer_address = message.peer_address();
-  said.leaving = message.leaving();
-  said.beat = message.beat();
-  said.config_version = message.config_version();
-  this->routers.Apply(std::move(said), this->poller.loop().Now());
-}
-
-auto FleetLink::OnAllowanceRecord(const std::string& bytes) -> void {
-  wire::AllowanceRecord message;
-  if (!message.ParseFromString(bytes)) {
-    return;
-  }
-  AllowanceEntry entry;
-  entry.team = message.team();
-  entry.holder = message.holder();
-  entry.taken_tokens = message.taken_tokens();
-  entry.settled_tokens = message.settled_tokens();
-  entry.demand_per_second = message.demand_per_second();
-  entry.revision = message.revision();
+auto FleetLink::OnAllowance(const AllowanceEntry& entry) -> void {
   this->allowances.Apply(entry);
   if (entry.holder == this->self.incarnation && this->listed) {
     this->desk.OnRecorded(entry, this->allowances.Taken(entry.team));
--- a/programs/gateway/fleet_link.h
+++ b/programs/gateway/fleet_link.h
@@ -91,8 +91,7 @@
   auto AppendBatch(std::span<const AllowanceEntry> entries, bool announce)
       -> void;
   auto OnRecord(const KeyedRecord& record) -> void;
-  auto OnRouterRecord(const std::string& bytes) -> void;
-  auto OnAllowanceRecord(const std::string& bytes) -> void;
+  auto OnAllowance(const AllowanceEntry& entry) -> void;
 
   SocketPoller& poller;
   RouterAnnouncement self;
--- /dev/null
+++ b/programs/gateway/fleet_records.cc
@@ -0,0 +1,87 @@
+#include "gateway/fleet_records.h"
+
+#include <string>
+#include <string_view>
+
+#include "fleet.pb.h"
+
+namespace auburnloft::gateway {
+
+namespace {
+
+constexpr std::string_view kRouterKey = "r/";
+constexpr std::string_view kAllowanceKey = "a/";
+
+/** The message of a record whose key begins with `prefix`. */
+template <typename Message>
+auto Read(const KeyedRecord& record, std::string_view prefix)
+    -> std::optional<Message> {
+  Message message;
+  const bool readable = record.key.starts_with(prefix) && record.value &&
+                        message.ParseFromString(*record.value);
+  return readable ? std::optional(std::move(message)) : std::nullopt;
+}
+
+}  // namespace
+
+auto ToRecord(const RouterAnnouncement& said) -> KeyedRecord {
+  wire::RouterRecord message;
+  message.set_name(said.name);
+  message.set_incarnation(said.incarnation);
+  message.set_domain(said.domain);
+  message.set_region(said.region);
+  message.set_client_address(said.client_address);
+  message.set_peer_address(said.peer_address);
+  message.set_leaving(said.leaving);
+  message.set_beat(said.beat);
+  message.set_config_version(said.config_version);
+  return {std::string(kRouterKey) + said.name, message.SerializeAsString()};
+}
+
+auto ToRecord(const AllowanceEntry& entry) -> KeyedRecord {
+  wire::AllowanceRecord message;
+  message.set_team(entry.team);
+  message.set_holder(entry.holder);
+  message.set_taken_tokens(entry.taken_tokens);
+  message.set_settled_tokens(entry.settled_tokens);
+  message.set_demand_per_second(entry.demand_per_second);
+  message.set_revision(entry.revision);
+  return {std::string(kAllowanceKey) + entry.team + "/" + entry.holder,
+          message.SerializeAsString()};
+}
+
+auto ReadAnnouncement(const KeyedRecord& record)
+    -> std::optional<RouterAnnouncement> {
+  const auto message = Read<wire::RouterRecord>(record, kRouterKey);
+  if (!message) {
+    return std::nullopt;
+  }
+  RouterAnnouncement said;
+  said.name = message->name();
+  said.incarnation = message->incarnation();
+  said.domain = message->domain();
+  said.region = message->region();
+  said.client_address = message->client_address();
+  said.peer_address = message->peer_address();
+  said.leaving = message->leaving();
+  said.beat = message->beat();
+  said.config_version = message->config_version();
+  return said;
+}
+
+auto ReadAllowance(const KeyedRecord& record) -> std::optional<AllowanceEntry> {
+  const auto message = Read<wire::AllowanceRecord>(record, kAllowanceKey);
+  if (!message) {
+    return std::nullopt;
+  }
+  AllowanceEntry entry;
+  entry.team = message->team();
+  entry.holder = message->holder();
+  entry.taken_tokens = message->taken_tokens();
+  entry.settled_tokens = message->settled_tokens();
+  entry.demand_per_second = message->demand_per_second();
+  entry.revision = message->revision();
+  return entry;
+}
+
+}  // namespace auburnloft::gateway
--- /dev/null
+++ b/programs/gateway/request_budget.h
@@ -0,0 +1,51 @@
+#ifndef GATEWAY_REQUEST_BUDGET_H_
+#define GATEWAY_REQUEST_BUDGET_H_
+
+#include <cstdint>
+#include <functional>
+#include <string>
+
+#include "al_core/time/instant.h"
+#include "gateway/budget_gate.h"
+#include "gateway/gateway_context.h"
+
+namespace auburnloft::gateway {
+
+/** The tokens of one request: reserved at their most before it is sent, and
+   settled once at what was used.
+
+    Thread safety: none; used on the loop's thread.
+*/
+class RequestBudget {
+ public:
+  explicit RequestBudget(GatewayContext& context) : context(context) {}
+
+  /** Settles at nothing used where Settle() was not called. */
+  ~RequestBudget();
+
+  RequestBudget(const RequestBudget&) = delete;
+  auto operator=(const RequestBudget&) -> RequestBudget& = delete;
+
+  /** Reserves, now or later. @param on_answer  not called after Settle(). */
+  auto Reserve(const std::string& team,
+               std::uint64_t tokens,
+               Duration patience,
+               std::function<void(BudgetAnswer)> on_answer) -> void;
+
+  /** Ends the reservation, and one that is still waited for. */
+  auto Settle(std::uint64_t used_tokens) -> void;
+
+  [[nodiscard]] auto reserved() const -> std::uint64_t {
+    return this->reserved_tokens;
+  }
+
+ private:
+  GatewayContext& context;
+  std::string team;
+  BudgetGate::Ticket ticket = 0;
+  std::uint64_t reserved_tokens = 0;
+};
+
+}  // namespace auburnloft::gateway
+
+#endif  // GATEWAY_REQUEST_BUDGET_H_
--- a/programs/gateway/request_run.cc
+++ b/programs/gateway/request_run.cc
@@ -20,18 +20,10 @@
 constexpr int kFirstFailure = 500;
 constexpr int kFirstRedirect = 300;
 
-/** Sends of one request that upstreams refused without running it. */
-constexpr int kMostSends = 3;
-
 /** When a caller is to come back that found no allowance: streams that hold
    reservations have ended by then, or the log has given more. */
 constexpr Duration kRetryAfterAllowance = std::chrono::milliseconds(1'000);
 
-/** The part of an upstream's connections that routers use: the rest is for
-   routers that come and go. */
-constexpr double kUsedConnections = 0.9;
-constexpr int kLeastConnections = 4;
-
 }  // namespace
 
 RequestRun::RequestRun(GatewayContext& context,
@@ -43,7 +35,8 @@
       caller(std::make_shared<CallerAnswer>(std::move(session),
                                             this->facts.attempt_id)),
       table(context.table),
-      arrived_at(context.loop.Now()) {}
+      arrived_at(context.loop.Now()),
+      budget(context) {}
 
 RequestRun::~RequestRun() = default;
 
@@ -99,21 +92,14 @@
     this->Dispatch();
     return;
   }
-  const auto ticket = this->context.budgets.Reserve(
-      this->team->name, this->facts.generation->most_tokens(),
-      AllowancePatience(*this->route), [this](BudgetAnswer answer) {
-        this->budget_ticket = 0;
-        this->OnBudget(answer);
-      });
-  if (ticket != 0) {
-    this->budget_ticket = ticket;
-  }
+  this->budget.Reserve(this->team->name, this->facts.generation->most_tokens(),
+                       AllowancePatience(*this->route),
+                       [this](BudgetAnswer answer) { this->OnBudget(answer); });
 }
 
 auto RequestRun::OnBudget(BudgetAnswer answer) -> void {
   switch (answer) {
     case BudgetAnswer::kReserved:
-      this->reserved_tokens = this->facts.generation->most_tokens();
       this->Dispatch();
       return;
     case BudgetAnswer::kSpent:
@@ -129,66 +115,43 @@
 // Sends
 
 auto RequestRun::Dispatch() -> void {
-  const Instant now = this->context.loop.Now();
-  std::vector<std::string> excluded = this->tried;
-  ChoiceQuery query;
-  query.service = this->service;
-  query.generation =
-      this->facts.generation ? &*this->facts.generation : nullptr;
-  while (true) {
-    query.excluded = excluded;
-    std::optional<Choice> choice = this->context.chooser.Choose(query, now);
-    if (!choice) {
-      break;
-    }
-    const UpstreamRecord& record = choice->upstream->record();
-    if (auto connection = this->context.connections.Take(
-            record.id, record.address, this->ConnectionBound())) {
-      this->SendTo(std::move(*choice), std::move(connection));
-      return;
-    }
-    excluded.push_back(record.id);
-  }
-  if (this->runs == 0) {
-    this->Refuse(kUnavailable, "no upstream", kRetryAfter);
-  } else if (this->caller->has_started()) {
-    this->BreakStream("no upstream to go on");
-  } else {
-    this->Refuse(kBadGateway, "no other upstream", Duration(0));
+  SendQuery query = this->MakeSendQuery();
+  this->attempt = OpenAttempt(this->context, query);
+  if (!this->attempt) {
+    this->OnNoUpstream();
+    return;
   }
-}
-
-auto RequestRun::SendTo(Choice choice,
-                        UpstreamConnections::Connection connection) -> void {
-  this->attempt = std::make_unique<UpstreamAttempt>(
-      this->context, std::move(choice), std::move(connection));
   const UpstreamState& upstream = this->attempt->upstream();
   if (this->facts.generation) {
     this->context.chooser.NotePrompt(*this->facts.generation, upstream,
                                      this->attempt->sent_at());
   }
-  ++this->sends;
-  ++this->runs;
+  this->count.NoteSent();
+  query.number = this->count.sends();
+  const std::string bytes = BytesFor(this->context, query, *this->attempt);
   this->tried.push_back(upstream.record().id);
   this->events.Resume();
-  const Http1Request sent =
-      platform::MakeUpstreamRequest(this->request, this->MakeOrders(upstream),
-                                    !this->table->config().teams.empty());
-  this->context.log.Line(
-      DecisionLog::Weight::kRoutine, "send",
-      {{"id", this->facts.attempt_id},
-       {"upstream", upstream.record().id},
-       {"prefill", this->attempt->choice().prefill_tokens},
-       {"expected_ms", this->attempt->choice().expected},
-       {"open", upstream.open_requests()},
-       {"late_ms", upstream.ExcessLatency(this->attempt->sent_at())},
-       {"send", this->sends}},
-      this->attempt->sent_at());
   if (this->route->repeatable()) {
     this->attempt_timer->Start(FirstBytePatience(*this->route));
   }
-  this->attempt->connection().Start(
-      ToBytes(sent), this->request.method == "HEAD", this->MakeCallbacks());
+  this->attempt->connection().Start(bytes, this->request.method == "HEAD",
+                                    this->MakeCallbacks());
+}
+
+auto RequestRun::MakeSendQuery() const -> SendQuery {
+  return {this->request, this->facts,      *this->table,
+          *this->route,  this->team,       this->service,
+          this->tried,   this->TimeLeft(), this->events.last_id()};
+}
+
+auto RequestRun::OnNoUpstream() -> void {
+  if (this->count.never_ran()) {
+    this->Refuse(kUnavailable, "no upstream", kRetryAfter);
+  } else if (this->caller->has_started()) {
+    this->BreakStream("no upstream to go on");
+  } else {
+    this->Refuse(kBadGateway, "no other upstream", Duration(0));
+  }
 }
 
 auto RequestRun::MakeCallbacks() -> Http1ClientConnection::ExchangeCallbacks {
@@ -210,35 +173,6 @@
   return callbacks;
 }
 
-auto RequestRun::MakeOrders(const UpstreamState& upstream) const
-    -> UpstreamOrders {
-  UpstreamOrders orders;
-  orders.instance_id = upstream.record().id;
-  orders.team = this->team != nullptr ? this->team->name : std::string();
-  orders.time_left = std::max(Duration(1000), this->TimeLeft());
-  if (this->facts.generation) {
-    constexpr int kLeastUrgent = 9;
-    const int wanted = this->team != nullptr && this->team->priority
-                           ? *this->team->priority
-                           : this->route->priority;
-    orders.priority = std::clamp(wanted, 0, kLeastUrgent);
-  }
-  if (this->events.last_id()) {
-    orders.last_event_id = this->events.last_id();
-  }
-  return orders;
-}
-
-auto RequestRun::ConnectionBound() const -> int {
-  const ServiceRule* const rule = this->table->FindService(this->service);
-  if (rule == nullptr || rule->max_connections <= 0) {
-    return kLeastConnections;
-  }
-  const int share = static_cast<int>(rule->max_connections * kUsedConnections) /
-                    std::max(1, this->context.routers);
-  return std::max(kLeastConnections, share);
-}
-
 //==============================================================================
 // Events of the attempt
 
@@ -312,11 +246,10 @@
 }
 
 auto RequestRun::OnNotRun() -> void {
-  --this->runs;
+  this->count.NoteNotRun();
   this->EndAttempt(this->attempt->answer().replaced ? UpstreamResult::kReplaced
                                                     : UpstreamResult::kShed);
-  const bool may_send = this->sends < kMostSends && this->HasTimeLeft();
-  if (may_send &&
+  if (this->count.MayGoElsewhere(this->TimeLeft()) &&
       this->context.retries.TryTake(this->service, this->context.routers,
                                     this->context.loop.Now())) {
     this->Dispatch();
@@ -324,7 +257,7 @@
   }
   if (this->caller->has_started()) {
     this->BreakStream("no upstream resumes the stream");
-  } else if (this->runs == 0) {
+  } else if (this->count.never_ran()) {
     this->Refuse(kUnavailable, "upstream is full", kRetryAfter);
   } else {
     this->Refuse(kBadGateway, "upstream is full after a failure", Duration(0));
@@ -333,8 +266,7 @@
 
 auto RequestRun::OnFailedAttempt(Http1Outcome outcome) -> void {
   if (outcome == Http1Outcome::kNotSent) {
-    --this->runs;
-    --this->sends;
+    this->count.NoteNotSent();
     this->EndAttempt(UpstreamResult::kUnreachable);
     this->Dispatch();
     return;
@@ -357,9 +289,7 @@
   if (!this->attempt) {
     return;
   }
-  const Instant now = this->context.loop.Now();
-  if (this->MayRunAgain() && this->context.retries.TryTake(
-                                 this->service, this->context.routers, now)) {
+  if (this->TakeAnotherRun()) {
     this->attempt->Cancel();
     this->EndAttempt(UpstreamResult::kFailed);
     this->Dispatch();
@@ -368,7 +298,8 @@
   if (this->caller->has_started() || this->route->kind != RouteKind::kStream) {
     return;  // The answer may still come until the deadline.
   }
-  const Duration silent_for = now - this->attempt->sent_at();
+  const Duration silent_for =
+      this->context.loop.Now() - this->attempt->sent_at();
   const Duration limit = SilencePatience(*this->route);
   if (silent_for < limit) {
     this->attempt_timer->Start(limit - silent_for);
@@ -383,31 +314,26 @@
 //==============================================================================
 // Decisions
 
-auto RequestRun::MayRunAgain() const -> bool {
-  const bool has_runs_left = this->runs < this->route->max_attempts;
-  return this->route->repeatable() && has_runs_left && this->HasTimeLeft();
+auto RequestRun::TakeAnotherRun() -> bool {
+  return this->count.MayRunAgain(*this->route, this->TimeLeft()) &&
+         this->context.retries.TryTake(this->service, this->context.routers,
+                                       this->context.loop.Now());
 }
 
 auto RequestRun::TryRunAgain(std::string_view why) -> bool {
-  const Instant now = this->context.loop.Now();
-  if (!this->MayRunAgain() || !this->context.retries.TryTake(
-                                  this->service, this->context.routers, now)) {
+  if (!this->TakeAnotherRun()) {
     return false;
   }
   this->context.log.Line(DecisionLog::Weight::kNotable, "run_again",
                          {{"id", this->facts.attempt_id},
                           {"why", why},
-                          {"runs", this->runs},
+                          {"runs", this->count.runs()},
                           {"events", this->events.event_count()}},
-                         now);
+                         this->context.loop.Now());
   this->Dispatch();
   return true;
 }
 
-auto RequestRun::HasTimeLeft() const -> bool {
-  return this->TimeLeft().count() > 0;
-}
-
 auto RequestRun::TimeLeft() const -> Duration {
   return this->deadline - this->context.loop.Now();
 }
@@ -422,7 +348,7 @@
   }
   if (this->caller->has_started()) {
     this->BreakStream("timeout");
-  } else if (this->runs == 0) {
+  } else if (this->count.never_ran()) {
     this->Refuse(kUnavailable, "timeout before it was sent", kRetryAfter);
   } else {
     this->Refuse(kTimedOut, "timeout", Duration(0));
@@ -478,15 +404,16 @@
   if (std::exchange(this->ended, true)) {
     return;
   }
-  if (this->budget_ticket != 0) {
-    this->context.budgets.Cancel(this->budget_ticket);
-  }
-  const std::uint64_t used = this->UsedTokens();
-  if (this->reserved_tokens > 0) {
-    this->context.desk.Settle(this->team->name, this->reserved_tokens, used);
+  RequestReport report = this->MakeReport();
+  report.outcome = outcome;
+  report.status = status;
+  report.why = why;
+  this->budget.Settle(report.used_tokens);
+  if (this->team != nullptr) {
+    report.available_tokens = this->context.desk.Available(this->team->name);
   }
   this->context.metrics.CountRequest(outcome);
-  this->LogEnd(outcome, status, why, used);
+  LogRequest(this->context.log, report, this->context.loop.Now());
   this->deadline_timer.reset();
   this->attempt_timer.reset();
   --this->context.open_requests;
@@ -495,37 +422,30 @@
   this->context.loop.Defer([kept = std::move(this->self)] {});
 }
 
-auto RequestRun::LogEnd(std::string_view outcome,
-                        int status,
-                        std::string_view why,
-                        std::uint64_t used) const -> void {
-  const Instant now = this->context.loop.Now();
-  const bool routine = outcome == "served";
-  this->context.log.Line(
-      routine ? DecisionLog::Weight::kRoutine : DecisionLog::Weight::kNotable,
-      "request",
-      {{"id", this->facts.attempt_id},
-       {"outcome", outcome},
-       {"status", status},
-       {"why", why},
-       {"route", this->route != nullptr ? this->route->name : std::string("-")},
-       {"team", this->team != nullptr ? this->team->name : std::string("-")},
-       {"sends", this->sends},
-       {"runs", this->runs},
-       {"events", this->events.event_count()},
-       {"reserved", this->reserved_tokens},
-       {"used", used},
-       {"available", this->team != nullptr
-                         ? this->context.desk.Available(this->team->name)
-                         : 0},
-       {"config", this->table ? this->table->config().version : 0},
-       {"first_ms", this->first_event_after},
-       {"ms", now - this->arrived_at}},
-      now);
+auto RequestRun::MakeReport() const -> RequestReport {
+  RequestReport report;
+  report.id = this->facts.attempt_id;
+  report.sends = this->count.sends();
+  report.runs = this->count.runs();
+  report.events = this->events.event_count();
+  report.reserved_tokens = this->budget.reserved();
+  report.used_tokens = this->UsedTokens();
+  report.first_event_after = this->first_event_after;
+  report.took = this->context.loop.Now() - this->arrived_at;
+  if (this->table) {
+    report.config_version = this->table->config().version;
+  }
+  if (this->route != nullptr) {
+    report.route = this->route->name;
+  }
+  if (this->team != nullptr) {
+    report.team = this->team->name;
+  }
+  return report;
 }
 
 auto RequestRun::UsedTokens() const -> std::uint64_t {
-  if (this->reserved_tokens == 0 || this->runs == 0) {
+  if (this->budget.reserved() == 0 || this->count.never_ran()) {
     return 0;
   }
   const ServiceRule* const rule = this->table->FindService(this->service);
--- a/programs/gateway/request_run.h
+++ b/programs/gateway/request_run.h
@@ -7,6 +7,7 @@
 #include <string_view>
 #include <vector>
 
+#include "al_gateway/limits/run_count.h"
 #include "al_gateway/model/request_facts.h"
 #include "al_gateway/streams/event_splitter.h"
 #include "al_gateway/upstreams/upstream_chooser.h"
@@ -14,7 +15,10 @@
 #include "al_http1/http1_server_session.h"
 #include "gateway/caller_answer.h"
 #include "gateway/gateway_context.h"
+#include "gateway/request_budget.h"
+#include "gateway/request_report.h"
 #include "gateway/upstream_attempt.h"
+#include "gateway/upstream_dispatch.h"
 
 namespace auburnloft::gateway {
 
@@ -22,9 +26,8 @@
    for, sent to an upstream, sent again where that is allowed, and answered
    once.
 
-    What was sent to an upstream counts as run unless the upstream states that
-   it did not run it, or no byte left this machine. A refusal that promises "not
-   run" is given only while that holds of every send.
+    A refusal that promises "not run" is given only while RunCount says so of
+   every send.
 
     Keeps itself alive until it has answered.
 
@@ -51,13 +54,10 @@
 
   // Sends.
   auto Dispatch() -> void;
-  auto SendTo(Choice choice, UpstreamConnections::Connection connection)
-      -> void;
+  [[nodiscard]] auto MakeSendQuery() const -> SendQuery;
+  auto OnNoUpstream() -> void;
   [[nodiscard]] auto MakeCallbacks()
       -> Http1ClientConnection::ExchangeCallbacks;
-  [[nodiscard]] auto MakeOrders(const UpstreamState& upstream) const
-      -> UpstreamOrders;
-  [[nodiscard]] auto ConnectionBound() const -> int;
 
   // Events of the attempt.
   auto OnBody(const std::string& bytes) -> void;
@@ -69,9 +69,8 @@
   auto OnFailedAttempt(Http1Outcome outcome) -> void;
 
   // Decisions.
-  [[nodiscard]] auto MayRunAgain() const -> bool;
+  [[nodiscard]] auto TakeAnotherRun() -> bool;
   auto TryRunAgain(std::string_view why) -> bool;
-  [[nodiscard]] auto HasTimeLeft() const -> bool;
   [[nodiscard]] auto TimeLeft() const -> Duration;
 
   // The end.
@@ -83,10 +82,7 @@
   auto Refuse(int status, std::string_view why, Duration retry_after) -> void;
   auto EndAttempt(UpstreamResult result) -> std::unique_ptr<UpstreamAttempt>;
   auto End(std::string_view outcome, int status, std::string_view why) -> void;
-  auto LogEnd(std::string_view outcome,
-              int status,
-              std::string_view why,
-              std::uint64_t used) const -> void;
+  [[nodiscard]] auto MakeReport() const -> RequestReport;
   [[nodiscard]] auto UsedTokens() const -> std::uint64_t;
 
   GatewayContext& context;
@@ -101,12 +97,10 @@
   Instant deadline{};
   std::unique_ptr<LoopTimer> deadline_timer;
   std::unique_ptr<LoopTimer> attempt_timer;
-  BudgetGate::Ticket budget_ticket = 0;
-  std::uint64_t reserved_tokens = 0;
+  RequestBudget budget;
   std::unique_ptr<UpstreamAttempt> attempt;
   std::vector<std::string> tried;  ///< Ids of upstreams that had their turn.
-  int sends = 0;                   ///< Sends that may have reached an upstream.
-  int runs = 0;                    ///< Sends that may have run.
+  RunCount count;
   EventSplitter events;
   Duration first_event_after{0};
   bool ended = false;
