Callers refused for want of an allowance in an outage are told to come back when it may have ended

Change: while the log is silent, Retry-After is as long as it has been silent, 1 to 5 s, at most a third of the time left.

--- a/modules/al_gateway/limits/attempt_patience.cc
+++ b/modules/al_gateway/limits/attempt_patience.cc
@@ -10,6 +10,17 @@
    refused so early can come back in time. */
 constexpr double kAllowancePart = 0.12;
 
+/** When streams that hold reservations have ended, or the log has given more.
+ */
+constexpr Duration kLeastAllowanceRetry = std::chrono::milliseconds(1'000);
+
+/** The most that a caller is told to stay away: later its own deadline is more
+   likely to pass than the outage to last. */
+constexpr Duration kMostAllowanceRetry = std::chrono::milliseconds(5'000);
+
+/** Callers wait for a third of their time left at most. */
+constexpr int kPartOfTimeLeft = 3;
+
 /** An attempt is given up for another one after this multiple of the objective,
    but not before the least: the longest usual work of a plain service. */
 constexpr double kFirstByteMultiple = 1.5;
@@ -39,6 +50,14 @@
   return Scaled(route.latency_objective, kAllowancePart);
 }
 
+auto AllowanceRetryAfter(Duration log_silent_for, Duration time_left)
+    -> Duration {
+  const Duration wanted =
+      std::clamp(log_silent_for, kLeastAllowanceRetry, kMostAllowanceRetry);
+  return std::min(wanted,
+                  std::max(kLeastAllowanceRetry, time_left / kPartOfTimeLeft));
+}
+
 auto FirstBytePatience(const RouteRule& route) -> Duration {
   return std::max(kLeastFirstByte,
                   Scaled(route.latency_objective, kFirstByteMultiple));
--- a/modules/al_gateway/limits/attempt_patience.h
+++ b/modules/al_gateway/limits/attempt_patience.h
@@ -11,6 +11,17 @@
 /** For an allowance of its team. */
 [[nodiscard]] auto AllowancePatience(const RouteRule& route) -> Duration;
 
+/** When a caller is to come back for whose request there was no allowance.
+
+    Other callers' streams end within about a second and return what they did
+    not use. While the log is away nothing else comes: an outage that has lasted
+    for a while is taken to last about as long again.
+
+    @param log_silent_for  since the log last answered this router.
+    @param time_left       of the request; a third of it is the most. */
+[[nodiscard]] auto AllowanceRetryAfter(Duration log_silent_for,
+                                       Duration time_left) -> Duration;
+
 /** For the first byte of an attempt that may be repeated elsewhere. */
 [[nodiscard]] auto FirstBytePatience(const RouteRule& route) -> Duration;
 
--- a/programs/gateway/gateway_context.h
+++ b/programs/gateway/gateway_context.h
@@ -36,6 +36,7 @@
   Duration stream_limit{0};   ///< Late in a shutdown: time to finish a stream.
   int open_requests = 0;      ///< Under way in this process.
   bool log_in_touch = false;  ///< Whether the platform's log answers.
+  Instant log_contact_at{};   ///< When it last did.
 };
 
 }  // namespace auburnloft::gateway
--- a/programs/gateway/gateway_daemon.cc
+++ b/programs/gateway/gateway_daemon.cc
@@ -301,9 +301,9 @@
   if (!answered) {
     return;
   }
-  const bool was_away =
-      this->last_contact != Instant() && now - this->last_contact >= kAwayAfter;
-  this->last_contact = now;
+  const bool was_away = this->context.log_contact_at != Instant() &&
+                        now - this->context.log_contact_at >= kAwayAfter;
+  this->context.log_contact_at = now;
   this->feed.NoteContact(now);
   if (!this->context.log_in_touch) {
     this->context.log_in_touch = true;
@@ -335,10 +335,11 @@
   this->upstreams.Expire(now);
   this->context.routers = this->fleet.CountAlive();
   this->feed.Plan();
-  if (this->context.log_in_touch && now - this->last_contact >= kAwayAfter) {
+  if (this->context.log_in_touch &&
+      now - this->context.log_contact_at >= kAwayAfter) {
     this->context.log_in_touch = false;
     this->log.Line(DecisionLog::Weight::kNotable, "log_lost",
-                   {{"silent_ms", now - this->last_contact}}, now);
+                   {{"silent_ms", now - this->context.log_contact_at}}, now);
   }
 }
 
--- a/programs/gateway/gateway_daemon.h
+++ b/programs/gateway/gateway_daemon.h
@@ -101,7 +101,6 @@
   std::vector<std::unique_ptr<Http1Server>> doors;  ///< The callers' first.
   std::unique_ptr<LoopTimer> tick;
   std::unique_ptr<LoopTimer> drain_tick;
-  Instant last_contact{};
   std::optional<Instant> draining_since;
   bool returning = false;
 };
--- a/programs/gateway/request_run.cc
+++ b/programs/gateway/request_run.cc
@@ -20,10 +20,6 @@
 constexpr int kFirstFailure = 500;
 constexpr int kFirstRedirect = 300;
 
-/** When a caller is to come back that found no allowance: streams that hold
-   reservations have ended by then, or the log has given more. */
-constexpr Duration kRetryAfterAllowance = std::chrono::milliseconds(1'000);
-
 }  // namespace
 
 RequestRun::RequestRun(GatewayContext& context,
@@ -106,7 +102,10 @@
       this->Refuse(kPaymentRequired, "budget spent", Duration(0));
       return;
     case BudgetAnswer::kUnavailable:
-      this->Refuse(kUnavailable, "no allowance", kRetryAfterAllowance);
+      this->Refuse(kUnavailable, "no allowance",
+                   AllowanceRetryAfter(
+                       this->context.loop.Now() - this->context.log_contact_at,
+                       this->TimeLeft()));
       return;
   }
 }
--- a/tests/gateway/decisions_test.cc
+++ b/tests/gateway/decisions_test.cc
@@ -291,3 +291,16 @@
   CHECK_TRUE(PausePatience(route) == seconds(1));
   CHECK_TRUE(SilencePatience(route) == seconds(2));
 }
+
+/** Load pattern: all routers are cut off from the log, and what they hold of a
+   busy team's budget is used up. */
+TEST(Decisions, TellsCallersToComeBackWhenAnOutageMayHaveEnded) {
+  const Duration patience = seconds(12);
+  // In touch: other callers' streams end soon.
+  CHECK_TRUE(AllowanceRetryAfter(milliseconds(300), patience) == seconds(1));
+  CHECK_TRUE(AllowanceRetryAfter(seconds(3), patience) == seconds(3));
+  CHECK_TRUE(AllowanceRetryAfter(seconds(6), patience) == seconds(4));
+  CHECK_TRUE(AllowanceRetryAfter(seconds(60), seconds(30)) == seconds(5));
+  // A caller with little time left is not told to wait it away.
+  CHECK_TRUE(AllowanceRetryAfter(seconds(6), seconds(2)) == seconds(1));
+}
