--- a/modules/al_gateway/membership/router_registry.cc
+++ b/modules/al_gateway/membership/router_registry.cc
@@ -15,8 +15,19 @@
 /** Routers of a caller's own domain below which it is told of all. */
 constexpr std::size_t kEnoughInDomain = 2;
 
+/** Routers that report in one second, some entries each: with more, reading
+    the reports would cost a small machine more than routing does. */
+constexpr int kReportsASecond = 32;
+
 }  // namespace
 
+auto ReportsSpending(std::string_view name, std::uint64_t beat, int routers)
+    -> bool {
+  const auto every = static_cast<std::uint64_t>(
+      std::max(1, (routers + kReportsASecond - 1) / kReportsASecond));
+  return (beat + StableHash(name) % every) % every == 0;
+}
+
 auto RouterNameOf(std::string_view incarnation) -> std::string_view {
   return incarnation.substr(0, incarnation.rfind('#'));
 }
--- a/modules/al_gateway/membership/router_registry.h
+++ b/modules/al_gateway/membership/router_registry.h
@@ -94,6 +94,15 @@
   std::map<std::string, Member> members;
 };
 
+/** In which of a router's announcements it also reports what it has spent
+   since: every one in a small fleet, and fewer the more routers read each
+   report, so that what one router reads does not grow with the fleet.
+    @param name  of the router; they report in turn.
+    @param beat  counts its announcements. */
+[[nodiscard]] auto ReportsSpending(std::string_view name,
+                                   std::uint64_t beat,
+                                   int routers) -> bool;
+
 /** The name of the router that `incarnation` is a life of. */
 [[nodiscard]] auto RouterNameOf(std::string_view incarnation)
     -> std::string_view;
--- a/programs/gateway/fleet_link.cc
+++ b/programs/gateway/fleet_link.cc
@@ -156,8 +156,11 @@
   const Instant now = this->poller.loop().Now();
   const bool announce =
       this->announce_now || now - this->announced_at >= kAnnouncePause;
+  const bool reports =
+      announce &&
+      ReportsSpending(this->self.name, this->self.beat + 1, this->CountAlive());
   const std::vector<AllowanceEntry> entries =
-      this->desk.Plan(this->allowances, this->View(), announce, now);
+      this->desk.Plan(this->allowances, this->View(), reports, now);
   if (announce || !entries.empty()) {
     this->AppendBatch(entries, announce);
   }
--- a/tests/gateway/feed_test.cc
+++ b/tests/gateway/feed_test.cc
@@ -89,6 +89,21 @@
   }
 }
 
+/** Load pattern: hundreds of routers that all spend of all teams' budgets. */
+TEST(UpstreamFeed, ReportsOfSpendingASecondDoNotGrowWithTheFleet) {
+  for (const int routers : {1, 8, 32, 66, 300, 420}) {
+    for (std::uint64_t beat = 1; beat <= 20; ++beat) {
+      int reports = 0;
+      for (int router = 0; router < routers; ++router) {
+        reports += ReportsSpending(Name(router), beat, routers) ? 1 : 0;
+      }
+      // Names are spread by a hash, not dealt out evenly.
+      CHECK_TRUE(reports >= std::min(routers, 12));
+      CHECK_TRUE(reports <= 2 * 32);
+    }
+  }
+}
+
 TEST(UpstreamFeed, ALeavingReaderIsReplaced) {
   this->Announce(60);
   FeedPlan plan;
