--- /dev/null
+++ b/standins/proxy/main.cc
@@ -0,0 +1,32 @@
+#include <iostream>
+
+#include "al_edge/loop/event_loop.h"
+#include "al_edge/settings/settings_reader.h"
+#include "al_net/socket_poller.h"
+#include "proxy/loopback_proxy.h"
+
+auto main(int argc, char** argv) -> int {
+  using namespace auburnloft;  // NOLINT(google-build-using-namespace)
+  constexpr int kBadUsage = 2;
+  SettingsReader settings("Stands on a loopback link and harms it on request.");
+  settings.DeclareAddress("address", "where to listen, as ip:port");
+  settings.DeclareAddress("target", "where bytes go, as ip:port");
+  settings.DeclareAddress("control-address",
+                          "where faults are switched on, as ip:port");
+  if (!settings.Read(argc, argv)) {
+    std::cerr << settings.findings().ToText();
+    return kBadUsage;
+  }
+  EventLoop loop;
+  SocketPoller poller(loop);
+  standins::LoopbackProxy proxy(
+      poller, {settings.Text("address"), settings.Text("target"),
+               settings.Text("control-address")});
+  if (!proxy.Listen()) {
+    std::cerr << "an address cannot be listened on\n";
+    return kBadUsage;
+  }
+  loop.HandleSignals([&loop] { loop.Stop(); });
+  loop.Run();
+  return 0;
+}
--- a/standins/wire/main.cc
+++ b/standins/wire/main.cc
@@ -1,3 +1,5 @@
+#include <chrono>
+#include <fstream>
 #include <iostream>
 
 #include "al_edge/loop/event_loop.h"
@@ -17,6 +19,12 @@
 /** Pause between two announcements at the store. */
 constexpr Duration kHeartbeat = std::chrono::milliseconds(1'000);
 
+auto UnixMillis() -> std::int64_t {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
 auto Announcement(const std::string& id, std::string entry) -> Http1Request {
   Http1Request call;
   call.method = "PUT";
@@ -36,6 +44,9 @@
   settings.DeclareRequiredText("service", "the service that it belongs to");
   settings.DeclareText("domain", "its failure domain", "a");
   settings.DeclareAddress("store-address", "the store, as ip:port");
+  settings.DeclareText("told-address", "what its entry says, as behind a proxy",
+                       "");
+  settings.DeclareText("runs-file", "where each run is noted as it begins", "");
   settings.DeclareWhole("events", "events of a stream", 8, 1, 10'000);
   settings.DeclareWhole("between-us", "microseconds between events", 10'000, 0,
                         10'000'000);
@@ -48,6 +59,8 @@
   standins::WireUpstream::Settings wanted;
   wanted.id = settings.Text("id");
   wanted.address = settings.Text("address");
+  wanted.told_address = settings.Text("told-address");
+  wanted.born_ms = UnixMillis();
   wanted.between = Duration(settings.Whole("between-us"));
   wanted.first_byte = wanted.between;
   wanted.events = static_cast<std::uint64_t>(settings.Whole("events"));
@@ -56,13 +69,18 @@
     std::cerr << "--address: cannot be listened on\n";
     return kBadUsage;
   }
+  std::ofstream runs(settings.Text("runs-file"), std::ios::app);
+  upstream.SetOnRun([&](const std::string& id) {
+    runs << UnixMillis() << ' ' << wanted.id << ' ' << id << std::endl;
+  });
   Http1Caller store(poller, settings.Text("store-address"));
   const auto announce = [&] {
     if (!store.busy()) {
-      store.Call(Announcement(wanted.id,
-                              upstream.Entry(settings.Text("service"),
-                                             settings.Text("domain"), false)),
-                 kHeartbeat, [](const auto& /*reply*/) {});
+      store.Call(
+          Announcement(wanted.id, upstream.Entry(settings.Text("service"),
+                                                 settings.Text("domain"),
+                                                 upstream.leaving())),
+          kHeartbeat, [](const auto& /*reply*/) {});
     }
   };
   announce();
--- a/standins/wire/wire_upstream.cc
+++ b/standins/wire/wire_upstream.cc
@@ -1,5 +1,7 @@
 #include "wire/wire_upstream.h"
 
+#include <algorithm>
+#include <array>
 #include <charconv>
 #include <nlohmann/json.hpp>
 #include <utility>
@@ -49,11 +51,13 @@
                          bool leaving) const -> std::string {
   nlohmann::json entry;
   entry["Service"] = service;
-  entry["Address"] = this->settings.address;
+  entry["Address"] = this->settings.told_address.empty()
+                         ? this->settings.address
+                         : this->settings.told_address;
   entry["Zone"] = domain;
   entry["BatchSlots"] = 8;
   entry["State"] = leaving ? "draining" : "ready";
-  entry["born"] = 1;
+  entry["born"] = this->settings.born_ms;
   return entry.dump();
 }
 
@@ -61,6 +65,10 @@
 
 auto WireUpstream::OnRequest(const Session& session,
                              const Http1Request& request) -> void {
+  if (request.target == "/faults") {
+    this->OnFaults(session, request.body);
+    return;
+  }
   this->last = request;
   const std::string id(
       request.fields.Find(platform::kAttemptIdHeader).value_or(""));
@@ -75,6 +83,9 @@
     return;
   }
   this->ran.push_back(id);
+  if (this->on_run) {
+    this->on_run(id);
+  }
   if (this->fault == Fault::kSilent) {
     return;
   }
@@ -95,6 +106,29 @@
   }
 }
 
+auto WireUpstream::OnFaults(const Session& session, const std::string& word)
+    -> void {
+  struct Named {
+    std::string_view word;
+    Fault fault;
+  };
+  constexpr std::array<Named, 7> kFaults = {{{"none", Fault::kNone},
+                                             {"full", Fault::kFull},
+                                             {"lost", Fault::kAnswerLost},
+                                             {"breaks", Fault::kBreaksStream},
+                                             {"extra", Fault::kExtraAnswer},
+                                             {"fails", Fault::kFails},
+                                             {"silent", Fault::kSilent}}};
+  const auto found = std::ranges::find(kFaults, word, &Named::word);
+  if (found != kFaults.end()) {
+    this->fault = found->fault;
+  } else if (word == "leaving") {
+    this->leaves = true;
+  }
+  const bool known = found != kFaults.end() || word == "leaving";
+  session->Answer(HeadFor(known ? 200 : 400, ""), {});
+}
+
 auto WireUpstream::AnswerPlain(const Session& session, const std::string& id)
     -> void {
   Http1ResponseHead head =
--- a/standins/wire/wire_upstream.h
+++ b/standins/wire/wire_upstream.h
@@ -28,6 +28,8 @@
   struct Settings {
     std::string id;
     std::string address;
+    std::string told_address;  ///< In its entry; empty: `address`.
+    std::int64_t born_ms = 1;  ///< Unix time of its start, as its entry tells.
     Duration first_byte{0};    ///< Until an answer, or the first event.
     Duration between{0};       ///< Between events.
     std::uint64_t events = 4;  ///< Of a stream.
@@ -56,6 +58,11 @@
   [[nodiscard]] auto Listen() -> bool;
   auto SetFault(Fault fault) -> void { this->fault = fault; }
 
+  /** Called with the id of each attempt as it begins to run. */
+  auto SetOnRun(std::function<void(const std::string& id)> call) -> void {
+    this->on_run = std::move(call);
+  }
+
   //============================================================================
   // Queries
 
@@ -69,6 +76,9 @@
     return this->last;
   }
 
+  /** Whether it was told to leave. */
+  [[nodiscard]] auto leaving() const -> bool { return this->leaves; }
+
   /** The entry with which it is listed. */
   [[nodiscard]] auto Entry(std::string_view service,
                            std::string_view domain,
@@ -79,6 +89,7 @@
   struct Stream;
 
   auto OnRequest(const Session& session, const Http1Request& request) -> void;
+  auto OnFaults(const Session& session, const std::string& word) -> void;
   auto AnswerPlain(const Session& session, const std::string& id) -> void;
   auto StartStream(const Session& session,
                    const std::string& id,
@@ -90,6 +101,8 @@
   Settings settings;
   Http1SessionLimits limits;
   Fault fault = Fault::kNone;
+  bool leaves = false;
+  std::function<void(const std::string&)> on_run;
   std::vector<std::string> ran;
   Http1Request last;
   std::list<std::unique_ptr<Stream>> streams;
