--- a/modules/al_gateway/membership/feed_plan.cc
+++ b/modules/al_gateway/membership/feed_plan.cc
@@ -30,6 +30,7 @@
   std::string_view name;
   std::string_view domain;
   std::string_view address;
+  std::uint64_t link_mbps = 0;
   std::uint64_t rank = 0;
 };
 
@@ -39,7 +40,7 @@
   registry.VisitAll(now, [&](const RouterAnnouncement& said, bool alive) {
     if (alive && !said.leaving) {
       living.push_back({said.name, said.domain, said.peer_address,
-                        StableHash(kElection, said.name)});
+                        said.link_mbps, StableHash(kElection, said.name)});
     }
   });
   return living;
@@ -75,7 +76,8 @@
     return {};
   }
   std::ranges::sort(routers, [](const auto& left, const auto& right) {
-    return left.rank > right.rank;
+    return left.link_mbps != right.link_mbps ? left.link_mbps > right.link_mbps
+                                             : left.rank > right.rank;
   });
   routers.resize(ReaderCount(routers.size()));
   FeedPlan plan;
--- a/modules/al_gateway/membership/feed_plan.h
+++ b/modules/al_gateway/membership/feed_plan.h
@@ -25,8 +25,9 @@
     Upstreams renew their entries all the time, and each reader of the log gets
    every renewal: what all routers together read grows as routers times
    upstreams. In a large fleet a few routers read and tell the others only what
-   has changed. All routers agree on the readers as far as they agree who lives,
-   without a word between them.
+   has changed. The VMs with the widest links
+    read, and among equals a rendezvous order decides: all routers agree as far
+    as they agree who lives, without a word between them.
 
     @param name    this router.
     @param domain  its failure domain, whose readers are asked first.
--- a/modules/al_gateway/membership/feed_source.cc
+++ b/modules/al_gateway/membership/feed_source.cc
@@ -17,8 +17,10 @@
 constexpr Duration kLogPeriod = std::chrono::milliseconds(5'000);
 
 /** How far a reader may be behind this router's own contact with the log: a
-   pause between reads and half of it. */
-constexpr Duration kMostBehind = std::chrono::milliseconds(600);
+   pause between reads, and the time that a read of many renewals takes over a
+   narrow link. With the pauses of both sides news are then two seconds late at
+   most, within the time that leaving upstreams still serve. */
+constexpr Duration kMostBehind = std::chrono::milliseconds(1'200);
 
 }  // namespace
 
--- a/modules/al_gateway/membership/router_registry.h
+++ b/modules/al_gateway/membership/router_registry.h
@@ -23,6 +23,7 @@
   bool leaving = false;
   std::uint64_t beat = 0;  ///< Counts up with each announcement.
   std::uint64_t config_version = 0;
+  std::uint64_t link_mbps = 0;  ///< Of its VM; 0: not told.
 };
 
 /** The routers of the fleet by what they announce on the log.
--- a/programs/gateway/fleet_records.cc
+++ b/programs/gateway/fleet_records.cc
@@ -35,6 +35,7 @@
   message.set_leaving(said.leaving);
   message.set_beat(said.beat);
   message.set_config_version(said.config_version);
+  message.set_link_mbps(said.link_mbps);
   return {std::string(kRouterKey) + said.name, message.SerializeAsString()};
 }
 
@@ -66,6 +67,7 @@
   said.leaving = message->leaving();
   said.beat = message->beat();
   said.config_version = message->config_version();
+  said.link_mbps = message->link_mbps();
   return said;
 }
 
--- a/programs/gateway/main.cc
+++ b/programs/gateway/main.cc
@@ -32,6 +32,8 @@
                        "50");
   settings.DeclareWhole("retry-window-s", "window of these bounds, in seconds",
                         10, 1, 60);
+  settings.DeclareText(
+      "link-mbps", "megabits a second of this VM's link; 0: not known", "0");
   settings.DeclareText("grace-s", "seconds from SIGTERM to the end", "8");
   settings.DeclareSwitch("quiet", "log no lines of requests that go well");
 }
@@ -57,6 +59,8 @@
   options.self.incarnation = options.self.name + "#" + mark;
   options.self.domain = settings.Text("domain");
   options.self.region = settings.Text("region");
+  options.self.link_mbps =
+      static_cast<std::uint64_t>(NumberOf(settings, "link-mbps", findings));
   options.self.client_address = settings.Text("client-address");
   options.self.peer_address = settings.Text("peer-address");
   options.entry_address = settings.Text("entry-address");
