Readers that have just begun are waited for before the log itself is read

Cause: after the loss of all routers the readers answer 'not listed yet' for some tenths of a second; two such answers sent every other router to the log at once, with the whole list of 3,000 entries each. Change: such an answer weighs a fifth of a missing one, and is asked again after 150 ms; after 1.5 s the log is read.

--- a/modules/al_gateway/membership/feed_source.cc
+++ b/modules/al_gateway/membership/feed_source.cc
@@ -7,10 +7,14 @@
 
 namespace {
 
-/** Readers that fail one after the other before the log itself is read: with
-   the pause between asks, news then come well within the time that leaving
-   upstreams still serve. */
-constexpr std::size_t kMostFailures = 2;
+/** Two readers without news, one after the other, and the log itself is read:
+   with the pause between asks, news then come well within the time that leaving
+   upstreams still serve. After the loss of all routers the readers need some
+   tenths of a second to list the entries, and are waited for: the log could not
+   bear all routers at once. */
+constexpr int kDoubtOfNoNews = 5;
+constexpr int kDoubtOfNotReady = 1;
+constexpr int kMostDoubt = 10;
 
 /** How long the log is read after readers have failed: the fleet knows of lost
    routers by then. */
@@ -33,16 +37,18 @@
   }
   this->plan = std::move(next);
   this->chosen = 0;
-  this->failures = 0;
+  this->doubt = 0;
 }
 
-auto FeedSource::NoteFailure(bool log_in_touch, Instant now) -> void {
-  ++this->failures;
+auto FeedSource::NoteFailure(Failure failure, bool log_in_touch, Instant now)
+    -> void {
+  this->doubt +=
+      failure == Failure::kNotReady ? kDoubtOfNotReady : kDoubtOfNoNews;
   if (!this->plan.peers.empty()) {
     this->chosen = (this->chosen + 1) % this->plan.peers.size();
   }
-  if (this->failures >= kMostFailures && log_in_touch) {
-    this->failures = 0;
+  if (this->doubt >= kMostDoubt && log_in_touch) {
+    this->doubt = 0;
     this->log_until = now + kLogPeriod;
   }
 }
--- a/modules/al_gateway/membership/feed_source.h
+++ b/modules/al_gateway/membership/feed_source.h
@@ -36,11 +36,16 @@
 
   auto SetPlan(FeedPlan next) -> void;
 
+  /** How a reader failed to give news that may be used. */
+  enum class Failure {
+    kNotReady,  ///< It has just begun to read the log.
+    kNoNews,    ///< It gave no answer, or one that is behind.
+  };
+
   /** The asked reader gave news that may be used. */
-  auto NoteAnswer() -> void { this->failures = 0; }
+  auto NoteAnswer() -> void { this->doubt = 0; }
 
-  /** The asked reader gave no answer, or one that is behind. */
-  auto NoteFailure(bool log_in_touch, Instant now) -> void;
+  auto NoteFailure(Failure failure, bool log_in_touch, Instant now) -> void;
 
   //============================================================================
   // Queries
@@ -58,7 +63,7 @@
  private:
   FeedPlan plan;
   std::size_t chosen = 0;
-  std::size_t failures = 0;  ///< In a row.
+  int doubt = 0;  ///< Grows with failures in a row.
   Instant log_until{};
 };
 
--- a/programs/gateway/upstream_feed.cc
+++ b/programs/gateway/upstream_feed.cc
@@ -28,6 +28,10 @@
 /** Pause after a reader that failed, before the next is asked. */
 constexpr Duration kRetryPause = std::chrono::milliseconds(50);
 
+/** Pause where a reader has just begun: it lists thousands of entries in some
+   tenths of a second. */
+constexpr Duration kNotReadyPause = std::chrono::milliseconds(150);
+
 /** Without an answer for this long, the log is away from this router. */
 constexpr Duration kAwayAfter = std::chrono::milliseconds(1'500);
 
@@ -261,8 +265,11 @@
                   {"reader_age_ms", age.reader},
                   {"own_age_ms", age.own}},
                  now);
-  this->source.NoteFailure(this->log_in_touch(now), now);
-  this->timer->Start(kRetryPause);
+  const bool not_ready = reply && reply->status == kUnavailable;
+  this->source.NoteFailure(
+      not_ready ? FeedSource::Failure::kNotReady : FeedSource::Failure::kNoNews,
+      this->log_in_touch(now), now);
+  this->timer->Start(not_ready ? kNotReadyPause : kRetryPause);
 }
 
 auto UpstreamFeed::Apply(const UpstreamNews& news) -> void {
--- a/tests/gateway/feed_test.cc
+++ b/tests/gateway/feed_test.cc
@@ -148,15 +148,30 @@
   plan.peers = {"first", "second", "third"};
   source.SetPlan(plan);
   STRCMP_EQUAL("first", source.peer().c_str());
-  source.NoteFailure(true, this->now);
+  source.NoteFailure(FeedSource::Failure::kNoNews, true, this->now);
   CHECK_FALSE(source.reads_log(this->now));
   STRCMP_EQUAL("second", source.peer().c_str());
-  source.NoteFailure(true, this->now);
+  source.NoteFailure(FeedSource::Failure::kNoNews, true, this->now);
   CHECK_TRUE(source.reads_log(this->now + seconds(4)));
   CHECK_FALSE(source.reads_log(this->now + seconds(6)));
   STRCMP_EQUAL("third", source.peer().c_str());
 }
 
+/** Load pattern: all routers of a large fleet start anew at once. */
+TEST(UpstreamFeed, ReadersThatHaveJustBegunAreWaitedFor) {
+  FeedSource source;
+  FeedPlan plan;
+  plan.reads_log = false;
+  plan.peers = {"first", "second", "third"};
+  source.SetPlan(plan);
+  for (int i = 0; i < 9; ++i) {
+    source.NoteFailure(FeedSource::Failure::kNotReady, true, this->now);
+  }
+  CHECK_FALSE(source.reads_log(this->now));
+  source.NoteFailure(FeedSource::Failure::kNotReady, true, this->now);
+  CHECK_TRUE(source.reads_log(this->now));
+}
+
 TEST(UpstreamFeed, ReadersAreKeptWhileTheLogIsAwayFromAll) {
   FeedSource source;
   FeedPlan plan;
@@ -164,7 +179,7 @@
   plan.peers = {"first", "second"};
   source.SetPlan(plan);
   for (int i = 0; i < 5; ++i) {
-    source.NoteFailure(false, this->now);
+    source.NoteFailure(FeedSource::Failure::kNoNews, false, this->now);
   }
   CHECK_FALSE(source.reads_log(this->now));
 }
