Announcements of routers slow down beyond a hundred of them

Change: one second between announcements up to 100 routers, then in proportion; a router counts as alive for 3.2 of them as before.

--- a/modules/al_gateway/membership/router_registry.cc
+++ b/modules/al_gateway/membership/router_registry.cc
@@ -9,8 +9,14 @@
 
 namespace {
 
-/** Announcements come every second; three may be late or lost. */
-constexpr Duration kAliveFor = std::chrono::milliseconds(3'200);
+/** Announcements of a small fleet come every second. */
+constexpr Duration kAnnouncePause = std::chrono::milliseconds(1'000);
+
+/** Announcements a second that each router reads, in the largest fleets. */
+constexpr std::size_t kAnnouncementsASecond = 100;
+
+/** Three announcements may be late or lost. */
+constexpr double kAlivePauses = 3.2;
 
 /** Routers of a caller's own domain below which it is told of all. */
 constexpr std::size_t kEnoughInDomain = 2;
@@ -21,6 +27,13 @@
 
 }  // namespace
 
+auto AnnouncePause(std::size_t routers) -> Duration {
+  const auto count =
+      static_cast<std::int64_t>(std::max(routers, kAnnouncementsASecond));
+  return kAnnouncePause * count /
+         static_cast<std::int64_t>(kAnnouncementsASecond);
+}
+
 auto ReportsSpending(std::string_view name, std::uint64_t beat, int routers)
     -> bool {
   const auto every = static_cast<std::uint64_t>(
@@ -112,7 +125,15 @@
 }
 
 auto RouterRegistry::IsAlive(const Member& member, Instant now) const -> bool {
-  return member.said.name == this->self || now - member.seen_at < kAliveFor;
+  return member.said.name == this->self ||
+         now - member.seen_at < this->alive_for();
+}
+
+auto RouterRegistry::alive_for() const -> Duration {
+  // Members that have left count as well: they lengthen the span, never cut it.
+  const Duration pause = AnnouncePause(this->members.size());
+  return Duration(static_cast<std::int64_t>(static_cast<double>(pause.count()) *
+                                            kAlivePauses));
 }
 
 }  // namespace auburnloft::gateway
--- a/modules/al_gateway/membership/router_registry.h
+++ b/modules/al_gateway/membership/router_registry.h
@@ -1,6 +1,7 @@
 #ifndef AL_GATEWAY_MEMBERSHIP_ROUTER_REGISTRY_H_
 #define AL_GATEWAY_MEMBERSHIP_ROUTER_REGISTRY_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -90,11 +91,17 @@
   };
 
   [[nodiscard]] auto IsAlive(const Member& member, Instant now) const -> bool;
+  [[nodiscard]] auto alive_for() const -> Duration;
 
   std::string self;
   std::map<std::string, Member> members;
 };
 
+/** Pause between two announcements of a router, by the size of its fleet: a
+    second up to a hundred routers, and longer in larger fleets, so that what
+   one router reads of the others does not grow with the fleet. */
+[[nodiscard]] auto AnnouncePause(std::size_t routers) -> Duration;
+
 /** In which of a router's announcements it also reports what it has spent
    since: every one in a small fleet, and fewer the more routers read each
    report, so that what one router reads does not grow with the fleet.
--- a/programs/gateway/fleet_link.cc
+++ b/programs/gateway/fleet_link.cc
@@ -12,9 +12,6 @@
 
 namespace {
 
-/** Pause between announcements; the registry allows for three lost ones. */
-constexpr Duration kAnnouncePause = std::chrono::milliseconds(1'000);
-
 /** Pause between looks at the allowances. */
 constexpr Duration kPlanPause = std::chrono::milliseconds(250);
 
@@ -155,7 +152,9 @@
   }
   const Instant now = this->poller.loop().Now();
   const bool announce =
-      this->announce_now || now - this->announced_at >= kAnnouncePause;
+      this->announce_now ||
+      now - this->announced_at >=
+          AnnouncePause(static_cast<std::size_t>(this->CountAlive()));
   const bool reports =
       announce &&
       ReportsSpending(this->self.name, this->self.beat + 1, this->CountAlive());
--- a/tests/gateway/feed_test.cc
+++ b/tests/gateway/feed_test.cc
@@ -125,6 +125,17 @@
   CHECK_EQUAL(6, readers);
 }
 
+/** Load pattern: 420 routers that announce themselves on one topic. */
+TEST(UpstreamFeed, AnnouncementsASecondAreBoundedInLargeFleets) {
+  CHECK_TRUE(AnnouncePause(6) == seconds(1));
+  CHECK_TRUE(AnnouncePause(100) == seconds(1));
+  CHECK_TRUE(AnnouncePause(420) == milliseconds(4'200));
+  // Three announcements may be lost at any size.
+  this->Announce(420);
+  CHECK_EQUAL(420, this->registry.CountAlive(this->now + seconds(13)));
+  CHECK_EQUAL(1, this->registry.CountAlive(this->now + seconds(14)));
+}
+
 TEST(UpstreamFeed, ALeavingReaderIsReplaced) {
   this->Announce(60);
   FeedPlan plan;
