--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -25,10 +25,11 @@
   DEBIAN_FRONTEND=noninteractive $sudo apt-get install -y -qq "${missing[@]}" >/dev/null
 }
 
-# Configures and builds the preset `release`, quietly unless it fails.
+# Configures and builds the preset `release`, quietly unless it fails. A tree that is configured already is not configured
+# again: a second time the order of include flags differs, and everything would be built anew.
 build_all() {
   mkdir -p "$root/build"
-  if ! { cmake --preset release -S "$root" && cmake --build "$build"; } >"$root/build/build.log" 2>&1; then
+  if ! { { [ -f "$build/build.ninja" ] || cmake --preset release -S "$root"; } && cmake --build "$build"; } >"$root/build/build.log" 2>&1; then
     cat "$root/build/build.log"
     return 1
   fi
