--- a/programs/soak/soak_callers.cc
+++ b/programs/soak/soak_callers.cc
@@ -37,7 +37,8 @@
   std::string text;
   for (int number = 1; number <= kEvents; ++number) {
     const std::string digits = std::to_string(number);
-    text += "id: " + digits + "\ndata: event " + digits + "\n\n";
+    text.append("id: ").append(digits);
+    text.append("\ndata: event ").append(digits).append("\n\n");
   }
   return text;
 }
@@ -232,7 +233,7 @@
 auto SoakCallers::ConnectionTo(const std::string& router) -> Connection {
   std::vector<Connection>& kept = this->idle[router];
   while (!kept.empty()) {
-    const Connection connection = kept.back();
+    Connection connection = kept.back();
     kept.pop_back();
     if (connection->reusable()) {
       return connection;
--- a/tests/gateway/feed_test.cc
+++ b/tests/gateway/feed_test.cc
@@ -22,7 +22,8 @@
 
 /** The failure domain of a router: three of them in turn. */
 auto DomainOf(int number) -> std::string {
-  return std::string(1, static_cast<char>('a' + number % 3));
+  constexpr std::string_view kDomains = "abc";
+  return std::string(kDomains.substr(static_cast<std::size_t>(number) % 3, 1));
 }
 
 auto Record(const std::string& id) -> UpstreamRecord {
--- a/tests/gateway/log_reading_test.cc
+++ b/tests/gateway/log_reading_test.cc
@@ -83,7 +83,8 @@
   CHECK_TRUE(server.Listen());
   const auto reply = this->Call(milliseconds(200));
   CHECK_TRUE(reply.has_value());
-  CHECK_EQUAL(12U * 6U, reply->body.size());
+  constexpr std::size_t kPieces = 12;
+  CHECK_EQUAL(kPieces * std::string_view("piece ").size(), reply->body.size());
 }
 
 TEST(LogReading, GivesASilentAnswerUp) {
