One piece where the change had written two

- The readers of requests and answers share the loop that feeds Boost.Beast's parser and the copy of header fields (parser_feed.h).
- Calls and answers between routers are made in one place (peer_message.h); the fleet's routers are counted once a write; when the log last answered is kept once, in the context, and so is the time after which it counts as away.
- Requests of callers are made by one stand-in (caller_request.h) for the soak and the session tests, with the platform's own names; the soak makes an attempt's id once.

--- a/modules/al_http1/http1_request_reader.cc
+++ b/modules/al_http1/http1_request_reader.cc
@@ -4,6 +4,8 @@
 #include <boost/beast/http/string_body.hpp>
 #include <utility>
 
+#include "al_http1/parser_feed.h"
+
 namespace auburnloft {
 
 namespace http = boost::beast::http;
@@ -41,26 +43,12 @@
 Http1RequestReader::~Http1RequestReader() = default;
 
 auto Http1RequestReader::Feed(std::string_view bytes) -> std::size_t {
-  std::size_t used = 0;
-  while (used < bytes.size() && !this->done()) {
-    this->has_bytes = true;
-    boost::beast::error_code status;
-    const std::string_view rest = bytes.substr(used);
-    const std::size_t count = this->parser->beast.put(
-        boost::asio::const_buffer(rest.data(), rest.size()), status);
-    used += count;
-    if (status == http::error::need_more) {
-      break;
-    }
-    if (status) {
-      this->error = StatusOf(status);
-      break;
-    }
-    if (count == 0) {
-      break;
-    }
+  this->has_bytes = this->has_bytes || (!bytes.empty() && !this->done());
+  const ParserProgress progress = FeedParser(this->parser->beast, bytes);
+  if (progress.failed) {
+    this->error = StatusOf(progress.failed);
   }
-  return used;
+  return progress.used;
 }
 
 auto Http1RequestReader::Take() -> Http1Request {
@@ -68,12 +56,7 @@
   Http1Request request;
   request.method = std::string(message.method_string());
   request.target = std::string(message.target());
-  for (const auto& field : message) {
-    request.fields.Add(
-        std::string_view(field.name_string().data(),
-                         field.name_string().size()),
-        std::string_view(field.value().data(), field.value().size()));
-  }
+  CopyFields(message, request.fields);
   request.keeps_alive = message.keep_alive();
   request.body = std::move(message.body());
   return request;
--- a/modules/al_http1/http1_response_reader.cc
+++ b/modules/al_http1/http1_response_reader.cc
@@ -5,6 +5,8 @@
 #include <boost/optional.hpp>
 #include <utility>
 
+#include "al_http1/parser_feed.h"
+
 namespace auburnloft {
 
 namespace http = boost::beast::http;
@@ -33,26 +35,12 @@
 Http1ResponseReader::~Http1ResponseReader() = default;
 
 auto Http1ResponseReader::Feed(std::string_view bytes) -> std::size_t {
-  std::size_t used = 0;
-  while (used < bytes.size() && !this->done()) {
-    this->has_bytes = true;
-    boost::beast::error_code status;
-    const std::string_view rest = bytes.substr(used);
-    const std::size_t count = this->parser->beast.put(
-        boost::asio::const_buffer(rest.data(), rest.size()), status);
-    used += count;
-    if (status == http::error::need_more) {
-      break;
-    }
-    if (status) {
-      this->has_failed = true;
-      break;
-    }
-    if (count == 0) {
-      break;
-    }
+  this->has_bytes = this->has_bytes || (!bytes.empty() && !this->done());
+  const ParserProgress progress = FeedParser(this->parser->beast, bytes);
+  if (progress.failed) {
+    this->has_failed = true;
   }
-  return used;
+  return progress.used;
 }
 
 auto Http1ResponseReader::FeedEnd() -> void {
@@ -72,12 +60,7 @@
   Http1ResponseHead head;
   head.status = static_cast<int>(message.result_int());
   head.reason = std::string(message.reason());
-  for (const auto& field : message) {
-    head.fields.Add(
-        std::string_view(field.name_string().data(),
-                         field.name_string().size()),
-        std::string_view(field.value().data(), field.value().size()));
-  }
+  CopyFields(message, head.fields);
   head.keeps_alive = this->parser->beast.keep_alive();
   return head;
 }
--- a/programs/ctl/commands.cc
+++ b/programs/ctl/commands.cc
@@ -10,6 +10,7 @@
 
 #include "al_config/check/configuration_parser.h"
 #include "al_core/text/digest.h"
+#include "al_core/text/text_file.h"
 #include "al_operator/session/operator_session.h"
 #include "ctl/fleet_commands.h"
 #include "ctl/json_diff.h"
@@ -47,7 +48,7 @@
   }
 
   auto PublishConfig(Words words) -> CtlExit {
-    const std::string text = ReadFile(words[0]);
+    const std::string text = ReadTextFile(words[0]);
     Findings findings;
     if (!ParseConfiguration(text, findings)) {
       std::cerr << findings.ToText();
@@ -226,7 +227,7 @@
 
   static auto CheckConfig(Words words) -> CtlExit {
     Findings findings;
-    if (!ParseConfiguration(ReadFile(words[0]), findings)) {
+    if (!ParseConfiguration(ReadTextFile(words[0]), findings)) {
       std::cout << findings.ToText();
       return CtlExit::kRefused;
     }
@@ -235,13 +236,6 @@
   }
 
  private:
-  static auto ReadFile(const std::string& path) -> std::string {
-    const std::ifstream file(path);
-    std::ostringstream text;
-    text << file.rdbuf();
-    return text.str();
-  }
-
   auto Fail() -> CtlExit {
     std::cerr << this->session.last_reason() << "\n";
     return CtlExit::kUsage;
--- a/programs/gateway/fleet_link.cc
+++ b/programs/gateway/fleet_link.cc
@@ -25,9 +25,6 @@
 /** How long requests that wait for an allowance are gathered. */
 constexpr Duration kGatherPause = std::chrono::milliseconds(2);
 
-/** Without an answer for this long, the log was away for this router. */
-constexpr Duration kAwayAfter = std::chrono::milliseconds(1'500);
-
 /** A log that is prompt was read within a pause between reads and half of it,
    and answers an append within some times its usual. */
 constexpr Duration kPromptRead = std::chrono::milliseconds(600);
@@ -126,7 +123,7 @@
 auto FleetLink::OnContact(bool answered) -> void {
   if (answered) {
     const Instant now = this->poller.loop().Now();
-    if (now - this->read_at >= kAwayAfter) {
+    if (now - this->read_at >= kLogAwayAfter) {
       // What the others announced meanwhile follows with this read.
       this->routers.NoteLogRegained(now);
     }
@@ -151,15 +148,16 @@
     return;
   }
   const Instant now = this->poller.loop().Now();
+  const FleetView view = this->View();
   const bool announce =
       this->announce_now ||
       now - this->announced_at >=
-          AnnouncePause(static_cast<std::size_t>(this->CountAlive()));
+          AnnouncePause(static_cast<std::size_t>(view.routers));
   const bool reports =
       announce &&
-      ReportsSpending(this->self.name, this->self.beat + 1, this->CountAlive());
+      ReportsSpending(this->self.name, this->self.beat + 1, view.routers);
   const std::vector<AllowanceEntry> entries =
-      this->desk.Plan(this->allowances, this->View(), reports, now);
+      this->desk.Plan(this->allowances, view, reports, now);
   if (announce || !entries.empty()) {
     this->AppendBatch(entries, announce);
   }
--- a/programs/gateway/fleet_link.h
+++ b/programs/gateway/fleet_link.h
@@ -18,6 +18,9 @@
 
 namespace auburnloft::gateway {
 
+/** Without an answer for this long, the log counts as away from this router. */
+inline constexpr Duration kLogAwayAfter = std::chrono::milliseconds(1'500);
+
 /** This router's part on the fleet's topic: it announces itself, follows the
    other routers, and writes and reads back allowances.
 
--- a/programs/gateway/gateway_daemon.cc
+++ b/programs/gateway/gateway_daemon.cc
@@ -47,9 +47,6 @@
 constexpr Duration kDrainPause = std::chrono::milliseconds(100);
 constexpr Duration kTickPause = std::chrono::milliseconds(500);
 
-/** Without an answer for this long, the log counts as away. */
-constexpr Duration kAwayAfter = std::chrono::milliseconds(1'500);
-
 /** How long the log may hold a question for a newer configuration. */
 constexpr Duration kConfigWait = std::chrono::milliseconds(1'000);
 
@@ -116,8 +113,7 @@
            {this->options.log_address, this->options.self.name,
             this->options.self.incarnation, this->options.self.domain},
            this->fleet,
-           this->upstreams,
-           this->log,
+           this->context,
            [this](bool answered) { this->OnContact(answered); }),
       tick(std::make_unique<LoopTimer>(loop, [this] { this->OnTick(); })),
       drain_tick(
@@ -302,9 +298,8 @@
     return;
   }
   const bool was_away = this->context.log_contact_at != Instant() &&
-                        now - this->context.log_contact_at >= kAwayAfter;
+                        now - this->context.log_contact_at >= kLogAwayAfter;
   this->context.log_contact_at = now;
-  this->feed.NoteContact(now);
   if (!this->context.log_in_touch) {
     this->context.log_in_touch = true;
     this->log.Line(DecisionLog::Weight::kNotable, "log_regained", {}, now);
@@ -336,7 +331,7 @@
   this->context.routers = this->fleet.CountAlive();
   this->feed.Plan();
   if (this->context.log_in_touch &&
-      now - this->context.log_contact_at >= kAwayAfter) {
+      now - this->context.log_contact_at >= kLogAwayAfter) {
     this->context.log_in_touch = false;
     this->log.Line(DecisionLog::Weight::kNotable, "log_lost",
                    {{"silent_ms", now - this->context.log_contact_at}}, now);
--- a/programs/gateway/peer_link.cc
+++ b/programs/gateway/peer_link.cc
@@ -7,13 +7,13 @@
 #include "al_edge/loop/event_loop.h"
 #include "al_edge/loop/loop_timer.h"
 #include "fleet.pb.h"
+#include "gateway/peer_message.h"
 
 namespace auburnloft::gateway {
 
 namespace {
 
-constexpr int kOk = 200;
-constexpr int kBadRequest = 400;
+constexpr int kOk = static_cast<int>(PeerStatus::kOk);
 constexpr std::string_view kAskPath = "/allowance";
 
 /** How long another router's answer is waited for. */
@@ -79,11 +79,8 @@
 auto PeerLink::OnAsk(Http1ServerSession& session, const Http1Request& request)
     -> void {
   wire::AllowanceAsk ask;
-  Http1ResponseHead head;
   if (request.target != kAskPath || !ask.ParseFromString(request.body)) {
-    head.status = kBadRequest;
-    head.reason = "Bad Request";
-    session.Answer(head, {});
+    AnswerPeer(session, PeerStatus::kBadRequest, {});
     return;
   }
   const Instant now = this->poller.loop().Now();
@@ -97,9 +94,7 @@
                   {"given", gift.tokens()},
                   {"available", this->desk.Available(ask.team())}},
                  now);
-  head.status = kOk;
-  head.reason = "OK";
-  session.Answer(head, gift.SerializeAsString());
+  AnswerPeer(session, PeerStatus::kOk, gift.SerializeAsString());
 }
 
 //==============================================================================
@@ -164,13 +159,8 @@
   ask.set_team(round.team);
   ask.set_tokens(tokens);
   ask.set_asker(this->self);
-  Http1Request request;
-  request.method = "POST";
-  request.target = std::string(kAskPath);
-  request.fields.Add("Host", "peer");
-  request.body = ask.SerializeAsString();
   ++round.open;
-  caller->Call(request, kAnswerLimit,
+  caller->Call(MakePeerCall(kAskPath, ask.SerializeAsString()), kAnswerLimit,
                [this, peer, team = round.team,
                 tokens](const std::optional<Http1Caller::Reply>& reply) {
                  this->OnGift(peer, team, tokens, reply);
--- a/programs/gateway/upstream_feed.cc
+++ b/programs/gateway/upstream_feed.cc
@@ -6,6 +6,7 @@
 #include "al_edge/loop/loop_timer.h"
 #include "al_gateway/membership/feed_plan.h"
 #include "fleet.pb.h"
+#include "gateway/peer_message.h"
 #include "platform/upstream_codec.h"
 #include "platform/wire_names.h"
 
@@ -13,9 +14,8 @@
 
 namespace {
 
-constexpr int kOk = 200;
-constexpr int kBadRequest = 400;
-constexpr int kUnavailable = 503;
+constexpr int kOk = static_cast<int>(PeerStatus::kOk);
+constexpr int kUnavailable = static_cast<int>(PeerStatus::kUnavailable);
 
 /** Pause between looks at the upstreams' entries: well within the time that
    leaving ones still serve. */
@@ -32,9 +32,6 @@
    tenths of a second. */
 constexpr Duration kNotReadyPause = std::chrono::milliseconds(150);
 
-/** Without an answer for this long, the log is away from this router. */
-constexpr Duration kAwayAfter = std::chrono::milliseconds(1'500);
-
 auto ToWire(const UpstreamChange& change, wire::UpstreamChangeRecord& message)
     -> void {
   message.set_id(change.id);
@@ -81,27 +78,17 @@
   return news;
 }
 
-auto Answer(Http1ServerSession& session, int status, std::string_view body)
-    -> void {
-  Http1ResponseHead head;
-  head.status = status;
-  head.reason = status == kOk ? "OK" : "Refused";
-  session.Answer(head, body);
-}
-
 }  // namespace
 
 UpstreamFeed::UpstreamFeed(SocketPoller& poller,
                            Settings settings,
                            const FleetLink& fleet,
-                           UpstreamDirectory& directory,
-                           DecisionLog& log,
+                           GatewayContext& context,
                            std::function<void(bool answered)> on_contact)
     : poller(poller),
       settings(std::move(settings)),
       fleet(fleet),
-      directory(directory),
-      log(log),
+      context(context),
       contact(std::move(on_contact)),
       timer(std::make_unique<LoopTimer>(poller.loop(),
                                         [this] { this->Step(); })) {}
@@ -139,9 +126,10 @@
   ++this->histories;
   this->history = std::make_unique<UpstreamHistory>();
   this->listed = false;
-  this->log.Line(DecisionLog::Weight::kNotable, "feed",
-                 {{"source", "log"}, {"upstreams", this->directory.size()}},
-                 this->poller.loop().Now());
+  this->context.log.Line(
+      DecisionLog::Weight::kNotable, "feed",
+      {{"source", "log"}, {"upstreams", this->context.upstreams.size()}},
+      this->poller.loop().Now());
   TopicFollower::Callbacks calls;
   calls.on_record = [this](const KeyedRecord& record) {
     this->OnRecord(record);
@@ -164,16 +152,16 @@
                       : std::nullopt;
   this->history->Note(record.key, upstream);
   if (upstream) {
-    this->directory.Put(std::move(*upstream));
+    this->context.upstreams.Put(std::move(*upstream));
   } else {
-    this->directory.Remove(record.key, this->poller.loop().Now());
+    this->context.upstreams.Remove(record.key, this->poller.loop().Now());
   }
 }
 
 auto UpstreamFeed::OnListed(const std::set<std::string>& ids) -> void {
   this->listed = true;
   this->history->KeepOnly(ids);
-  this->directory.KeepOnly(ids, this->poller.loop().Now());
+  this->context.upstreams.KeepOnly(ids, this->poller.loop().Now());
 }
 
 auto UpstreamFeed::OnLogContact(bool answered) -> void {
@@ -187,11 +175,11 @@
                          const Http1Request& request) -> void {
   wire::UpstreamFeedAsk ask;
   if (!ask.ParseFromString(request.body)) {
-    Answer(session, kBadRequest, {});
+    AnswerPeer(session, PeerStatus::kBadRequest, {});
     return;
   }
   if (!this->follower || !this->listed) {
-    Answer(session, kUnavailable, {});
+    AnswerPeer(session, PeerStatus::kUnavailable, {});
     return;
   }
   const std::string life =
@@ -207,7 +195,7 @@
   for (const UpstreamChange& change : news.changes) {
     ToWire(change, *message.add_changes());
   }
-  Answer(session, kOk, message.SerializeAsString());
+  AnswerPeer(session, PeerStatus::kOk, message.SerializeAsString());
 }
 
 //==============================================================================
@@ -215,9 +203,10 @@
 
 auto UpstreamFeed::AskPeer() -> void {
   if (std::exchange(this->follower, nullptr)) {
-    this->log.Line(DecisionLog::Weight::kNotable, "feed",
-                   {{"source", "peer"}, {"upstreams", this->directory.size()}},
-                   this->poller.loop().Now());
+    this->context.log.Line(
+        DecisionLog::Weight::kNotable, "feed",
+        {{"source", "peer"}, {"upstreams", this->context.upstreams.size()}},
+        this->poller.loop().Now());
   }
   const std::string peer = this->source.peer();
   if (peer != this->asked_peer) {
@@ -229,15 +218,10 @@
   wire::UpstreamFeedAsk ask;
   ask.set_life(this->asked_life);
   ask.set_after(this->after);
-  Http1Request request;
-  request.method = "POST";
-  request.target = std::string(kPath);
-  request.fields.Add("Host", "peer");
-  request.body = ask.SerializeAsString();
   if (!this->caller) {
     this->caller = std::make_unique<Http1Caller>(this->poller, peer);
   }
-  this->caller->Call(request, kAnswerLimit,
+  this->caller->Call(MakePeerCall(kPath, ask.SerializeAsString()), kAnswerLimit,
                      [this](const std::optional<Http1Caller::Reply>& reply) {
                        this->OnNews(reply);
                      });
@@ -250,7 +234,7 @@
   const bool answered =
       reply && reply->status == kOk && message.ParseFromString(reply->body);
   const FeedAge age{Duration(static_cast<std::int64_t>(message.age_us())),
-                    now - this->contact_at};
+                    now - this->context.log_contact_at};
   if (answered && FeedSource::IsFresh(age)) {
     this->asked_life = message.life();
     this->after = message.newest();
@@ -259,12 +243,12 @@
     this->timer->Start(kPause);
     return;
   }
-  this->log.Line(DecisionLog::Weight::kNotable, "feed_failed",
-                 {{"peer", this->asked_peer},
-                  {"status", reply ? reply->status : 0},
-                  {"reader_age_ms", age.reader},
-                  {"own_age_ms", age.own}},
-                 now);
+  this->context.log.Line(DecisionLog::Weight::kNotable, "feed_failed",
+                         {{"peer", this->asked_peer},
+                          {"status", reply ? reply->status : 0},
+                          {"reader_age_ms", age.reader},
+                          {"own_age_ms", age.own}},
+                         now);
   const bool not_ready = reply && reply->status == kUnavailable;
   this->source.NoteFailure(
       not_ready ? FeedSource::Failure::kNotReady : FeedSource::Failure::kNoNews,
@@ -278,18 +262,18 @@
   for (const UpstreamChange& change : news.changes) {
     if (change.record) {
       ids.insert(change.id);
-      this->directory.Put(*change.record);
+      this->context.upstreams.Put(*change.record);
     } else {
-      this->directory.Remove(change.id, now);
+      this->context.upstreams.Remove(change.id, now);
     }
   }
   if (news.whole) {
-    this->directory.KeepOnly(ids, now);
+    this->context.upstreams.KeepOnly(ids, now);
   }
 }
 
 auto UpstreamFeed::log_in_touch(Instant now) const -> bool {
-  return now - this->contact_at < kAwayAfter;
+  return now - this->context.log_contact_at < kLogAwayAfter;
 }
 
 }  // namespace auburnloft::gateway
--- a/programs/gateway/upstream_feed.h
+++ b/programs/gateway/upstream_feed.h
@@ -11,13 +11,12 @@
 
 #include "al_core/time/instant.h"
 #include "al_gateway/membership/feed_source.h"
-#include "al_gateway/upstreams/upstream_directory.h"
 #include "al_gateway/upstreams/upstream_history.h"
 #include "al_http1/http1_caller.h"
 #include "al_http1/http1_server_session.h"
 #include "al_logstore/topic_follower.h"
-#include "gateway/decision_log.h"
 #include "gateway/fleet_link.h"
+#include "gateway/gateway_context.h"
 
 namespace auburnloft::gateway {
 
@@ -44,8 +43,7 @@
   UpstreamFeed(SocketPoller& poller,
                Settings settings,
                const FleetLink& fleet,
-               UpstreamDirectory& directory,
-               DecisionLog& log,
+               GatewayContext& context,
                std::function<void(bool answered)> on_contact);
   ~UpstreamFeed();
 
@@ -56,9 +54,6 @@
      that starts at once does not read the log all together. */
   auto Start() -> void;
 
-  /** The log answered any of this router's calls. */
-  auto NoteContact(Instant now) -> void { this->contact_at = now; }
-
   /** Chooses the source anew by who lives now. */
   auto Plan() -> void;
 
@@ -83,8 +78,7 @@
   SocketPoller& poller;
   Settings settings;
   const FleetLink& fleet;
-  UpstreamDirectory& directory;
-  DecisionLog& log;
+  GatewayContext& context;
   std::function<void(bool answered)> contact;
   FeedSource source;
   std::unique_ptr<LoopTimer> timer;
@@ -92,8 +86,7 @@
   std::unique_ptr<UpstreamHistory> history;  ///< What followers may ask for.
   std::uint64_t histories = 0;               ///< Begun by this process.
   bool listed = false;                       ///< Whether the history is whole.
-  Instant read_at{};     ///< When the log last answered the follower.
-  Instant contact_at{};  ///< When it last answered this router at all.
+  Instant read_at{};  ///< When the log last answered the follower.
   std::unique_ptr<Http1Caller> caller;  ///< To `asked_peer`.
   std::string asked_peer;  ///< Whose numbers `asked_life` and `after` are.
   std::string asked_life;
--- a/programs/load/main.cc
+++ b/programs/load/main.cc
@@ -2,6 +2,7 @@
 #include <iostream>
 #include <sstream>
 
+#include "al_core/text/split_list.h"
 #include "al_edge/settings/settings_reader.h"
 #include "load/audit.h"
 #include "load/load_run.h"
@@ -13,17 +14,6 @@
 using namespace auburnloft;        // NOLINT(google-build-using-namespace)
 using namespace auburnloft::load;  // NOLINT(google-build-using-namespace)
 
-auto SplitList(const std::string& text) -> std::vector<std::string> {
-  std::vector<std::string> items;
-  std::istringstream stream(text);
-  for (std::string item; std::getline(stream, item, ',');) {
-    if (!item.empty()) {
-      items.push_back(item);
-    }
-  }
-  return items;
-}
-
 auto DeclareSettings(SettingsReader& settings) -> void {
   settings.DeclareRequiredText("workload", "file that tells what to send");
   settings.DeclareRequiredText("routers",
--- a/programs/soak/main.cc
+++ b/programs/soak/main.cc
@@ -1,8 +1,8 @@
-#include <fstream>
 #include <iostream>
 #include <nlohmann/json.hpp>
-#include <sstream>
 
+#include "al_core/text/split_list.h"
+#include "al_core/text/text_file.h"
 #include "al_edge/loop/event_loop.h"
 #include "al_edge/settings/settings_reader.h"
 #include "al_net/socket_poller.h"
@@ -20,22 +20,6 @@
  */
 constexpr Duration kEndLimit = std::chrono::seconds(12);
 
-auto ReadFile(const std::string& path) -> std::string {
-  std::ifstream file(path);
-  std::ostringstream text;
-  text << file.rdbuf();
-  return text.str();
-}
-
-auto Split(const std::string& list) -> std::vector<std::string> {
-  std::vector<std::string> items;
-  std::istringstream text(list);
-  for (std::string item; std::getline(text, item, ',');) {
-    items.push_back(item);
-  }
-  return items;
-}
-
 }  // namespace
 
 auto main(int argc, char** argv) -> int {
@@ -54,7 +38,7 @@
   EventLoop loop;
   SocketPoller poller(loop);
   soak::SoakCallers::Settings wanted;
-  wanted.routers = Split(settings.Text("routers"));
+  wanted.routers = SplitList(settings.Text("routers"));
   wanted.seed = static_cast<std::uint64_t>(settings.Whole("seed"));
   wanted.requests_per_second = static_cast<double>(settings.Whole("rate"));
   soak::SoakCallers callers(poller, wanted);
@@ -63,9 +47,10 @@
   loop.RunUntil([] { return false; }, std::chrono::seconds(seconds));
   callers.Stop();
   loop.RunUntil([&] { return callers.open() == 0; }, kEndLimit);
-  soak::SoakReport report = soak::Check(
-      callers.results(), soak::ReadRuns(ReadFile(settings.Text("runs-file"))),
-      soak::ReadEvents(ReadFile(settings.Text("events-file"))));
+  soak::SoakReport report =
+      soak::Check(callers.results(),
+                  soak::ReadRuns(ReadTextFile(settings.Text("runs-file"))),
+                  soak::ReadEvents(ReadTextFile(settings.Text("events-file"))));
   report.config_reversions = callers.config_reversions();
   nlohmann::json line = report.ToJson();
   line["seed"] = wanted.seed;
--- a/programs/soak/soak_callers.cc
+++ b/programs/soak/soak_callers.cc
@@ -8,6 +8,7 @@
 #include "al_edge/loop/event_loop.h"
 #include "al_gateway/streams/event_splitter.h"
 #include "platform/wire_names.h"
+#include "wire/caller_request.h"
 
 namespace auburnloft::soak {
 
@@ -87,58 +88,53 @@
 auto SoakCallers::SendRequest() -> void {
   constexpr std::uint64_t kLeastTokens = 100;
   constexpr std::uint64_t kTokenRange = 1'500;
-  auto call = std::make_unique<Call>();
+  auto call = this->NewCall();
   AttemptResult& attempt = call->result;
-  attempt.router = this->AnyRouter();
   attempt.kind = &kKinds[this->random.Below(kKinds.size())];
   attempt.team = this->random.Chance(0.5) ? "parish-collectors" : "garages";
   attempt.prompt_tokens = kLeastTokens + this->random.Below(kTokenRange);
-  const std::string bytes = this->MakeRequest(
-      attempt, std::string(attempt.kind->path) + std::to_string(this->sent));
-  this->Send(std::move(call), bytes);
+  const std::string path = std::string(attempt.kind->path) + attempt.id;
+  this->Send(std::move(call), path);
 }
 
 auto SoakCallers::SendProbe() -> void {
-  auto call = std::make_unique<Call>();
+  auto call = this->NewCall();
   call->result.kind = &kKinds[3];
   call->result.team = "garages";
-  call->result.router = this->AnyRouter();
   call->route_was = this->newest_route[call->result.router];
   call->probed_route = std::max<std::uint64_t>(
       1, call->route_was + this->random.Below(kProbeAhead + 1));
-  const std::string bytes = this->MakeRequest(
-      call->result, "/version-" + std::to_string(call->probed_route) + "/x");
-  this->Send(std::move(call), bytes);
+  const std::string path =
+      "/version-" + std::to_string(call->probed_route) + "/x";
+  this->Send(std::move(call), path);
 }
 
-auto SoakCallers::MakeRequest(const AttemptResult& attempt,
-                              const std::string& path) const -> std::string {
-  Http1Request request;
-  request.method = "POST";
-  request.target = path;
-  request.fields.Add("Host", "demo");
-  request.fields.Add(
-      platform::kAttemptIdHeader,
-      std::to_string(this->settings.seed) + "-" + std::to_string(this->sent));
-  request.fields.Add("X-Deadline-Ms", kDeadlineMs);
-  request.fields.Add("Authorization", attempt.team == "garages"
-                                          ? "Token garage-key"
-                                          : "Token collector-key");
+auto SoakCallers::NewCall() -> std::unique_ptr<Call> {
+  auto call = std::make_unique<Call>();
+  call->result.id =
+      std::to_string(this->settings.seed) + "-" + std::to_string(this->sent++);
+  call->result.router = this->AnyRouter();
+  return call;
+}
+
+auto SoakCallers::BytesOf(const AttemptResult& attempt, const std::string& path)
+    -> std::string {
+  standins::CallerRequest request;
+  request.id = attempt.id;
+  request.host = "demo";
+  request.path = path;
+  request.key = attempt.team == "garages" ? "garage-key" : "collector-key";
+  request.deadline_ms = kDeadlineMs;
   if (attempt.kind->streams) {
-    request.fields.Add("X-Model", "m");
-    request.fields.Add("X-Token-Count",
-                       std::to_string(attempt.prompt_tokens) + ",40");
-    request.fields.Add("X-Prompt-Prefix", "aa:50,bb:50");
+    request.tokens = std::to_string(attempt.prompt_tokens) + ",40";
+    request.prompt_parts = "aa:50,bb:50";
   }
-  request.body = "body";
-  return ToBytes(request);
+  return ToBytes(standins::MakeHttpRequest(request));
 }
 
-auto SoakCallers::Send(std::unique_ptr<Call> call, const std::string& bytes)
+auto SoakCallers::Send(std::unique_ptr<Call> call, const std::string& path)
     -> void {
   AttemptResult& attempt = call->result;
-  attempt.id =
-      std::to_string(this->settings.seed) + "-" + std::to_string(this->sent++);
   call->connection = this->ConnectionTo(attempt.router);
   Call* const opened = call.get();
   this->calls.push_back(std::move(call));
@@ -163,7 +159,8 @@
   callbacks.on_done = [this, opened](Http1Outcome outcome) {
     this->OnDone(*opened, outcome);
   };
-  opened->connection->Start(bytes, false, std::move(callbacks));
+  opened->connection->Start(BytesOf(opened->result, path), false,
+                            std::move(callbacks));
 }
 
 auto SoakCallers::OnHead(Call& call, const Http1ResponseHead& head) -> void {
--- a/programs/soak/soak_callers.h
+++ b/programs/soak/soak_callers.h
@@ -62,9 +62,10 @@
   auto SendNext() -> void;
   auto SendRequest() -> void;
   auto SendProbe() -> void;
-  [[nodiscard]] auto MakeRequest(const AttemptResult& attempt,
-                                 const std::string& path) const -> std::string;
-  auto Send(std::unique_ptr<Call> call, const std::string& bytes) -> void;
+  [[nodiscard]] auto NewCall() -> std::unique_ptr<Call>;
+  [[nodiscard]] static auto BytesOf(const AttemptResult& attempt,
+                                    const std::string& path) -> std::string;
+  auto Send(std::unique_ptr<Call> call, const std::string& path) -> void;
   auto OnHead(Call& call, const Http1ResponseHead& head) -> void;
   auto OnBody(Call& call, const std::string& bytes) -> void;
   auto OnDone(Call& call, Http1Outcome outcome) -> void;
--- a/standins/wire/main.cc
+++ b/standins/wire/main.cc
@@ -1,4 +1,3 @@
-#include <chrono>
 #include <fstream>
 #include <iostream>
 
@@ -19,12 +18,6 @@
 /** Pause between two announcements at the store. */
 constexpr Duration kHeartbeat = std::chrono::milliseconds(1'000);
 
-auto UnixMillis() -> std::int64_t {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(
-             std::chrono::system_clock::now().time_since_epoch())
-      .count();
-}
-
 auto Announcement(const std::string& id, std::string entry) -> Http1Request {
   Http1Request call;
   call.method = "PUT";
@@ -60,7 +53,7 @@
   wanted.id = settings.Text("id");
   wanted.address = settings.Text("address");
   wanted.told_address = settings.Text("told-address");
-  wanted.born_ms = UnixMillis();
+  wanted.born_ms = ToUnixMillis(loop.Now());
   wanted.between = Duration(settings.Whole("between-us"));
   wanted.first_byte = wanted.between;
   wanted.events = static_cast<std::uint64_t>(settings.Whole("events"));
@@ -71,7 +64,8 @@
   }
   std::ofstream runs(settings.Text("runs-file"), std::ios::app);
   upstream.SetOnRun([&](const std::string& id) {
-    runs << UnixMillis() << ' ' << wanted.id << ' ' << id << std::endl;
+    runs << ToUnixMillis(loop.Now()) << ' ' << wanted.id << ' ' << id
+         << std::endl;
   });
   Http1Caller store(poller, settings.Text("store-address"));
   const auto announce = [&] {
--- a/tests/gateway/allowance_test.cc
+++ b/tests/gateway/allowance_test.cc
@@ -25,6 +25,15 @@
   return view;
 }
 
+/** Writes a desk's first allowance of 1,000 tokens and reads it back. */
+auto TakeFirstAllowance(AllowanceDesk& desk, AllowanceLedger& ledger) -> void {
+  desk.SetBudget("team", 1'000);
+  const auto entries =
+      desk.Plan(ledger, AloneInTheFleet(), false, FromUnixMillis(1'000));
+  ledger.Apply(entries.front());
+  desk.OnRecorded(entries.front(), ledger.Taken("team"));
+}
+
 }  // namespace
 
 TEST_GROUP(Allowance) {
@@ -61,11 +70,7 @@
 TEST(Allowance, LowersWhatItMaySpendBeforeItWritesAReturn) {
   AllowanceDesk desk("a", AllowanceSettings());
   AllowanceLedger ledger;
-  desk.SetBudget("team", 1'000);
-  const auto entries =
-      desk.Plan(ledger, AloneInTheFleet(), false, FromUnixMillis(1'000));
-  ledger.Apply(entries.front());
-  desk.OnRecorded(entries.front(), ledger.Taken("team"));
+  TakeFirstAllowance(desk, ledger);
   CHECK_TRUE(desk.Available("team") > 0);
   const auto returned = desk.PlanReturn();
   CHECK_EQUAL(0, returned.front().taken_tokens);
@@ -75,11 +80,7 @@
 TEST(Allowance, CountsAGiftAsSpentByTheGiver) {
   AllowanceDesk giver("a", AllowanceSettings());
   AllowanceLedger ledger;
-  giver.SetBudget("team", 1'000);
-  const auto entries =
-      giver.Plan(ledger, AloneInTheFleet(), false, FromUnixMillis(1'000));
-  ledger.Apply(entries.front());
-  giver.OnRecorded(entries.front(), ledger.Taken("team"));
+  TakeFirstAllowance(giver, ledger);
   const std::uint64_t before = giver.Available("team");
   const std::uint64_t given = giver.Give("team", 40, FromUnixMillis(1'000));
   CHECK_EQUAL(40, given);
--- a/tests/gateway/feed_test.cc
+++ b/tests/gateway/feed_test.cc
@@ -26,6 +26,14 @@
   return std::string(kDomains.substr(static_cast<std::size_t>(number) % 3, 1));
 }
 
+/** The plan of a router that asks three readers. */
+auto AsksThreeReaders() -> FeedPlan {
+  FeedPlan plan;
+  plan.reads_log = false;
+  plan.peers = {"first", "second", "third"};
+  return plan;
+}
+
 auto Record(const std::string& id) -> UpstreamRecord {
   UpstreamRecord record;
   record.id = id;
@@ -155,10 +163,7 @@
 
 TEST(UpstreamFeed, ReadersThatFailAreLeftForTheLogForAWhile) {
   FeedSource source;
-  FeedPlan plan;
-  plan.reads_log = false;
-  plan.peers = {"first", "second", "third"};
-  source.SetPlan(plan);
+  source.SetPlan(AsksThreeReaders());
   STRCMP_EQUAL("first", source.peer().c_str());
   source.NoteFailure(FeedSource::Failure::kNoNews, true, this->now);
   CHECK_FALSE(source.reads_log(this->now));
@@ -172,10 +177,7 @@
 /** Load pattern: all routers of a large fleet start anew at once. */
 TEST(UpstreamFeed, ReadersThatHaveJustBegunAreWaitedFor) {
   FeedSource source;
-  FeedPlan plan;
-  plan.reads_log = false;
-  plan.peers = {"first", "second", "third"};
-  source.SetPlan(plan);
+  source.SetPlan(AsksThreeReaders());
   for (int i = 0; i < 9; ++i) {
     source.NoteFailure(FeedSource::Failure::kNotReady, true, this->now);
   }
@@ -186,10 +188,7 @@
 
 TEST(UpstreamFeed, ReadersAreKeptWhileTheLogIsAwayFromAll) {
   FeedSource source;
-  FeedPlan plan;
-  plan.reads_log = false;
-  plan.peers = {"first", "second"};
-  source.SetPlan(plan);
+  source.SetPlan(AsksThreeReaders());
   for (int i = 0; i < 5; ++i) {
     source.NoteFailure(FeedSource::Failure::kNoNews, false, this->now);
   }
--- a/tests/support/gateway_fixture.cc
+++ b/tests/support/gateway_fixture.cc
@@ -5,6 +5,7 @@
 
 #include "al_http1/http1_message.h"
 #include "al_net/tcp_connection.h"
+#include "wire/caller_request.h"
 
 namespace auburnloft::testing {
 
@@ -112,22 +113,14 @@
 }
 
 auto GatewayFixture::MakeRequest(const Call& call) -> Http1Request {
-  Http1Request request;
-  request.method = "POST";
-  request.target = call.path + "x";
-  request.fields.Add("Host", "h");
-  request.fields.Add("X-Attempt-Id", call.id);
-  request.fields.Add("X-Deadline-Ms", call.deadline_ms);
-  if (!call.key.empty()) {
-    request.fields.Add("Authorization", "Token " + call.key);
-  }
-  if (!call.tokens.empty()) {
-    request.fields.Add("X-Model", "m");
-    request.fields.Add("X-Token-Count", call.tokens);
-    request.fields.Add("X-Prompt-Prefix", "aa:10,bb:10");
-  }
-  request.body = "body";
-  return request;
+  standins::CallerRequest request;
+  request.id = call.id;
+  request.host = "h";
+  request.path = call.path + "x";
+  request.key = call.key;
+  request.tokens = call.tokens;
+  request.deadline_ms = call.deadline_ms;
+  return standins::MakeHttpRequest(request);
 }
 
 auto GatewayFixture::Send(const Call& call) -> Answer {
