--- a/modules/al_gateway/membership/router_registry.cc
+++ b/modules/al_gateway/membership/router_registry.cc
@@ -119,6 +119,23 @@
   return ranked_higher < count;
 }
 
+auto RouterRegistry::FindHighestRanked(std::string_view item,
+                                       Instant now) const
+    -> const RouterAnnouncement* {
+  const RouterAnnouncement* highest = nullptr;
+  std::uint64_t highest_rank = 0;
+  for (const auto& [name, member] : this->members) {
+    const std::uint64_t rank = StableHash(item, name);
+    if (name != this->self && !member.announcement.leaving &&
+        this->IsActive(member, now) &&
+        (highest == nullptr || rank > highest_rank)) {
+      highest = &member.announcement;
+      highest_rank = rank;
+    }
+  }
+  return highest;
+}
+
 auto RouterRegistry::VisitAll(
     Instant now,
     const std::function<void(const RouterAnnouncement&, bool)>& visit) const
--- a/modules/al_gateway/membership/router_registry.h
+++ b/modules/al_gateway/membership/router_registry.h
@@ -82,6 +82,12 @@
                                           int count,
                                           Instant now) const -> bool;
 
+  /** Returns the first router in the rendezvous order of `item` among the
+     others that are active and do not leave; null if there is none. Its content
+     may change with the next Apply(). */
+  [[nodiscard]] auto FindHighestRanked(std::string_view item, Instant now) const
+      -> const RouterAnnouncement*;
+
   /** Calls `visit` with each router and whether it is active. */
   auto VisitAll(
       Instant now,
--- a/modules/al_gateway/prepaid/allowance_ledger.cc
+++ b/modules/al_gateway/prepaid/allowance_ledger.cc
@@ -11,7 +11,7 @@
   known = std::move(entry);
 }
 
-auto AllowanceLedger::Taken(std::string_view team) const -> std::uint64_t {
+auto AllowanceLedger::Taken(std::string_view team) const -> std::int64_t {
   const auto found = this->teams.find(std::string(team));
   return found == this->teams.end() ? 0 : found->second.taken;
 }
@@ -30,6 +30,7 @@
       totals.demand_of_active += entry.demand_per_second;
     } else {
       totals.taken_by_expired += entry.taken_tokens;
+      totals.settled_by_expired += entry.settled_tokens;
     }
   }
   return totals;
--- a/modules/al_gateway/prepaid/allowance_ledger.h
+++ b/modules/al_gateway/prepaid/allowance_ledger.h
@@ -9,12 +9,17 @@
 
 namespace auburnloft::gateway {
 
-/** A ledger entry: what one router incarnation has taken of a team's budget. */
+/** A ledger entry: what one router incarnation has taken of a team's budget.
+
+    Both totals are net of the tokens that other routers transferred to the
+   holder. They are negative for a holder that received tokens and returned
+   them to the budget. */
 struct AllowanceEntry {
   std::string team;
   std::string holder;
-  std::uint64_t taken_tokens = 0;    ///< Total; falls when tokens are returned.
-  std::uint64_t settled_tokens = 0;  ///< Spent; at most `taken_tokens`.
+  std::int64_t taken_tokens = 0;    ///< Falls when tokens are returned.
+  std::int64_t settled_tokens = 0;  ///< Spent or transferred to others; at most
+                                    ///< `taken_tokens`.
   double demand_per_second = 0.0;    ///< Decayed rate of requested tokens.
   std::uint64_t revision = 0;        ///< Increases with each entry of a holder.
 };
@@ -31,6 +36,11 @@
    was below what its holder could spend. This requires only the newest entry of
    each key, which the log keeps indefinitely.
 
+    A transfer between holders needs no entry: the sender counts it as spent
+   before it sends, and its entries cover it for good; the receiver may then
+   lower its own entry by the same amount, below 0 if need be, without a change
+   of the sum over both.
+
     Thread safety: none; used on one thread.
 */
 class AllowanceLedger {
@@ -39,10 +49,11 @@
 
   /** Sums over a team's holders. */
   struct Totals {
-    std::uint64_t taken = 0;  ///< By all holders.
-    std::uint64_t settled_by_active = 0;
-    std::uint64_t taken_by_expired =
-        0;                          ///< Counts as spent: their use is unknown.
+    std::int64_t taken = 0;  ///< By all holders.
+    std::int64_t settled_by_active = 0;
+    std::int64_t taken_by_expired = 0;    ///< Counts as spent: the use of the
+                                          ///< unsettled part is unknown.
+    std::int64_t settled_by_expired = 0;  ///< The part that was reported spent.
     double demand_of_active = 0.0;  ///< Tokens per second.
   };
 
@@ -57,7 +68,7 @@
   // Queries
 
   /** Returns the tokens that all holders have taken. */
-  [[nodiscard]] auto Taken(std::string_view team) const -> std::uint64_t;
+  [[nodiscard]] auto Taken(std::string_view team) const -> std::int64_t;
 
   /** Returns the sums over a team's holders.
       @param is_active  tells whether a holder is an active router incarnation.
@@ -77,7 +88,7 @@
  private:
   struct TeamEntries {
     std::unordered_map<std::string, AllowanceEntry> by_holder;
-    std::uint64_t taken = 0;
+    std::int64_t taken = 0;
   };
 
   std::unordered_map<std::string, TeamEntries> teams;
--- a/modules/al_gateway/prepaid/allowance_manager.cc
+++ b/modules/al_gateway/prepaid/allowance_manager.cc
@@ -2,17 +2,12 @@
 
 #include <algorithm>
 #include <cassert>
-#include <cmath>
 #include <utility>
 
 namespace auburnloft::gateway {
 
 namespace {
 
-/** Time constant of the exponentially decayed demand rate: long enough to
-   average several bursts of callers. */
-constexpr double kDemandSeconds = 4.0;
-
 /** Maximum share of a team's remaining budget that a demand-based target is
    computed from. The rest stays unallocated, because tokens that routers hold
    are lost if all routers lose power. */
@@ -25,6 +20,11 @@
 /** Seconds of steady demand below which the available tokens are a shortage. */
 constexpr double kShortageSeconds = 1.5;
 
+/** Seconds of steady demand that a router without a share of the reserve keeps
+   when it hands its surplus to a reserve holder. Above kShortageSeconds, so
+   that it does not request the same tokens again. */
+constexpr double kSurplusSeconds = 2.5;
+
 /** Minimum increase relative to the target; smaller ones wait, to append fewer
    entries to the log. Requests that wait override it. */
 constexpr double kMinIncreaseRatio = 0.1;
@@ -45,19 +45,17 @@
    held for them on every router would add up to most of a budget. */
 constexpr double kMinSteadyRequestsPerSecond = 2.0;
 
-/** Minimum measuring time of a rate. */
-constexpr double kMinMeasuredSeconds = 2.0;
-
-auto DecayedDemand(double demand, Instant since, Instant now) -> double {
-  return demand * std::exp(-ToSeconds(now - since) / kDemandSeconds);
-}
-
 /** Subtracts, but not below 0. */
 auto SaturatingSubtract(std::uint64_t from, std::uint64_t amount)
     -> std::uint64_t {
   return from - std::min(from, amount);
 }
 
+/** Returns what is left of a budget of `prepaid` tokens, at least 0. */
+auto RemainingOf(std::uint64_t prepaid, std::int64_t used) -> std::int64_t {
+  return std::max<std::int64_t>(0, static_cast<std::int64_t>(prepaid) - used);
+}
+
 }  // namespace
 
 AllowanceManager::AllowanceManager(std::string holder,
@@ -82,12 +80,7 @@
     account.mean_request_tokens +=
         (account.mean_request_tokens > 0.0 ? kMeanWeight : 1.0) *
         (size - account.mean_request_tokens);
-    if (account.demand_since == Instant()) {
-      account.demand_since = now;
-    }
-    account.demand = DecayedDemand(account.demand, account.demand_at, now) +
-                     static_cast<double>(tokens) / kDemandSeconds;
-    account.demand_at = now;
+    account.own_demand.Add(tokens, now);
   }
   if (account.available() < tokens) {
     return false;
@@ -112,7 +105,7 @@
 
 auto AllowanceManager::PlanEntries(const AllowanceLedger& ledger,
                                    const FleetStatus& fleet,
-                                   bool with_reports,
+                                   EntryScope scope,
                                    Instant now) -> std::vector<AllowanceEntry> {
   std::vector<AllowanceEntry> entries;
   if (this->has_unrecorded_entries()) {
@@ -123,12 +116,14 @@
         ledger.TotalsOf(team, fleet.is_active);
     const std::uint64_t target =
         this->TargetTokens(team, account, totals, fleet, now);
-    const std::uint64_t taken =
-        this->UpdateTakenTokens(account, totals, target, fleet.reserve_holders);
+    const std::int64_t taken = UpdateTakenTokens(
+        account, totals, target, fleet.reserve_holders,
+        fleet.holds_reserve(team), scope);
     const bool withdraws = account.written > account.spendable;
     if (taken != account.written || withdraws ||
-        (with_reports && IsReportOutdated(account, now))) {
-      entries.push_back(this->MakeEntry(team, account, taken, now));
+        (scope == EntryScope::kReports && IsReportOutdated(account, now))) {
+      entries.push_back(
+          this->MakeEntry(team, account, taken, DemandOf(account, now)));
     }
   }
   this->pending_entries = static_cast<int>(entries.size());
@@ -138,10 +133,10 @@
 auto AllowanceManager::PlanReturnEntries() -> std::vector<AllowanceEntry> {
   std::vector<AllowanceEntry> entries;
   for (auto& [team, account] : this->accounts) {
-    account.spendable = std::min(account.spendable, account.committed());
+    account.spendable = std::min(account.spendable, account.net_committed());
     if (account.written != account.spendable) {
       entries.push_back(
-          this->MakeEntry(team, account, account.spendable, account.demand_at));
+          this->MakeEntry(team, account, account.spendable, 0.0));
     }
   }
   this->pending_entries = static_cast<int>(entries.size());
@@ -149,7 +144,7 @@
 }
 
 auto AllowanceManager::OnRecorded(const AllowanceEntry& entry,
-                                  std::uint64_t taken_by_all) -> void {
+                                  std::int64_t taken_by_all) -> void {
   Account& account = this->accounts[entry.team];
   if (entry.revision != account.pending_revision) {
     return;  // Written before unread log records were lost.
@@ -157,19 +152,23 @@
   account.pending_revision = 0;
   this->pending_entries = std::max(0, this->pending_entries - 1);
   if (entry.taken_tokens > account.spendable &&
-      taken_by_all <= account.prepaid) {
+      taken_by_all <= static_cast<std::int64_t>(account.prepaid)) {
     account.spendable = entry.taken_tokens;
   }
 }
 
 auto AllowanceManager::TransferOut(std::string_view team,
                                    std::uint64_t requested,
+                                   bool first_try,
                                    Instant now) -> std::uint64_t {
   const auto found = this->accounts.find(team);
   if (found == this->accounts.end()) {
     return 0;
   }
   Account& account = found->second;
+  if (first_try) {
+    account.requested_demand.Add(requested, now);
+  }
   const auto kept = static_cast<std::uint64_t>(kWorkingSeconds *
                                                SteadyDemandOf(account, now));
   const std::uint64_t transferred =
@@ -183,6 +182,34 @@
   this->accounts[std::string(team)].received += tokens;
 }
 
+auto AllowanceManager::TakeSurplus(
+    const std::function<bool(std::string_view team)>& holds_reserve,
+    Instant now) -> std::vector<TeamTokens> {
+  std::vector<TeamTokens> taken;
+  for (auto& [team, account] : this->accounts) {
+    const auto kept = static_cast<std::uint64_t>(kSurplusSeconds *
+                                                 SteadyDemandOf(account, now));
+    const std::uint64_t surplus =
+        SaturatingSubtract(account.available(), kept + account.waiting);
+    if (surplus > 0 && !holds_reserve(team)) {
+      account.settled += surplus;
+      taken.push_back({team, surplus});
+    }
+  }
+  return taken;
+}
+
+auto AllowanceManager::TakeUncommitted() -> std::vector<TeamTokens> {
+  std::vector<TeamTokens> taken;
+  for (auto& [team, account] : this->accounts) {
+    if (const std::uint64_t available = account.available(); available > 0) {
+      account.settled += available;
+      taken.push_back({team, available});
+    }
+  }
+  return taken;
+}
+
 auto AllowanceManager::OnHistoryLost() -> void {
   this->pending_entries = 0;
   for (auto& [team, account] : this->accounts) {
@@ -203,9 +230,9 @@
     return true;
   }
   const AllowanceLedger::Totals totals = ledger.TotalsOf(team, is_active);
-  return SaturatingSubtract(
-             found->second.prepaid,
-             totals.taken_by_expired + totals.settled_by_active) < tokens;
+  return RemainingOf(found->second.prepaid,
+                     totals.taken_by_expired + totals.settled_by_active) <
+         static_cast<std::int64_t>(tokens);
 }
 
 auto AllowanceManager::BudgetOf(std::string_view team) const -> std::uint64_t {
@@ -233,20 +260,16 @@
 //==============================================================================
 
 auto AllowanceManager::DemandOf(const Account& account, Instant now) -> double {
-  if (account.demand_since == Instant()) {
-    return 0.0;
-  }
-  // A sum that started recently is too low: scale it by the part of the decay
-  // window that has passed.
-  const double measured =
-      std::max(kMinMeasuredSeconds, ToSeconds(now - account.demand_since));
-  return DecayedDemand(account.demand, account.demand_at, now) /
-         (1.0 - std::exp(-measured / kDemandSeconds));
+  return account.own_demand.PerSecond(now) +
+         account.requested_demand.PerSecond(now);
 }
 
 auto AllowanceManager::IsReportOutdated(const Account& account, Instant now)
     -> bool {
-  if (account.settled_of_entries() != account.settled_written) {
+  if (account.written == 0 && account.spendable == 0) {
+    return false;  // This router spends only what the entries of others cover.
+  }
+  if (account.net_settled() != account.settled_written) {
     return true;
   }
   // Report the end of a demand once: otherwise the reserve would continue to
@@ -258,7 +281,7 @@
 
 auto AllowanceManager::SteadyDemandOf(const Account& account, Instant now)
     -> double {
-  const double demand = DemandOf(account, now);
+  const double demand = account.own_demand.PerSecond(now);
   return demand >= kMinSteadyRequestsPerSecond * account.mean_request_tokens
              ? demand
              : 0.0;
@@ -270,7 +293,7 @@
                                     const FleetStatus& fleet,
                                     Instant now) const -> std::uint64_t {
   const double demand = DemandOf(account, now);
-  const auto remaining = static_cast<double>(SaturatingSubtract(
+  const auto remaining = static_cast<double>(RemainingOf(
       account.prepaid, totals.taken_by_expired + totals.settled_by_active));
   const double working =
       std::min(SteadyDemandOf(account, now) * kWorkingSeconds,
@@ -291,47 +314,54 @@
 auto AllowanceManager::UpdateTakenTokens(Account& account,
                                          const AllowanceLedger::Totals& totals,
                                          std::uint64_t target,
-                                         int holders) -> std::uint64_t {
-  const std::uint64_t wanted = account.committed() + account.waiting + target;
+                                         int holders,
+                                         bool holds_reserve,
+                                         EntryScope scope) -> std::int64_t {
+  const auto waiting = static_cast<std::int64_t>(account.waiting);
+  const std::int64_t wanted = account.net_committed() + waiting +
+                              static_cast<std::int64_t>(target);
   // An invalid increase is included in the ledger's total but never became
   // spendable.
-  const std::uint64_t invalid =
-      SaturatingSubtract(account.written, account.spendable);
-  const std::uint64_t unallocated = SaturatingSubtract(
-      account.prepaid, SaturatingSubtract(totals.taken, invalid));
+  const std::int64_t invalid =
+      std::max<std::int64_t>(0, account.written - account.spendable);
+  const std::int64_t unallocated =
+      RemainingOf(account.prepaid, totals.taken - invalid);
   const auto target_tokens = static_cast<double>(target);
-  const std::uint64_t min_increase =
-      account.waiting > 0
+  const std::int64_t min_increase =
+      waiting > 0
           ? 1
-          : static_cast<std::uint64_t>(kMinIncreaseRatio * target_tokens) + 1;
+          : static_cast<std::int64_t>(kMinIncreaseRatio * target_tokens) + 1;
   if (wanted >= account.spendable + min_increase) {
     // All holders may increase at once. Limit one step to an even share of the
     // unallocated tokens, or to the queued requests if they need more.
-    const std::uint64_t share =
-        unallocated / static_cast<std::uint64_t>(std::max(1, holders)) + 1;
-    const std::uint64_t step = std::max(share, account.waiting);
+    const std::int64_t share = unallocated / std::max(1, holders) + 1;
+    const std::int64_t step = std::max(share, waiting);
     return account.spendable +
            std::min({wanted - account.spendable, unallocated, step});
   }
-  const std::uint64_t surplus_at =
-      account.committed() +
-      static_cast<std::uint64_t>(kSurplusRatio * target_tokens) + 1;
-  if (account.spendable > surplus_at) {
-    account.spendable = std::max(wanted, account.committed());
+  const std::int64_t surplus_at =
+      account.net_committed() + waiting +
+      static_cast<std::int64_t>(kSurplusRatio * target_tokens) + 1;
+  if (scope != EntryScope::kIncreases && account.spendable > surplus_at) {
+    // Without a share of the reserve, this router hands received tokens to a
+    // reserve holder, which needs no entry of this router in the log.
+    const std::int64_t lowest =
+        holds_reserve ? wanted : std::min<std::int64_t>(0, account.spendable);
+    account.spendable = std::max(wanted, lowest);
   }
   return account.spendable;
 }
 
 auto AllowanceManager::MakeEntry(const std::string& team,
                                  Account& account,
-                                 std::uint64_t taken,
-                                 Instant now) -> AllowanceEntry {
+                                 std::int64_t taken,
+                                 double demand) -> AllowanceEntry {
   AllowanceEntry entry;
   entry.team = team;
   entry.holder = this->holder;
   entry.taken_tokens = taken;
-  entry.settled_tokens = account.settled_of_entries();
-  entry.demand_per_second = DemandOf(account, now);
+  entry.settled_tokens = account.net_settled();
+  entry.demand_per_second = demand;
   entry.revision = ++this->last_revision;
   account.written = taken;
   account.settled_written = entry.settled_tokens;
--- a/modules/al_gateway/prepaid/allowance_manager.h
+++ b/modules/al_gateway/prepaid/allowance_manager.h
@@ -1,7 +1,6 @@
 #ifndef AL_GATEWAY_PREPAID_ALLOWANCE_MANAGER_H_
 #define AL_GATEWAY_PREPAID_ALLOWANCE_MANAGER_H_
 
-#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -12,6 +11,7 @@
 
 #include "al_core/time/instant.h"
 #include "al_gateway/prepaid/allowance_ledger.h"
+#include "al_gateway/prepaid/demand_meter.h"
 
 namespace auburnloft::gateway {
 
@@ -26,6 +26,20 @@
   double min_reserve_share = 0.2;
 };
 
+/** Which changes of the ledger PlanEntries() may plan. */
+enum class EntryScope {
+  kIncreases,  ///< Tokens that are needed now.
+  kReturns,    ///< Also tokens that are no longer needed: they can wait for an
+               ///< append that is due anyway.
+  kReports,    ///< Also entries that only report use and demand.
+};
+
+/** Tokens of a team's budget. */
+struct TeamTokens {
+  std::string team;
+  std::uint64_t tokens = 0;
+};
+
 /** The state of the fleet from which a router plans its ledger entries. */
 struct FleetStatus {
   int routers = 1;          ///< Active routers, including this one.
@@ -40,8 +54,10 @@
 
     Each router holds an allowance for one second of its own demand. In
    addition, a few routers hold the reserve that carries a team through an
-   outage of the log service; the others request transfers from them. If a
-   large fleet shared the reserve evenly, no share would cover a request.
+   outage of the log service; the others request transfers from them, and hand
+   what a request did not use back to them: with many routers, small remainders
+   on each would add up to most of a small team's budget. If a large fleet
+   shared the reserve evenly, no share would cover a request.
 
     A request reserves its maximum with TryReserve() before it is sent, and
    Settle() records its use when it ends. PlanEntries() returns the
@@ -85,11 +101,10 @@
   /** Returns the entries to append now. If an entry returns tokens, they stop
      being spendable at once. Returns none if nothing has changed or while
      has_unrecorded_entries().
-      @param with_reports  whether to include entries that change no tokens
-     taken and only report use and demand. */
+   */
   [[nodiscard]] auto PlanEntries(const AllowanceLedger& ledger,
                                  const FleetStatus& fleet,
-                                 bool with_reports,
+                                 EntryScope scope,
                                  Instant now) -> std::vector<AllowanceEntry>;
 
   /** Returns the entries that give back all uncommitted tokens at shutdown.
@@ -100,18 +115,32 @@
      increase becomes spendable if it is valid.
       @param taken_by_all  sum over the newest entries of all holders at the
                            entry's position in the log. */
-  auto OnRecorded(const AllowanceEntry& entry, std::uint64_t taken_by_all)
+  auto OnRecorded(const AllowanceEntry& entry, std::int64_t taken_by_all)
       -> void;
 
   /** Transfers available tokens to another router. This router counts them as
      spent, so the transfer needs no ledger entry. It keeps enough for its own
      demand of the next second.
       @param requested  maximum to transfer.
+      @param first_try  true unless the requester has asked another router for
+                        the same tokens; adds them to the measured demand.
       @return the transferred tokens; may be 0. */
   [[nodiscard]] auto TransferOut(std::string_view team,
                                  std::uint64_t requested,
+                                 bool first_try,
                                  Instant now) -> std::uint64_t;
 
+  /** Removes the tokens that this router needs neither for requests nor for
+     its steady demand, to hand them to a reserve holder, and counts them as
+     spent. Skips the teams whose reserve this router holds. */
+  [[nodiscard]] auto TakeSurplus(
+      const std::function<bool(std::string_view team)>& holds_reserve,
+      Instant now) -> std::vector<TeamTokens>;
+
+  /** Removes all uncommitted tokens, to hand them to other routers at shutdown,
+     and counts them as spent. */
+  [[nodiscard]] auto TakeUncommitted() -> std::vector<TeamTokens>;
+
   /** Adds tokens that another router transferred. They are spendable here in
      addition to what this router's entries cover. */
   auto ReceiveTransfer(std::string_view team, std::uint64_t tokens) -> void;
@@ -151,46 +180,46 @@
  private:
   struct Account {
     std::uint64_t prepaid = 0;
-    std::uint64_t spendable = 0;        ///< Total covered by valid entries.
-    std::uint64_t received = 0;         ///< Transferred from other routers.
-    std::uint64_t written = 0;          ///< Taken tokens of the newest entry.
-    std::uint64_t settled = 0;          ///< Spent or transferred to others.
-    std::uint64_t settled_written = 0;  ///< Settled tokens of the newest entry.
-    std::uint64_t reserved = 0;         ///< For requests that have not ended.
-    std::uint64_t waiting = 0;          ///< Needed by queued requests.
-    double demand = 0.0;                ///< Tokens per second at `demand_at`.
-    Instant demand_at{};
-    Instant demand_since{};       ///< Time of the first request.
-    double demand_written = 0.0;  ///< Demand in the newest entry.
+    std::int64_t spendable = 0;     ///< Net total covered by valid entries.
+    std::int64_t written = 0;       ///< Taken tokens of the newest entry.
+    std::uint64_t settled = 0;      ///< Spent or transferred to others.
+    std::uint64_t received = 0;     ///< Transferred from other routers.
+    std::uint64_t reserved = 0;     ///< For requests that have not ended.
+    std::uint64_t waiting = 0;      ///< Needed by queued requests.
+    DemandMeter own_demand;         ///< Of requests to this router.
+    DemandMeter requested_demand;   ///< Of transfers that others requested.
+    std::int64_t settled_written = 0;  ///< Settled tokens of the newest entry.
+    double demand_written = 0.0;       ///< Demand in the newest entry.
     double mean_request_tokens =
         0.0;  ///< Running mean of the requests' maximum.
     std::uint64_t pending_revision = 0;  ///< 0: no unrecorded entry.
 
-    /** Returns the tokens covered by entries that are spent or reserved.
-       Received tokens are used up first. */
-    [[nodiscard]] auto committed() const -> std::uint64_t {
-      const std::uint64_t all = this->settled + this->reserved;
-      return all - std::min(all, this->received);
+    /** Returns the tokens that are spent, net of received ones. */
+    [[nodiscard]] auto net_settled() const -> std::int64_t {
+      return static_cast<std::int64_t>(this->settled) -
+             static_cast<std::int64_t>(this->received);
     }
-    /** Returns the tokens covered by entries that are spent. */
-    [[nodiscard]] auto settled_of_entries() const -> std::uint64_t {
-      return this->settled - std::min(this->settled, this->received);
+    /** Returns the tokens that are spent or reserved, net of received ones:
+       the least that this holder's entries must cover. */
+    [[nodiscard]] auto net_committed() const -> std::int64_t {
+      return this->net_settled() + static_cast<std::int64_t>(this->reserved);
     }
     [[nodiscard]] auto available() const -> std::uint64_t {
-      const std::uint64_t all = this->spendable + this->received;
-      return all - std::min(all, this->settled + this->reserved);
+      return static_cast<std::uint64_t>(this->spendable -
+                                        this->net_committed());
     }
   };
 
-  /** Returns the measured demand in tokens per second. */
+  /** Returns the measured demand in tokens per second, of requests to this
+     router and of transfers that others requested. */
   [[nodiscard]] static auto DemandOf(const Account& account, Instant now)
       -> double;
   /** Returns whether the use or demand in the newest entry is outdated. */
   [[nodiscard]] static auto IsReportOutdated(const Account& account,
                                              Instant now) -> bool;
 
-  /** Returns DemandOf() if requests arrive often enough to hold tokens for
-     them, else 0. */
+  /** Returns the demand of requests to this router if they arrive often enough
+     to hold tokens for them, else 0. */
   [[nodiscard]] static auto SteadyDemandOf(const Account& account, Instant now)
       -> double;
   /** Returns the uncommitted tokens that this router should hold for a team. */
@@ -201,15 +230,17 @@
                                   Instant now) const -> std::uint64_t;
   /** Returns the taken tokens for the next entry. Lowers `spendable` if tokens
      are to be returned. */
-  auto UpdateTakenTokens(Account& account,
-                         const AllowanceLedger::Totals& totals,
-                         std::uint64_t target,
-                         int holders) -> std::uint64_t;
+  static auto UpdateTakenTokens(Account& account,
+                                const AllowanceLedger::Totals& totals,
+                                std::uint64_t target,
+                                int holders,
+                                bool holds_reserve,
+                                EntryScope scope) -> std::int64_t;
   /** Creates the next entry and marks it as unrecorded. */
   auto MakeEntry(const std::string& team,
                  Account& account,
-                 std::uint64_t taken,
-                 Instant now) -> AllowanceEntry;
+                 std::int64_t taken,
+                 double demand) -> AllowanceEntry;
 
   std::string holder;
   AllowanceSizing settings;
--- a/modules/al_http1/http1_server.cc
+++ b/modules/al_http1/http1_server.cc
@@ -1,5 +1,6 @@
 #include "al_http1/http1_server.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace auburnloft {
@@ -26,15 +27,32 @@
   }
 }
 
-auto Http1Server::StopListening() -> void {
+auto Http1Server::StopListening(Duration min_idle) -> void {
+  this->listener.AcceptPending();
   this->listener.Close();
-  this->CloseIdle(Duration(0));
+  this->CloseIdle(min_idle);
+}
+
+auto Http1Server::HasUnsentResponses() const -> bool {
+  return std::any_of(this->sessions.begin(), this->sessions.end(),
+                     [](const auto& session) {
+                       return session->unsent_bytes() > 0;
+                     }) ||
+         std::any_of(this->closing.begin(), this->closing.end(),
+                     [](const auto& weak) {
+                       const auto connection = weak.lock();
+                       return connection && connection->is_open() &&
+                              connection->unsent_bytes() > 0;
+                     });
 }
 
 auto Http1Server::OnAccepted(int descriptor) -> void {
   auto session = Http1ServerSession::Open(
       this->poller, descriptor, this->limits, this->on_request,
       [this](Http1ServerSession* closed) {
+        std::erase_if(this->closing,
+                      [](const auto& weak) { return weak.expired(); });
+        this->closing.push_back(closed->tcp_connection());
         std::erase_if(this->sessions, [closed](const auto& item) {
           return item.get() == closed;
         });
--- a/modules/al_http1/http1_server.h
+++ b/modules/al_http1/http1_server.h
@@ -4,6 +4,7 @@
 #include <memory>
 #include <set>
 #include <string_view>
+#include <vector>
 
 #include "al_http1/http1_server_session.h"
 #include "al_net/tcp_listener.h"
@@ -29,12 +30,17 @@
      invalid or cannot be bound. */
   [[nodiscard]] auto Listen(std::string_view address) -> bool;
 
-  /** Stops accepting connections and closes the idle ones. */
-  auto StopListening() -> void;
+  /** Accepts the connections that are waiting, stops listening, and closes
+     connections that have been idle for at least `min_idle`. The others may be
+     about to carry a request. */
+  auto StopListening(Duration min_idle) -> void;
 
   /** Closes connections that have been idle for at least `min_idle`. */
   auto CloseIdle(Duration min_idle) -> void;
 
+  /** Returns whether a connection, open or closing, still has bytes to send. */
+  [[nodiscard]] auto HasUnsentResponses() const -> bool;
+
  private:
   auto OnAccepted(int descriptor) -> void;
 
@@ -43,6 +49,7 @@
   Http1ServerSession::OnRequest on_request;
   TcpListener listener;
   std::set<std::shared_ptr<Http1ServerSession>> sessions;
+  std::vector<std::weak_ptr<const TcpConnection>> closing;
 };
 
 }  // namespace auburnloft
--- a/modules/al_http1/http1_server_session.h
+++ b/modules/al_http1/http1_server_session.h
@@ -96,6 +96,11 @@
   // Queries
 
   /** Response bytes that the kernel has not accepted yet. */
+  /** The connection, which outlives the session until its bytes are sent. */
+  [[nodiscard]] auto tcp_connection() const
+      -> std::weak_ptr<const TcpConnection> {
+    return this->connection;
+  }
   [[nodiscard]] auto unsent_bytes() const -> std::size_t;
   /** True while a request is open. */
   [[nodiscard]] auto is_serving() const -> bool {
--- a/modules/al_net/tcp_listener.cc
+++ b/modules/al_net/tcp_listener.cc
@@ -42,7 +42,7 @@
   }
   this->token = this->poller.Add(
       this->descriptor,
-      [this](SocketPoller::Readiness /*readiness*/) { this->AcceptAll(); });
+      [this](SocketPoller::Readiness /*readiness*/) { this->AcceptPending(); });
   return this->token != 0;
 }
 
@@ -54,7 +54,7 @@
   }
 }
 
-auto TcpListener::AcceptAll() -> void {
+auto TcpListener::AcceptPending() -> void {
   while (this->descriptor >= 0) {
     const int socket = accept4(this->descriptor, nullptr, nullptr,
                                SOCK_NONBLOCK | SOCK_CLOEXEC);
--- a/modules/al_net/tcp_listener.h
+++ b/modules/al_net/tcp_listener.h
@@ -27,12 +27,13 @@
      invalid or cannot be bound. */
   [[nodiscard]] auto Listen(std::string_view address) -> bool;
 
+  /** Accepts the connections that are waiting in the kernel's queue now. */
+  auto AcceptPending() -> void;
+
   /** Stops accepting. Accepted connections stay open. */
   auto Close() -> void;
 
  private:
-  auto AcceptAll() -> void;
-
   SocketPoller& poller;
   OnAccepted on_accepted;
   int descriptor = -1;
--- a/programs/ctl/fleet_view.cc
+++ b/programs/ctl/fleet_view.cc
@@ -1,5 +1,6 @@
 #include "ctl/fleet_view.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -11,9 +12,9 @@
 
 /** Tokens that routers have taken of a team's budget. */
 struct Balance {
-  std::uint64_t spent = 0;
-  std::uint64_t out = 0;       ///< Unspent, held by active routers.
-  std::uint64_t stranded = 0;  ///< Unspent, held by other incarnations.
+  std::int64_t spent = 0;
+  std::int64_t out = 0;       ///< Unspent, held by active routers.
+  std::int64_t stranded = 0;  ///< Unspent, held by other incarnations.
 };
 
 }  // namespace
@@ -43,23 +44,29 @@
   json rows = json::array();
   for (const gateway::TeamRule& team : this->config.teams) {
     Balance balance;
+    json holders = json::array();
     this->ledger.VisitTeam(
         team.name, [&](const gateway::AllowanceEntry& entry) {
-          const std::uint64_t unspent =
+          const std::int64_t unspent =
               entry.taken_tokens - entry.settled_tokens;
+          const bool is_active = this->IsActive(entry.holder);
           balance.spent += entry.settled_tokens;
-          (this->IsActive(entry.holder) ? balance.out : balance.stranded) +=
-              unspent;
+          (is_active ? balance.out : balance.stranded) += unspent;
+          holders.push_back({{"holder", entry.holder},
+                             {"living", is_active},
+                             {"taken", entry.taken_tokens},
+                             {"spent", entry.settled_tokens}});
         });
-    const std::uint64_t taken = balance.spent + balance.out + balance.stranded;
-    const std::uint64_t prepaid = team.prepaid_tokens.value_or(0);
+    const std::int64_t taken = balance.spent + balance.out + balance.stranded;
     json row{{"team", team.name},
              {"spent", balance.spent},
              {"out", balance.out},
-             {"stranded", balance.stranded}};
+             {"stranded", balance.stranded},
+             {"holders", std::move(holders)}};
     if (team.prepaid_tokens) {
+      const auto prepaid = static_cast<std::int64_t>(*team.prepaid_tokens);
       row["prepaid"] = prepaid;
-      row["left"] = prepaid > taken ? prepaid - taken : 0;
+      row["left"] = std::max<std::int64_t>(0, prepaid - taken);
     }
     rows.push_back(std::move(row));
   }
--- a/programs/gateway/allowance_exchange.cc
+++ b/programs/gateway/allowance_exchange.cc
@@ -15,6 +15,7 @@
 
 constexpr int kOk = static_cast<int>(PeerStatus::kOk);
 constexpr std::string_view kPath = "/allowance";
+constexpr std::string_view kHandoverPath = "/allowance-handover";
 
 /** Timeout for the reply of another router. */
 constexpr Duration kReplyTimeout = std::chrono::milliseconds(250);
@@ -45,6 +46,7 @@
   std::string team;
   std::vector<Peer>
       peers;  ///< Not asked yet, in the order to allowance_request.
+  bool has_asked = false;   ///< Whether a router was asked.
   int pending_replies = 0;  ///< Requests without a reply.
   std::unique_ptr<LoopTimer> next_peer_timer;
 };
@@ -79,8 +81,147 @@
   this->RequestFromNextPeer(*round);
 }
 
+auto AllowanceExchange::ReturnSurplus() -> void {
+  this->HandOver(
+      this->allowance_manager.TakeSurplus(
+          [this](std::string_view team) {
+            return this->fleet.IsReserveHolder(team);
+          },
+          this->poller.loop().Now()),
+      [] {});
+}
+
+auto AllowanceExchange::HandOverAll(std::function<void()> on_done) -> void {
+  this->accepts_handovers = false;
+  this->HandOver(this->allowance_manager.TakeUncommitted(),
+                 std::move(on_done));
+}
+
 auto AllowanceExchange::OnPeerRequest(Http1ServerSession& session,
                                       const Http1Request& request) -> void {
+  if (request.target == kHandoverPath) {
+    this->OnHandover(session, request);
+  } else {
+    this->OnTransferRequest(session, request);
+  }
+}
+
+//==============================================================================
+// Tokens handed over by a router that does not need them
+
+auto AllowanceExchange::OnHandover(Http1ServerSession& session,
+                                   const Http1Request& request) -> void {
+  wire::AllowanceHandover handover;
+  if (!handover.ParseFromString(request.body)) {
+    SendPeerReply(session, PeerStatus::kBadRequest, {});
+    return;
+  }
+  if (!this->accepts_handovers) {
+    SendPeerReply(session, PeerStatus::kUnavailable, {});
+    return;
+  }
+  SendPeerReply(session, PeerStatus::kOk, {});
+  for (const wire::AllowanceGift& gift : handover.gifts()) {
+    this->allowance_manager.ReceiveTransfer(gift.team(), gift.tokens());
+    this->log.WriteLine(DecisionLog::Severity::kRoutine, "allowance_returned",
+                        {{"team", gift.team()},
+                         {"sender", handover.sender()},
+                         {"tokens", gift.tokens()},
+                         {"available", this->allowance_manager.Available(
+                                           gift.team())}},
+                        this->poller.loop().Now());
+    this->callbacks.on_tokens_received(gift.team());
+  }
+}
+
+auto AllowanceExchange::HandOver(const std::vector<TeamTokens>& amounts,
+                                 const std::function<void()>& on_done) -> void {
+  std::map<std::string, std::vector<TeamTokens>> by_address;
+  for (const TeamTokens& amount : amounts) {
+    const RouterAnnouncement* const receiver = this->ReceiverFor(amount.team);
+    if (receiver != nullptr) {
+      by_address[receiver->peer_address].push_back(amount);
+    } else {
+      this->allowance_manager.ReceiveTransfer(amount.team, amount.tokens);
+    }
+  }
+  const auto pending_calls = std::make_shared<int>(1);
+  const auto end_call = [pending_calls, on_done] {
+    if (--*pending_calls == 0) {
+      on_done();
+    }
+  };
+  for (const auto& [address, sent] : by_address) {
+    Http1Client* const connection = this->FindIdleConnection(address);
+    if (connection == nullptr) {
+      for (const TeamTokens& amount : sent) {  // Sent with the next surplus.
+        this->allowance_manager.ReceiveTransfer(amount.team, amount.tokens);
+      }
+      continue;
+    }
+    wire::AllowanceHandover handover;
+    handover.set_sender(this->own_incarnation);
+    for (const TeamTokens& amount : sent) {
+      wire::AllowanceGift& gift = *handover.add_gifts();
+      gift.set_team(amount.team);
+      gift.set_tokens(amount.tokens);
+    }
+    ++*pending_calls;
+    connection->Call(
+        MakePeerRequest(kHandoverPath, handover.SerializeAsString()),
+        kReplyTimeout,
+        [this, address = address, sent = sent,
+         end_call](const std::optional<Http1Client::Reply>& reply) {
+          this->OnHandoverReply(address, sent, reply);
+          end_call();
+        });
+  }
+  end_call();
+}
+
+auto AllowanceExchange::OnHandoverReply(
+    const std::string& address,
+    const std::vector<TeamTokens>& amounts,
+    const std::optional<Http1Client::Reply>& reply) -> void {
+  if (reply && reply->status == kOk) {
+    return;
+  }
+  // Without a reply the receiver may have the tokens, so they stay counted as
+  // spent. A reply with another status states that it did not take them.
+  for (const TeamTokens& amount : amounts) {
+    if (reply) {
+      this->allowance_manager.ReceiveTransfer(amount.team, amount.tokens);
+    }
+    this->log.WriteLine(DecisionLog::Severity::kNotable,
+                        "allowance_return_failed",
+                        {{"team", amount.team},
+                         {"peer", address},
+                         {"tokens", amount.tokens},
+                         {"stranded", reply ? 0 : 1}},
+                        this->poller.loop().Now());
+  }
+}
+
+auto AllowanceExchange::ReceiverFor(const std::string& team) const
+    -> const RouterAnnouncement* {
+  const Instant read_at = this->fleet.last_read_at();
+  const auto sender = this->last_sender.find(team);
+  if (sender != this->last_sender.end()) {
+    const RouterAnnouncement* const router =
+        this->fleet.registry().FindActive(sender->second, read_at);
+    if (router != nullptr && !router->leaving) {
+      return router;
+    }
+  }
+  return this->fleet.registry().FindHighestRanked(team, read_at);
+}
+
+//==============================================================================
+// Tokens requested by a router that needs them
+
+auto AllowanceExchange::OnTransferRequest(Http1ServerSession& session,
+                                          const Http1Request& request)
+    -> void {
   wire::AllowanceAsk allowance_request;
   if (request.target != kPath ||
       !allowance_request.ParseFromString(request.body)) {
@@ -91,7 +232,8 @@
   wire::AllowanceGift transfer;
   transfer.set_team(allowance_request.team());
   transfer.set_tokens(this->allowance_manager.TransferOut(
-      allowance_request.team(), allowance_request.tokens(), now));
+      allowance_request.team(), allowance_request.tokens(),
+      !allowance_request.repeated(), now));
   this->log.WriteLine(DecisionLog::Severity::kRoutine, "allowance_given",
                       {{"team", allowance_request.team()},
                        {"asker", allowance_request.asker()},
@@ -101,6 +243,9 @@
                                          allowance_request.team())}},
                       now);
   SendPeerReply(session, PeerStatus::kOk, transfer.SerializeAsString());
+  if (transfer.tokens() < allowance_request.tokens()) {
+    this->callbacks.on_partial_transfer();
+  }
 }
 
 //==============================================================================
@@ -121,7 +266,8 @@
             this->fleet.registry().FindActive(entry.holder,
                                               this->fleet.last_read_at())) {
       peers.push_back({entry.holder, router->peer_address,
-                       entry.taken_tokens - entry.settled_tokens});
+                       static_cast<std::uint64_t>(entry.taken_tokens -
+                                                  entry.settled_tokens)});
     }
   });
   // Peers with the most unspent tokens come first. Among peers within a factor
@@ -161,7 +307,7 @@
 auto AllowanceExchange::RequestFrom(const Peer& peer,
                                     Round& round,
                                     std::uint64_t tokens) -> bool {
-  Http1Client* const connection = this->FindIdleConnection(peer);
+  Http1Client* const connection = this->FindIdleConnection(peer.address);
   if (connection == nullptr) {
     return false;
   }
@@ -169,6 +315,7 @@
   allowance_request.set_team(round.team);
   allowance_request.set_tokens(tokens);
   allowance_request.set_asker(this->own_incarnation);
+  allowance_request.set_repeated(std::exchange(round.has_asked, true));
   ++round.pending_replies;
   connection->Call(
       MakePeerRequest(kPath, allowance_request.SerializeAsString()),
@@ -209,6 +356,7 @@
       now);
   round.next_peer_timer->Stop();
   if (is_valid_reply && transfer.tokens() > 0) {
+    this->last_sender[team] = peer.incarnation;
     this->allowance_manager.ReceiveTransfer(team, transfer.tokens());
     this->callbacks.on_tokens_received(
         team);  // May call RequestTokens(): the round is open.
@@ -217,17 +365,18 @@
   this->RequestFromNextPeer(round);
 }
 
-auto AllowanceExchange::FindIdleConnection(const Peer& peer) -> Http1Client* {
-  auto& kept = this->connections[peer.address];
+auto AllowanceExchange::FindIdleConnection(const std::string& address)
+    -> Http1Client* {
+  auto& kept = this->connections[address];
   for (const auto& connection : kept) {
     if (!connection->is_busy()) {
       return connection.get();
     }
   }
-  if (kept.size() >= kMaxConnectionsPerPeer || peer.address.empty()) {
+  if (kept.size() >= kMaxConnectionsPerPeer || address.empty()) {
     return nullptr;
   }
-  kept.push_back(std::make_unique<Http1Client>(this->poller, peer.address));
+  kept.push_back(std::make_unique<Http1Client>(this->poller, address));
   return kept.back().get();
 }
 
--- a/programs/gateway/fleet_topic_client.cc
+++ b/programs/gateway/fleet_topic_client.cc
@@ -156,17 +156,25 @@
       this->announce_at_once ||
       now - this->announced_at >=
           AnnouncementInterval(static_cast<std::size_t>(view.routers));
-  const bool reports =
-      announce &&
-      ShouldReportSpending(this->self.name, this->self.beat + 1, view.routers);
   const std::vector<AllowanceEntry> entries =
-      this->allowance_manager.PlanEntries(this->allowance_ledger, view, reports,
-                                          now);
+      this->allowance_manager.PlanEntries(
+          this->allowance_ledger, view, this->ScopeOf(announce, view.routers),
+          now);
   if (announce || !entries.empty()) {
     this->AppendBatch(entries, announce);
   }
 }
 
+auto FleetTopicClient::ScopeOf(bool with_announcement, int routers) const
+    -> EntryScope {
+  if (!with_announcement) {
+    return EntryScope::kIncreases;
+  }
+  return ShouldReportSpending(this->self.name, this->self.beat + 1, routers)
+             ? EntryScope::kReports
+             : EntryScope::kReturns;
+}
+
 auto FleetTopicClient::MakeFleetView() const -> FleetStatus {
   FleetStatus view;
   view.routers = this->CountActive();
@@ -229,6 +237,7 @@
          {"taken_by_all", totals.taken},
          {"settled_by_living", totals.settled_by_active},
          {"taken_by_dead", totals.taken_by_expired},
+         {"spent_by_dead", totals.settled_by_expired},
          {"budget", this->allowance_manager.BudgetOf(entry.team)}},
         this->poller.loop().Now());
     this->callbacks.on_allowance_increased(entry.team);
--- a/programs/gateway/fleet_topic_client.h
+++ b/programs/gateway/fleet_topic_client.h
@@ -95,6 +95,8 @@
   auto OnContact(bool answered) -> void;
   auto OnTick() -> void;
   auto AppendPlanned() -> void;
+  [[nodiscard]] auto ScopeOf(bool with_announcement, int routers) const
+      -> EntryScope;
   [[nodiscard]] auto MakeFleetView() const -> FleetStatus;
   auto AppendBatch(std::span<const AllowanceEntry> entries, bool announce)
       -> void;
--- a/programs/gateway/gateway_daemon.cc
+++ b/programs/gateway/gateway_daemon.cc
@@ -46,6 +46,19 @@
 /** Timeout for returning allowances. */
 constexpr Duration kReturnTimeout = std::chrono::milliseconds(500);
 
+/** After the end of a drain: minimum time until the exit, during which requests
+   on connections that the kernel had already accepted are refused with a
+   response. It exceeds the time that a request spends on its way. */
+constexpr Duration kMinRefusePeriod = std::chrono::milliseconds(200);
+
+/** Maximum time until the exit if callers do not read their responses. */
+constexpr Duration kMaxRefusePeriod = std::chrono::milliseconds(700);
+
+/** Interval at which surplus allowances are handed to reserve holders: about
+   the duration of a short stream. */
+constexpr Duration kSurplusInterval = std::chrono::milliseconds(1'000);
+
+constexpr Duration kStopInterval = std::chrono::milliseconds(20);
 constexpr Duration kDrainInterval = std::chrono::milliseconds(100);
 constexpr Duration kTickInterval = std::chrono::milliseconds(500);
 
@@ -120,6 +133,11 @@
                             if (this->context.is_log_reachable) {
                               this->fleet_topic.ScheduleWrite();
                             }
+                          },
+                          [this] {
+                            if (this->context.is_log_reachable) {
+                              this->fleet_topic.ScheduleWrite();
+                            }
                           }}),
       upstream_discovery(
           this->poller,
@@ -130,7 +148,10 @@
           [this](bool answered) { this->OnContact(answered); }),
       tick_timer(std::make_unique<LoopTimer>(loop, [this] { this->OnTick(); })),
       drain_timer(
-          std::make_unique<LoopTimer>(loop, [this] { this->OnDrainTick(); })) {
+          std::make_unique<LoopTimer>(loop, [this] { this->OnDrainTick(); })),
+      stop_timer(std::make_unique<LoopTimer>(
+          loop,
+          [this] { this->StopWhenResponsesAreSent(); })) {
   this->log.SetQuiet(this->options.quiet);
   this->reservations.SetIsBudgetExhausted(
       [this](const std::string& team, std::uint64_t tokens) {
@@ -335,11 +356,13 @@
   // them from the holders: this is faster, and needs no entries in the log.
   if (this->fleet_topic.IsReserveHolder(team)) {
     this->fleet_topic.ScheduleWrite();
-    const std::uint64_t budget = this->allowance_manager.BudgetOf(team);
-    const std::uint64_t taken = this->fleet_topic.ledger().Taken(team);
+    const auto unallocated =
+        static_cast<std::int64_t>(this->allowance_manager.BudgetOf(team)) -
+        this->fleet_topic.ledger().Taken(team);
+    const std::uint64_t shortage =
+        this->allowance_manager.Shortage(team, this->loop.Now());
     if (this->fleet_topic.IsLogResponsive() &&
-        budget >=
-            taken + this->allowance_manager.Shortage(team, this->loop.Now())) {
+        unallocated >= static_cast<std::int64_t>(shortage)) {
       return;
     }
   }
@@ -352,6 +375,11 @@
   this->upstreams.Expire(now);
   this->context.routers = this->fleet_topic.CountActive();
   this->upstream_discovery.UpdatePlan();
+  if (!this->stopping_since &&
+      now - this->surplus_returned_at >= kSurplusInterval) {
+    this->surplus_returned_at = now;
+    this->allowance_exchange.ReturnSurplus();
+  }
   if (this->context.is_log_reachable &&
       now - this->context.last_log_reply_at >= kLogUnreachableAfter) {
     this->context.is_log_reachable = false;
@@ -403,27 +431,41 @@
 }
 
 auto GatewayDaemon::FinishDrain() -> void {
-  const auto end = [this] {
-    this->drain_timer->Stop();
-    if (this->options.on_stopped) {
-      this->options.on_stopped();
-    } else {
-      this->loop.Stop();
-    }
-  };
-  if (std::exchange(this->is_returning_allowances, true)) {
-    end();  // The log did not accept the return in time.
+  if (this->stopping_since) {
     return;
   }
+  this->stopping_since = this->loop.Now();
+  this->context.is_stopping = true;
   for (const auto& server : this->servers) {
-    server->StopListening();
+    server->StopListening(kIdleThreshold);
   }
   this->log.WriteLine(DecisionLog::Severity::kNotable, "stop",
                       {{"open", this->context.open_requests},
                        {"left_out", this->log.dropped_lines()}},
                       this->loop.Now());
-  this->fleet_topic.ReturnUnspent(end);
-  this->drain_timer->Start(kReturnTimeout);
+  const auto on_returned = [this] { this->allowances_returned = true; };
+  if (this->fleet_topic.IsLogResponsive()) {
+    this->fleet_topic.ReturnUnspent(on_returned);
+  } else {
+    this->allowance_exchange.HandOverAll(on_returned);
+  }
+  this->stop_timer->Start(kStopInterval);
+}
+
+auto GatewayDaemon::StopWhenResponsesAreSent() -> void {
+  const Duration passed = this->loop.Now() - *this->stopping_since;
+  const bool is_done = this->context.open_requests == 0 &&
+                       !this->servers.front()->HasUnsentResponses() &&
+                       (this->allowances_returned || passed >= kReturnTimeout);
+  if (passed < kMaxRefusePeriod && (passed < kMinRefusePeriod || !is_done)) {
+    this->stop_timer->Start(kStopInterval);
+    return;
+  }
+  if (this->options.on_stopped) {
+    this->options.on_stopped();
+  } else {
+    this->loop.Stop();
+  }
 }
 
 //==============================================================================
--- a/programs/gateway/gateway_daemon.h
+++ b/programs/gateway/gateway_daemon.h
@@ -82,6 +82,7 @@
   auto OnTick() -> void;
   auto OnDrainTick() -> void;
   auto FinishDrain() -> void;
+  auto StopWhenResponsesAreSent() -> void;
   [[nodiscard]] auto ready() const -> bool;
 
   EventLoop& loop;
@@ -106,8 +107,11 @@
       servers;  ///< First: the one for callers.
   std::unique_ptr<LoopTimer> tick_timer;
   std::unique_ptr<LoopTimer> drain_timer;
+  std::unique_ptr<LoopTimer> stop_timer;
   std::optional<Instant> draining_since;
-  bool is_returning_allowances = false;
+  std::optional<Instant> stopping_since;  ///< End of the drain.
+  bool allowances_returned = false;
+  Instant surplus_returned_at{};
 };
 
 }  // namespace auburnloft::gateway
--- a/tests/gateway/allowance_test.cc
+++ b/tests/gateway/allowance_test.cc
@@ -32,7 +32,8 @@
 auto TakeFirstAllowance(AllowanceManager& manager, AllowanceLedger& ledger)
     -> void {
   manager.SetBudget("team", 1'000);
-  const auto entries = manager.PlanEntries(ledger, SingleRouterView(), false,
+  const auto entries = manager.PlanEntries(ledger, SingleRouterView(),
+                                           EntryScope::kIncreases,
                                            FromUnixMillis(1'000));
   ledger.Apply(entries.front());
   manager.OnRecorded(entries.front(), ledger.Taken("team"));
@@ -57,7 +58,8 @@
   AllowanceLedger ledger;
   manager.SetBudget("team", 1'000);
   const Instant now = FromUnixMillis(1'000);
-  auto entries = manager.PlanEntries(ledger, SingleRouterView(), false, now);
+  auto entries = manager.PlanEntries(ledger, SingleRouterView(),
+                                           EntryScope::kIncreases, now);
   CHECK_EQUAL(1, entries.size());
   CHECK_FALSE(manager.TryReserve("team", 1, true, now));
   // Another holder's entry, which takes the whole budget, precedes this one.
@@ -66,7 +68,8 @@
   manager.OnRecorded(entries.front(), ledger.Taken("team"));
   CHECK_FALSE(manager.TryReserve("team", 1, false, now));
   // The invalid entry is reset to 0, so that it does not block other holders.
-  entries = manager.PlanEntries(ledger, SingleRouterView(), false, now);
+  entries = manager.PlanEntries(ledger, SingleRouterView(),
+                                           EntryScope::kIncreases, now);
   CHECK_EQUAL(1, entries.size());
   CHECK_EQUAL(0, entries.front().taken_tokens);
 }
@@ -87,18 +90,83 @@
   TakeFirstAllowance(sender, ledger);
   const std::uint64_t before = sender.Available("team");
   const std::uint64_t sent =
-      sender.TransferOut("team", 40, FromUnixMillis(1'000));
+      sender.TransferOut("team", 40, true, FromUnixMillis(1'000));
   CHECK_EQUAL(40, sent);
   CHECK_EQUAL(before - sent, sender.Available("team"));
   // The entry that returns all unspent tokens still covers the transfer.
   CHECK_EQUAL(sent, sender.PlanReturnEntries().front().taken_tokens);
 }
 
+// A router receives tokens that another one took of the budget, and returns
+// them: its entry falls below 0, and the sum over both entries is what was
+// spent.
+TEST(Allowance, ReturnsToTheBudgetWhatAnotherRouterTook) {
+  AllowanceManager sender("a", AllowanceSizing());
+  AllowanceManager receiver("b", AllowanceSizing());
+  AllowanceLedger ledger;
+  TakeFirstAllowance(sender, ledger);
+  const Instant now = FromUnixMillis(1'000);
+  const auto before = ledger.Taken("team");
+  receiver.SetBudget("team", 1'000);
+  receiver.ReceiveTransfer("team", sender.TransferOut("team", 100, true, now));
+  CHECK_TRUE(receiver.TryReserve("team", 60, true, now));
+  receiver.Settle("team", 60, 45);
+  const auto entries = receiver.PlanReturnEntries();
+  CHECK_EQUAL(1, entries.size());
+  CHECK_EQUAL(-55, entries.front().taken_tokens);
+  CHECK_EQUAL(0, receiver.Available("team"));
+  ledger.Apply(entries.front());
+  CHECK_EQUAL(before - 55, ledger.Taken("team"));
+}
+
+// A router without a share of the reserve keeps nothing of a request that used
+// less than it reserved, unless it needs tokens all the time.
+TEST(Allowance, HandsBackWhatARequestDidNotUse) {
+  AllowanceManager manager("a", AllowanceSizing());
+  manager.SetBudget("team", 1'000);
+  manager.ReceiveTransfer("team", 100);
+  const Instant now = FromUnixMillis(1'000);
+  CHECK_TRUE(manager.TryReserve("team", 100, true, now));
+  manager.Settle("team", 100, 70);
+  const auto is_holder = [](std::string_view /*team*/) { return true; };
+  const auto is_no_holder = [](std::string_view /*team*/) { return false; };
+  CHECK_TRUE(manager.TakeSurplus(is_holder, now).empty());
+  const auto surplus = manager.TakeSurplus(is_no_holder, now);
+  CHECK_EQUAL(1, surplus.size());
+  CHECK_EQUAL(30, surplus.front().tokens);
+  CHECK_EQUAL(0, manager.Available("team"));
+  CHECK_TRUE(manager.TakeSurplus(is_no_holder, now).empty());
+}
+
+// A large fleet's routers get their tokens from a few holders of the reserve.
+// The holders must plan for the demand of all of them: their own requests are a
+// small part of it.
+TEST(Allowance, PlansTheReserveForTheTransfersThatOthersRequest) {
+  AllowanceSizing sizing;
+  sizing.min_reserve_share = 0.0;
+  AllowanceManager holder("a", sizing);
+  AllowanceLedger ledger;
+  holder.SetBudget("team", 1'000'000);
+  const Instant now = FromUnixMillis(10'000);
+  for (int i = 0; i < 40; ++i) {
+    CHECK_EQUAL(0, holder.TransferOut("team", 500, true,
+                                      now - milliseconds(100 * (40 - i))));
+  }
+  CHECK_EQUAL(0, holder.TransferOut("team", 50'000, false, now));
+  const auto entries = holder.PlanEntries(ledger, SingleRouterView(),
+                                          EntryScope::kIncreases, now);
+  CHECK_EQUAL(1, entries.size());
+  // 5,000 tokens a second for the 5 s of an outage, within a fifth.
+  CHECK_TRUE(entries.front().taken_tokens > 20'000);
+  CHECK_TRUE(entries.front().taken_tokens < 30'000);
+}
+
 TEST(Allowance, DiscardsUnrecordedIncreasesWhenTheHistoryIsLost) {
   AllowanceManager manager("a", AllowanceSizing());
   AllowanceLedger ledger;
   manager.SetBudget("team", 1'000);
-  const auto entries = manager.PlanEntries(ledger, SingleRouterView(), false,
+  const auto entries = manager.PlanEntries(ledger, SingleRouterView(),
+                                           EntryScope::kIncreases,
                                            FromUnixMillis(1'000));
   manager.OnHistoryLost();
   ledger.Apply(entries.front());
@@ -153,6 +221,56 @@
   CHECK_FALSE(fleet.report().overspent);
 }
 
+// Load pattern: 195 routers before a small team, so that each router sees a
+// request of the team now and then. What each did not use of its last request
+// must not add up to most of the budget.
+TEST(Allowance, ServesASmallTeamOfALargeFleetToTheEndOfItsBudget) {
+  this->settings.routers = 195;
+  this->settings.budget = 700'000;
+  this->settings.requests_per_second = 8.0;
+  AllowanceFleet fleet(this->settings);
+  fleet.Run(seconds(50));
+  // 400 requests use about 440,000 tokens. The budget covers them.
+  CHECK_FALSE(fleet.report().overspent);
+  CHECK_TRUE(fleet.report().refused_despite_budget * 50 <
+             fleet.report().requests);
+}
+
+// Load pattern: planned restarts of all routers, one after the other, overlap
+// with a cut of all routers from the log. Those that stop can't return their
+// tokens to the log, and must hand them to others.
+TEST(Allowance, SurvivesRollingRestartsWhileAllAreCutOff) {
+  this->settings.budget = 3'000'000;
+  AllowanceFleet fleet(this->settings);
+  fleet.Run(seconds(8));
+  const std::uint64_t before = fleet.report().refused;
+  fleet.SetLogCut(-1, true);
+  for (int router = 0; router < this->settings.routers; ++router) {
+    fleet.Run(seconds(1));
+    fleet.Stop(router);
+  }
+  CHECK_FALSE(fleet.report().overspent);
+  CHECK_TRUE((fleet.report().refused - before) * 20 < fleet.report().requests);
+}
+
+// Around a replacement, the old process and the new one of a router run at the
+// same time for some seconds, and both spend, transfer and write entries.
+TEST(Allowance, NeverOverspendsWhileTwoProcessesOfARouterRun) {
+  this->settings.budget = 400'000;
+  this->settings.late_append_probability = 0.3;
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    this->settings.seed = seed;
+    AllowanceFleet fleet(this->settings);
+    for (int router = 0; router < this->settings.routers; ++router) {
+      fleet.Run(seconds(2));
+      fleet.Replace(router, seconds(5));
+    }
+    fleet.Run(seconds(10));
+    CHECK_FALSE(fleet.report().overspent);
+    CHECK_TRUE(fleet.report().spent > this->settings.budget / 2);
+  }
+}
+
 TEST(Allowance, NeverOverspendsAfterATotalLoss) {
   AllowanceFleet fleet(this->settings);
   fleet.Run(seconds(10));
@@ -192,42 +310,7 @@
 // Random mixes of the faults above. A seed that ever failed is added by number.
 TEST(Allowance, NeverOverspendsUnderSeededFaults) {
   for (std::uint64_t seed = 1; seed <= 60; ++seed) {
-    RandomSource random(seed);
-    this->settings.seed = seed;
-    this->settings.reply_loss_probability = 0.2;
-    this->settings.late_append_probability = 0.2;
-    AllowanceFleet fleet(this->settings);
-    for (int i = 0; i < 30; ++i) {
-      const int router = static_cast<int>(random.UniformBelow(6));
-      switch (random.UniformBelow(8)) {
-        case 0:
-          fleet.Kill(router);
-          break;
-        case 1:
-          fleet.Kill(-1);
-          break;
-        case 2:
-          fleet.SetLogCut(-1, true);
-          break;
-        case 3:
-          fleet.SetLogCut(router, true);
-          break;
-        case 4:
-          fleet.SetPaused(router, random.Bernoulli(0.5));
-          break;
-        case 5:
-          fleet.SetDemand(0.5 + random.UniformDouble() * 3.0);
-          break;
-        case 6:
-          fleet.TopUp(20'000);
-          break;
-        default:
-          fleet.SetLogCut(-1, false);
-          break;
-      }
-      fleet.Run(milliseconds(100 + random.UniformBelow(2'000)));
-    }
-    CHECK_FALSE(fleet.report().overspent);
+    CHECK_FALSE(RunSeededFaults(this->settings, seed).overspent);
   }
 }
 
@@ -242,3 +325,13 @@
   fleet.Run(seconds(30));
   CHECK_TRUE(fleet.report().overspent);
 }
+
+// As above for tokens that are handed back and stay with their sender, too.
+TEST(Allowance, DetectsHandoversThatAreNotChargedToTheSender) {
+  this->settings.debits_handover = false;
+  this->settings.routers = 40;
+  this->settings.budget = 300'000;
+  AllowanceFleet fleet(this->settings);
+  fleet.Run(seconds(40));
+  CHECK_TRUE(fleet.report().overspent);
+}
--- a/tests/gateway/ctl_test.cc
+++ b/tests/gateway/ctl_test.cc
@@ -20,8 +20,8 @@
     this->view.Apply(gateway::ToRecord(announcement), is_new);
   }
 
-  auto Take(const std::string& holder, std::uint64_t taken,
-            std::uint64_t settled)
+  auto Take(const std::string& holder, std::int64_t taken,
+            std::int64_t settled)
       ->void {
     gateway::AllowanceEntry entry;
     entry.team = "blue";
@@ -64,6 +64,7 @@
   CHECK_EQUAL(200, row["out"].get<int>());
   CHECK_EQUAL(100, row["stranded"].get<int>());
   CHECK_EQUAL(420, row["left"].get<int>());
+  CHECK_EQUAL(3, row["holders"].size());
   const nlohmann::json routers = this->view.RoutersAsJson()["routers"];
   CHECK_TRUE(routers[0]["living"].get<bool>());
   CHECK_FALSE(routers[1]["living"].get<bool>());
--- a/tests/support/allowance_fleet.cc
+++ b/tests/support/allowance_fleet.cc
@@ -10,6 +10,7 @@
 constexpr Duration kPlanInterval = std::chrono::milliseconds(250);
 constexpr Duration kReadInterval = std::chrono::milliseconds(100);
 constexpr Duration kReportInterval = std::chrono::milliseconds(1'000);
+constexpr Duration kSurplusInterval = std::chrono::milliseconds(1'000);
 constexpr Duration kAppendDuration = std::chrono::milliseconds(10);
 constexpr Duration kMaxAppendDelay = std::chrono::milliseconds(3'000);
 constexpr Duration kRequestDuration = std::chrono::milliseconds(1'500);
@@ -33,6 +34,8 @@
   Instant next_plan{};
   Instant next_read{};
   Instant next_report{};
+  Instant next_surplus{};
+  Instant ends_at = Instant::max();  ///< Of a process that is replaced.
 };
 
 struct AllowanceFleet::OpenRequest {
@@ -84,23 +87,34 @@
     if (router >= 0 && static_cast<std::size_t>(router) != i) {
       continue;
     }
-    const std::string holder = this->processes[i]->holder;
-    this->held_by_exited_processes +=
-        this->processes[i]->manager.Available(kTeam);
-    for (const OpenRequest& request : this->open) {
-      // The upstream may have executed the request: count its whole
-      // reservation.
-      this->settled_tokens += request.holder == holder ? request.reserved : 0;
-    }
-    std::erase_if(this->open, [&](const OpenRequest& request) {
-      return request.holder == holder;
-    });
+    this->End(*this->processes[i]);
     const bool cut = this->processes[i]->cut;
     this->StartProcess(i);
     this->processes[i]->cut = cut;
   }
 }
 
+auto AllowanceFleet::Replace(int router, Duration overlap) -> void {
+  auto& process = this->processes[static_cast<std::size_t>(router)];
+  process->ends_at = this->now + overlap;
+  const bool cut = process->cut;
+  this->replaced.push_back(std::move(process));
+  this->StartProcess(static_cast<std::size_t>(router));
+  this->processes[static_cast<std::size_t>(router)]->cut = cut;
+}
+
+auto AllowanceFleet::Stop(int router) -> void {
+  RouterProcess& process = *this->processes[static_cast<std::size_t>(router)];
+  if (process.cut || process.append_open) {
+    this->HandOver(process.manager.TakeUncommitted(), process);
+  } else {
+    for (AllowanceEntry& entry : process.manager.PlanReturnEntries()) {
+      this->log.push_back(std::move(entry));
+    }
+  }
+  this->Kill(router);
+}
+
 auto AllowanceFleet::TopUp(std::uint64_t tokens) -> void {
   this->settings.budget += tokens;
   for (const auto& process : this->processes) {
@@ -123,7 +137,8 @@
 auto AllowanceFleet::Step() -> void {
   this->ExecuteDueAppends();
   this->SettleFinishedRequests();
-  for (const auto& process : this->processes) {
+  this->EndReplacedProcesses();
+  for (RouterProcess* const process : this->RunningProcesses()) {
     if (process->paused) {
       continue;
     }
@@ -135,6 +150,10 @@
       this->PlanAndAppend(*process);
       process->next_plan = this->now + kPlanInterval;
     }
+    if (this->settings.returns_surplus && this->now >= process->next_surplus) {
+      this->ReturnSurplus(*process);
+      process->next_surplus = this->now + kSurplusInterval;
+    }
   }
   this->SubmitRequests();
   if (this->CommittedTokens() > this->settings.budget) {
@@ -142,14 +161,46 @@
   }
 }
 
+auto AllowanceFleet::RunningProcesses() const -> std::vector<RouterProcess*> {
+  std::vector<RouterProcess*> running;
+  for (const auto* const processes : {&this->processes, &this->replaced}) {
+    for (const auto& process : *processes) {
+      running.push_back(process.get());
+    }
+  }
+  return running;
+}
+
+auto AllowanceFleet::EndReplacedProcesses() -> void {
+  std::erase_if(this->replaced, [this](const auto& process) {
+    const bool ends = this->now >= process->ends_at;
+    if (ends) {
+      this->End(*process);
+    }
+    return ends;
+  });
+}
+
+auto AllowanceFleet::End(const RouterProcess& process) -> void {
+  this->held_by_exited_processes += process.manager.Available(kTeam);
+  for (const OpenRequest& request : this->open) {
+    // The upstream may have executed the request: count its whole reservation.
+    this->settled_tokens +=
+        request.holder == process.holder ? request.reserved : 0;
+  }
+  std::erase_if(this->open, [&](const OpenRequest& request) {
+    return request.holder == process.holder;
+  });
+}
+
 auto AllowanceFleet::SubmitRequests() -> void {
   const double expected = this->settings.requests_per_second *
                           this->demand_factor * ToSeconds(kStep);
   int count = static_cast<int>(expected);
   count += this->random.Bernoulli(expected - count) ? 1 : 0;
+  const std::vector<RouterProcess*> running = this->RunningProcesses();
   for (int i = 0; i < count; ++i) {
-    RouterProcess& process =
-        *this->processes[this->random.UniformBelow(this->processes.size())];
+    RouterProcess& process = *running[this->random.UniformBelow(running.size())];
     if (process.paused) {
       continue;
     }
@@ -182,7 +233,7 @@
     }
     const auto used = static_cast<std::uint64_t>(
         kUsedFraction * static_cast<double>(request.reserved));
-    for (const auto& process : this->processes) {
+    for (RouterProcess* const process : this->RunningProcesses()) {
       if (process->holder == request.holder) {
         process->manager.Settle(kTeam, request.reserved, used);
         this->settled_tokens += used;
@@ -202,7 +253,7 @@
     for (const AllowanceEntry& entry : append.entries) {
       this->log.push_back(entry);
     }
-    for (const auto& process : this->processes) {
+    for (RouterProcess* const process : this->RunningProcesses()) {
       if (process->holder == append.holder) {
         process->append_open = false;
       }
@@ -229,7 +280,8 @@
   }
   const bool is_report_due = this->now >= process.next_report;
   std::vector<AllowanceEntry> entries = process.manager.PlanEntries(
-      process.ledger, this->FleetViewOf(process), is_report_due, this->now);
+      process.ledger, this->FleetViewOf(process),
+      is_report_due ? EntryScope::kReports : EntryScope::kIncreases, this->now);
   if (is_report_due) {
     process.next_report = this->now + kReportInterval;
   }
@@ -269,7 +321,34 @@
   return view;
 }
 
+auto AllowanceFleet::HandOver(const std::vector<TeamTokens>& amounts,
+                              RouterProcess& sender) -> void {
+  for (const TeamTokens& amount : amounts) {
+    const auto receiver = std::find_if(
+        this->processes.begin(), this->processes.end(),
+        [&](const auto& process) {
+          return process.get() != &sender && !process->paused;
+        });
+    if (receiver == this->processes.end() ||
+        this->random.Bernoulli(this->settings.handover_loss_probability)) {
+      this->totals.lost_in_handovers += amount.tokens;
+      continue;
+    }
+    (*receiver)->manager.ReceiveTransfer(amount.team, amount.tokens);
+    if (!this->settings.debits_handover) {
+      sender.manager.ReceiveTransfer(amount.team, amount.tokens);
+    }
+  }
+}
+
+auto AllowanceFleet::ReturnSurplus(RouterProcess& process) -> void {
+  const FleetStatus view = this->FleetViewOf(process);
+  this->HandOver(process.manager.TakeSurplus(view.holds_reserve, this->now),
+                 process);
+}
+
 auto AllowanceFleet::RequestTransfers(RouterProcess& process) -> void {
+  bool first_try = true;
   for (const auto& other : this->processes) {
     const std::uint64_t shortage = process.manager.Shortage(kTeam, this->now);
     if (shortage == 0) {
@@ -280,8 +359,9 @@
     }
     const std::uint64_t transferred =
         this->settings.debits_sender
-            ? other->manager.TransferOut(kTeam, shortage, this->now)
+            ? other->manager.TransferOut(kTeam, shortage, first_try, this->now)
             : shortage;
+    first_try = false;
     process.manager.ReceiveTransfer(kTeam, transferred);
     this->totals.transfers += transferred > 0 ? 1 : 0;
   }
@@ -296,6 +376,7 @@
 }
 
 auto AllowanceFleet::IsActive(std::string_view holder) const -> bool {
+  // The registry knows the newest incarnation of a router only.
   return std::any_of(
       this->processes.begin(), this->processes.end(),
       [holder](const auto& process) { return process->holder == holder; });
@@ -309,4 +390,54 @@
   return tokens;
 }
 
+auto RunSeededFaults(AllowanceFleet::Settings settings, std::uint64_t seed)
+    -> AllowanceFleet::Report {
+  constexpr int kFaults = 30;
+  constexpr std::uint64_t kMaxTopUp = 20'000;
+  RandomSource random(seed);
+  settings.seed = seed;
+  settings.reply_loss_probability = 0.2;
+  settings.late_append_probability = 0.2;
+  settings.handover_loss_probability = 0.1;
+  AllowanceFleet fleet(settings);
+  for (int i = 0; i < kFaults; ++i) {
+    const int router = static_cast<int>(
+        random.UniformBelow(static_cast<std::uint64_t>(settings.routers)));
+    switch (random.UniformBelow(10)) {
+      case 0:
+        fleet.Kill(router);
+        break;
+      case 1:
+        fleet.Kill(-1);
+        break;
+      case 2:
+        fleet.SetLogCut(-1, true);
+        break;
+      case 3:
+        fleet.SetLogCut(router, true);
+        break;
+      case 4:
+        fleet.SetPaused(router, random.Bernoulli(0.5));
+        break;
+      case 5:
+        fleet.SetDemand(0.5 + random.UniformDouble() * 3.0);
+        break;
+      case 6:
+        fleet.TopUp(kMaxTopUp);
+        break;
+      case 7:
+        fleet.Stop(router);
+        break;
+      case 8:
+        fleet.Replace(router, std::chrono::seconds(random.UniformBelow(8)));
+        break;
+      default:
+        fleet.SetLogCut(-1, false);
+        break;
+    }
+    fleet.Run(std::chrono::milliseconds(100 + random.UniformBelow(2'000)));
+  }
+  return fleet.report();
+}
+
 }  // namespace auburnloft::gateway
--- a/tests/support/allowance_fleet.h
+++ b/tests/support/allowance_fleet.h
@@ -33,6 +33,10 @@
         true;  ///< Whether routers request tokens from each other.
     bool debits_sender = true;  ///< False injects a fault: transferred tokens
                                 ///< also stay with the sender.
+    bool debits_handover = true;  ///< False injects a fault: tokens that are
+                                  ///< handed back also stay with the sender.
+    bool returns_surplus = true;  ///< Whether unused tokens are handed back.
+    double handover_loss_probability = 0.0;  ///< Per amount handed over.
     double reply_loss_probability = 0.0;  ///< Per append; delays its execution.
     double late_append_probability = 0.0;  ///< Per append.
     AllowanceSizing allowances;
@@ -48,6 +52,7 @@
     std::uint64_t spent = 0;  ///< Tokens, by all processes.
     std::uint64_t stranded =
         0;  ///< Tokens held by exited processes and not spent.
+    std::uint64_t lost_in_handovers = 0;  ///< Tokens.
     std::uint64_t appends = 0;
     std::uint64_t append_bytes = 0;
     std::uint64_t transfers = 0;
@@ -81,6 +86,15 @@
      process in its place at once. */
   auto Kill(int router) -> void;
 
+  /** Starts a new process of a router, while the old one goes on for `overlap` and
+     is then killed. */
+  auto Replace(int router, Duration overlap) -> void;
+
+  /** Stops a router process as planned, and starts a new one at once: it returns
+     its unspent tokens to the log, or hands them to another router if it is cut
+     off. Its open requests end as with Kill(). */
+  auto Stop(int router) -> void;
+
   /** Adds tokens to the budget, as an operator does. */
   auto TopUp(std::uint64_t tokens) -> void;
 
@@ -103,7 +117,15 @@
   [[nodiscard]] auto FleetViewOf(const RouterProcess& process) const
       -> FleetStatus;
   auto RequestTransfers(RouterProcess& process) -> void;
+  auto HandOver(const std::vector<TeamTokens>& amounts,
+                RouterProcess& sender) -> void;
+  auto ReturnSurplus(RouterProcess& process) -> void;
   auto StartProcess(std::size_t router) -> void;
+  /** All processes, the replaced ones that still run included. */
+  [[nodiscard]] auto RunningProcesses() const -> std::vector<RouterProcess*>;
+  auto EndReplacedProcesses() -> void;
+  /** Counts what a process held and what its open requests may have used. */
+  auto End(const RouterProcess& process) -> void;
   [[nodiscard]] auto IsActive(std::string_view holder) const -> bool;
   [[nodiscard]] auto CommittedTokens() const -> std::uint64_t;
 
@@ -112,6 +134,7 @@
   Instant now;
   double demand_factor = 1.0;
   std::vector<std::unique_ptr<RouterProcess>> processes;
+  std::vector<std::unique_ptr<RouterProcess>> replaced;
   std::vector<AllowanceEntry> log;
   std::vector<PendingAppend> pending;
   std::vector<OpenRequest> open;
@@ -121,6 +144,13 @@
   Report totals;
 };
 
+/** Runs a fleet under a random mix of faults, which depends on `seed` only:
+   kills of one or all routers, cuts, pauses, planned stops, processes that
+   overlap with their replacement, lost handovers, and lost and late appends. */
+[[nodiscard]] auto RunSeededFaults(AllowanceFleet::Settings settings,
+                                   std::uint64_t seed)
+    -> AllowanceFleet::Report;
+
 }  // namespace auburnloft::gateway
 
 #endif  // SUPPORT_ALLOWANCE_FLEET_H_
