Pass configurations on through readers in large fleets

Cause: each of 195 routers read each version of the configuration from the log, whose bandwidth for reads is shared. Change: a reader sends the newest version with its upstream updates, one a second at most; the others read the log only if their readers fail.

--- a/programs/gateway/gateway_daemon.cc
+++ b/programs/gateway/gateway_daemon.cc
@@ -65,6 +65,10 @@
 /** Maximum duration of a long poll of the log for a newer configuration. */
 constexpr Duration kConfigWait = std::chrono::milliseconds(1'000);
 
+/** Minimum interval between two reads of the configuration. Of configurations
+   in quick succession, only the newest of an interval is parsed. */
+constexpr Duration kConfigReadInterval = std::chrono::milliseconds(150);
+
 auto Respond(Http1ServerSession& session,
              int status,
              std::string_view type,
@@ -145,7 +149,8 @@
            this->options.self.incarnation, this->options.self.domain},
           this->fleet_topic,
           this->context,
-          [this](bool answered) { this->OnContact(answered); }),
+          {[this](bool answered) { this->OnContact(answered); },
+           [this](const std::string& text) { this->ApplyConfig(text); }}),
       tick_timer(std::make_unique<LoopTimer>(loop, [this] { this->OnTick(); })),
       drain_timer(
           std::make_unique<LoopTimer>(loop, [this] { this->OnDrainTick(); })),
@@ -284,28 +289,39 @@
 // The log service
 
 auto GatewayDaemon::StartLogFollowers() -> void {
-  const auto contact = [this](bool answered) { this->OnContact(answered); };
-  TopicFollower::Callbacks config_calls;
-  config_calls.on_record = [this](const KeyedRecord& record) {
-    this->OnConfigRecord(record);
+  this->UpdateConfigSource();
+  this->fleet_topic.Start();
+}
+
+auto GatewayDaemon::UpdateConfigSource() -> void {
+  const bool follows_log =
+      this->context.table == nullptr || this->upstream_discovery.reads_log();
+  if (!follows_log) {
+    this->config_follower.reset();
+    return;
+  }
+  if (this->config_follower) {
+    return;
+  }
+  TopicFollower::Callbacks calls;
+  calls.on_record = [this](const KeyedRecord& record) {
+    if (record.key == platform::kConfigKey && record.value) {
+      this->ApplyConfig(*record.value);
+    }
   };
-  config_calls.on_listed = [](const std::set<std::string>& /*keys*/) {};
-  config_calls.on_contact = contact;
+  calls.on_listed = [](const std::set<std::string>& /*keys*/) {};
+  calls.on_contact = [this](bool answered) { this->OnContact(answered); };
   this->config_follower = std::make_unique<TopicFollower>(
       this->poller, this->options.log_address,
       TopicFollower::Settings{std::string(platform::kOperatorTopic),
-                              kConfigWait, Duration(0), true},
-      std::move(config_calls));
+                              kConfigWait, kConfigReadInterval, true},
+      std::move(calls));
   this->config_follower->Start();
-  this->fleet_topic.Start();
 }
 
-auto GatewayDaemon::OnConfigRecord(const KeyedRecord& record) -> void {
-  if (record.key != platform::kConfigKey || !record.value) {
-    return;
-  }
+auto GatewayDaemon::ApplyConfig(const std::string& text) -> void {
   Findings findings;
-  auto config = platform::ReadConfig(*record.value, findings);
+  auto config = platform::ReadConfig(text, findings);
   if (!config) {
     this->log.WriteLine(DecisionLog::Severity::kNotable, "config_rejected",
                         {{"findings", findings.ToText()}}, this->loop.Now());
@@ -313,6 +329,10 @@
   }
   if (this->context.table &&
       config->version <= this->context.table->config().version) {
+    if (config->version == this->context.table->config().version) {
+      // Read again since this router has become a reader.
+      this->upstream_discovery.SetConfig(config->version, text);
+    }
     return;
   }
   for (const TeamRule& team : config->teams) {
@@ -329,6 +349,7 @@
                        {"teams", config->teams.size()}},
                       this->loop.Now());
   this->fleet_topic.SetConfigVersion(config->version);
+  this->upstream_discovery.SetConfig(config->version, text);
   this->context.table = std::make_shared<RouteTable>(std::move(*config));
 }
 
@@ -375,6 +396,7 @@
   this->upstreams.Expire(now);
   this->context.routers = this->fleet_topic.CountActive();
   this->upstream_discovery.UpdatePlan();
+  this->UpdateConfigSource();
   if (!this->stopping_since &&
       now - this->surplus_returned_at >= kSurplusInterval) {
     this->surplus_returned_at = now;
--- a/programs/gateway/gateway_daemon.h
+++ b/programs/gateway/gateway_daemon.h
@@ -76,7 +76,10 @@
                         const Http1Request& request) -> void;
 
   auto StartLogFollowers() -> void;
-  auto OnConfigRecord(const KeyedRecord& record) -> void;
+  /** Starts or ends the reading of configurations from the log, depending on
+     whether a reader passes them on. */
+  auto UpdateConfigSource() -> void;
+  auto ApplyConfig(const std::string& text) -> void;
   auto OnContact(bool answered) -> void;
   auto OnShortage(const std::string& team) -> void;
   auto OnTick() -> void;
--- a/programs/gateway/upstream_discovery.cc
+++ b/programs/gateway/upstream_discovery.cc
@@ -32,6 +32,12 @@
    few tenths of a second. */
 constexpr Duration kNotReadyDelay = std::chrono::milliseconds(150);
 
+/** Minimum interval between two configurations from a reader. Of configurations
+   in quick succession, most are skipped: a small VM's link and processor could
+   not take them all, and a second is well within the time in which a
+   configuration must be in force. */
+constexpr Duration kMinConfigInterval = std::chrono::milliseconds(1'000);
+
 auto ToWire(const UpstreamChange& change, wire::UpstreamChangeRecord& message)
     -> void {
   message.set_id(change.id);
@@ -85,12 +91,12 @@
     Settings settings,
     const FleetTopicClient& fleet,
     GatewayContext& context,
-    std::function<void(bool answered)> on_contact)
+    Callbacks callbacks)
     : poller(poller),
       settings(std::move(settings)),
       fleet(fleet),
       context(context),
-      on_contact(std::move(on_contact)),
+      callbacks(std::move(callbacks)),
       timer(std::make_unique<LoopTimer>(poller.loop(),
                                         [this] { this->Poll(); })) {}
 
@@ -113,6 +119,16 @@
   }
 }
 
+auto UpstreamDiscovery::SetConfig(std::uint64_t version, std::string text)
+    -> void {
+  this->config_version = version;
+  this->config_text = this->reads_log() ? std::move(text) : std::string();
+}
+
+auto UpstreamDiscovery::reads_log() const -> bool {
+  return !this->started || this->source.reads_log(this->poller.loop().Now());
+}
+
 auto UpstreamDiscovery::Poll() -> void {
   if (this->source.reads_log(this->poller.loop().Now())) {
     this->ReadLog();
@@ -170,7 +186,7 @@
   if (answered) {
     this->log_read_at = this->poller.loop().Now();
   }
-  this->on_contact(answered);
+  this->callbacks.on_contact(answered);
 }
 
 auto UpstreamDiscovery::OnPeerRequest(Http1ServerSession& session,
@@ -197,6 +213,10 @@
   for (const UpstreamChange& change : update.changes) {
     ToWire(change, *message.add_changes());
   }
+  if (update_request.wants_config() &&
+      update_request.config_version() < this->config_version) {
+    message.set_config(this->config_text);
+  }
   SendPeerReply(session, PeerStatus::kOk, message.SerializeAsString());
 }
 
@@ -209,6 +229,7 @@
         DecisionLog::Severity::kNotable, "feed",
         {{"source", "peer"}, {"upstreams", this->context.upstreams.size()}},
         this->poller.loop().Now());
+    this->config_text.clear();
   }
   const std::string peer = this->source.peer();
   if (peer != this->reader_address) {
@@ -220,6 +241,10 @@
   wire::UpstreamFeedAsk update_request;
   update_request.set_life(this->reader_incarnation);
   update_request.set_after(this->last_change);
+  update_request.set_config_version(this->config_version);
+  update_request.set_wants_config(
+      this->poller.loop().Now() - this->config_received_at >=
+      kMinConfigInterval);
   if (!this->reader_connection) {
     this->reader_connection = std::make_unique<Http1Client>(this->poller, peer);
   }
@@ -242,6 +267,10 @@
     this->reader_incarnation = message.life();
     this->last_change = message.newest();
     this->Apply(FromWire(message));
+    if (!message.config().empty()) {
+      this->config_received_at = now;
+      this->callbacks.on_config(message.config());
+    }
     this->source.RecordSuccess();
     this->timer->Start(kPollInterval);
     return;
--- a/programs/gateway/upstream_discovery.h
+++ b/programs/gateway/upstream_discovery.h
@@ -25,6 +25,10 @@
    log and serves them to other routers. If this router is a reader, it serves
    them.
 
+    Readers pass new configurations on, too. The log's bandwidth for reads is
+   shared by all routers, and a configuration with thousands of routes takes
+   hundreds of kilobytes.
+
     Thread safety: none; used on the loop's thread.
 */
 class UpstreamDiscovery {
@@ -39,13 +43,18 @@
     std::string domain;
   };
 
-  /** @param on_contact  called after each call to the log: whether it replied.
-   */
+  struct Callbacks {
+    /** A call to the log ended; `answered` if it had a valid reply. */
+    std::function<void(bool answered)> on_contact;
+    /** A reader sent a configuration, as the log has it. */
+    std::function<void(const std::string& text)> on_config;
+  };
+
   UpstreamDiscovery(SocketPoller& poller,
                     Settings settings,
                     const FleetTopicClient& fleet,
                     GatewayContext& context,
-                    std::function<void(bool answered)> on_contact);
+                    Callbacks callbacks);
   ~UpstreamDiscovery();
 
   UpstreamDiscovery(const UpstreamDiscovery&) = delete;
@@ -58,6 +67,14 @@
   /** Updates the choice of the source after changes of the active routers. */
   auto UpdatePlan() -> void;
 
+  /** Sets the configuration that this router passes on if it is a reader.
+      @param text  as the log has it. */
+  auto SetConfig(std::uint64_t version, std::string text) -> void;
+
+  /** Returns whether this router follows the log itself: it is a reader, its
+     readers do not reply, or it has not started yet. */
+  [[nodiscard]] auto reads_log() const -> bool;
+
   /** Replies to another router's request for upstream updates. */
   auto OnPeerRequest(Http1ServerSession& session, const Http1Request& request)
       -> void;
@@ -81,7 +98,7 @@
   Settings settings;
   const FleetTopicClient& fleet;
   GatewayContext& context;
-  std::function<void(bool answered)> on_contact;
+  Callbacks callbacks;
   DiscoverySource source;
   std::unique_ptr<LoopTimer> timer;
   std::unique_ptr<TopicFollower> follower;  ///< Null unless the log is read.
@@ -93,6 +110,9 @@
   std::string reader_address;                      ///< The reader asked last.
   std::string reader_incarnation;
   std::uint64_t last_change = 0;  ///< Number of the last change received.
+  std::uint64_t config_version = 0;
+  std::string config_text;      ///< Empty unless other routers may request it.
+  Instant config_received_at{};  ///< From a reader.
   bool started = false;
 };
 
--- a/tests/gateway/upstream_discovery_test.cc
+++ b/tests/gateway/upstream_discovery_test.cc
@@ -3,6 +3,7 @@
 // other routers.
 #include <map>
 #include <memory>
+#include <nlohmann/json.hpp>
 #include <set>
 
 #include "al_gateway/al_gateway.h"
@@ -18,6 +19,9 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+/** About the size of a configuration of GatewayFixture. */
+constexpr std::uint64_t kConfigBytes = 1'000;
+
 auto RouterName(int number) -> std::string {
   return "router-" + std::to_string(number);
 }
@@ -299,3 +303,35 @@
     CHECK_EQUAL(503, answer.status);
   }
 }
+
+/** Load pattern: configurations in quick succession before many routers, as in
+   an operator's storm of changes. If each of the 14 routers read each of them,
+   the log service's bandwidth would not suffice with thousands of routes; the
+   bound allows 8 times for six readers. */
+TEST(UpstreamDiscovery, FourteenRoutersReadAStormOfConfigurationsSixTimes) {
+  GatewayFixture fixture;
+  fixture.Publish(1, 1'000'000);
+  constexpr int kRouters = 14;
+  constexpr std::uint64_t kVersions = 60;
+  for (int number = 2; number <= kRouters; ++number) {
+    fixture.AddRouter(number);
+  }
+  fixture.RunFor(seconds(4));
+  const std::uint64_t before = fixture.store.BytesRead("keyed.op");
+  for (std::uint64_t version = 2; version <= kVersions; ++version) {
+    fixture.PutConfig(version, 1'000'000);
+    fixture.RunFor(milliseconds(40));
+  }
+  fixture.RunFor(seconds(2));
+  const std::uint64_t read = fixture.store.BytesRead("keyed.op") - before;
+  const std::uint64_t written = kVersions * kConfigBytes;
+  CHECK_TRUE_TEXT(read < 8 * written, std::to_string(read).c_str());
+  const auto version_of = [](const GatewayDaemon& router) {
+    return nlohmann::json::parse(router.StateDump())["config_version"]
+        .get<std::uint64_t>();
+  };
+  CHECK_EQUAL(kVersions, version_of(*fixture.router));
+  for (const auto& router : fixture.more_routers) {
+    CHECK_EQUAL(kVersions, version_of(*router));
+  }
+}
--- a/tests/support/gateway_fixture.cc
+++ b/tests/support/gateway_fixture.cc
@@ -85,6 +85,12 @@
 
 auto GatewayFixture::Publish(std::uint64_t version, std::uint64_t prepaid)
     -> void {
+  this->PutConfig(version, prepaid);
+  this->RunFor(milliseconds(700));
+}
+
+auto GatewayFixture::PutConfig(std::uint64_t version, std::uint64_t prepaid)
+    -> void {
   const std::string number = std::to_string(version);
   const std::string tokens = std::to_string(prepaid);
   this->store.Put("keyed.op", "config",
@@ -97,7 +103,6 @@
       "Limits":{"MaxHeaderBytes":4096,"MaxBodyBytes":1000,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000},
       "Tenants":[{"Name":"blue","ApiKeys":["blue-key"],"Prepaid":)" +
                       tokens + "}]}");
-  this->RunFor(milliseconds(700));
 }
 
 auto GatewayFixture::List(const standins::WireUpstream& upstream,
--- a/tests/support/gateway_fixture.h
+++ b/tests/support/gateway_fixture.h
@@ -46,7 +46,10 @@
   GatewayFixture(const GatewayFixture&) = delete;
   auto operator=(const GatewayFixture&) -> GatewayFixture& = delete;
 
-  /** Publishes a configuration whose team `blue` has `prepaid` tokens. */
+  /** Writes a configuration whose team `blue` has `prepaid` tokens. */
+  auto PutConfig(std::uint64_t version, std::uint64_t prepaid) -> void;
+
+  /** Writes a configuration and waits until it is in force. */
   auto Publish(std::uint64_t version, std::uint64_t prepaid) -> void;
 
   /** Starts another router. @param number  2 or more. */
