Spread callers of overloaded routers; smaller reserves near a budget's end

Cause: one router got 6 times (66 routers: 19 times) the mean, as a busy caller keeps its connections. At a loss of all routers the reserves took most of what was left, up to six tenths of it. Refusals did not count what open requests will use, so callers were told to return in vain. Handlers that the loop released after the daemon's end used its poller (found with AddressSanitizer; seen once as a crash of the tests). Change: routers announce requests a second, and close connections after responses above three times the mean; reserves are at most three tenths of the rest; entries report reservations.

--- a/modules/al_gateway/prepaid/demand_meter.cc
+++ b/modules/al_gateway/limits/rate_meter.cc
@@ -1,4 +1,4 @@
-#include "al_gateway/prepaid/demand_meter.h"
+#include "al_gateway/limits/rate_meter.h"
 
 #include <algorithm>
 #include <cmath>
@@ -16,16 +16,16 @@
 
 }  // namespace
 
-auto DemandMeter::Add(std::uint64_t tokens, Instant now) -> void {
+auto RateMeter::Add(std::uint64_t amount, Instant now) -> void {
   if (this->since == Instant()) {
     this->since = now;
   }
   this->rate =
-      this->Decayed(now) + static_cast<double>(tokens) / kDecaySeconds;
+      this->Decayed(now) + static_cast<double>(amount) / kDecaySeconds;
   this->updated_at = now;
 }
 
-auto DemandMeter::PerSecond(Instant now) const -> double {
+auto RateMeter::PerSecond(Instant now) const -> double {
   if (this->since == Instant()) {
     return 0.0;
   }
@@ -36,7 +36,7 @@
   return this->Decayed(now) / (1.0 - std::exp(-measured / kDecaySeconds));
 }
 
-auto DemandMeter::Decayed(Instant now) const -> double {
+auto RateMeter::Decayed(Instant now) const -> double {
   return this->rate *
          std::exp(-ToSeconds(now - this->updated_at) / kDecaySeconds);
 }
--- a/modules/al_gateway/prepaid/demand_meter.h
+++ b/modules/al_gateway/limits/rate_meter.h
@@ -1,5 +1,5 @@
-#ifndef AL_GATEWAY_PREPAID_DEMAND_METER_H_
-#define AL_GATEWAY_PREPAID_DEMAND_METER_H_
+#ifndef AL_GATEWAY_LIMITS_RATE_METER_H_
+#define AL_GATEWAY_LIMITS_RATE_METER_H_
 
 #include <cstdint>
 
@@ -7,15 +7,15 @@
 
 namespace auburnloft::gateway {
 
-/** Measures a rate of tokens as an exponentially decayed sum.
+/** Measures a rate, of tokens or requests, as an exponentially decayed sum.
 
     Thread safety: none; used on one thread.
 */
-class DemandMeter {
+class RateMeter {
  public:
-  auto Add(std::uint64_t tokens, Instant now) -> void;
+  auto Add(std::uint64_t amount, Instant now) -> void;
 
-  /** Returns tokens per second; 0 before the first Add(). */
+  /** Returns the amount per second; 0 before the first Add(). */
   [[nodiscard]] auto PerSecond(Instant now) const -> double;
 
  private:
@@ -28,4 +28,4 @@
 
 }  // namespace auburnloft::gateway
 
-#endif  // AL_GATEWAY_PREPAID_DEMAND_METER_H_
+#endif  // AL_GATEWAY_LIMITS_RATE_METER_H_
--- a/modules/al_gateway/membership/router_registry.cc
+++ b/modules/al_gateway/membership/router_registry.cc
@@ -136,6 +136,15 @@
   return highest;
 }
 
+auto RouterRegistry::MeanRequestRate(Instant now) const -> double {
+  double sum = 0.0;
+  for (const auto& [name, member] : this->members) {
+    sum += this->IsActive(member, now) ? member.announcement.requests_per_second
+                                       : 0.0;
+  }
+  return sum / this->CountActive(now);
+}
+
 auto RouterRegistry::VisitAll(
     Instant now,
     const std::function<void(const RouterAnnouncement&, bool)>& visit) const
--- a/modules/al_gateway/membership/router_registry.h
+++ b/modules/al_gateway/membership/router_registry.h
@@ -25,6 +25,7 @@
   std::uint64_t beat = 0;      ///< Number of the announcement.
   std::uint64_t config_version = 0;  ///< Of its configuration.
   std::uint64_t link_mbps = 0;       ///< Link bandwidth of its VM; 0: unknown.
+  double requests_per_second = 0.0;  ///< That callers send to it.
 };
 
 /** The routers of the fleet, from their announcements on a topic of the log
@@ -88,6 +89,9 @@
   [[nodiscard]] auto FindHighestRanked(std::string_view item, Instant now) const
       -> const RouterAnnouncement*;
 
+  /** Returns the mean of the requests per second of the active routers. */
+  [[nodiscard]] auto MeanRequestRate(Instant now) const -> double;
+
   /** Calls `visit` with each router and whether it is active. */
   auto VisitAll(
       Instant now,
--- a/modules/al_gateway/prepaid/allowance_ledger.cc
+++ b/modules/al_gateway/prepaid/allowance_ledger.cc
@@ -27,6 +27,7 @@
   for (const auto& [holder, entry] : found->second.by_holder) {
     if (is_active(holder)) {
       totals.settled_by_active += entry.settled_tokens;
+      totals.reserved_by_active += entry.reserved_tokens;
       totals.demand_of_active += entry.demand_per_second;
     } else {
       totals.taken_by_expired += entry.taken_tokens;
--- a/modules/al_gateway/prepaid/allowance_ledger.h
+++ b/modules/al_gateway/prepaid/allowance_ledger.h
@@ -20,6 +20,7 @@
   std::int64_t taken_tokens = 0;    ///< Falls when tokens are returned.
   std::int64_t settled_tokens = 0;  ///< Spent or transferred to others; at most
                                     ///< `taken_tokens`.
+  std::int64_t reserved_tokens = 0;  ///< For requests that have not ended.
   double demand_per_second = 0.0;    ///< Decayed rate of requested tokens.
   std::uint64_t revision = 0;        ///< Increases with each entry of a holder.
 };
@@ -51,6 +52,7 @@
   struct Totals {
     std::int64_t taken = 0;  ///< By all holders.
     std::int64_t settled_by_active = 0;
+    std::int64_t reserved_by_active = 0;
     std::int64_t taken_by_expired = 0;    ///< Counts as spent: the use of the
                                           ///< unsettled part is unknown.
     std::int64_t settled_by_expired = 0;  ///< The part that was reported spent.
--- a/modules/al_gateway/prepaid/allowance_manager.cc
+++ b/modules/al_gateway/prepaid/allowance_manager.cc
@@ -8,10 +8,19 @@
 
 namespace {
 
-/** Maximum share of a team's remaining budget that a demand-based target is
-   computed from. The rest stays unallocated, because tokens that routers hold
-   are lost if all routers lose power. */
-constexpr double kMaxAllocatedShare = 0.6;
+/** Maximum share of a team's remaining budget that one router holds for its own
+   steady demand. */
+constexpr double kMaxWorkingShare = 0.6;
+
+/** Maximum share of a team's remaining budget that the routers hold as its
+   reserve, which is lost if all of them lose power. A team that would spend the
+   rest of its budget within a few outages gains nothing from a larger reserve:
+   what an outage delays is spent after it. */
+constexpr double kMaxReserveShare = 0.3;
+
+/** The part of the reserved tokens that requests use, at least. Prompts are used
+   as a whole; of the output, callers allow about twice what is generated. */
+constexpr double kMinUsedShare = 0.9;
 
 /** Seconds of its own steady demand that a router plans to hold, and keeps when
    it transfers tokens to others. */
@@ -120,10 +129,16 @@
         account, totals, target, fleet.reserve_holders,
         fleet.holds_reserve(team), scope);
     const bool withdraws = account.written > account.spendable;
+    const bool is_short = RemainingOf(account.prepaid, totals.taken) <
+                          static_cast<std::int64_t>(target);
+    const bool may_report =
+        scope == EntryScope::kReports ||
+        (scope == EntryScope::kReturns && is_short);
     if (taken != account.written || withdraws ||
-        (scope == EntryScope::kReports && IsReportOutdated(account, now))) {
-      entries.push_back(
-          this->MakeEntry(team, account, taken, DemandOf(account, now)));
+        (may_report && IsReportOutdated(account, now))) {
+      const double demand =
+          fleet.holds_reserve(team) ? DemandOf(account, now) : 0.0;
+      entries.push_back(this->MakeEntry(team, account, taken, demand));
     }
   }
   this->pending_entries = static_cast<int>(entries.size());
@@ -230,9 +245,11 @@
     return true;
   }
   const AllowanceLedger::Totals totals = ledger.TotalsOf(team, is_active);
+  const auto used_by_open = static_cast<std::int64_t>(
+      kMinUsedShare * static_cast<double>(totals.reserved_by_active));
   return RemainingOf(found->second.prepaid,
-                     totals.taken_by_expired + totals.settled_by_active) <
-         static_cast<std::int64_t>(tokens);
+                     totals.taken_by_expired + totals.settled_by_active +
+                         used_by_open) < static_cast<std::int64_t>(tokens);
 }
 
 auto AllowanceManager::BudgetOf(std::string_view team) const -> std::uint64_t {
@@ -297,14 +314,14 @@
       account.prepaid, totals.taken_by_expired + totals.settled_by_active));
   const double working =
       std::min(SteadyDemandOf(account, now) * kWorkingSeconds,
-               remaining * kMaxAllocatedShare);
+               remaining * kMaxWorkingShare);
   if (!fleet.holds_reserve(team)) {
     return static_cast<std::uint64_t>(working);
   }
   const double all = std::max(totals.demand_of_active, demand);
   const double outage_demand =
       std::min(all * ToSeconds(this->settings.outage_coverage),
-               remaining * kMaxAllocatedShare);
+               remaining * kMaxReserveShare);
   const double reserve =
       std::max(outage_demand, remaining * this->settings.min_reserve_share);
   return static_cast<std::uint64_t>(
@@ -362,6 +379,7 @@
   entry.taken_tokens = taken;
   entry.settled_tokens = account.net_settled();
   entry.demand_per_second = demand;
+  entry.reserved_tokens = static_cast<std::int64_t>(account.reserved);
   entry.revision = ++this->last_revision;
   account.written = taken;
   account.settled_written = entry.settled_tokens;
--- a/modules/al_gateway/prepaid/allowance_manager.h
+++ b/modules/al_gateway/prepaid/allowance_manager.h
@@ -11,7 +11,7 @@
 
 #include "al_core/time/instant.h"
 #include "al_gateway/prepaid/allowance_ledger.h"
-#include "al_gateway/prepaid/demand_meter.h"
+#include "al_gateway/limits/rate_meter.h"
 
 namespace auburnloft::gateway {
 
@@ -153,8 +153,8 @@
   // Queries
 
   /** Returns whether, by the ledger, less than `tokens` of the team's budget
-     remains, so that a refusal for the budget is correct. True for a team
-     without a budget. */
+     will remain when the open requests have ended, so that a refusal for the
+     budget is correct. True for a team without a budget. */
   [[nodiscard]] auto IsBudgetExhausted(
       std::string_view team,
       std::uint64_t tokens,
@@ -186,8 +186,8 @@
     std::uint64_t received = 0;     ///< Transferred from other routers.
     std::uint64_t reserved = 0;     ///< For requests that have not ended.
     std::uint64_t waiting = 0;      ///< Needed by queued requests.
-    DemandMeter own_demand;         ///< Of requests to this router.
-    DemandMeter requested_demand;   ///< Of transfers that others requested.
+    RateMeter own_demand;         ///< Of requests to this router.
+    RateMeter requested_demand;   ///< Of transfers that others requested.
     std::int64_t settled_written = 0;  ///< Settled tokens of the newest entry.
     double demand_written = 0.0;       ///< Demand in the newest entry.
     double mean_request_tokens =
--- a/modules/al_http1/http1_server_session.cc
+++ b/modules/al_http1/http1_server_session.cc
@@ -89,6 +89,11 @@
   this->exchange = std::move(callbacks);
 }
 
+auto Http1ServerSession::CloseAfterResponse() -> void {
+  assert(this->is_serving());
+  this->caller_keeps_alive = false;
+}
+
 auto Http1ServerSession::Respond(const Http1ResponseHead& head,
                                  std::string_view body) -> void {
   assert(this->is_serving());
--- a/modules/al_http1/http1_server_session.h
+++ b/modules/al_http1/http1_server_session.h
@@ -71,6 +71,10 @@
 
   auto SetExchangeCallbacks(ExchangeCallbacks callbacks) -> void;
 
+  /** Announces with the response, and closes the connection after it. @pre
+     is_serving(), and the response has not started. */
+  auto CloseAfterResponse() -> void;
+
   /** Sends a complete response. */
   auto Respond(const Http1ResponseHead& head, std::string_view body) -> void;
 
--- a/programs/gateway/caller_response.cc
+++ b/programs/gateway/caller_response.cc
@@ -34,6 +34,10 @@
   }
 }
 
+auto CallerResponse::CloseAfterResponse() -> void {
+  this->session->CloseAfterResponse();
+}
+
 auto CallerResponse::ForwardEvents(const Http1ResponseHead& upstream_head,
                                    std::string_view events) -> void {
   if (!std::exchange(this->has_sent_head, true)) {
--- a/programs/gateway/caller_response.h
+++ b/programs/gateway/caller_response.h
@@ -36,6 +36,9 @@
   /** Removes the callbacks. */
   auto Release() -> void;
 
+  /** Tells the caller to use another connection after this response. */
+  auto CloseAfterResponse() -> void;
+
   /** Sends complete events; the first call sends `upstream_head` before them,
       without the fields that concern one connection only. */
   auto ForwardEvents(const Http1ResponseHead& upstream_head,
--- a/programs/gateway/fleet_records.cc
+++ b/programs/gateway/fleet_records.cc
@@ -36,6 +36,7 @@
   message.set_beat(announcement.beat);
   message.set_config_version(announcement.config_version);
   message.set_link_mbps(announcement.link_mbps);
+  message.set_requests_per_second(announcement.requests_per_second);
   return {std::string(kRouterKey) + announcement.name,
           message.SerializeAsString()};
 }
@@ -48,6 +49,7 @@
   message.set_settled_tokens(entry.settled_tokens);
   message.set_demand_per_second(entry.demand_per_second);
   message.set_revision(entry.revision);
+  message.set_reserved_tokens(entry.reserved_tokens);
   return {std::string(kAllowanceKey) + entry.team + "/" + entry.holder,
           message.SerializeAsString()};
 }
@@ -69,6 +71,7 @@
   announcement.beat = message->beat();
   announcement.config_version = message->config_version();
   announcement.link_mbps = message->link_mbps();
+  announcement.requests_per_second = message->requests_per_second();
   return announcement;
 }
 
@@ -84,6 +87,7 @@
   entry.settled_tokens = message->settled_tokens();
   entry.demand_per_second = message->demand_per_second();
   entry.revision = message->revision();
+  entry.reserved_tokens = message->reserved_tokens();
   return entry;
 }
 
--- a/programs/gateway/fleet_topic_client.h
+++ b/programs/gateway/fleet_topic_client.h
@@ -62,6 +62,11 @@
   /** Announces at once that this router accepts no new callers. */
   auto AnnounceLeaving() -> void;
 
+  /** Sets the rate of requests that the next announcement reports. */
+  auto SetRequestRate(double per_second) -> void {
+    this->self.requests_per_second = per_second;
+  }
+
   /** Returns all unspent tokens, then calls `on_done`. */
   auto ReturnUnspent(std::function<void()> on_done) -> void;
 
--- a/programs/gateway/gateway_context.h
+++ b/programs/gateway/gateway_context.h
@@ -3,10 +3,12 @@
 
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "al_core/random/random_source.h"
 #include "al_edge/loop/event_loop.h"
 #include "al_gateway/limits/fleet_retry_budget.h"
+#include "al_gateway/limits/rate_meter.h"
 #include "al_gateway/routing/route_table.h"
 #include "al_gateway/upstreams/upstream_selector.h"
 #include "gateway/decision_log.h"
@@ -33,6 +35,13 @@
   RandomSource& random;
   DecisionLog& log;
   GatewayMetrics& metrics;
+  /** Request handlers that have ended; the loop releases them in its next
+     iteration, unless the daemon ends before. */
+  std::shared_ptr<std::vector<std::shared_ptr<void>>> ended_handlers =
+      std::make_shared<std::vector<std::shared_ptr<void>>>();
+  RateMeter request_rate;  ///< Requests that callers send to this router.
+  double close_fraction = 0.0;  ///< Of responses, after which the connection is
+                                ///< closed.
   int routers = 1;                  ///< Active routers in the fleet.
   Duration max_stream_duration{0};  ///< Set late in a drain; 0: unlimited.
   bool is_stopping = false;  ///< Set at the end of a drain: no request starts.
--- a/programs/gateway/gateway_daemon.cc
+++ b/programs/gateway/gateway_daemon.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "al_edge/loop/loop_timer.h"
+#include "al_gateway/limits/connection_shedding.h"
 #include "gateway/request_handler.h"
 #include "gateway/state_dump.h"
 #include "platform/config_codec.h"
@@ -166,7 +167,11 @@
       });
 }
 
-GatewayDaemon::~GatewayDaemon() = default;
+GatewayDaemon::~GatewayDaemon() {
+  // The loop outlives the daemon, but the connections of these handlers must
+  // not outlive its poller.
+  this->context.ended_handlers->clear();
+}
 
 auto GatewayDaemon::Start() -> bool {
   const bool opened =
@@ -395,6 +400,7 @@
   const Instant now = this->loop.Now();
   this->upstreams.Expire(now);
   this->context.routers = this->fleet_topic.CountActive();
+  this->UpdateLoadShare(now);
   this->upstream_discovery.UpdatePlan();
   this->UpdateConfigSource();
   if (!this->stopping_since &&
@@ -411,6 +417,24 @@
   }
 }
 
+auto GatewayDaemon::UpdateLoadShare(Instant now) -> void {
+  const double own_rate = this->context.request_rate.PerSecond(now);
+  this->fleet_topic.SetRequestRate(own_rate);
+  const double mean_rate = this->fleet_topic.registry().MeanRequestRate(
+      this->fleet_topic.last_read_at());
+  const double before = std::exchange(
+      this->context.close_fraction,
+      ConnectionCloseFraction(own_rate, mean_rate));
+  if ((before > 0.0) != (this->context.close_fraction > 0.0)) {
+    this->log.WriteLine(
+        DecisionLog::Severity::kNotable, "load_share",
+        {{"requests_s", static_cast<std::int64_t>(own_rate)},
+         {"mean_s", static_cast<std::int64_t>(mean_rate)},
+         {"closes", this->context.close_fraction > 0.0 ? 1 : 0}},
+        now);
+  }
+}
+
 //==============================================================================
 // Shutdown
 
--- a/programs/gateway/gateway_daemon.h
+++ b/programs/gateway/gateway_daemon.h
@@ -83,6 +83,8 @@
   auto OnContact(bool answered) -> void;
   auto OnShortage(const std::string& team) -> void;
   auto OnTick() -> void;
+  /** Updates how many connections are closed to spread callers evenly. */
+  auto UpdateLoadShare(Instant now) -> void;
   auto OnDrainTick() -> void;
   auto FinishDrain() -> void;
   auto StopWhenResponsesAreSent() -> void;
--- a/programs/gateway/request_handler.cc
+++ b/programs/gateway/request_handler.cc
@@ -39,6 +39,11 @@
 auto RequestHandler::Start() -> void {
   this->self = this->shared_from_this();
   ++this->context.open_requests;
+  this->context.request_rate.Add(1, this->arrived_at);
+  if (this->context.close_fraction > 0.0 &&
+      this->context.random.UniformDouble() < this->context.close_fraction) {
+    this->response->CloseAfterResponse();
+  }
   this->response->SetCallbacks(
       [this] { this->OnCallerDisconnected(); },
       [this] {
@@ -490,7 +495,9 @@
   this->response->Release();
   // Callers up the stack may still use this object, so the event loop releases
   // it in its next iteration.
-  this->context.loop.Defer([kept = std::move(this->self)] {});
+  const auto ended_handlers = this->context.ended_handlers;
+  ended_handlers->push_back(std::move(this->self));
+  this->context.loop.Defer([ended_handlers] { ended_handlers->clear(); });
 }
 
 auto RequestHandler::MakeReport() const -> RequestReport {
--- a/standins/wire/wire_upstream.h
+++ b/standins/wire/wire_upstream.h
@@ -64,6 +64,12 @@
   [[nodiscard]] auto Listen() -> bool;
   auto SetFault(Fault fault) -> void { this->fault = fault; }
 
+  /** Sets the pace of the streams that start from now on. */
+  auto SetPace(Duration first_event_delay, Duration event_interval) -> void {
+    this->settings.first_event_delay = first_event_delay;
+    this->settings.event_interval = event_interval;
+  }
+
   /** Sets a callback that receives the id of each attempt when its execution
       starts. */
   auto SetOnExecution(std::function<void(const std::string& id)> call) -> void {
--- a/tests/gateway/allowance_test.cc
+++ b/tests/gateway/allowance_test.cc
@@ -271,6 +271,33 @@
   }
 }
 
+// The team has used most of its budget when all routers lose power. What they
+// held in reserve is lost to it; the larger part of the rest must not be.
+TEST(Allowance, LosesLessThanHalfOfTheRestInATotalLoss) {
+  this->settings.budget = 600'000;
+  AllowanceFleet fleet(this->settings);
+  fleet.Run(seconds(18));
+  const std::uint64_t rest = this->settings.budget - fleet.report().spent;
+  CHECK_TRUE(rest < this->settings.budget / 2);
+  fleet.Kill(-1);
+  CHECK_TRUE(fleet.report().stranded * 2 < rest);
+}
+
+// The budget is in reservations of open requests, of which most will be used.
+// A request that will not fit when they end is refused for the budget.
+TEST(Allowance, CountsWhatOpenRequestsWillUse) {
+  AllowanceManager manager("a", AllowanceSizing());
+  AllowanceLedger ledger;
+  manager.SetBudget("team", 1'000);
+  AllowanceEntry entry = MakeEntry("b", 1'000);
+  entry.reserved_tokens = 900;
+  ledger.Apply(entry);
+  const auto active = [](std::string_view /*holder*/) { return true; };
+  // 100 tokens are unspent, and at most a tenth of 900 will be released.
+  CHECK_FALSE(manager.IsBudgetExhausted("team", 190, ledger, active));
+  CHECK_TRUE(manager.IsBudgetExhausted("team", 191, ledger, active));
+}
+
 TEST(Allowance, NeverOverspendsAfterATotalLoss) {
   AllowanceFleet fleet(this->settings);
   fleet.Run(seconds(10));
--- a/tests/gateway/decisions_test.cc
+++ b/tests/gateway/decisions_test.cc
@@ -1,6 +1,7 @@
 // A router's decisions: which upstream gets a request, which requests are
 // retried, which routers are active, and which requests are refused.
 #include "al_gateway/al_gateway.h"
+#include "al_gateway/limits/connection_shedding.h"
 #include "al_gateway/limits/attempt_timeouts.h"
 #include "al_gateway/routing/admission.h"
 #include "al_gateway/streams/event_splitter.h"
@@ -314,3 +315,14 @@
   // A caller with little time left must not spend all of it waiting.
   CHECK_TRUE(AllowanceRetryAfter(seconds(6), seconds(2)) == seconds(1));
 }
+
+// Load pattern: one caller sends many times its usual requests on the
+// connections that it has, so that one of 66 routers gets a fourth of them.
+TEST(Decisions, SpreadsCallersOfARouterWithMuchMoreThanItsShare) {
+  const double mean = 910.0 / 66;
+  CHECK_TRUE(ConnectionCloseFraction(260.0, mean) > 0.8);
+  CHECK_EQUAL(0.0, ConnectionCloseFraction(2 * mean, mean));
+  // A router with few requests is not overloaded, whatever the others have.
+  CHECK_EQUAL(0.0, ConnectionCloseFraction(10.0, 1.0));
+  CHECK_EQUAL(0.0, ConnectionCloseFraction(260.0, 0.0));
+}
--- a/tests/gateway/gateway_session_test.cc
+++ b/tests/gateway/gateway_session_test.cc
@@ -283,3 +283,95 @@
   CHECK_EQUAL(0, this->fixture.service_1->executions().size() +
                      this->fixture.service_2->executions().size());
 }
+
+// Planned stop under load: short streams keep arriving on new connections until
+// the process has stopped. Each request that was accepted gets an answer, up to
+// those that arrive in the last moments.
+TEST(GatewaySessions, AnswersWhatItAcceptsUntilAShutdownEnds) {
+  this->fixture.Publish(1, 10'000'000);
+  std::vector<std::shared_ptr<GatewayFixture::Response>> responses;
+  this->fixture.router->Drain();
+  while (this->fixture.stopped_routers == 0) {
+    GatewayFixture::Call call;
+    call.id = "a" + std::to_string(responses.size());
+    call.path = "/draft/";
+    call.tokens = "10,20";
+    if (const auto response = this->fixture.StartSending(call)) {
+      responses.push_back(response);
+    }
+    this->fixture.RunFor(milliseconds(5));
+  }
+  this->fixture.router.reset();  // As the process exits.
+  this->fixture.RunFor(milliseconds(100));
+  int served = 0;
+  int refused = 0;
+  for (const auto& response : responses) {
+    CHECK_TRUE(response->ended);
+    CHECK_TRUE(response->complete || response->not_sent);
+    served += response->status == 200 ? 1 : 0;
+    refused += response->status == 503 ? 1 : 0;
+  }
+  CHECK_TRUE(served > 100);
+  CHECK_TRUE(refused > 0);
+}
+
+// An upstream's record lapses while it works on a request: it may only be slow
+// to renew it. The request is neither given up nor executed elsewhere.
+TEST(GatewaySessions, KeepsWaitingForAnUpstreamWhoseRecordLapses) {
+  this->fixture.Publish(1, 10'000'000);
+  this->fixture.engine_1->SetPace(milliseconds(100), milliseconds(300));
+  this->fixture.engine_2->SetPace(milliseconds(100), milliseconds(300));
+  GatewayFixture::Call call;
+  call.id = "a1";
+  call.path = "/draft/";
+  call.tokens = "10,20";
+  const auto response = this->fixture.StartSending(call);
+  this->fixture.RunFor(milliseconds(200));
+  this->fixture.store.Put("keyed.servers", "engine-1", std::nullopt);
+  this->fixture.store.Put("keyed.servers", "engine-2", std::nullopt);
+  this->fixture.RunFor(milliseconds(1'500));
+  CHECK_TRUE(response->complete);
+  CHECK_EQUAL(200, response->status);
+  CHECK_EQUAL(1, this->fixture.engine_1->executions().size() +
+                     this->fixture.engine_2->executions().size());
+  CHECK_EQUAL(503, this->Call("a2", "/draft/", "10,20").status);
+}
+
+// The platform's log is silent for two seconds, and no router announces itself
+// or renews what it knows. Running work goes on, and nothing starts again.
+TEST(GatewaySessions, GivesNothingUpWhileTheLogIsSilent) {
+  this->fixture.Publish(1, 10'000'000);
+  this->fixture.engine_1->SetPace(milliseconds(100), milliseconds(700));
+  this->fixture.engine_2->SetPace(milliseconds(100), milliseconds(700));
+  GatewayFixture::Call call;
+  call.id = "a1";
+  call.path = "/draft/";
+  call.tokens = "10,20";
+  const auto response = this->fixture.StartSending(call);
+  this->fixture.store.SetFault(StoreServer::Fault::kSilent);
+  this->fixture.RunFor(milliseconds(2'600));
+  this->fixture.store.SetFault(StoreServer::Fault::kNone);
+  CHECK_TRUE(response->complete);
+  CHECK_EQUAL(1, this->fixture.engine_1->executions().size() +
+                     this->fixture.engine_2->executions().size());
+}
+
+// A router stops while the log is away: it hands its unspent tokens to another
+// router, which then serves a request that it could not serve before.
+TEST(GatewaySessions, HandsItsTokensOverWhenItStopsWhileTheLogIsAway) {
+  this->fixture.AddRouter(2);
+  this->fixture.Publish(1, 10'000);
+  this->fixture.RunFor(seconds(2));
+  this->fixture.store.SetFault(StoreServer::Fault::kSilent);
+  this->fixture.RunFor(seconds(1));
+  GatewayFixture::Call call;
+  call.id = "a1";
+  call.path = "/draft/";
+  call.tokens = "1800,100";
+  const std::string other = GatewayFixture::AddressOf(2, "clients");
+  this->fixture.router->Drain();
+  this->fixture.loop.RunUntil(
+      [&] { return this->fixture.stopped_routers > 0; }, seconds(9));
+  this->fixture.router.reset();
+  CHECK_EQUAL(200, this->fixture.SendTo(other, call).status);
+}
