Log what marked the end of an upstream's response

A caller's report of a shortened stream could not be told apart in the logs from a whole one: the line of a served request now says whether a length or last chunk ended the response, or only the close of the connection.

--- a/programs/gateway/request_handler.cc
+++ b/programs/gateway/request_handler.cc
@@ -274,6 +274,7 @@
     return;
   }
   const Http1ResponseHead& head = this->attempt->head();
+  this->response_end = head.ends_with_connection ? "close" : "framing";
   if (head.status < kFirstRedirect &&
       !this->attempt->response_metadata().is_sealed) {
     this->RejectResponse("the seal is missing");
@@ -505,6 +506,7 @@
   report.attempts = this->execution_counter.attempts();
   report.executions = this->execution_counter.executions();
   report.events = this->event_splitter.event_count();
+  report.end = this->response_end;
   report.reserved_tokens = this->budget.reserved();
   report.used_tokens = this->UsedTokens();
   report.time_to_first_event = this->time_to_first_event;
--- a/programs/gateway/request_handler.h
+++ b/programs/gateway/request_handler.h
@@ -104,7 +104,8 @@
   std::vector<std::string> tried_upstreams;  ///< By id.
   ExecutionCounter execution_counter;
   EventSplitter event_splitter;
-  std::string pending_events;  ///< Comments before the next event.
+  std::string pending_events;           ///< Comments before the next event.
+  std::string_view response_end = "-";  ///< As RequestReport::end.
   Duration time_to_first_event{0};
   bool ended = false;
   std::shared_ptr<RequestHandler> self;  ///< Empty once finished.
--- a/programs/gateway/request_report.cc
+++ b/programs/gateway/request_report.cc
@@ -16,6 +16,7 @@
                  {"sends", report.attempts},
                  {"runs", report.executions},
                  {"events", report.events},
+                 {"end", report.end},
                  {"reserved", report.reserved_tokens},
                  {"used", report.used_tokens},
                  {"available", report.available_tokens},
--- a/programs/gateway/request_report.h
+++ b/programs/gateway/request_report.h
@@ -19,7 +19,10 @@
   std::string_view team = "-";
   int attempts = 0;
   int executions = 0;
-  std::uint64_t events = 0;  ///< Forwarded to the caller.
+  std::uint64_t events = 0;    ///< Forwarded to the caller.
+  std::string_view end = "-";  ///< What marked the end of the upstream's
+                               ///< response: `framing` (a length or the last
+                               ///< chunk) or `close` (of the connection).
   std::uint64_t reserved_tokens = 0;
   std::uint64_t used_tokens = 0;
   std::uint64_t available_tokens = 0;  ///< Of the team in this router, after
