Failing tests: broken streams that pass for complete

Three streams that an upstream broke off and the router ends as complete: without a length and closed before the first event, the same when it resumes a stream, and chunks that end within an event.

--- a/tests/gateway/hostile_upstream_test.cc
+++ b/tests/gateway/hostile_upstream_test.cc
@@ -234,6 +234,53 @@
   CHECK_EQUAL(std::string("id: 1\ndata: one\n\n"), response.body);
 }
 
+// Guards against a stream without a length that its upstream closes before the
+// first event: the caller must not get an empty stream that looks complete.
+TEST(HostileUpstreams, EndNoStreamBeforeItsFirstEvent) {
+  for (const std::string_view content : {"", ": comment\n\n"}) {
+    this->engine.SetScript([&](const Arrival& arrival) {
+      arrival.send(RawUpstream::Head(arrival.id, kEvents) +
+                   std::string(content));
+      arrival.close();
+    });
+    CHECK_EQUAL(502, this->Call("a1", "/draft/", "10,20").status);
+  }
+}
+
+// Guards against a stream that is resumed at an upstream which closes without
+// an event of its own: the events of the first upstream are not the whole.
+TEST(HostileUpstreams, EndNoResumedStreamBeforeItsFirstEvent) {
+  RawUpstream spare(this->fixture.poller, "raw-spare");
+  this->fixture.store.Put("keyed.servers", "raw-spare", spare.Entry("engines"));
+  this->fixture.RunFor(milliseconds(700));
+  int arrivals = 0;
+  const auto script = [&](const Arrival& arrival) {
+    const std::string events =
+        ++arrivals == 1 ? "id: 1\ndata: one\n\nid: 2\nda" : "";
+    arrival.send(RawUpstream::Head(arrival.id, kEvents) + events);
+    arrival.close();
+  };
+  this->engine.SetScript(script);
+  spare.SetScript(script);
+  const auto response = this->Call("a1", "/ask/", "10,20");
+  CHECK_EQUAL(2, arrivals);
+  CHECK_FALSE(response.complete);
+  CHECK_EQUAL(std::string("id: 1\ndata: one\n\n"), response.body);
+}
+
+// Guards against an upstream that finishes its chunks although it broke off
+// within an event: framing that is complete does not make the content complete.
+TEST(HostileUpstreams, EndNoChunkedStreamWithinAnEvent) {
+  this->engine.SetScript([&](const Arrival& arrival) {
+    arrival.send(
+        RawUpstream::Head(arrival.id, "Transfer-Encoding: chunked\r\n") +
+        "17\r\nid: 1\ndata: one\n\nid: 2\n\r\n0\r\n\r\n");
+  });
+  const auto response = this->Call("a1", "/draft/", "10,20");
+  CHECK_FALSE(response.complete);
+  CHECK_EQUAL(std::string("id: 1\ndata: one\n\n"), response.body);
+}
+
 TEST(HostileUpstreams, EndAResponseWithoutALengthByAClose) {
   this->desk.SetScript([&](const Arrival& arrival) {
     arrival.send(RawUpstream::Head(arrival.id, "") + "whole");
