Reject streams that end early, whatever marks their end

What callers saw: a response 200, framed as complete, with a part of a stream or with none of it. Change: EventSplitter::IsBrokenOff decides from framing and events together; such a stream is retried where its route allows it, and else broken off towards the caller. Why it works: a complete event stream ends with an event, and only framing can make a body without events complete.

--- a/modules/al_gateway/streams/event_splitter.h
+++ b/modules/al_gateway/streams/event_splitter.h
@@ -39,6 +39,15 @@
      maximum size of an event: the upstream does not send events. */
   [[nodiscard]] auto is_too_long() const -> bool;
 
+  /** Returns whether a stream that ends now was broken off: within an event, or
+     by the close of the connection before its first event.
+
+      A body that has a length or chunks and no event at all is complete, since
+      it is no event stream, for example a message about an error.
+      @param has_framing  whether a length or the last chunk marked the end,
+     rather than the close of the connection. */
+  [[nodiscard]] auto IsBrokenOff(bool has_framing) const -> bool;
+
   /** Returns the bytes after the last complete event. */
   [[nodiscard]] auto rest() const -> std::string_view { return this->partial; }
 
@@ -60,6 +69,7 @@
   auto Accept(std::string_view event) -> bool;
 
   std::string partial;
+  bool has_event = false;  ///< Since Resume().
   std::uint64_t events = 0;
   std::optional<std::uint64_t> id;
   bool gap = false;
--- a/programs/gateway/request_handler.cc
+++ b/programs/gateway/request_handler.cc
@@ -280,11 +280,9 @@
     this->RejectResponse("the seal is missing");
     return;
   }
-  if (this->route->kind == RouteKind::kStream && head.ends_with_connection &&
-      !this->event_splitter.rest().empty()) {
-    // The upstream broke off within an event. Without a length, only this
-    // tells a broken stream from a complete one.
-    this->RejectResponse("the stream ends within an event");
+  if (this->route->kind == RouteKind::kStream && head.status < kFirstRedirect &&
+      this->event_splitter.IsBrokenOff(!head.ends_with_connection)) {
+    this->RejectResponse("the stream ends early");
     return;
   }
   this->OnCompleteResponse();
