--- a/modules/al_gateway/streams/event_splitter.cc
+++ b/modules/al_gateway/streams/event_splitter.cc
@@ -65,7 +65,7 @@
 
 auto EventSplitter::Resume() -> void {
   this->partial.clear();
-  this->has_event = false;
+  this->received_event = false;
 }
 
 auto EventSplitter::is_too_long() const -> bool {
@@ -73,12 +73,12 @@
 }
 
 auto EventSplitter::IsBrokenOff(bool has_framing) const -> bool {
-  return this->partial.empty() ? !has_framing && !this->has_event
-                               : !has_framing || this->has_event;
+  return this->partial.empty() ? !has_framing && !this->received_event
+                               : !has_framing || this->received_event;
 }
 
 auto EventSplitter::Accept(std::string_view event) -> bool {
-  this->has_event = true;
+  this->received_event = true;
   const std::optional<std::uint64_t> next = ReadEventId(event);
   if (next && this->id) {
     if (*next <= *this->id) {
--- a/modules/al_gateway/streams/event_splitter.h
+++ b/modules/al_gateway/streams/event_splitter.h
@@ -56,6 +56,10 @@
     return this->events;
   }
 
+  /** Returns whether the current attempt has sent an event, be it one that
+     another attempt had sent before. */
+  [[nodiscard]] auto has_event() const -> bool { return this->received_event; }
+
   /** Returns the id of the last event with an id that Feed() returned. */
   [[nodiscard]] auto last_id() const -> std::optional<std::uint64_t> {
     return this->id;
@@ -69,7 +73,7 @@
   auto Accept(std::string_view event) -> bool;
 
   std::string partial;
-  bool has_event = false;  ///< Since Resume().
+  bool received_event = false;  ///< Since Resume().
   std::uint64_t events = 0;
   std::optional<std::uint64_t> id;
   bool gap = false;
--- a/programs/gateway/request_handler.cc
+++ b/programs/gateway/request_handler.cc
@@ -261,6 +261,10 @@
 
 auto RequestHandler::OnExchangeDone(Http1Outcome outcome) -> void {
   this->attempt_timer->Stop();
+  if (outcome != Http1Outcome::kComplete && outcome != Http1Outcome::kNotSent &&
+      this->metadata.generation && !this->event_splitter.has_event()) {
+    this->LogPromptFailure();
+  }
   if (outcome != Http1Outcome::kComplete) {
     this->OnFailedAttempt(outcome);
     return;
@@ -349,6 +353,21 @@
   }
 }
 
+auto RequestHandler::LogPromptFailure() -> void {
+  std::string parts;
+  for (const PromptPart& part : this->metadata.generation->parts) {
+    parts += (parts.empty() ? "" : ",") + part.id;
+  }
+  this->context.log.WriteLine(
+      DecisionLog::Severity::kNotable, "prompt_failure",
+      {{"id", this->metadata.attempt_id},
+       {"upstream", this->attempt->upstream().record().id},
+       {"after_ms", this->context.loop.Now() - this->attempt->sent_at()},
+       {"prompt_tokens", this->metadata.generation->prompt_tokens},
+       {"parts", parts}},
+      this->context.loop.Now());
+}
+
 auto RequestHandler::OnAttemptTimeout() -> void {
   if (!this->attempt) {
     return;
--- a/programs/gateway/request_handler.h
+++ b/programs/gateway/request_handler.h
@@ -68,6 +68,8 @@
   auto OnCompleteResponse() -> void;
   auto OnNotExecuted() -> void;
   auto OnFailedAttempt(Http1Outcome outcome) -> void;
+  /** Logs that an upstream ended a generation before its first event. */
+  auto LogPromptFailure() -> void;
 
   // Decisions.
   [[nodiscard]] auto TryTakeRetry() -> bool;
