Failing tests: a part of prompts that ends engines is sent on

PromptQuarantineSessions.StopAPartThatEndsEngines: after five crashes, ten more requests with the part reach engines (502 for 503). PromptQuarantineSessions.RetryNoPartThatEndsEngines: a retry brings it to a fourth engine (4 arrivals for 3).

--- a/tests/support/gateway_fixture.cc
+++ b/tests/support/gateway_fixture.cc
@@ -118,6 +118,7 @@
   request.path = call.path + "x";
   request.key = call.key;
   request.tokens = call.tokens;
+  request.prompt_parts = call.prompt_parts;
   request.deadline_ms = call.deadline_ms;
   return standins::MakeHttpRequest(request);
 }
--- a/tests/support/gateway_fixture.h
+++ b/tests/support/gateway_fixture.h
@@ -37,6 +37,7 @@
     std::string path = "/once/";
     std::string key = "blue-key";
     std::string tokens;  ///< `prompt,max output`; empty for a plain service.
+    std::string prompt_parts = "aa:10,bb:10";  ///< Of a generation.
     std::string deadline_ms = "4000";
   };
 
