Act on what upstreams say about themselves in responses

Cause: a router learned only from the log that an upstream leaves, and ignored the time for which one that turned a request away wants none. Change: a response's notice that its upstream is leaving takes it out at once, for this process of it, also where its record expires and returns. Retry-After of a 429 or 503 (seconds, also fractions, or a date; at most ten minutes) keeps requests away until its end, after which few return at first. While all upstreams back off, callers are refused at once with the earliest return, spread by half of the wait. Evidence: UpstreamNotices.*; with the reading of notices switched off, six of the eight fail, the other two test functions that did not exist.

--- a/modules/al_gateway/model/request_metadata.h
+++ b/modules/al_gateway/model/request_metadata.h
@@ -58,8 +58,12 @@
       false;  ///< The upstream states that it did not execute the request.
   bool is_replaced = false;  ///< Another upstream has the address now.
   bool is_encoded = false;   ///< The body has a content encoding.
-  bool is_sealed = false;    ///< It carries the seal of an upstream, without
-                             ///< which no success may be forwarded.
+  bool is_leaving = false;   ///< The upstream shuts down.
+  std::optional<Duration> retry_after;  ///< The upstream wants no requests for
+                                        ///< so long; may be below 0.
+  std::optional<Instant> retry_at;      ///< As above, as a point in time.
+  bool is_sealed = false;  ///< It carries the seal of an upstream, without
+                           ///< which no success may be forwarded.
   std::optional<Duration>
       idle_timeout;  ///< How long the upstream keeps idle connections.
 };
--- a/modules/al_gateway/upstreams/upstream_directory.cc
+++ b/modules/al_gateway/upstreams/upstream_directory.cc
@@ -1,5 +1,6 @@
 #include "al_gateway/upstreams/upstream_directory.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace auburnloft::gateway {
@@ -10,6 +11,11 @@
    outage return within about this time if their upstream still runs. */
 constexpr Duration kGracePeriod = std::chrono::milliseconds(2'200);
 
+/** Notices are dropped after this time, far above the time for which a leaving
+   upstream still serves, and only if there are many. */
+constexpr Duration kNoticeLifetime = std::chrono::minutes(10);
+constexpr std::size_t kMaxNotices = 1'024;
+
 }  // namespace
 
 //==============================================================================
@@ -33,6 +39,11 @@
   const std::string id = record.id;
   const std::string service = record.service;
   auto state = std::make_shared<UpstreamState>(std::move(record));
+  const auto notice = this->notices.find(id);
+  if (notice != this->notices.end() &&
+      notice->second.started_at_ms == state->record().started_at_ms) {
+    ApplyNotice(notice->second, *state);
+  }
   this->by_service[service].push_back(state);
   this->by_id[id] = {std::move(state), Instant()};
 }
@@ -65,6 +76,36 @@
   }
 }
 
+auto UpstreamDirectory::RecordLeaving(const UpstreamState& upstream,
+                                      Instant now) -> bool {
+  Notice& notice = this->NoticeOf(upstream, now);
+  if (std::exchange(notice.leaving, true)) {
+    return false;
+  }
+  if (const State listed = this->FindProcess(upstream)) {
+    const bool was_serving = listed->is_serving();
+    ApplyNotice(notice, *listed);
+    if (was_serving) {
+      this->on_unavailable(*listed);
+    }
+  }
+  return true;
+}
+
+auto UpstreamDirectory::RecordBackOff(const UpstreamState& upstream,
+                                      Instant until,
+                                      Instant now) -> bool {
+  Notice& notice = this->NoticeOf(upstream, now);
+  if (until <= notice.back_off_until) {
+    return false;
+  }
+  notice.back_off_until = until;
+  if (const State listed = this->FindProcess(upstream)) {
+    ApplyNotice(notice, *listed);
+  }
+  return true;
+}
+
 auto UpstreamDirectory::RecordLogRecovery(Instant now) -> void {
   this->suspect_until = now + kGracePeriod;
 }
@@ -90,9 +131,60 @@
   this->on_unavailable(*state);
 }
 
+auto UpstreamDirectory::NoticeOf(const UpstreamState& upstream, Instant now)
+    -> Notice& {
+  if (this->notices.size() >= kMaxNotices) {
+    std::erase_if(this->notices, [now](const auto& item) {
+      return now - item.second.noticed_at >= kNoticeLifetime;
+    });
+  }
+  Notice& notice = this->notices[upstream.record().id];
+  if (notice.started_at_ms != upstream.record().started_at_ms) {
+    notice = {};
+    notice.started_at_ms = upstream.record().started_at_ms;
+  }
+  notice.noticed_at = now;
+  return notice;
+}
+
+auto UpstreamDirectory::ApplyNotice(const Notice& notice,
+                                    UpstreamState& upstream) -> void {
+  if (notice.leaving) {
+    upstream.MarkLeaving();
+  }
+  upstream.SetBackOff(notice.back_off_until);
+}
+
+auto UpstreamDirectory::FindProcess(const UpstreamState& upstream) const
+    -> State {
+  const auto found = this->by_id.find(upstream.record().id);
+  return found != this->by_id.end() &&
+                 found->second.state->record().started_at_ms ==
+                     upstream.record().started_at_ms
+             ? found->second.state
+             : nullptr;
+}
+
 //==============================================================================
 // Queries
 
+auto UpstreamDirectory::EarliestReturn(std::string_view service,
+                                       Instant now) const
+    -> std::optional<Instant> {
+  std::optional<Instant> earliest;
+  for (const State& upstream : this->UpstreamsOfService(service)) {
+    if (!upstream->is_serving()) {
+      continue;
+    }
+    if (upstream->back_off_ends_at() <= now) {
+      return std::nullopt;
+    }
+    earliest = std::min(earliest.value_or(upstream->back_off_ends_at()),
+                        upstream->back_off_ends_at());
+  }
+  return earliest;
+}
+
 auto UpstreamDirectory::UpstreamsOfService(std::string_view service) const
     -> std::span<const State> {
   const auto found = this->by_service.find(std::string(service));
--- a/modules/al_gateway/upstreams/upstream_directory.h
+++ b/modules/al_gateway/upstreams/upstream_directory.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <span>
 #include <string>
@@ -22,6 +23,10 @@
    Such an upstream becomes suspect, and is removed if its record does not
    return within a grace period.
 
+    What an upstream says about itself in its responses (that it is leaving, or
+   wants no requests for a time) belongs to its process: it outlives an outage
+   in which its record expires and returns, and ends with a restart.
+
     Thread safety: none; used on one thread.
 */
 class UpstreamDirectory {
@@ -49,6 +54,15 @@
   /** Calls Remove() for all upstreams but `ids`, after a full list was read. */
   auto RemoveAllExcept(const std::set<std::string>& ids, Instant now) -> void;
 
+  /** Records that an upstream said that it is leaving.
+      @return false if this was known. */
+  auto RecordLeaving(const UpstreamState& upstream, Instant now) -> bool;
+
+  /** Records that an upstream wants no requests until `until`.
+      @return false if it was known to want none for as long. */
+  auto RecordBackOff(const UpstreamState& upstream, Instant until, Instant now)
+      -> bool;
+
   /** Records that the log replies again after an outage; starts the grace
      period. */
   auto RecordLogRecovery(Instant now) -> void;
@@ -64,6 +78,12 @@
   [[nodiscard]] auto UpstreamsOfService(std::string_view service) const
       -> std::span<const State>;
 
+  /** Returns the earliest end of a back-off among the upstreams of a service
+     that are not leaving; none if one of them has no back-off or there is none.
+   */
+  [[nodiscard]] auto EarliestReturn(std::string_view service, Instant now) const
+      -> std::optional<Instant>;
+
   [[nodiscard]] auto size() const -> std::size_t { return this->by_id.size(); }
 
  private:
@@ -72,11 +92,28 @@
     Instant removed_at{};  ///< When a suspect upstream is removed.
   };
 
+  /** What a process said about itself. */
+  struct Notice {
+    std::int64_t started_at_ms = 0;  ///< Identifies the process.
+    bool leaving = false;
+    Instant back_off_until{};
+    Instant noticed_at{};
+  };
+
   auto Erase(const std::string& id) -> void;
+  /** Returns the notice of the upstream's process, a new one if there is none.
+   */
+  auto NoticeOf(const UpstreamState& upstream, Instant now) -> Notice&;
+  static auto ApplyNotice(const Notice& notice, UpstreamState& upstream)
+      -> void;
+  /** Returns the state of the listed upstream that is the same process as
+     `upstream`, which may have been listed earlier; null if there is none. */
+  [[nodiscard]] auto FindProcess(const UpstreamState& upstream) const -> State;
 
   OnUnavailable on_unavailable;
   std::unordered_map<std::string, Entry> by_id;
   std::unordered_map<std::string, std::vector<State>> by_service;
+  std::unordered_map<std::string, Notice> notices;  ///< By id.
   Instant suspect_until{};
 };
 
--- a/modules/al_gateway/upstreams/upstream_state.cc
+++ b/modules/al_gateway/upstreams/upstream_state.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 #include <utility>
 
 namespace auburnloft::gateway {
@@ -25,6 +26,11 @@
    outlier and gets the same back-off. */
 constexpr int kFailuresBeforeBackOff = 4;
 
+/** After a back-off, the limit of open requests grows by one in each step, and
+   ends after the last. */
+constexpr Duration kReturnStep = std::chrono::milliseconds(100);
+constexpr int kReturnSteps = 20;
+
 auto Decayed(double value, Instant since, Instant now) -> double {
   return value * std::exp(-ToSeconds(now - since) / kDecaySeconds);
 }
@@ -39,6 +45,8 @@
     this->failures_in_row = 0;
     this->blocked_until = Instant();
     this->is_replaced = false;
+    this->said_leaving = false;
+    this->back_off_until = Instant();
   }
   this->newest_record = std::move(record);
   this->removed = false;
@@ -91,6 +99,12 @@
   }
 }
 
+auto UpstreamState::OpenLimit(Instant now) const -> int {
+  const auto steps = (now - this->back_off_until) / kReturnStep;
+  return steps >= kReturnSteps ? std::numeric_limits<int>::max()
+                               : 1 + static_cast<int>(steps);
+}
+
 auto UpstreamState::ExcessLatency(Instant now) const -> Duration {
   constexpr double kMicrosPerSecond = 1e6;
   return Duration(static_cast<std::int64_t>(
--- a/modules/al_gateway/upstreams/upstream_state.h
+++ b/modules/al_gateway/upstreams/upstream_state.h
@@ -40,6 +40,15 @@
   /** Marks the upstream as removed; it gets no new requests. */
   auto MarkRemoved() -> void { this->removed = true; }
 
+  /** Marks the upstream as leaving by its own word; it gets no new requests
+     until a restart, whatever its record says. */
+  auto MarkLeaving() -> void { this->said_leaving = true; }
+
+  /** Sets until when the upstream wants no requests. It gets few at a time
+     right after that, so that the routers it told the same do not return
+     together. */
+  auto SetBackOff(Instant until) -> void { this->back_off_until = until; }
+
   /** Sets whether its record may have expired only because of an outage of the
      log service; the upstream may still run. */
   auto SetSuspect(bool is_suspect) -> void { this->suspect = is_suspect; }
@@ -72,8 +81,18 @@
   }
   /** Returns whether it can get new requests. */
   [[nodiscard]] auto is_usable(Instant now) const -> bool {
-    return !this->newest_record.leaving && !this->removed &&
-           !this->is_replaced && now >= this->blocked_until;
+    return this->is_serving() && !this->is_replaced &&
+           now >= this->blocked_until && now >= this->back_off_until &&
+           this->open < this->OpenLimit(now);
+  }
+  /** Returns whether it is listed, and neither its record nor its own word says
+     that it is leaving. */
+  [[nodiscard]] auto is_serving() const -> bool {
+    return !this->newest_record.leaving && !this->said_leaving &&
+           !this->removed;
+  }
+  [[nodiscard]] auto back_off_ends_at() const -> Instant {
+    return this->back_off_until;
   }
   [[nodiscard]] auto is_removed() const -> bool { return this->removed; }
   [[nodiscard]] auto is_suspect() const -> bool { return this->suspect; }
@@ -93,10 +112,16 @@
   [[nodiscard]] auto FailureRate(Instant now) const -> double;
 
  private:
+  /** Returns the limit of this router's open requests, which grows after a
+     back-off. */
+  [[nodiscard]] auto OpenLimit(Instant now) const -> int;
+
   UpstreamRecord newest_record;
   bool removed = false;
   bool suspect = false;
-  bool is_replaced = false;  ///< Until a restart or a new address.
+  bool is_replaced = false;   ///< Until a restart or a new address.
+  bool said_leaving = false;  ///< As above.
+  Instant back_off_until{};
   int open = 0;
   std::uint64_t prefill = 0;
   double excess_seconds = 0.0;
--- a/programs/gateway/gateway_metrics.cc
+++ b/programs/gateway/gateway_metrics.cc
@@ -25,6 +25,8 @@
                  this->sends);
   AppendCounters(text, "auburnloft_prompt_quarantine_total", "change",
                  this->prompt_changes);
+  AppendCounters(text, "auburnloft_upstream_notices_total", "notice",
+                 this->upstream_notices);
   text += this->first_byte.ToPrometheus("auburnloft_first_byte_seconds", "");
   return text;
 }
--- a/programs/gateway/gateway_metrics.h
+++ b/programs/gateway/gateway_metrics.h
@@ -32,6 +32,11 @@
     ++this->sends[std::string(result)];
   }
 
+  /** Counts what an upstream newly said about itself, such as `leaving`. */
+  auto CountUpstreamNotice(std::string_view notice) -> void {
+    ++this->upstream_notices[std::string(notice)];
+  }
+
   /** Counts a change of a prompt part's quarantine. */
   auto CountPromptChange(std::string_view change) -> void {
     ++this->prompt_changes[std::string(change)];
@@ -49,6 +54,7 @@
   std::map<std::string, std::uint64_t> requests;
   std::map<std::string, std::uint64_t> sends;
   std::map<std::string, std::uint64_t> prompt_changes;
+  std::map<std::string, std::uint64_t> upstream_notices;
   LatencyHistogram first_byte;
 };
 
--- a/programs/gateway/request_handler.cc
+++ b/programs/gateway/request_handler.cc
@@ -6,6 +6,7 @@
 #include "al_edge/loop/loop_timer.h"
 #include "al_gateway/limits/attempt_timeouts.h"
 #include "al_gateway/routing/admission.h"
+#include "al_gateway/upstreams/back_off.h"
 #include "platform/request_codec.h"
 
 namespace auburnloft::gateway {
@@ -189,7 +190,7 @@
 
 auto RequestHandler::OnNoUpstream() -> void {
   if (this->execution_counter.never_executed()) {
-    this->Refuse(kUnavailable, "no upstream", kUnavailableRetryAfter);
+    this->Refuse(kUnavailable, "no upstream", this->UpstreamRetryAfter());
   } else if (this->response->has_started()) {
     this->AbortStream("no upstream to go on");
   } else {
@@ -212,6 +213,7 @@
       };
   callbacks.on_head = [this](const Http1ResponseHead& head) {
     this->attempt->SetHead(head);
+    this->RecordUpstreamNotices();
     if (this->route->kind != RouteKind::kStream &&
         !this->attempt->response_metadata().not_executed) {
       this->RecordFirstByte();
@@ -224,6 +226,44 @@
   return callbacks;
 }
 
+auto RequestHandler::RecordUpstreamNotices() -> void {
+  const ResponseMetadata& head = this->attempt->response_metadata();
+  if (head.is_replaced) {
+    return;  // Another process speaks.
+  }
+  const UpstreamState& upstream = this->attempt->upstream();
+  const Instant now = this->context.loop.Now();
+  if (head.is_leaving && this->context.upstreams.RecordLeaving(upstream, now)) {
+    this->context.log.WriteLine(DecisionLog::Severity::kNotable,
+                                "upstream_leaving",
+                                {{"upstream", upstream.record().id},
+                                 {"id", this->metadata.attempt_id},
+                                 {"status", head.status}},
+                                now);
+    this->context.metrics.CountUpstreamNotice("leaving");
+  }
+  const auto until = BackOffEnd(head, now);
+  if (until && this->context.upstreams.RecordBackOff(upstream, *until, now)) {
+    this->context.log.WriteLine(DecisionLog::Severity::kNotable,
+                                "upstream_back_off",
+                                {{"upstream", upstream.record().id},
+                                 {"id", this->metadata.attempt_id},
+                                 {"status", head.status},
+                                 {"ends_in_ms", *until - now}},
+                                now);
+    this->context.metrics.CountUpstreamNotice("back_off");
+  }
+}
+
+auto RequestHandler::UpstreamRetryAfter() const -> Duration {
+  const Instant now = this->context.loop.Now();
+  const auto earliest =
+      this->context.upstreams.EarliestReturn(this->service, now);
+  return earliest ? BackOffRetryAfter(*earliest - now,
+                                      this->context.random.UniformDouble())
+                  : kUnavailableRetryAfter;
+}
+
 //==============================================================================
 // Events of the current attempt
 
@@ -359,7 +399,7 @@
   if (this->response->has_started()) {
     this->AbortStream("no upstream resumes the stream");
   } else if (this->execution_counter.never_executed()) {
-    this->Refuse(kUnavailable, "upstream is full", kUnavailableRetryAfter);
+    this->Refuse(kUnavailable, "upstream is full", this->UpstreamRetryAfter());
   } else {
     this->Refuse(kBadGateway, "upstream is full after a failure", Duration(0));
   }
--- a/programs/gateway/request_handler.h
+++ b/programs/gateway/request_handler.h
@@ -60,6 +60,11 @@
   [[nodiscard]] auto MakeCallbacks()
       -> Http1ClientConnection::ExchangeCallbacks;
 
+  /** Records what the upstream says about itself in the head of a response. */
+  auto RecordUpstreamNotices() -> void;
+  /** Returns when a request that no upstream takes may come back. */
+  [[nodiscard]] auto UpstreamRetryAfter() const -> Duration;
+
   // Events of the current attempt.
   auto OnBody(const std::string& bytes) -> void;
   auto ForwardEvents(std::string_view whole_events) -> void;
