--- a/programs/ctl/commands.cc
+++ b/programs/ctl/commands.cc
@@ -336,7 +336,8 @@
          "unknown resolve TEAM KEY ran|not-run --reason TEXT | "
          "state ADDRESS | drain ADDRESS --admin-key KEY; "
          "for gateway fleets, with --log-address: fleet balances | "
-         "fleet routers; from decision logs: explain ID FILE...";
+         "fleet routers | fleet release-part PART; from decision logs: explain "
+         "ID FILE...";
 }
 
 auto RunCommand(Words words, const SettingsReader& settings) -> CtlExit {
--- a/programs/ctl/fleet_commands.cc
+++ b/programs/ctl/fleet_commands.cc
@@ -8,6 +8,7 @@
 #include "ctl/explanation.h"
 #include "ctl/fleet_reader.h"
 #include "ctl/fleet_view.h"
+#include "ctl/prompt_release.h"
 
 namespace auburnloft {
 
@@ -15,13 +16,22 @@
 
 using Words = std::span<const std::string>;
 
-/** Prints the balances or the routers of a fleet. */
-auto ShowFleet(bool show_balances, const SettingsReader& settings) -> CtlExit {
-  const std::string address = settings.Text("log-address");
+/** Returns the address of the fleet's log service; empty, with the reason on
+    standard error, if none is set. */
+auto LogAddress(const SettingsReader& settings) -> std::string {
+  std::string address = settings.Text("log-address");
   if (address.empty()) {
     std::cerr
         << "--log-address or AUBURNLOFT_LOG_ADDRESS: this command requires "
            "an address\n";
+  }
+  return address;
+}
+
+/** Prints the balances or the routers of a fleet. */
+auto ShowFleet(bool show_balances, const SettingsReader& settings) -> CtlExit {
+  const std::string address = LogAddress(settings);
+  if (address.empty()) {
     return CtlExit::kError;
   }
   FleetView view;
@@ -36,6 +46,14 @@
   return CtlExit::kDone;
 }
 
+/** Releases a quarantined prompt part at all routers. */
+auto ReleasePart(const std::string& part, const SettingsReader& settings)
+    -> CtlExit {
+  const std::string address = LogAddress(settings);
+  return !address.empty() && ReleasePromptPart(address, part) ? CtlExit::kDone
+                                                              : CtlExit::kError;
+}
+
 /** Prints the explanation of one request from decision logs. */
 auto Explain(const std::string& id, Words files) -> CtlExit {
   Explanation explanation(id);
@@ -68,6 +86,9 @@
       (words[1] == "balances" || words[1] == "routers")) {
     return ShowFleet(words[1] == "balances", settings);
   }
+  if (words.size() == 3 && words[0] == "fleet" && words[1] == "release-part") {
+    return ReleasePart(words[2], settings);
+  }
   if (words.size() >= 3 && words[0] == "explain") {
     return Explain(words[1], words.subspan(2));
   }
--- a/tests/gateway/prompt_quarantine_test.cc
+++ b/tests/gateway/prompt_quarantine_test.cc
@@ -7,6 +7,7 @@
 
 #include "al_core/random/random_source.h"
 #include "al_gateway/al_gateway.h"
+#include "ctl/prompt_release.h"
 #include "gateway/fleet_records.h"
 #include "support/test_harness.h"
 
@@ -83,6 +84,20 @@
     return count;
   }
 
+  /** Writes a record, which all routers read. */
+  auto Write(const KeyedRecord& record) -> void {
+    this->record_bytes += record.value ? record.value->size() : 0;
+    std::erase_if(this->records, [&record](const KeyedRecord& old) {
+      return old.key == record.key;
+    });
+    this->records.push_back(record);
+    if (const auto report = ReadPromptReport(record, false, this->now)) {
+      for (const auto& router : this->routers) {
+        router->Apply(*report, this->now);
+      }
+    }
+  }
+
   /** Replaces a router by a new process, which first reads all reports. */
   auto Restart(int router) -> void {
     const auto index = static_cast<std::size_t>(router);
@@ -117,16 +132,7 @@
       }
     }
     for (const KeyedRecord& record : written) {
-      this->record_bytes += record.value ? record.value->size() : 0;
-      std::erase_if(this->records, [&record](const KeyedRecord& old) {
-        return old.key == record.key;
-      });
-      this->records.push_back(record);
-      if (const auto report = ReadPromptReport(record, false, this->now)) {
-        for (const auto& router : this->routers) {
-          router->Apply(*report, this->now);
-        }
-      }
+      this->Write(record);
     }
   }
 
@@ -263,6 +269,20 @@
   CHECK_EQUAL(8, this->fleet.SendingRouters({"base", "dead"}));
 }
 
+// Guards against an operator who cannot free a part: the record that
+// `auburnloft-ctl fleet release-part` writes releases it at all routers, and a
+// router that starts later does not adopt the quarantine again.
+TEST(PromptQuarantine, IsReleasedByAnOperator) {
+  this->fleet.Succeed(4, {"base", "sound"});
+  this->QuarantineDead();
+  this->fleet.Write(MakePromptRelease("dead", this->fleet.now));
+  this->fleet.Advance(milliseconds(100));
+  CHECK_EQUAL(8, this->fleet.SendingRouters({"base", "dead"}));
+  this->fleet.Advance(seconds(2));
+  this->fleet.Restart(2);
+  CHECK_TRUE(this->fleet.Sends(2, {"base", "dead"}));
+}
+
 // Guards against a restarted router that sends a quarantined part again, and
 // against one that takes old records for news.
 TEST(PromptQuarantine, IsKnownToARestartedRouter) {
