Hold suspect parts of prompts back while evidence settles

Cause: with 15 in 100 of a resumable kind deadly, eight of twelve engines crashed in 0.6 s, while failures count only after 1.3 s. Change: a part that was at three upstreams without a success is refused, not retried, until its last failure has settled; failures are reported at once rather than with the next tick; crashes count as separate from 0.5 s on (0.7 s). Test: PromptQuarantine.HoldsASuspectBackWhileEvidenceSettles (new function).

--- a/modules/al_gateway/prompts/prompt_evidence.cc
+++ b/modules/al_gateway/prompts/prompt_evidence.cc
@@ -25,8 +25,9 @@
 constexpr int kMinCrashes = 3;
 
 /** Crashes within this time count once, as those of a rack do: a part that many
-   requests share waits at several upstreams at any time. */
-constexpr Duration kSameTime = std::chrono::milliseconds(700);
+   requests share waits at several upstreams at any time. Other routers' reports
+   are read each 400 ms, so that the times of what they tell vary by as much. */
+constexpr Duration kSameTime = std::chrono::milliseconds(500);
 
 /** More upstreams than those of a rack count although they crash together. */
 constexpr int kMinUpstreamsAtSameTime = 5;
@@ -240,15 +241,14 @@
   return found == suspects.end() ? std::nullopt : std::optional(*found);
 }
 
-auto PromptEvidence::IsSuspect(std::span<const std::string> parts,
-                               const std::set<std::string>& known) const
-    -> bool {
-  const std::vector<Suspect> suspects =
+auto PromptEvidence::FindUnconfirmed(const std::set<std::string>& known) const
+    -> std::vector<Suspect> {
+  std::vector<Suspect> suspects =
       this->FindSuspects(known, Instant::max(), ClearedBy::kAll);
-  return std::ranges::any_of(suspects, [parts](const Suspect& suspect) {
-    return suspect.upstreams >= kMinCrashes &&
-           std::ranges::find(parts, suspect.part) != parts.end();
+  std::erase_if(suspects, [](const Suspect& suspect) {
+    return suspect.upstreams < kMinCrashes;
   });
+  return suspects;
 }
 
 auto PromptEvidence::NewestFailure() const -> Instant {
--- a/modules/al_gateway/prompts/prompt_evidence.h
+++ b/modules/al_gateway/prompts/prompt_evidence.h
@@ -98,11 +98,11 @@
   [[nodiscard]] auto FindSuspect(const std::set<std::string>& known,
                                  Instant until) const -> std::optional<Suspect>;
 
-  /** Returns whether one of `parts` was at three upstreams that ended a request
-     with it, and no part of `known` explains them. */
-  [[nodiscard]] auto IsSuspect(std::span<const std::string> parts,
-                               const std::set<std::string>& known) const
-      -> bool;
+  /** Returns the parts that were at three upstreams or more that ended a
+     request with them, and which no part of `known` explains: they may be at
+     fault. */
+  [[nodiscard]] auto FindUnconfirmed(const std::set<std::string>& known) const
+      -> std::vector<Suspect>;
 
   /** Returns when the newest failure happened; Instant::min() if none. */
   [[nodiscard]] auto NewestFailure() const -> Instant;
--- a/modules/al_gateway/prompts/prompt_quarantine.cc
+++ b/modules/al_gateway/prompts/prompt_quarantine.cc
@@ -29,7 +29,8 @@
 constexpr Duration kReportEvaluationInterval = std::chrono::milliseconds(50);
 constexpr Duration kSettlingEvaluationInterval = std::chrono::milliseconds(200);
 
-/** Retry-After while a trial is due or under way. */
+/** Retry-After while a trial is due or under way, or the evidence is settling.
+ */
 constexpr Duration kMinRetryAfter = std::chrono::seconds(1);
 
 /** Bounds of a prompt that is tracked, and of a report. A part with a longer id
@@ -166,11 +167,15 @@
 auto PromptQuarantine::Check(std::span<const PromptPart> parts,
                              const RunsTrials& runs_trials,
                              Instant now) const -> Decision {
-  if (this->by_part.empty()) {
+  if (this->by_part.empty() && this->held_until.empty()) {
     return {};
   }
   Decision decision;
   for (const std::string& part : TrackedParts(parts)) {
+    const auto held = this->held_until.find(part);
+    if (held != this->held_until.end() && now < held->second) {
+      return {false, part, false, std::max(kMinRetryAfter, held->second - now)};
+    }
     const auto found = this->by_part.find(part);
     if (found == this->by_part.end()) {
       continue;
@@ -194,11 +199,9 @@
 auto PromptQuarantine::MayRetry(std::span<const PromptPart> parts) const
     -> bool {
   const std::vector<std::string> tracked = TrackedParts(parts);
-  return std::ranges::none_of(tracked,
-                              [this](const std::string& part) {
-                                return this->by_part.contains(part);
-                              }) &&
-         !this->evidence.IsSuspect(tracked, this->KnownParts());
+  return std::ranges::none_of(tracked, [this](const std::string& part) {
+    return this->by_part.contains(part) || this->held_until.contains(part);
+  });
 }
 
 auto PromptQuarantine::quarantines() const
@@ -228,6 +231,7 @@
   this->ApplyTrialFailures(now);
   this->ReleaseByEvidence(now);
   this->QuarantineSuspects(now);
+  this->HoldBackUnconfirmed();
 }
 
 auto PromptQuarantine::ApplyTrialFailures(Instant now) -> void {
@@ -289,6 +293,14 @@
   }
 }
 
+auto PromptQuarantine::HoldBackUnconfirmed() -> void {
+  this->held_until.clear();
+  for (const PromptEvidence::Suspect& suspect :
+       this->evidence.FindUnconfirmed(this->KnownParts())) {
+    this->held_until[suspect.part] = suspect.last_at + kSettlingTime;
+  }
+}
+
 auto PromptQuarantine::AdoptQuarantines(const PromptReport& report, Instant now)
     -> void {
   for (const PromptReport::Quarantine& reported : report.quarantines) {
--- a/modules/al_gateway/prompts/prompt_quarantine.h
+++ b/modules/al_gateway/prompts/prompt_quarantine.h
@@ -22,7 +22,8 @@
    keeps requests with such a part from the upstreams (a "poison pill"
    quarantine).
 
-    A part is quarantined once it was in failed requests of several upstreams
+    A part that was at three upstreams which crashed is held back for a moment.
+   It is quarantined once it was in failed requests of several upstreams
    (see PromptEvidence), unless a success clears it or a part that is already
    quarantined explains the crashes. A failure counts after a delay, in which
    the other routers report successes. Routers exchange reports, so that the
@@ -61,7 +62,7 @@
   /** Whether a request may be sent. */
   struct Decision {
     bool is_allowed = true;
-    std::string part;         ///< The quarantined part, also of a trial.
+    std::string part;         ///< Quarantined, also in a trial, or held back.
     bool is_trial = false;    ///< Allowed as a trial of `part`.
     Duration retry_after{0};  ///< If it is not allowed.
   };
@@ -115,7 +116,7 @@
                            Instant now) const -> Decision;
 
   /** Returns whether a request that failed may be sent again: not if one of its
-     parts would be quarantined, should its failures be confirmed. */
+     parts is quarantined or may be at fault. */
   [[nodiscard]] auto MayRetry(std::span<const PromptPart> parts) const -> bool;
 
   /** The parts in quarantine, with their state. */
@@ -132,6 +133,7 @@
 
   [[nodiscard]] auto KnownParts() const -> std::set<std::string>;
   auto ApplyTrialFailures(Instant now) -> void;
+  auto HoldBackUnconfirmed() -> void;
   auto ReleaseByEvidence(Instant now) -> void;
   auto QuarantineSuspects(Instant now) -> void;
   auto AdoptQuarantines(const PromptReport& report, Instant now) -> void;
@@ -144,6 +146,7 @@
   OnChange on_change;
   PromptEvidence evidence;
   std::map<std::string, State> by_part;
+  std::map<std::string, Instant> held_until;  ///< Parts that may be at fault.
   std::map<std::string, Instant> reported_successes;  ///< Of this router.
   PromptReport last_report;
   Instant evaluated_at{};
--- a/programs/ctl/explanation.cc
+++ b/programs/ctl/explanation.cc
@@ -33,7 +33,7 @@
 };
 
 constexpr std::array<Cause, 21> kCauses = {{
-    {"a part of the prompt is quarantined",
+    {"a part of the prompt crashes upstreams",
      "requests with the part crashed several upstreams, and none with it was "
      "answered since; with status 503 the request was not executed"},
     {"budget spent",
--- a/programs/gateway/gateway_context.h
+++ b/programs/gateway/gateway_context.h
@@ -1,6 +1,7 @@
 #ifndef GATEWAY_GATEWAY_CONTEXT_H_
 #define GATEWAY_GATEWAY_CONTEXT_H_
 
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -42,6 +43,7 @@
   std::shared_ptr<std::vector<std::shared_ptr<void>>> ended_handlers =
       std::make_shared<std::vector<std::shared_ptr<void>>>();
   PromptQuarantine::RunsTrials runs_prompt_trials;
+  std::function<void()> report_prompts;  ///< Writes news about prompts soon.
   RateMeter request_rate;       ///< Requests that callers send to this router.
   double close_fraction = 0.0;  ///< Of responses, after which the connection is
                                 ///< closed.
--- a/programs/gateway/gateway_daemon.cc
+++ b/programs/gateway/gateway_daemon.cc
@@ -169,6 +169,7 @@
   this->context.runs_prompt_trials = [this](std::string_view part) {
     return this->fleet_topic.RunsTrials(part);
   };
+  this->context.report_prompts = [this] { this->fleet_topic.ScheduleWrite(); };
   this->reservations.SetIsBudgetExhausted(
       [this](const std::string& team, std::uint64_t tokens) {
         return this->allowance_manager.IsBudgetExhausted(
--- a/programs/gateway/request_handler.cc
+++ b/programs/gateway/request_handler.cc
@@ -448,6 +448,7 @@
   this->context.prompts.RecordFailure(
       upstream.id + "@" + std::to_string(upstream.started_at_ms),
       this->metadata.generation->parts, now);
+  this->context.report_prompts();
 }
 
 auto RequestHandler::OnAttemptTimeout() -> void {
@@ -495,7 +496,7 @@
   if (decision.is_allowed) {
     return false;
   }
-  constexpr std::string_view kWhy = "a part of the prompt is quarantined";
+  constexpr std::string_view kWhy = "a part of the prompt crashes upstreams";
   this->context.log.WriteLine(DecisionLog::Severity::kNotable, "prompt_refused",
                               {{"id", this->metadata.attempt_id},
                                {"part", decision.part},
--- a/tests/gateway/prompt_quarantine_test.cc
+++ b/tests/gateway/prompt_quarantine_test.cc
@@ -233,6 +233,21 @@
   CHECK_EQUAL(8, this->fleet.SendingRouters({"bystander"}));
 }
 
+// Guards against engines that all crash while the routers still make sure: a
+// part that was at three of them is held back at once, for a moment, even if
+// the crashes turn out to be those of one rack.
+TEST(PromptQuarantine, HoldsASuspectBackWhileEvidenceSettles) {
+  for (int engine = 0; engine < 3; ++engine) {
+    this->fleet.Fail(1, "engine-" + std::to_string(engine), {"base", "dead"});
+  }
+  CHECK_FALSE(this->fleet.Sends(1, {"base", "dead"}));
+  CHECK_FALSE(this->fleet.At(1).MayRetry(Prompt({"base", "dead"})));
+  this->fleet.Advance(milliseconds(600));
+  CHECK_EQUAL(0, this->fleet.SendingRouters({"base", "dead"}));
+  this->fleet.Advance(seconds(2));
+  CHECK_EQUAL(8, this->fleet.SendingRouters({"base", "dead"}));
+}
+
 // Guards against two deadly parts that hide each other.
 TEST(PromptQuarantine, FindsSeveralDeadlyParts) {
   for (int crash = 0; crash < 4; ++crash) {
