Stand-in upstreams that are busy, say that they leave, or crash on a part

The words busy (503 with Retry-After) and deadly (all streams are reset when one with the part would begin) for the stand-in, and the leaving header on all responses of one that drains. Two session tests use them.

--- a/standins/wire/wire_upstream.cc
+++ b/standins/wire/wire_upstream.cc
@@ -14,13 +14,11 @@
 
 namespace {
 
-auto HeadFor(int status, std::string_view id) -> Http1ResponseHead {
-  Http1ResponseHead head;
-  head.status = status;
-  head.reason = "Answer";
-  head.fields.Add(platform::kAttemptIdHeader, id);
-  return head;
-}
+/** Value of Retry-After of a busy upstream, in seconds. */
+constexpr std::string_view kBusySeconds = "2";
+
+/** The prompt part that crashes an upstream with the fault kDeadlyPart. */
+constexpr std::string_view kDeadlyPartPrefix = "dead:";
 
 }  // namespace
 
@@ -28,6 +26,7 @@
 struct WireUpstream::Stream {
   Session session;
   std::uint64_t next = 1;
+  bool has_deadly_part = false;
   std::unique_ptr<LoopTimer> timer;
 };
 
@@ -76,9 +75,12 @@
     session->Respond(HeadFor(421, id), {});
     return;
   }
-  if (this->fault == Fault::kFull) {
+  if (this->fault == Fault::kFull || this->fault == Fault::kBusy) {
     Http1ResponseHead head = HeadFor(503, id);
     head.fields.Add(platform::kNotExecutedHeader, "1");
+    if (this->fault == Fault::kBusy) {
+      head.fields.Add("Retry-After", kBusySeconds);
+    }
     session->Respond(head, {});
     return;
   }
@@ -100,20 +102,40 @@
     const std::string_view text =
         request.fields.Find(platform::kLastEventHeader).value_or("0");
     std::from_chars(text.data(), text.data() + text.size(), from);
-    this->StartStream(session, id, from + 1);
+    this->StartStream(session, request, from + 1);
   } else {
     this->SendPlainResponse(session, id);
   }
 }
 
+auto WireUpstream::HeadFor(int status, std::string_view id) const
+    -> Http1ResponseHead {
+  Http1ResponseHead head;
+  head.status = status;
+  head.reason = "Answer";
+  head.fields.Add(platform::kAttemptIdHeader, id);
+  if (this->drain_requested) {
+    head.fields.Add(platform::kLeavingHeader, "1");
+  }
+  return head;
+}
+
+auto WireUpstream::Crash() -> void {
+  for (const auto& stream : std::exchange(this->streams, {})) {
+    stream->session->Abort();
+  }
+}
+
 auto WireUpstream::OnFaults(const Session& session, const std::string& word)
     -> void {
   struct Named {
     std::string_view word;
     Fault fault;
   };
-  constexpr std::array<Named, 7> kFaults = {{{"none", Fault::kNone},
+  constexpr std::array<Named, 9> kFaults = {{{"none", Fault::kNone},
                                              {"full", Fault::kFull},
+                                             {"busy", Fault::kBusy},
+                                             {"deadly", Fault::kDeadlyPart},
                                              {"lost", Fault::kResponseLost},
                                              {"breaks", Fault::kBreaksStream},
                                              {"extra", Fault::kWrongAttemptId},
@@ -138,8 +160,10 @@
 }
 
 auto WireUpstream::StartStream(const Session& session,
-                               const std::string& id,
+                               const Http1Request& request,
                                std::uint64_t from) -> void {
+  const std::string id(
+      request.fields.Find(platform::kAttemptIdHeader).value_or(""));
   Http1ResponseHead head = HeadFor(200, id);
   head.fields.Add(platform::kSealHeader, "seal-" + id);
   head.fields.Add("Content-Type", "text/event-stream");
@@ -147,6 +171,10 @@
   auto stream = std::make_unique<Stream>();
   stream->session = session;
   stream->next = from;
+  stream->has_deadly_part =
+      request.fields.Find(platform::kPromptHeader)
+          .value_or("")
+          .find(kDeadlyPartPrefix) != std::string_view::npos;
   stream->timer = std::make_unique<LoopTimer>(
       this->poller.loop(),
       [this, started = stream.get()] { this->SendEvent(*started); });
@@ -157,6 +185,10 @@
 }
 
 auto WireUpstream::SendEvent(Stream& stream) -> void {
+  if (this->fault == Fault::kDeadlyPart && stream.has_deadly_part) {
+    this->Crash();
+    return;
+  }
   if (this->fault == Fault::kBreaksStream && stream.next == 2) {
     const Session session = stream.session;
     session->Send("id: 2\nda");
--- a/standins/wire/wire_upstream.h
+++ b/standins/wire/wire_upstream.h
@@ -22,9 +22,9 @@
     with an event stream and to any other request with a plain response, and
     records the attempts it executed.
 
-    `POST /faults` takes one of the words `none`, `full`, `lost`, `breaks`,
-    `extra`, `fails` and `silent` for the values of Fault, or `leaving` to start
-    draining.
+    `POST /faults` takes one of the words `none`, `full`, `busy`, `lost`,
+    `breaks`, `extra`, `fails`, `silent` and `deadly` for the values of Fault,
+   or `leaving` to start draining; all responses say so from then on.
 
     Thread safety: none; used on the event loop's thread.
 */
@@ -44,11 +44,14 @@
   enum class Fault {
     kNone,
     kFull,            ///< Refuses and states that it did not execute.
+    kBusy,            ///< As kFull, and wants no requests for two seconds.
     kResponseLost,    ///< Executes, and closes without a response.
     kBreaksStream,    ///< Closes in the middle of event 2 of a stream.
     kWrongAttemptId,  ///< Plain responses carry another attempt's id.
     kFails,           ///< Executes, and responds with status 500.
     kSilent,          ///< Executes, and never responds.
+    kDeadlyPart,      ///< Resets all streams when one with the prompt part
+                      ///< `dead` is to begin, as a crash does.
   };
 
   WireUpstream(SocketPoller& poller, Settings settings);
@@ -107,9 +110,13 @@
 
   auto OnRequest(const Session& session, const Http1Request& request) -> void;
   auto OnFaults(const Session& session, const std::string& word) -> void;
+  [[nodiscard]] auto HeadFor(int status, std::string_view id) const
+      -> Http1ResponseHead;
+  /** Resets the connections of all streams. */
+  auto Crash() -> void;
   auto SendPlainResponse(const Session& session, const std::string& id) -> void;
   auto StartStream(const Session& session,
-                   const std::string& id,
+                   const Http1Request& request,
                    std::uint64_t from) -> void;
   auto SendEvent(Stream& stream) -> void;
   auto RemoveStream(const Stream* stream) -> void;
--- a/tests/gateway/gateway_session_test.cc
+++ b/tests/gateway/gateway_session_test.cc
@@ -205,6 +205,46 @@
   CHECK_EQUAL(0, this->fixture.service_1->executions().size());
 }
 
+// An upstream that is busy names a time, in which the router tries it no more.
+TEST(GatewaySessions, KeepsAwayFromUpstreamsThatAreBusy) {
+  this->fixture.Publish(1, 10'000);
+  this->fixture.service_1->SetFault(WireUpstream::Fault::kBusy);
+  this->fixture.service_2->SetFault(WireUpstream::Fault::kBusy);
+  GatewayFixture::Call call;
+  call.id = "a1";
+  const auto first = this->fixture.Send(call);
+  CHECK_EQUAL(503, first.status);
+  CHECK_TRUE(std::stod(first.retry_after) > 1.5);
+  this->fixture.service_1->SetFault(WireUpstream::Fault::kNone);
+  call.id = "a2";
+  CHECK_EQUAL(503, this->fixture.Send(call).status);
+  CHECK_TRUE(this->fixture.service_1->executions().empty());
+}
+
+// A part of a prompt ends both engines, and the streams that run there: the
+// stand-in crashes as the users' engines do.
+TEST(GatewaySessions, LosesAllStreamsOfAnEngineThatCrashesOnAPart) {
+  this->fixture.Publish(1, 10'000'000);
+  for (auto* const engine :
+       {this->fixture.engine_1.get(), this->fixture.engine_2.get()}) {
+    engine->SetPace(milliseconds(20), milliseconds(200));
+    engine->SetFault(WireUpstream::Fault::kDeadlyPart);
+  }
+  GatewayFixture::Call call;
+  call.id = "a1";
+  call.path = "/draft/";
+  call.tokens = "10,20";
+  const auto sound = this->fixture.StartSending(call);
+  this->fixture.RunFor(milliseconds(100));
+  call.id = "a2";
+  call.path = "/ask/";
+  call.prompt_parts = "aa:5,dead:5,own:5";
+  CHECK_EQUAL(502, this->fixture.Send(call).status);
+  this->fixture.RunFor(milliseconds(100));
+  CHECK_TRUE(sound->ended);
+  CHECK_FALSE(sound->complete);
+}
+
 TEST(GatewaySessions, ExcludesAnAddressWhereAnotherUpstreamResponds) {
   this->fixture.Publish(1, 1'000);
   // The record names an id other than that of the process at its address.
