--- a/modules/al_gateway/prompts/prompt_evidence.cc
+++ b/modules/al_gateway/prompts/prompt_evidence.cc
@@ -222,10 +222,11 @@
   for (const Suspect& suspect :
        this->FindSuspects(known, Instant::max(), ClearedBy::kReported)) {
     const Successes last = this->SuccessesOf(suspect.part);
-    const bool clears = last.own >= suspect.first_at - kSuccessValidity;
-    const bool is_news = last.reported == Instant::min() ||
-                         last.own - last.reported >= kReportedSuccessInterval;
-    if (clears && is_news) {
+    if (last.own < suspect.first_at - kSuccessValidity) {
+      continue;  // It clears the part of nothing.
+    }
+    if (last.reported == Instant::min() ||
+        last.own - last.reported >= kReportedSuccessInterval) {
       found.push_back({suspect.part, last.own});
     }
   }
--- a/modules/al_gateway/prompts/prompt_quarantine.cc
+++ b/modules/al_gateway/prompts/prompt_quarantine.cc
@@ -39,9 +39,10 @@
 constexpr std::size_t kMaxPartBytes = 64;
 constexpr std::size_t kMaxReported = 64;
 
+/** Returns the ids of the parts that are tracked. The last part of a prompt is
+   not: it belongs to one request or session, while others share the rest. */
 auto TrackedParts(std::span<const PromptPart> parts)
     -> std::vector<std::string> {
-  // The last part belongs to one request or session; others share the rest.
   const std::size_t shared = parts.empty() ? 0 : parts.size() - 1;
   std::vector<std::string> tracked;
   for (const PromptPart& part : parts.first(std::min(shared, kMaxParts))) {
@@ -136,15 +137,6 @@
   }
 }
 
-auto PromptQuarantine::Release(const std::string& part, Instant now) -> bool {
-  if (!this->by_part.contains(part)) {
-    return false;
-  }
-  this->evidence.RecordOwnSuccess(part, now);
-  this->Evaluate(now);
-  return true;
-}
-
 auto PromptQuarantine::TakeReport(bool only_news, Instant now)
     -> std::optional<PromptReport> {
   this->Update(now);
--- a/modules/al_gateway/prompts/prompt_quarantine.h
+++ b/modules/al_gateway/prompts/prompt_quarantine.h
@@ -98,9 +98,6 @@
   /** Records that a trial of `part` was sent; others wait for its outcome. */
   auto BeginTrial(const std::string& part, Instant now) -> void;
 
-  /** Releases a part by hand. @return false if it is not quarantined. */
-  auto Release(const std::string& part, Instant now) -> bool;
-
   /** Returns this router's report if it differs from the last one returned, and
      marks it as returned. It is empty if there is nothing left to tell.
       @param only_news  returns none if the report has only become shorter. */
--- a/programs/gateway/request_handler.cc
+++ b/programs/gateway/request_handler.cc
@@ -428,7 +428,8 @@
 
 auto RequestHandler::RecordPromptFailure() -> void {
   const Instant now = this->context.loop.Now();
-  if (!this->metadata.generation || this->event_splitter.has_event() ||
+  if (!this->metadata.generation || this->attempt->has_begun() ||
+      this->event_splitter.has_event() ||
       now - this->attempt->sent_at() < kMinTimeToFirstToken) {
     return;
   }
--- a/programs/gateway/upstream_attempt.h
+++ b/programs/gateway/upstream_attempt.h
@@ -78,6 +78,9 @@
   }
   [[nodiscard]] auto sent_at() const -> Instant { return this->started_at; }
 
+  /** Returns whether RecordFirstByte() was called. */
+  [[nodiscard]] auto has_begun() const -> bool { return this->has_first_byte; }
+
  private:
   GatewayContext& context;
   UpstreamChoice chosen;
