--- a/modules/al_gateway/prompts/prompt_evidence.cc
+++ b/modules/al_gateway/prompts/prompt_evidence.cc
@@ -19,9 +19,9 @@
 constexpr int kMinUpstreamsOfSuspect = 2;
 constexpr Duration kReportedSuccessInterval = std::chrono::milliseconds(1'000);
 
-/** Upstreams from which on a request is not retried and its part is
-   quarantined. Two may be chance: the upstream of a retry may crash for its own
-   reasons. */
+/** Crashes from which on a part is quarantined, and upstreams from which on it
+   is held back until then. Two may be chance: the upstream of a retry may crash
+   for its own reasons. */
 constexpr int kMinCrashes = 3;
 
 /** Crashes within this time count once, as those of a rack do: a part that many
@@ -37,8 +37,8 @@
    some. */
 constexpr int kMaxCrashesPerExplained = 4;
 
-/** Maximum number of failures of all routers: twice what 16 crashes of engines
-   with 16 waiting requests each leave behind. */
+/** Maximum number of failures of all routers: what 32 crashes of engines with
+   16 waiting requests each leave behind. */
 constexpr std::size_t kMaxFailures = 512;
 
 /** Number of parts from which old successes are dropped. */
--- a/modules/al_gateway/prompts/prompt_evidence.h
+++ b/modules/al_gateway/prompts/prompt_evidence.h
@@ -17,7 +17,7 @@
 namespace auburnloft::gateway {
 
 /** Failures and successes of prompt parts, of this router and of others, and
-   which part explains the failures best.
+   which part explains the failures best. Used by PromptQuarantine.
 
     A part that crashes each upstream which begins to answer it never succeeds.
    So a success clears a part of all failures before it, and of those shortly
@@ -82,9 +82,9 @@
   /** Returns the last known success of `part`; Instant::min() if none. */
   [[nodiscard]] auto LastSuccess(std::string_view part) const -> Instant;
 
-  /** Returns the last success of `part` at this router, if the other routers
-     need to know it: it clears the part of failures of at least two upstreams,
-     and no success was reported shortly before it. */
+  /** Returns the last successes at this router that the other routers need to
+     know: each clears a part of failures of at least two upstreams, and no
+     success of the part was reported shortly before it. */
   [[nodiscard]] auto FindSuccessesToReport(const std::set<std::string>& known)
       const -> std::vector<PromptReport::Success>;
 
