Read and log the limit that an upstream names in its responses

The logs of the incident could not tell whether routers read the limit or each kept it for itself. A line and a counter now tell which router learned which limit when, from which response, and when it ended. Nothing acts on it yet.

--- a/modules/al_gateway/model/request_metadata.h
+++ b/modules/al_gateway/model/request_metadata.h
@@ -62,6 +62,9 @@
   std::optional<Duration> retry_after;  ///< The upstream wants no requests for
                                         ///< so long; may be below 0.
   std::optional<Instant> retry_at;      ///< As above, as a point in time.
+  std::optional<double> request_limit;  ///< Requests a second that the upstream
+                                        ///< takes from all routers together; at
+                                        ///< least 0.
   bool is_sealed = false;  ///< It carries the seal of an upstream, without
                            ///< which no success may be forwarded.
   std::optional<Duration>
--- a/programs/gateway/gateway_context.h
+++ b/programs/gateway/gateway_context.h
@@ -12,6 +12,7 @@
 #include "al_gateway/limits/rate_meter.h"
 #include "al_gateway/prompts/prompt_quarantine.h"
 #include "al_gateway/routing/route_table.h"
+#include "al_gateway/upstreams/upstream_limits.h"
 #include "al_gateway/upstreams/upstream_selector.h"
 #include "gateway/decision_log.h"
 #include "gateway/gateway_metrics.h"
@@ -29,6 +30,7 @@
   std::shared_ptr<const RouteTable>
       table;  ///< Null before the first configuration.
   UpstreamDirectory& upstreams;
+  UpstreamLimits& limits;
   UpstreamSelector& chooser;
   UpstreamConnectionPool& connections;
   FleetRetryBudget& retry_budget;
--- a/programs/gateway/gateway_daemon.cc
+++ b/programs/gateway/gateway_daemon.cc
@@ -113,6 +113,7 @@
       context{loop,
               nullptr,
               this->upstreams,
+              this->upstream_limits,
               this->chooser,
               this->connections,
               this->retry_budget,
--- a/programs/gateway/gateway_daemon.h
+++ b/programs/gateway/gateway_daemon.h
@@ -99,6 +99,7 @@
   GatewayMetrics metrics;
   UpstreamConnectionPool connections;
   UpstreamDirectory upstreams;
+  UpstreamLimits upstream_limits;
   UpstreamSelector chooser;
   FleetRetryBudget retry_budget;
   AllowanceManager allowance_manager;
--- a/programs/gateway/request_handler.cc
+++ b/programs/gateway/request_handler.cc
@@ -1,6 +1,7 @@
 #include "gateway/request_handler.h"
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 #include "al_edge/loop/loop_timer.h"
@@ -253,6 +254,34 @@
                                 now);
     this->context.metrics.CountUpstreamNotice("back_off");
   }
+  this->RecordUpstreamLimit();
+}
+
+auto RequestHandler::RecordUpstreamLimit() -> void {
+  const ResponseMetadata& head = this->attempt->response_metadata();
+  if (!head.request_limit && !head.is_sealed && !head.not_executed) {
+    return;  // Not evidently a response of the upstream itself.
+  }
+  const UpstreamRecord& upstream = this->attempt->upstream().record();
+  const Instant now = this->context.loop.Now();
+  const auto change = this->context.limits.Record(
+      {upstream.id, upstream.started_at_ms}, head.request_limit,
+      this->attempt->sent_at(), now);
+  if (change == UpstreamLimits::Change::kNone) {
+    return;
+  }
+  /** In the order of Change. */
+  constexpr std::array<std::string_view, 4> kNames = {"none", "named",
+                                                      "changed", "ended"};
+  this->context.log.WriteLine(
+      DecisionLog::Severity::kNotable, "upstream_limit",
+      {{"upstream", upstream.id},
+       {"id", this->metadata.attempt_id},
+       {"change", kNames[static_cast<std::size_t>(change)]},
+       {"requests_s", head.request_limit ? std::to_string(*head.request_limit)
+                                         : std::string("-")}},
+      now);
+  this->context.metrics.CountUpstreamNotice("limit");
 }
 
 auto RequestHandler::UpstreamRetryAfter() const -> Duration {
--- a/programs/gateway/request_handler.h
+++ b/programs/gateway/request_handler.h
@@ -62,6 +62,8 @@
 
   /** Records what the upstream says about itself in the head of a response. */
   auto RecordUpstreamNotices() -> void;
+  /** Records the limit that the head of a response names, or its end. */
+  auto RecordUpstreamLimit() -> void;
   /** Returns when a request that no upstream takes may come back. */
   [[nodiscard]] auto UpstreamRetryAfter() const -> Duration;
 
