--- a/tests/gateway/upstream_notices_test.cc
+++ b/tests/gateway/upstream_notices_test.cc
@@ -207,6 +207,27 @@
   CHECK_EQUAL(before, this->first.arrivals() + this->second.arrivals());
 }
 
+// Guards against more requests to an upstream than the limit that it names in
+// its responses allows in four seconds, and against one that gets none any
+// more.
+TEST(UpstreamNotices, KeepToTheLimitOfAnUpstream) {
+  this->first.SetScript([](const Arrival& arrival) {
+    arrival.send(RawUpstream::Head(
+                     arrival.id, "Server-Limit: 1.0\r\nContent-Length: 2\r\n") +
+                 "ok");
+  });
+  this->CallFirst();
+  this->fixture.RunFor(milliseconds(500));
+  constexpr int kCalls = 80;
+  int to_first = 0;
+  for (int number = 0; number < kCalls; ++number) {
+    to_first += this->CallsToFirst(1);
+    this->fixture.RunFor(milliseconds(3'900) / kCalls);
+  }
+  CHECK_TRUE(to_first <= 1.5 * 1.0 * 4 + 5);
+  CHECK_TRUE(to_first >= 1);
+}
+
 // Guards against values of Retry-After that take an upstream out for ever, or
 // that put it in the past.
 TEST(UpstreamNotices, AreLimitedToValidTimes) {
