Keep the fleet within the limit that an upstream names

Callers saw nothing; an upstream in need went on to get as many requests as before. Class of fault: a limit of the whole fleet that each process sees only a part of, as with the connections and the retries.

Change: a few routers by rendezvous, the senders, share the limit evenly; the others send nothing. Requests are spaced, unused time is not saved up. A sender that the log does not reply to halves its share, as the others may have replaced it. Routers tell each other of limits, changes and ends on the fleet topic. A limited engine is no home of prompts. Callers that find all upstreams limited are refused at once with a time from the limit.

--- a/modules/al_gateway/model/upstream_record.h
+++ b/modules/al_gateway/model/upstream_record.h
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "al_core/time/instant.h"
+#include "al_gateway/model/upstream_process.h"
 
 namespace auburnloft::gateway {
 
@@ -19,6 +20,10 @@
   Duration warm_up_left{0};        ///< Remaining slow period after its start.
   std::int64_t started_at_ms = 0;  ///< Unix time; 0 if unknown.
 
+  [[nodiscard]] auto process() const -> UpstreamProcess {
+    return {this->id, this->started_at_ms};
+  }
+
   auto operator==(const UpstreamRecord&) const -> bool = default;
 };
 
--- a/modules/al_gateway/upstreams/upstream_directory.cc
+++ b/modules/al_gateway/upstreams/upstream_directory.cc
@@ -78,11 +78,12 @@
 
 auto UpstreamDirectory::RecordLeaving(const UpstreamState& upstream,
                                       Instant now) -> bool {
-  Notice& notice = this->NoticeOf(upstream, now);
+  const UpstreamProcess process = upstream.record().process();
+  Notice& notice = this->NoticeOf(process, now);
   if (std::exchange(notice.leaving, true)) {
     return false;
   }
-  if (const State listed = this->FindProcess(upstream)) {
+  if (const State listed = this->FindProcess(process)) {
     const bool was_serving = listed->is_serving();
     ApplyNotice(notice, *listed);
     if (was_serving) {
@@ -95,17 +96,53 @@
 auto UpstreamDirectory::RecordBackOff(const UpstreamState& upstream,
                                       Instant until,
                                       Instant now) -> bool {
-  Notice& notice = this->NoticeOf(upstream, now);
+  const UpstreamProcess process = upstream.record().process();
+  Notice& notice = this->NoticeOf(process, now);
   if (until <= notice.back_off_until) {
     return false;
   }
   notice.back_off_until = until;
-  if (const State listed = this->FindProcess(upstream)) {
+  if (const State listed = this->FindProcess(process)) {
     ApplyNotice(notice, *listed);
   }
   return true;
 }
 
+auto UpstreamDirectory::GetLimiter(const UpstreamProcess& upstream, Instant now)
+    -> std::shared_ptr<SendLimiter> {
+  const auto known = this->notices.find(upstream.id);
+  const auto listed = this->by_id.find(upstream.id);
+  if ((known != this->notices.end() &&
+       known->second.started_at_ms > upstream.started_at_ms) ||
+      (listed != this->by_id.end() &&
+       listed->second.state->record().started_at_ms > upstream.started_at_ms)) {
+    return nullptr;
+  }
+  Notice& notice = this->NoticeOf(upstream, now);
+  if (notice.limiter == nullptr) {
+    notice.limiter = std::make_shared<SendLimiter>();
+    if (const State state = this->FindProcess(upstream)) {
+      ApplyNotice(notice, *state);
+    }
+  }
+  return notice.limiter;
+}
+
+auto UpstreamDirectory::RemoveLimiter(const UpstreamProcess& upstream,
+                                      Instant now) -> void {
+  const auto known = this->notices.find(upstream.id);
+  if (known == this->notices.end() ||
+      known->second.started_at_ms != upstream.started_at_ms ||
+      known->second.limiter == nullptr) {
+    return;
+  }
+  known->second.limiter = nullptr;
+  known->second.noticed_at = now;
+  if (const State state = this->FindProcess(upstream)) {
+    ApplyNotice(known->second, *state);
+  }
+}
+
 auto UpstreamDirectory::RecordLogRecovery(Instant now) -> void {
   this->suspect_until = now + kGracePeriod;
 }
@@ -131,17 +168,17 @@
   this->on_unavailable(*state);
 }
 
-auto UpstreamDirectory::NoticeOf(const UpstreamState& upstream, Instant now)
+auto UpstreamDirectory::NoticeOf(const UpstreamProcess& upstream, Instant now)
     -> Notice& {
   if (this->notices.size() >= kMaxNotices) {
     std::erase_if(this->notices, [now](const auto& item) {
       return now - item.second.noticed_at >= kNoticeLifetime;
     });
   }
-  Notice& notice = this->notices[upstream.record().id];
-  if (notice.started_at_ms != upstream.record().started_at_ms) {
+  Notice& notice = this->notices[upstream.id];
+  if (notice.started_at_ms != upstream.started_at_ms) {
     notice = {};
-    notice.started_at_ms = upstream.record().started_at_ms;
+    notice.started_at_ms = upstream.started_at_ms;
   }
   notice.noticed_at = now;
   return notice;
@@ -153,14 +190,15 @@
     upstream.MarkLeaving();
   }
   upstream.SetBackOff(notice.back_off_until);
+  upstream.SetLimiter(notice.limiter);
 }
 
-auto UpstreamDirectory::FindProcess(const UpstreamState& upstream) const
+auto UpstreamDirectory::FindProcess(const UpstreamProcess& upstream) const
     -> State {
-  const auto found = this->by_id.find(upstream.record().id);
+  const auto found = this->by_id.find(upstream.id);
   return found != this->by_id.end() &&
                  found->second.state->record().started_at_ms ==
-                     upstream.record().started_at_ms
+                     upstream.started_at_ms
              ? found->second.state
              : nullptr;
 }
@@ -168,6 +206,11 @@
 //==============================================================================
 // Queries
 
+auto UpstreamDirectory::Contains(const UpstreamProcess& upstream) const
+    -> bool {
+  return this->FindProcess(upstream) != nullptr;
+}
+
 auto UpstreamDirectory::EarliestReturn(std::string_view service,
                                        Instant now) const
     -> std::optional<Instant> {
@@ -176,11 +219,11 @@
     if (!upstream->is_serving()) {
       continue;
     }
-    if (upstream->back_off_ends_at() <= now) {
+    const Instant returns_at = upstream->ReturnsAt(now);
+    if (returns_at <= now) {
       return std::nullopt;
     }
-    earliest = std::min(earliest.value_or(upstream->back_off_ends_at()),
-                        upstream->back_off_ends_at());
+    earliest = std::min(earliest.value_or(returns_at), returns_at);
   }
   return earliest;
 }
--- a/modules/al_gateway/upstreams/upstream_directory.h
+++ b/modules/al_gateway/upstreams/upstream_directory.h
@@ -63,6 +63,16 @@
   auto RecordBackOff(const UpstreamState& upstream, Instant until, Instant now)
       -> bool;
 
+  /** Returns the limiter of requests to a process of an upstream, a new one
+      that forbids to send if there is none. It outlives a record that expires
+      and returns.
+      @return null if the process is known to have been replaced. */
+  [[nodiscard]] auto GetLimiter(const UpstreamProcess& upstream, Instant now)
+      -> std::shared_ptr<SendLimiter>;
+
+  /** Removes the limiter of a process, if it has one. */
+  auto RemoveLimiter(const UpstreamProcess& upstream, Instant now) -> void;
+
   /** Records that the log replies again after an outage; starts the grace
      period. */
   auto RecordLogRecovery(Instant now) -> void;
@@ -78,9 +88,12 @@
   [[nodiscard]] auto UpstreamsOfService(std::string_view service) const
       -> std::span<const State>;
 
-  /** Returns the earliest end of a back-off among the upstreams of a service
-     that are not leaving; none if one of them has no back-off or there is none.
-   */
+  /** Returns whether this process of an upstream is listed. */
+  [[nodiscard]] auto Contains(const UpstreamProcess& upstream) const -> bool;
+
+  /** Returns when the first upstream of a service that is not leaving takes
+     requests of this router again, by its back-off and its limit; none if
+     neither keeps one of them from it, or there is none. */
   [[nodiscard]] auto EarliestReturn(std::string_view service, Instant now) const
       -> std::optional<Instant>;
 
@@ -97,18 +110,18 @@
     std::int64_t started_at_ms = 0;  ///< Identifies the process.
     bool leaving = false;
     Instant back_off_until{};
+    std::shared_ptr<SendLimiter> limiter;  ///< Null: it named no limit.
     Instant noticed_at{};
   };
 
   auto Erase(const std::string& id) -> void;
-  /** Returns the notice of the upstream's process, a new one if there is none.
-   */
-  auto NoticeOf(const UpstreamState& upstream, Instant now) -> Notice&;
+  /** Returns the notice of a process, a new one if there is none. */
+  auto NoticeOf(const UpstreamProcess& upstream, Instant now) -> Notice&;
   static auto ApplyNotice(const Notice& notice, UpstreamState& upstream)
       -> void;
-  /** Returns the state of the listed upstream that is the same process as
-     `upstream`, which may have been listed earlier; null if there is none. */
-  [[nodiscard]] auto FindProcess(const UpstreamState& upstream) const -> State;
+  /** Returns the state of a process, null if it is not listed. */
+  [[nodiscard]] auto FindProcess(const UpstreamProcess& upstream) const
+      -> State;
 
   OnUnavailable on_unavailable;
   std::unordered_map<std::string, Entry> by_id;
--- a/modules/al_gateway/upstreams/upstream_selector.cc
+++ b/modules/al_gateway/upstreams/upstream_selector.cc
@@ -52,14 +52,15 @@
 }
 
 /** Returns the home engine of a prompt part by rendezvous hashing over the
-   usable engines, or null if none is usable. */
+   usable engines, or null if none is usable. An engine with a limit is no home:
+   it could not take most of the requests that share the part. */
 auto HomeEngine(std::span<const UpstreamDirectory::State> upstreams,
                 std::string_view part,
                 Instant now) -> const UpstreamState* {
   const UpstreamState* home = nullptr;
   std::uint64_t highest = 0;
   for (const UpstreamDirectory::State& upstream : upstreams) {
-    if (!upstream->is_usable(now)) {
+    if (!upstream->is_usable(now) || upstream->is_limited()) {
       continue;
     }
     const std::uint64_t weight = StableHash(part, upstream->record().id);
--- a/modules/al_gateway/upstreams/upstream_state.cc
+++ b/modules/al_gateway/upstreams/upstream_state.cc
@@ -47,13 +47,18 @@
     this->is_replaced = false;
     this->said_leaving = false;
     this->back_off_until = Instant();
+    this->limiter = nullptr;
   }
   this->newest_record = std::move(record);
   this->removed = false;
   this->suspect = false;
 }
 
-auto UpstreamState::RecordSent(std::uint64_t prefill_tokens) -> void {
+auto UpstreamState::RecordSent(std::uint64_t prefill_tokens, Instant now)
+    -> void {
+  if (this->is_limited()) {
+    this->limiter->RecordSent(now);
+  }
   ++this->open;
   this->prefill += prefill_tokens;
 }
--- a/modules/al_gateway/upstreams/upstream_state.h
+++ b/modules/al_gateway/upstreams/upstream_state.h
@@ -2,9 +2,12 @@
 #define AL_GATEWAY_UPSTREAMS_UPSTREAM_STATE_H_
 
 #include <cstdint>
+#include <memory>
+#include <utility>
 
 #include "al_core/time/instant.h"
 #include "al_gateway/model/upstream_record.h"
+#include "al_gateway/upstreams/send_limiter.h"
 
 namespace auburnloft::gateway {
 
@@ -49,6 +52,11 @@
      together. */
   auto SetBackOff(Instant until) -> void { this->back_off_until = until; }
 
+  /** Limits how often requests are sent to it; null ends the limit. */
+  auto SetLimiter(std::shared_ptr<SendLimiter> limiter) -> void {
+    this->limiter = std::move(limiter);
+  }
+
   /** Sets whether its record may have expired only because of an outage of the
      log service; the upstream may still run. */
   auto SetSuspect(bool is_suspect) -> void { this->suspect = is_suspect; }
@@ -56,7 +64,7 @@
   /** Records that a request is sent to it.
       @param prefill_tokens  estimated prompt tokens to process before the first
                              event. */
-  auto RecordSent(std::uint64_t prefill_tokens) -> void;
+  auto RecordSent(std::uint64_t prefill_tokens, Instant now) -> void;
 
   /** Records the first byte of a response.
       @param latency   time since the request was sent.
@@ -83,6 +91,7 @@
   [[nodiscard]] auto is_usable(Instant now) const -> bool {
     return this->is_serving() && !this->is_replaced &&
            now >= this->blocked_until && now >= this->back_off_until &&
+           (!this->is_limited() || this->limiter->is_open(now)) &&
            this->open < this->OpenLimit(now);
   }
   /** Returns whether it is listed, and neither its record nor its own word says
@@ -91,8 +100,15 @@
     return !this->newest_record.leaving && !this->said_leaving &&
            !this->removed;
   }
-  [[nodiscard]] auto back_off_ends_at() const -> Instant {
-    return this->back_off_until;
+  /** Returns whether it named a limit of requests a second. */
+  [[nodiscard]] auto is_limited() const -> bool {
+    return this->limiter != nullptr;
+  }
+  /** Returns when its back-off and its limit allow a request again. */
+  [[nodiscard]] auto ReturnsAt(Instant now) const -> Instant {
+    return this->is_limited()
+               ? std::max(this->back_off_until, this->limiter->RetryAt(now))
+               : this->back_off_until;
   }
   [[nodiscard]] auto is_removed() const -> bool { return this->removed; }
   [[nodiscard]] auto is_suspect() const -> bool { return this->suspect; }
@@ -122,6 +138,7 @@
   bool is_replaced = false;   ///< Until a restart or a new address.
   bool said_leaving = false;  ///< As above.
   Instant back_off_until{};
+  std::shared_ptr<SendLimiter> limiter;  ///< Null: no limit.
   int open = 0;
   std::uint64_t prefill = 0;
   double excess_seconds = 0.0;
--- a/programs/gateway/fleet_records.cc
+++ b/programs/gateway/fleet_records.cc
@@ -13,6 +13,7 @@
 constexpr std::string_view kRouterKey = "r/";
 constexpr std::string_view kAllowanceKey = "a/";
 constexpr std::string_view kPromptKey = "p/";
+constexpr std::string_view kLimitKey = "l/";
 
 /** Routers read a record within this time, unless the log is slow. A longer
    time by the writer's clock tells that the clocks differ. */
@@ -27,6 +28,23 @@
   return static_cast<std::uint64_t>(ToMillis(std::max(Duration(0), now - at)));
 }
 
+/** Returns when a record was written, by its writer's clock if that can be
+   right, else `now`.
+    @param was_listed  whether the record may have been written long ago. */
+auto WrittenAt(std::int64_t unix_ms, bool was_listed, Instant now) -> Instant {
+  const Instant told = FromUnixMillis(unix_ms);
+  const bool is_plausible =
+      told <= now && (was_listed || now - told <= kMaxReadDelay);
+  return is_plausible ? told : now;
+}
+
+/** Returns the time `age_ms` before `written_at`. */
+auto BeforeWriting(Instant written_at, std::uint64_t age_ms) -> Instant {
+  // An age beyond a day is as good as any, and does not overflow.
+  constexpr std::uint64_t kMaxAgeMs = 86'400'000;
+  return written_at - std::chrono::milliseconds(std::min(age_ms, kMaxAgeMs));
+}
+
 /** Parses the message of a record whose key begins with `prefix`. */
 template <typename Message>
 auto Read(const KeyedRecord& record, std::string_view prefix)
@@ -103,6 +121,22 @@
   return record;
 }
 
+auto ToRecord(const UpstreamLimitReport& report, Instant now) -> KeyedRecord {
+  wire::UpstreamLimitRecord message;
+  message.set_reporter(report.reporter);
+  message.set_written_at_ms(ToUnixMillis(now));
+  for (const UpstreamLimitReport::Limit& limit : report.limits) {
+    wire::UpstreamLimitItem& item = *message.add_limits();
+    item.set_upstream(limit.upstream.id);
+    item.set_started_at_ms(limit.upstream.started_at_ms);
+    item.set_ended(!limit.per_second);
+    item.set_per_second(limit.per_second.value_or(0.0));
+    item.set_age_ms(AgeInMillis(limit.heard_at, now));
+  }
+  return {std::string(kLimitKey) + std::string(RouterNameOf(report.reporter)),
+          message.SerializeAsString()};
+}
+
 auto ReadAnnouncement(const KeyedRecord& record)
     -> std::optional<RouterAnnouncement> {
   const auto message = Read<wire::RouterRecord>(record, kRouterKey);
@@ -146,14 +180,10 @@
   if (!message) {
     return std::nullopt;
   }
-  const Instant told = FromUnixMillis(message->written_at_ms());
-  const bool is_plausible =
-      told <= now && (was_listed || now - told <= kMaxReadDelay);
-  const Instant written_at = is_plausible ? told : now;
+  const Instant written_at =
+      WrittenAt(message->written_at_ms(), was_listed, now);
   const auto before = [written_at](std::uint64_t age_ms) {
-    // An age beyond a day is as good as any, and does not overflow.
-    constexpr std::uint64_t kMaxAgeMs = 86'400'000;
-    return written_at - std::chrono::milliseconds(std::min(age_ms, kMaxAgeMs));
+    return BeforeWriting(written_at, age_ms);
   };
   PromptReport report;
   report.reporter = message->reporter();
@@ -174,4 +204,25 @@
   return report;
 }
 
+auto ReadUpstreamLimitReport(const KeyedRecord& record,
+                             bool was_listed,
+                             Instant now)
+    -> std::optional<UpstreamLimitReport> {
+  const auto message = Read<wire::UpstreamLimitRecord>(record, kLimitKey);
+  if (!message) {
+    return std::nullopt;
+  }
+  const Instant written_at =
+      WrittenAt(message->written_at_ms(), was_listed, now);
+  UpstreamLimitReport report;
+  report.reporter = message->reporter();
+  for (const wire::UpstreamLimitItem& item : message->limits()) {
+    report.limits.push_back(
+        {{item.upstream(), item.started_at_ms()},
+         item.ended() ? std::nullopt : std::optional(item.per_second()),
+         BeforeWriting(written_at, item.age_ms())});
+  }
+  return report;
+}
+
 }  // namespace auburnloft::gateway
--- a/programs/gateway/fleet_records.h
+++ b/programs/gateway/fleet_records.h
@@ -7,11 +7,12 @@
 #include "al_gateway/model/log_messages.h"
 #include "al_gateway/prepaid/allowance_ledger.h"
 #include "al_gateway/prompts/prompt_report.h"
+#include "al_gateway/upstreams/upstream_limit_report.h"
 
 /** Encodes and decodes the records of the fleet topic: one record for each
    router, one for each team and each incarnation of a router that holds an
-   allowance of the team, and one for each router that knows of prompt parts
-   which crash upstreams. */
+   allowance of the team, one for each router that knows of prompt parts which
+   crash upstreams, and one for each router to which upstreams named limits. */
 namespace auburnloft::gateway {
 
 [[nodiscard]] auto ToRecord(const RouterAnnouncement& announcement)
@@ -22,6 +23,9 @@
 [[nodiscard]] auto ToRecord(const PromptReport& report, Instant now)
     -> KeyedRecord;
 
+[[nodiscard]] auto ToRecord(const UpstreamLimitReport& report, Instant now)
+    -> KeyedRecord;
+
 /** @return none if the record is not a valid announcement. */
 [[nodiscard]] auto ReadAnnouncement(const KeyedRecord& record)
     -> std::optional<RouterAnnouncement>;
@@ -38,6 +42,12 @@
                                     bool was_listed,
                                     Instant now) -> std::optional<PromptReport>;
 
+/** As above, for a report about limits of upstreams. */
+[[nodiscard]] auto ReadUpstreamLimitReport(const KeyedRecord& record,
+                                           bool was_listed,
+                                           Instant now)
+    -> std::optional<UpstreamLimitReport>;
+
 }  // namespace auburnloft::gateway
 
 #endif  // GATEWAY_FLEET_RECORDS_H_
--- a/programs/gateway/fleet_topic_client.cc
+++ b/programs/gateway/fleet_topic_client.cc
@@ -26,6 +26,10 @@
    requests at once, and all routers read each report. */
 constexpr Duration kPromptReportInterval = std::chrono::milliseconds(200);
 
+/** Minimum interval between two reports about limits of upstreams, which may
+   name another one in each response. */
+constexpr Duration kLimitReportInterval = std::chrono::milliseconds(400);
+
 /** Delay during which requests for an allowance are collected into one append.
  */
 constexpr Duration kBatchDelay = std::chrono::milliseconds(2);
@@ -42,12 +46,14 @@
                                    RouterAnnouncement self,
                                    AllowanceManager& allowance_manager,
                                    PromptQuarantine& prompts,
+                                   UpstreamLimits& limits,
                                    DecisionLog& log,
                                    Callbacks callbacks)
     : poller(poller),
       self(std::move(self)),
       allowance_manager(allowance_manager),
       prompts(prompts),
+      limits(limits),
       log(log),
       callbacks(std::move(callbacks)),
       routers(this->self.name),
@@ -124,6 +130,17 @@
   return this->routers.IsAmongHighestRanked(part, 1, this->log_read_at);
 }
 
+auto FleetTopicClient::MakeLimitFleet() const -> UpstreamLimits::Fleet {
+  UpstreamLimits::Fleet fleet;
+  fleet.routers = this->CountActive();
+  fleet.is_log_reachable =
+      this->poller.loop().Now() - this->log_read_at < kLogUnreachableAfter;
+  fleet.is_among_first = [this](std::string_view item, int count) {
+    return this->routers.IsAmongHighestRanked(item, count, this->log_read_at);
+  };
+  return fleet;
+}
+
 auto FleetTopicClient::MakeIsActive() const -> AllowanceLedger::IsActive {
   return [this](std::string_view holder) {
     return holder == this->self.incarnation ||
@@ -159,7 +176,7 @@
   if (this->on_returned) {
     this->AppendBatch(this->allowance_manager.PlanReturnEntries(),
                       this->TakePromptReport(true, this->poller.loop().Now()),
-                      true);
+                      std::nullopt, true);
     return;
   }
   const Instant now = this->poller.loop().Now();
@@ -173,8 +190,9 @@
                                           this->ScopeOf(announce, view.routers),
                                           now);
   const auto report = this->TakePromptReport(announce, now);
-  if (announce || report || !entries.empty()) {
-    this->AppendBatch(entries, report, announce);
+  const auto limit_report = this->TakeLimitReport(now);
+  if (announce || report || limit_report || !entries.empty()) {
+    this->AppendBatch(entries, report, limit_report, announce);
   }
 }
 
@@ -190,6 +208,18 @@
   return report;
 }
 
+auto FleetTopicClient::TakeLimitReport(Instant now)
+    -> std::optional<UpstreamLimitReport> {
+  if (now - this->limits_reported_at < kLimitReportInterval) {
+    return std::nullopt;
+  }
+  auto report = this->limits.TakeReport(now);
+  if (report) {
+    this->limits_reported_at = now;
+  }
+  return report;
+}
+
 auto FleetTopicClient::ScopeOf(bool with_announcement, int routers) const
     -> EntryScope {
   if (!with_announcement) {
@@ -212,9 +242,11 @@
   return view;
 }
 
-auto FleetTopicClient::AppendBatch(std::span<const AllowanceEntry> entries,
-                                   const std::optional<PromptReport>& report,
-                                   bool announce) -> void {
+auto FleetTopicClient::AppendBatch(
+    std::span<const AllowanceEntry> entries,
+    const std::optional<PromptReport>& report,
+    const std::optional<UpstreamLimitReport>& limit_report,
+    bool announce) -> void {
   std::vector<KeyedRecord> records;
   if (announce) {
     ++this->self.beat;
@@ -228,6 +260,9 @@
   if (report) {
     records.push_back(ToRecord(*report, this->poller.loop().Now()));
   }
+  if (limit_report) {
+    records.push_back(ToRecord(*limit_report, this->poller.loop().Now()));
+  }
   this->append_sent_at = this->poller.loop().Now();
   this->producer.Append(
       std::move(records), [this, has_entries = !entries.empty()] {
@@ -249,6 +284,25 @@
   } else if (const auto report = ReadPromptReport(record, !this->listed,
                                                   this->poller.loop().Now())) {
     this->prompts.Apply(*report, this->poller.loop().Now());
+  } else if (const auto limit_report = ReadUpstreamLimitReport(
+                 record, !this->listed, this->poller.loop().Now())) {
+    this->OnLimitReport(*limit_report);
+  }
+}
+
+auto FleetTopicClient::OnLimitReport(const UpstreamLimitReport& report)
+    -> void {
+  const Instant now = this->poller.loop().Now();
+  for (const UpstreamLimitReport::Limit& limit :
+       this->limits.Apply(report, now)) {
+    this->log.WriteLine(
+        DecisionLog::Severity::kNotable, "upstream_limit_adopted",
+        {{"upstream", limit.upstream.id},
+         {"requests_s", limit.per_second ? std::to_string(*limit.per_second)
+                                         : std::string("-")},
+         {"age_ms", now - limit.heard_at},
+         {"source", report.reporter}},
+        now);
   }
 }
 
--- a/programs/gateway/fleet_topic_client.h
+++ b/programs/gateway/fleet_topic_client.h
@@ -14,6 +14,7 @@
 #include "al_gateway/prepaid/allowance_ledger.h"
 #include "al_gateway/prepaid/allowance_manager.h"
 #include "al_gateway/prompts/prompt_quarantine.h"
+#include "al_gateway/upstreams/upstream_limits.h"
 #include "al_logstore/topic_follower.h"
 #include "al_logstore/topic_producer.h"
 #include "gateway/decision_log.h"
@@ -27,7 +28,7 @@
 /** Reads and writes the fleet topic of the log: announces this router, tracks
    the other routers, writes the allowance entries of this router, which take
    effect once they are read back, and exchanges reports about prompt parts that
-   crash upstreams.
+   crash upstreams and about limits that upstreams name.
 
     Thread safety: none; used on the loop's thread.
 */
@@ -47,6 +48,7 @@
                    RouterAnnouncement self,
                    AllowanceManager& allowance_manager,
                    PromptQuarantine& prompts,
+                   UpstreamLimits& limits,
                    DecisionLog& log,
                    Callbacks callbacks);
   ~FleetTopicClient();
@@ -100,6 +102,10 @@
   [[nodiscard]] auto IsReserveHolder(std::string_view team) const -> bool;
   [[nodiscard]] auto MakeIsActive() const -> AllowanceLedger::IsActive;
 
+  /** The state of the fleet from which the senders of limited upstreams follow.
+   */
+  [[nodiscard]] auto MakeLimitFleet() const -> UpstreamLimits::Fleet;
+
   /** True if this router runs the trials of a quarantined prompt part. */
   [[nodiscard]] auto RunsTrials(std::string_view part) const -> bool;
 
@@ -112,19 +118,25 @@
   [[nodiscard]] auto MakeFleetView() const -> FleetStatus;
   auto AppendBatch(std::span<const AllowanceEntry> entries,
                    const std::optional<PromptReport>& report,
+                   const std::optional<UpstreamLimitReport>& limit_report,
                    bool announce) -> void;
   /** Takes this router's report about prompts if it is due.
       @param announce  whether the announcement is due, which a report that has
      no news accompanies. */
   auto TakePromptReport(bool announce, Instant now)
       -> std::optional<PromptReport>;
+  /** Takes this router's report about limits of upstreams if it is due. */
+  auto TakeLimitReport(Instant now) -> std::optional<UpstreamLimitReport>;
   auto OnRecord(const KeyedRecord& record) -> void;
+  /** Applies another router's report about limits of upstreams. */
+  auto OnLimitReport(const UpstreamLimitReport& report) -> void;
   auto OnAllowance(const AllowanceEntry& entry) -> void;
 
   SocketPoller& poller;
   RouterAnnouncement self;
   AllowanceManager& allowance_manager;
   PromptQuarantine& prompts;
+  UpstreamLimits& limits;
   DecisionLog& log;
   Callbacks callbacks;
   RouterRegistry routers;
@@ -137,6 +149,7 @@
   Instant announced_at{};
   Instant append_sent_at{};
   Instant prompts_reported_at{};
+  Instant limits_reported_at{};
   Instant log_read_at{};
   bool announce_at_once = false;
   bool listed = false;
--- a/programs/gateway/gateway_context.h
+++ b/programs/gateway/gateway_context.h
@@ -45,7 +45,8 @@
   std::shared_ptr<std::vector<std::shared_ptr<void>>> ended_handlers =
       std::make_shared<std::vector<std::shared_ptr<void>>>();
   PromptQuarantine::RunsTrials runs_prompt_trials;
-  std::function<void()> report_prompts;  ///< Writes news about prompts soon.
+  std::function<void()> report_news;  ///< Writes news about prompts and limits
+                                      ///< of upstreams soon.
   RateMeter request_rate;       ///< Requests that callers send to this router.
   double close_fraction = 0.0;  ///< Of responses, after which the connection is
                                 ///< closed.
--- a/programs/gateway/gateway_daemon.cc
+++ b/programs/gateway/gateway_daemon.cc
@@ -100,6 +100,7 @@
                              {"gone", upstream.is_removed() ? 1 : 0}},
                             this->loop.Now());
       }),
+      upstream_limits(this->options.self.incarnation, this->upstreams),
       chooser(this->upstreams, this->options.self.domain),
       retry_budget(this->options.retry_bound),
       allowance_manager(this->options.self.incarnation, AllowanceSizing()),
@@ -128,6 +129,7 @@
                   this->options.self,
                   this->allowance_manager,
                   this->prompts,
+                  this->upstream_limits,
                   this->log,
                   {[this](const std::string& team) {
                      this->reservations.RetryWaiting(team);
@@ -170,7 +172,7 @@
   this->context.runs_prompt_trials = [this](std::string_view part) {
     return this->fleet_topic.RunsTrials(part);
   };
-  this->context.report_prompts = [this] { this->fleet_topic.ScheduleWrite(); };
+  this->context.report_news = [this] { this->fleet_topic.ScheduleWrite(); };
   this->reservations.SetIsBudgetExhausted(
       [this](const std::string& team, std::uint64_t tokens) {
         return this->allowance_manager.IsBudgetExhausted(
@@ -411,6 +413,7 @@
   this->tick_timer->Start(kTickInterval);
   const Instant now = this->loop.Now();
   this->upstreams.Expire(now);
+  this->upstream_limits.Update(this->fleet_topic.MakeLimitFleet(), now);
   this->context.routers = this->fleet_topic.CountActive();
   this->UpdateLoadShare(now);
   this->upstream_discovery.UpdatePlan();
--- a/programs/gateway/request_handler.cc
+++ b/programs/gateway/request_handler.cc
@@ -265,8 +265,7 @@
   const UpstreamRecord& upstream = this->attempt->upstream().record();
   const Instant now = this->context.loop.Now();
   const auto change = this->context.limits.Record(
-      {upstream.id, upstream.started_at_ms}, head.request_limit,
-      this->attempt->sent_at(), now);
+      upstream.process(), head.request_limit, this->attempt->sent_at(), now);
   if (change == UpstreamLimits::Change::kNone) {
     return;
   }
@@ -282,6 +281,7 @@
                                          : std::string("-")}},
       now);
   this->context.metrics.CountUpstreamNotice("limit");
+  this->context.report_news();
 }
 
 auto RequestHandler::UpstreamRetryAfter() const -> Duration {
@@ -478,7 +478,7 @@
   this->context.prompts.RecordFailure(
       upstream.id + "@" + std::to_string(upstream.started_at_ms),
       this->metadata.generation->parts, now);
-  this->context.report_prompts();
+  this->context.report_news();
 }
 
 auto RequestHandler::OnAttemptTimeout() -> void {
--- a/programs/gateway/state_dump.cc
+++ b/programs/gateway/state_dump.cc
@@ -44,6 +44,13 @@
          {"failed_trials", item.failed_trials},
          {"ends_at_ms", ToUnixMillis(item.ends_at)}});
   }
+  state["upstream_limits"] = nlohmann::json::array();
+  view.context.limits.VisitAll([&state](const UpstreamProcess& upstream,
+                                        double per_second, bool is_sender) {
+    state["upstream_limits"].push_back({{"upstream", upstream.id},
+                                        {"requests_per_second", per_second},
+                                        {"is_sender", is_sender}});
+  });
   return state.dump();
 }
 
--- a/programs/gateway/upstream_attempt.cc
+++ b/programs/gateway/upstream_attempt.cc
@@ -28,7 +28,7 @@
       http_connection(std::move(connection)),
       started_at(context.loop.Now()),
       pending_prefill(this->chosen.prefill_tokens) {
-  this->chosen.upstream->RecordSent(this->pending_prefill);
+  this->chosen.upstream->RecordSent(this->pending_prefill, this->started_at);
 }
 
 auto UpstreamAttempt::SetHead(const Http1ResponseHead& head) -> void {
--- a/programs/gateway/upstream_dispatch.cc
+++ b/programs/gateway/upstream_dispatch.cc
@@ -105,7 +105,8 @@
                          {"expected_ms", attempt.choice().expected},
                          {"open", upstream.open_requests()},
                          {"late_ms", upstream.ExcessLatency(attempt.sent_at())},
-                         {"send", parameters.attempt_number}},
+                         {"send", parameters.attempt_number},
+                         {"limited", upstream.is_limited() ? 1 : 0}},
                         attempt.sent_at());
   return SerializeRequest(platform::MakeUpstreamRequest(
       parameters.request, MakeUpstreamOrders(parameters, upstream),
--- a/tests/gateway/decisions_test.cc
+++ b/tests/gateway/decisions_test.cc
@@ -99,7 +99,7 @@
   for (const auto& upstream : this->directory.UpstreamsOfService("s")) {
     if (upstream->record().id == preferred) {
       for (int i = 0; i < 40; ++i) {
-        upstream->RecordSent(1'000);
+        upstream->RecordSent(1'000, this->now);
       }
     }
   }
@@ -112,7 +112,7 @@
 TEST(Decisions, ExcludesAReplacedUpstreamUntilItRestarts) {
   this->Add(1);
   const auto upstream = this->directory.UpstreamsOfService("s").front();
-  upstream->RecordSent(0);
+  upstream->RecordSent(0, this->now);
   upstream->RecordEnd(0, UpstreamResult::kReplaced, this->now);
   this->now += seconds(10);
   CHECK_EQUAL(std::string(), this->Choose(nullptr));
@@ -125,7 +125,7 @@
 TEST(Decisions, PausesAnUpstreamThatCannotBeReached) {
   this->Add(1);
   const auto upstream = this->directory.UpstreamsOfService("s").front();
-  upstream->RecordSent(0);
+  upstream->RecordSent(0, this->now);
   upstream->RecordEnd(0, UpstreamResult::kUnreachable, this->now);
   CHECK_EQUAL(std::string(), this->Choose(nullptr));
   this->now += seconds(4);
@@ -168,7 +168,7 @@
   for (const auto& upstream : this->directory.UpstreamsOfService("s")) {
     if (upstream->record().id == "near") {
       for (int i = 0; i < 20; ++i) {
-        upstream->RecordSent(0);
+        upstream->RecordSent(0, this->now);
       }
     }
   }
--- a/tests/gateway/upstream_notices_test.cc
+++ b/tests/gateway/upstream_notices_test.cc
@@ -257,7 +257,7 @@
   const auto sent_until_unusable = [&] {
     int sent = 0;
     for (; sent < 100 && upstream->is_usable(now); ++sent) {
-      upstream->RecordSent(0);
+      upstream->RecordSent(0, now);
     }
     for (int i = 0; i < sent; ++i) {
       upstream->RecordEnd(0, UpstreamResult::kSucceeded, now);
