Log each restore of the platform's log that a router notices

The log's replies carry an era, which rises when it comes back from an older copy. A line and a counter now tell when a router sees it rise. Nothing acts on it yet.

--- a/modules/al_http1/http1_client.cc
+++ b/modules/al_http1/http1_client.cc
@@ -47,6 +47,7 @@
   Http1ClientConnection::ExchangeCallbacks callbacks;
   callbacks.on_head = [this](const Http1ResponseHead& head) {
     this->reply.status = head.status;
+    this->reply.fields = head.fields;
   };
   callbacks.on_body = [this, inactivity_timeout](const std::string& bytes) {
     this->timer->Start(inactivity_timeout);
--- a/modules/al_http1/http1_client.h
+++ b/modules/al_http1/http1_client.h
@@ -24,6 +24,7 @@
  public:
   struct Reply {
     int status = 0;
+    Http1Fields fields;
     std::string body;
   };
   /** Receives nullopt if no complete reply arrived. The server may have
--- a/modules/al_logstore/topic_follower.cc
+++ b/modules/al_logstore/topic_follower.cc
@@ -25,9 +25,11 @@
 
 TopicFollower::TopicFollower(SocketPoller& poller,
                              std::string address,
+                             LogEra& era,
                              Settings settings,
                              Callbacks callbacks)
     : caller(poller, std::move(address)),
+      era(era),
       settings(std::move(settings)),
       callbacks(std::move(callbacks)),
       timer(std::make_unique<LoopTimer>(poller.loop(),
@@ -62,6 +64,7 @@
   this->caller.Call(
       platform::MakeNewestCall(this->settings.topic, this->list_after),
       kReplyTimeout, [this](const std::optional<Http1Client::Reply>& reply) {
+        this->ObserveEra(reply);
         this->OnNewest(reply);
       });
 }
@@ -73,10 +76,18 @@
                              this->settings.wait),
       this->settings.wait + kReplyTimeout,
       [this](const std::optional<Http1Client::Reply>& reply) {
+        this->ObserveEra(reply);
         this->OnRead(reply);
       });
 }
 
+auto TopicFollower::ObserveEra(const std::optional<Http1Client::Reply>& reply)
+    -> void {
+  if (reply) {
+    static_cast<void>(this->era.Observe(platform::ReadLogEra(reply->fields)));
+  }
+}
+
 auto TopicFollower::OnNewest(const std::optional<Http1Client::Reply>& reply)
     -> void {
   const auto page = reply
--- a/modules/al_logstore/topic_follower.h
+++ b/modules/al_logstore/topic_follower.h
@@ -11,6 +11,7 @@
 #include "al_core/time/instant.h"
 #include "al_gateway/model/log_messages.h"
 #include "al_http1/http1_client.h"
+#include "al_logstore/log_era.h"
 
 namespace auburnloft {
 
@@ -45,8 +46,10 @@
     std::function<void(bool answered)> on_contact;
   };
 
+  /** @param era  must outlive this object. */
   TopicFollower(SocketPoller& poller,
                 std::string address,
+                LogEra& era,
                 Settings settings,
                 Callbacks callbacks);
   ~TopicFollower();
@@ -66,6 +69,7 @@
   auto Step() -> void;
   auto CallNewest() -> void;
   auto CallRead() -> void;
+  auto ObserveEra(const std::optional<Http1Client::Reply>& reply) -> void;
   auto OnNewest(const std::optional<Http1Client::Reply>& reply) -> void;
   auto OnRead(const std::optional<Http1Client::Reply>& reply) -> void;
   /** Reports the records of one reply. */
@@ -74,6 +78,7 @@
   auto OnCallFailed() -> void;
 
   Http1Client caller;
+  LogEra& era;
   Settings settings;
   Callbacks callbacks;
   std::unique_ptr<LoopTimer> timer;
--- a/modules/al_logstore/topic_producer.cc
+++ b/modules/al_logstore/topic_producer.cc
@@ -27,9 +27,11 @@
 
 TopicProducer::TopicProducer(SocketPoller& poller,
                              std::string address,
+                             LogEra& era,
                              std::string topic,
                              std::string producer)
     : caller(poller, std::move(address)),
+      era(era),
       topic(std::move(topic)),
       producer(std::move(producer)),
       timer(std::make_unique<LoopTimer>(poller.loop(),
@@ -56,6 +58,9 @@
 
 auto TopicProducer::OnReply(const std::optional<Http1Client::Reply>& reply)
     -> void {
+  if (reply) {
+    static_cast<void>(this->era.Observe(platform::ReadLogEra(reply->fields)));
+  }
   const auto append_reply =
       reply ? platform::ParseAppendReply(reply->status, reply->body)
             : std::nullopt;
--- a/modules/al_logstore/topic_producer.h
+++ b/modules/al_logstore/topic_producer.h
@@ -10,6 +10,7 @@
 #include "al_core/time/instant.h"
 #include "al_gateway/model/log_messages.h"
 #include "al_http1/http1_client.h"
+#include "al_logstore/log_era.h"
 
 namespace auburnloft {
 
@@ -27,9 +28,11 @@
   using OnAppended = std::function<void()>;
 
   /** @param producer  a name that no other process, and no later incarnation of
-                       this one, ever uses. */
+                       this one, ever uses.
+      @param era       must outlive this object. */
   TopicProducer(SocketPoller& poller,
                 std::string address,
+                LogEra& era,
                 std::string topic,
                 std::string producer);
   ~TopicProducer();
@@ -50,6 +53,7 @@
   auto OnReply(const std::optional<Http1Client::Reply>& reply) -> void;
 
   Http1Client caller;
+  LogEra& era;
   std::string topic;
   std::string producer;
   std::unique_ptr<LoopTimer> timer;
--- a/programs/ctl/fleet_reader.cc
+++ b/programs/ctl/fleet_reader.cc
@@ -43,15 +43,16 @@
   SocketPoller poller(loop);
   bool has_config = false;
   bool has_fleet_records = false;
+  LogEra era([](std::optional<std::uint64_t> /*previous*/) {});
   TopicFollower config(
-      poller, log_address,
+      poller, log_address, era,
       {std::string(platform::kOperatorTopic), Duration(0), kReadInterval, true},
       {[&](const gateway::KeyedRecord& record) { ApplyConfig(record, view); },
        {},
        [&](const std::set<std::string>& /*keys*/) { has_config = true; },
        [](bool /*answered*/) {}});
   TopicFollower fleet(
-      poller, log_address,
+      poller, log_address, era,
       {std::string(platform::kFleetTopic), Duration(0), kReadInterval, false},
       {[&](const gateway::KeyedRecord& record) {
          view.Apply(record, has_fleet_records);
--- a/programs/ctl/prompt_release.cc
+++ b/programs/ctl/prompt_release.cc
@@ -35,9 +35,10 @@
   EventLoop loop;
   SocketPoller poller(loop);
   const Instant now = loop.Now();
+  LogEra era([](std::optional<std::uint64_t> /*previous*/) {});
   // The log rejects a producer's name that was used before.
   TopicProducer producer(
-      poller, log_address, std::string(platform::kFleetTopic),
+      poller, log_address, era, std::string(platform::kFleetTopic),
       std::string(kReporter) + "-" + std::to_string(ToUnixMillis(now)) + "-" +
           std::to_string(getpid()));
   bool is_confirmed = false;
--- a/programs/gateway/fleet_topic_client.h
+++ b/programs/gateway/fleet_topic_client.h
@@ -45,6 +45,7 @@
 
   FleetTopicClient(SocketPoller& poller,
                    const std::string& log_address,
+                   LogEra& era,
                    RouterAnnouncement self,
                    AllowanceManager& allowance_manager,
                    PromptQuarantine& prompts,
--- a/programs/gateway/gateway_daemon.cc
+++ b/programs/gateway/gateway_daemon.cc
@@ -91,6 +91,9 @@
       poller(loop),
       random(this->options.seed),
       log(this->options.log_descriptor),
+      log_era([this](std::optional<std::uint64_t> previous) {
+        this->OnLogEra(previous);
+      }),
       connections(this->poller),
       upstreams([this](const UpstreamState& upstream) {
         this->connections.CloseIdle(upstream.record().id);
@@ -126,6 +129,7 @@
               this->metrics},
       fleet_topic(this->poller,
                   this->options.log_address,
+                  this->log_era,
                   this->options.self,
                   this->allowance_manager,
                   this->prompts,
@@ -158,6 +162,7 @@
           this->poller,
           {this->options.log_address, this->options.self.name,
            this->options.self.incarnation, this->options.self.domain},
+          this->log_era,
           this->fleet_topic,
           this->context,
           {[this](bool answered) { this->OnContact(answered); },
@@ -331,7 +336,7 @@
   calls.on_listed = [](const std::set<std::string>& /*keys*/) {};
   calls.on_contact = [this](bool answered) { this->OnContact(answered); };
   this->config_follower = std::make_unique<TopicFollower>(
-      this->poller, this->options.log_address,
+      this->poller, this->options.log_address, this->log_era,
       TopicFollower::Settings{std::string(platform::kOperatorTopic),
                               kConfigWait, kConfigReadInterval, true},
       std::move(calls));
@@ -391,6 +396,16 @@
   }
 }
 
+auto GatewayDaemon::OnLogEra(std::optional<std::uint64_t> previous) -> void {
+  if (!previous) {
+    return;
+  }
+  this->metrics.CountLogRestore();
+  this->log.WriteLine(DecisionLog::Severity::kNotable, "log_era",
+                      {{"old", *previous}, {"new", this->log_era.number()}},
+                      this->loop.Now());
+}
+
 auto GatewayDaemon::OnShortage(const std::string& team) -> void {
   // A holder of the reserve takes tokens through the log. Other routers request
   // them from the holders: this is faster, and needs no entries in the log.
--- a/programs/gateway/gateway_daemon.h
+++ b/programs/gateway/gateway_daemon.h
@@ -81,6 +81,9 @@
   auto UpdateConfigSource() -> void;
   auto ApplyConfig(const std::string& text) -> void;
   auto OnContact(bool answered) -> void;
+  /** Handles that the log was restored from an older copy.
+      @param previous  none at the first contact with the log. */
+  auto OnLogEra(std::optional<std::uint64_t> previous) -> void;
   auto OnShortage(const std::string& team) -> void;
   auto OnTick() -> void;
   /** Updates how many connections are closed to spread callers evenly. */
@@ -97,6 +100,7 @@
   RandomSource random;
   DecisionLog log;
   GatewayMetrics metrics;
+  LogEra log_era;
   UpstreamConnectionPool connections;
   UpstreamDirectory upstreams;
   UpstreamLimits upstream_limits;
--- a/programs/gateway/gateway_metrics.cc
+++ b/programs/gateway/gateway_metrics.cc
@@ -27,6 +27,10 @@
                  this->prompt_changes);
   AppendCounters(text, "auburnloft_upstream_notices_total", "notice",
                  this->upstream_notices);
+  text.append("# TYPE auburnloft_log_restores_total counter\n")
+      .append("auburnloft_log_restores_total ")
+      .append(std::to_string(this->log_restores))
+      .append("\n");
   text += this->first_byte.ToPrometheus("auburnloft_first_byte_seconds", "");
   return text;
 }
--- a/programs/gateway/gateway_metrics.h
+++ b/programs/gateway/gateway_metrics.h
@@ -42,6 +42,9 @@
     ++this->prompt_changes[std::string(change)];
   }
 
+  /** Counts a restore of the log from an older copy. */
+  auto CountLogRestore() -> void { ++this->log_restores; }
+
   /** Records the time from a request to the first byte of its response. */
   auto RecordTimeToFirstByte(Duration duration) -> void {
     this->first_byte.Record(duration);
@@ -55,6 +58,7 @@
   std::map<std::string, std::uint64_t> sends;
   std::map<std::string, std::uint64_t> prompt_changes;
   std::map<std::string, std::uint64_t> upstream_notices;
+  std::uint64_t log_restores = 0;
   LatencyHistogram first_byte;
 };
 
--- a/programs/gateway/upstream_discovery.cc
+++ b/programs/gateway/upstream_discovery.cc
@@ -88,11 +88,13 @@
 
 UpstreamDiscovery::UpstreamDiscovery(SocketPoller& poller,
                                      Settings settings,
+                                     LogEra& era,
                                      const FleetTopicClient& fleet,
                                      GatewayContext& context,
                                      Callbacks callbacks)
     : poller(poller),
       settings(std::move(settings)),
+      era(era),
       fleet(fleet),
       context(context),
       callbacks(std::move(callbacks)),
@@ -156,7 +158,7 @@
   };
   calls.on_contact = [this](bool answered) { this->OnLogContact(answered); };
   this->follower = std::make_unique<TopicFollower>(
-      this->poller, this->settings.log_address,
+      this->poller, this->settings.log_address, this->era,
       TopicFollower::Settings{std::string(platform::kUpstreamTopic),
                               Duration(0), kPollInterval, true},
       std::move(calls));
--- a/programs/gateway/upstream_discovery.h
+++ b/programs/gateway/upstream_discovery.h
@@ -52,6 +52,7 @@
 
   UpstreamDiscovery(SocketPoller& poller,
                     Settings settings,
+                    LogEra& era,
                     const FleetTopicClient& fleet,
                     GatewayContext& context,
                     Callbacks callbacks);
@@ -96,6 +97,7 @@
 
   SocketPoller& poller;
   Settings settings;
+  LogEra& era;
   const FleetTopicClient& fleet;
   GatewayContext& context;
   Callbacks callbacks;
--- a/tests/gateway/log_reading_test.cc
+++ b/tests/gateway/log_reading_test.cc
@@ -106,7 +106,8 @@
   };
   callbacks.on_listed = [](const std::set<std::string>& /*keys*/) {};
   callbacks.on_contact = [](bool /*answered*/) {};
-  TopicFollower follower(this->poller, kAddress,
+  LogEra era([](std::optional<std::uint64_t> /*previous*/) {});
+  TopicFollower follower(this->poller, kAddress, era,
                          {"keyed.storm", Duration(0), milliseconds(100), true},
                          std::move(callbacks));
   follower.Start();
