The stand-in store can be restored from an older copy

Offsets and sequence numbers go back, a read past the end gets 410, the operator's and upstreams' newest records are written again, and the era rises. Producers have epochs, as on the platform.

--- a/standins/store/keyed_log.cc
+++ b/standins/store/keyed_log.cc
@@ -9,20 +9,26 @@
                       std::vector<Record> records) -> AppendResult {
   Topic& state = this->topics[topic];
   if (!producer.name.empty()) {
-    std::uint64_t& next = state.next_sequence[producer.name];
-    if (next == producer.sequence + 1) {
-      return {true, 0, this->EndOffset(topic)};  // Duplicate.
+    Producer& next = state.next_appends[producer.name];
+    if (producer.epoch < next.epoch) {
+      return {false, true, 0, this->EndOffset(topic)};
     }
-    if (next != producer.sequence) {
-      return {false, next, this->EndOffset(topic)};
+    if (producer.epoch > next.epoch) {
+      next = producer;
     }
-    next = producer.sequence + 1;
+    if (next.sequence == producer.sequence + 1) {
+      return {true, false, 0, this->EndOffset(topic)};  // Duplicate.
+    }
+    if (next.sequence != producer.sequence) {
+      return {false, false, next.sequence, this->EndOffset(topic)};
+    }
+    next.sequence = producer.sequence + 1;
   }
   for (Record& record : records) {
     state.newest[record.key] = record;
     state.records.push_back(std::move(record));
   }
-  return {true, 0, this->EndOffset(topic)};
+  return {true, false, 0, this->EndOffset(topic)};
 }
 
 auto KeyedLog::Compact(const std::string& topic) -> void {
--- a/standins/store/keyed_log.h
+++ b/standins/store/keyed_log.h
@@ -25,13 +25,15 @@
   /** The result of an append. */
   struct AppendResult {
     bool accepted = false;
+    bool is_fenced = false;  ///< A higher epoch of the producer has appended.
     std::uint64_t expected_sequence = 0;  ///< If not accepted.
     std::uint64_t end = 0;  ///< Offset after the last record of the topic.
   };
 
   /** The source of an append. */
   struct Producer {
-    std::string name;  ///< Empty: no sequence check.
+    std::string name;         ///< Empty: no sequence check.
+    std::uint64_t epoch = 0;  ///< A higher one may start at any sequence.
     std::uint64_t sequence = 0;
   };
 
@@ -75,7 +77,7 @@
     std::vector<Record> records;
     std::uint64_t first = 0;
     std::map<std::string, Record> newest;
-    std::map<std::string, std::uint64_t> next_sequence;  ///< By producer.
+    std::map<std::string, Producer> next_appends;  ///< By producer.
   };
 
   std::map<std::string, Topic> topics;
--- a/standins/store/store_server.cc
+++ b/standins/store/store_server.cc
@@ -43,15 +43,6 @@
   return records;
 }
 
-auto Respond(const std::shared_ptr<Http1ServerSession>& session,
-             int status,
-             std::string_view body) -> void {
-  Http1ResponseHead head;
-  head.status = status;
-  head.reason = "Answer";
-  session->Respond(head, body);
-}
-
 }  // namespace
 
 /** A long-poll read that waits for a new record. */
@@ -86,6 +77,20 @@
   this->CompleteWaitingReads(topic);
 }
 
+auto StoreServer::Restore() -> void {
+  const KeyedLog lost = std::exchange(this->log, this->copy);
+  ++this->era;
+  for (const std::string_view topic :
+       {platform::kOperatorTopic, platform::kUpstreamTopic}) {
+    for (const KeyedLog::Record& record : lost.Newest(std::string(topic))) {
+      this->log.Append(std::string(topic), {}, {record});
+    }
+  }
+  for (const auto& read : std::exchange(this->waiting_reads, {})) {
+    read->session->Abort();
+  }
+}
+
 //==============================================================================
 
 auto StoreServer::OnRequest(const Session& session, const Http1Request& request)
@@ -100,7 +105,7 @@
   } else if (this->fault == Fault::kSilent) {
     return;
   } else if (this->fault == Fault::kBusy) {
-    Respond(session, 503, {});
+    this->Respond(session, 503, {});
   } else if (path == platform::kAppendPath) {
     this->OnAppend(session, request);
   } else if (path == platform::kReadPath) {
@@ -108,7 +113,7 @@
   } else if (path == platform::kNewestPath) {
     this->OnNewest(session, request);
   } else {
-    Respond(session, 404, {});
+    this->Respond(session, 404, {});
   }
 }
 
@@ -117,7 +122,8 @@
   const Query query(request.target);
   const std::string topic = query.Text("Topic");
   const KeyedLog::AppendResult appended = this->log.Append(
-      topic, {query.Text("Producer"), query.Number("Sequence")},
+      topic,
+      {query.Text("Producer"), query.Number("epoch"), query.Number("Sequence")},
       ParseRecords(request.body));
   this->CompleteWaitingReads(topic);
   if (this->fault == Fault::kLost) {
@@ -127,10 +133,10 @@
   nlohmann::json body;
   body["EndOffset"] = appended.end;
   if (!appended.accepted) {
-    body["Reason"] = "seq";
+    body["Reason"] = appended.is_fenced ? "fenced" : "seq";
     body["Sequence"] = appended.expected_sequence;
   }
-  Respond(session, appended.accepted ? 200 : 409, body.dump());
+  this->Respond(session, appended.accepted ? 200 : 409, body.dump());
 }
 
 auto StoreServer::OnRead(const Session& session, const Http1Request& request)
@@ -139,8 +145,9 @@
   const std::string topic = query.Text("Topic");
   const std::uint64_t offset = query.Number("From");
   const auto wait = std::chrono::milliseconds(query.Number("WaitMs"));
-  if (offset < this->log.FirstOffset(topic)) {
-    Respond(session, 410, {});
+  if (offset < this->log.FirstOffset(topic) ||
+      offset > this->log.EndOffset(topic)) {
+    this->Respond(session, 410, {});
     return;
   }
   if (offset < this->log.EndOffset(topic) || wait.count() == 0) {
@@ -180,7 +187,7 @@
   }
   body["More"] = false;
   body["EndOffset"] = this->log.EndOffset(topic);
-  Respond(session, 200, body.dump());
+  this->Respond(session, 200, body.dump());
 }
 
 auto StoreServer::OnPut(const Session& session, const Http1Request& request)
@@ -188,17 +195,32 @@
   const Query query(request.target);
   this->Put(query.Text("Topic"), query.Text("Key"),
             request.body.empty() ? std::nullopt : std::optional(request.body));
-  Respond(session, 200, {});
+  this->Respond(session, 200, {});
 }
 
 auto StoreServer::OnFaults(const Session& session, const Http1Request& request)
     -> void {
   const std::string& word = request.body;
+  if (word == "copy") {
+    this->Copy();
+  } else if (word == "restore") {
+    this->Restore();
+  }
   this->fault = word == "silent" ? Fault::kSilent
                 : word == "busy" ? Fault::kBusy
                 : word == "lost" ? Fault::kLost
                                  : Fault::kNone;
-  Respond(session, 200, {});
+  this->Respond(session, 200, {});
+}
+
+auto StoreServer::Respond(const Session& session,
+                          int status,
+                          std::string_view body) const -> void {
+  Http1ResponseHead head;
+  head.status = status;
+  head.reason = "Answer";
+  head.fields.Add(platform::kLogEraHeader, std::to_string(this->era));
+  session->Respond(head, body);
 }
 
 auto StoreServer::RespondToRead(const Session& session,
@@ -217,7 +239,7 @@
     body.append(record.key).append(value);
   }
   this->bytes_read[topic] += body.size();
-  Respond(session, 200, body);
+  this->Respond(session, 200, body);
 }
 
 auto StoreServer::CompleteWaitingReads(const std::string& topic) -> void {
--- a/standins/store/store_server.h
+++ b/standins/store/store_server.h
@@ -20,8 +20,8 @@
     In addition to the calls of the platform it accepts
     `PUT /record?Topic=T&Key=K`, with which a script writes a record as an
     operator or an upstream (an empty body writes a tombstone), and
-    `POST /faults` with the name of a Fault as the body. Both work during any
-    fault.
+    `POST /faults` with the name of a Fault as the body, or `copy` and `restore`
+    for Copy() and Restore(). Both work during any fault.
 
     Thread safety: none; used on the event loop's thread.
 */
@@ -55,6 +55,14 @@
 
   auto SetFault(Fault fault) -> void { this->fault = fault; }
 
+  /** Keeps a copy of the log, to which Restore() returns. */
+  auto Copy() -> void { this->copy = this->log; }
+
+  /** Returns to the last copy, or to an empty log, and raises the era. What
+     routers appended since is gone; the newest records of the operator and the
+     upstreams are written again. */
+  auto Restore() -> void;
+
   /** Removes the ordered records of a topic. The newest record of each key
       stays available. */
   auto Compact(const std::string& topic) -> void { this->log.Compact(topic); }
@@ -82,6 +90,8 @@
   auto OnNewest(const Session& session, const Http1Request& request) -> void;
   auto OnPut(const Session& session, const Http1Request& request) -> void;
   auto OnFaults(const Session& session, const Http1Request& request) -> void;
+  auto Respond(const Session& session, int status, std::string_view body) const
+      -> void;
   auto RespondToRead(const Session& session,
                      const std::string& topic,
                      std::uint64_t offset) -> void;
@@ -90,6 +100,8 @@
   SocketPoller& poller;
   Http1SessionLimits limits;
   KeyedLog log;
+  KeyedLog copy;
+  std::uint64_t era = 0;
   Fault fault = Fault::kNone;
   std::list<std::unique_ptr<WaitingRead>> waiting_reads;
   std::uint64_t call_count = 0;
