Followers start over when the log was restored

Callers could miss a configuration, an upstream's drain or another router's entry: offsets of the lost records are given out again, and a follower read on at its old offset without a 410. Class of fault: a position that outlives the log it was taken from. A position now belongs to an era; a reply of a higher era makes the follower list again, one of a lower era than any client of the process has seen is ignored.

LogRestore.FollowersStartOver failed before and passes.

--- a/modules/al_logstore/log_era.h
+++ b/modules/al_logstore/log_era.h
@@ -41,7 +41,12 @@
     return true;
   }
 
-  /** Returns the newest era; 0 before the first reply. */
+  /** Returns the newest era; none before the first reply. */
+  [[nodiscard]] auto current() const -> std::optional<std::uint64_t> {
+    return this->newest;
+  }
+
+  /** As above, but 0 before the first reply. */
   [[nodiscard]] auto number() const -> std::uint64_t {
     return this->newest.value_or(0);
   }
--- a/modules/al_logstore/topic_follower.cc
+++ b/modules/al_logstore/topic_follower.cc
@@ -64,7 +64,6 @@
   this->caller.Call(
       platform::MakeNewestCall(this->settings.topic, this->list_after),
       kReplyTimeout, [this](const std::optional<Http1Client::Reply>& reply) {
-        this->ObserveEra(reply);
         this->OnNewest(reply);
       });
 }
@@ -76,20 +75,39 @@
                              this->settings.wait),
       this->settings.wait + kReplyTimeout,
       [this](const std::optional<Http1Client::Reply>& reply) {
-        this->ObserveEra(reply);
         this->OnRead(reply);
       });
 }
 
-auto TopicFollower::ObserveEra(const std::optional<Http1Client::Reply>& reply)
-    -> void {
-  if (reply) {
-    static_cast<void>(this->era.Observe(platform::ReadLogEra(reply->fields)));
+auto TopicFollower::IsOfCurrentEra(const Http1Client::Reply& reply) -> bool {
+  if (!this->era.Observe(platform::ReadLogEra(reply.fields))) {
+    this->OnCallFailed();
+    return false;
   }
+  const auto before = std::exchange(this->position_era, this->era.current());
+  if (!before || before == this->position_era) {
+    return true;
+  }
+  this->failures = 0;
+  this->callbacks.on_contact(true);
+  this->StartOver();
+  return false;
+}
+
+auto TopicFollower::StartOver() -> void {
+  this->listing = true;
+  this->list_after.clear();
+  if (this->callbacks.on_history_lost) {
+    this->callbacks.on_history_lost();
+  }
+  this->Continue(Duration(0));
 }
 
 auto TopicFollower::OnNewest(const std::optional<Http1Client::Reply>& reply)
     -> void {
+  if (reply && !this->IsOfCurrentEra(*reply)) {
+    return;
+  }
   const auto page = reply
                         ? platform::ParseNewestReply(reply->status, reply->body)
                         : std::nullopt;
@@ -123,6 +141,9 @@
 
 auto TopicFollower::OnRead(const std::optional<Http1Client::Reply>& reply)
     -> void {
+  if (reply && !this->IsOfCurrentEra(*reply)) {
+    return;
+  }
   const auto batch = reply ? platform::ParseReadReply(
                                  reply->status, reply->body, this->next_offset)
                            : std::nullopt;
@@ -133,11 +154,7 @@
   this->failures = 0;
   this->callbacks.on_contact(true);
   if (batch->history_lost) {
-    this->listing = true;
-    if (this->callbacks.on_history_lost) {
-      this->callbacks.on_history_lost();
-    }
-    this->Continue(Duration(0));
+    this->StartOver();
     return;
   }
   this->ReportRecords(batch->records);
--- a/modules/al_logstore/topic_follower.h
+++ b/modules/al_logstore/topic_follower.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -18,8 +19,9 @@
 /** Follows a keyed topic of the log service ("the log").
 
     It first lists the newest record of each key, then reads the appended
-   records. If records were deleted before it read them, it reports the loss and
-   lists again.
+   records. If records were deleted before it read them, or the log was restored
+   from an older copy, it reports the loss and lists again: an offset is a
+   position in one era of the log only.
 
     Thread safety: none; used on the loop's thread.
 */
@@ -37,8 +39,8 @@
   struct Callbacks {
     /** Receives a record: in the order of the log, except while listing. */
     std::function<void(const gateway::KeyedRecord&)> on_record;
-    /** Called when records were deleted before they were read; a list follows.
-       May be empty. */
+    /** Called when records were deleted before they were read, or the log was
+       restored; a list follows. May be empty. */
     std::function<void()> on_history_lost;
     /** Called at the end of a list with all keys that exist. */
     std::function<void(const std::set<std::string>& keys)> on_listed;
@@ -69,7 +71,10 @@
   auto Step() -> void;
   auto CallNewest() -> void;
   auto CallRead() -> void;
-  auto ObserveEra(const std::optional<Http1Client::Reply>& reply) -> void;
+  /** Checks the era of a reply. Starts over if the position is of another one.
+      @return whether the reply can be used. */
+  [[nodiscard]] auto IsOfCurrentEra(const Http1Client::Reply& reply) -> bool;
+  auto StartOver() -> void;
   auto OnNewest(const std::optional<Http1Client::Reply>& reply) -> void;
   auto OnRead(const std::optional<Http1Client::Reply>& reply) -> void;
   /** Reports the records of one reply. */
@@ -88,6 +93,7 @@
   std::set<std::string> list_keys;
   std::uint64_t list_end = 0;  ///< Offset to read from after the list.
   std::uint64_t next_offset = 0;
+  std::optional<std::uint64_t> position_era;  ///< Of list_after, next_offset.
   int failures = 0;
 };
 
