Each era of the log is a new epoch of a producer

An acknowledgement of the lost log was taken for one of the restored log, and as the restored log expects an older sequence number, a delayed append from before could be accepted after newer ones. Acknowledgements of an earlier era are ignored, the batch is sent again, and the log fences appends of earlier epochs.

LogRestore.ProducersIgnoreAcknowledgementsOfTheLostLog failed before and passes.

--- a/modules/al_logstore/topic_producer.cc
+++ b/modules/al_logstore/topic_producer.cc
@@ -12,9 +12,9 @@
 
 namespace {
 
-/** The epoch never changes: each incarnation of a process is a new producer
+/** The epoch of the first era. Each incarnation of a process is a new producer
    with a new name. */
-constexpr std::uint64_t kEpoch = 1;
+constexpr std::uint64_t kFirstEpoch = 1;
 
 /** Timeout of a reply. */
 constexpr Duration kReplyTimeout = std::chrono::milliseconds(1'000);
@@ -48,9 +48,14 @@
 }
 
 auto TopicProducer::Send() -> void {
+  const std::uint64_t current = kFirstEpoch + this->era.number();
+  if (std::exchange(this->epoch, current) != current) {
+    this->sequence = 0;
+  }
   this->caller.Call(
-      platform::MakeAppendCall(
-          this->topic, {this->producer, kEpoch, this->sequence}, this->batch),
+      platform::MakeAppendCall(this->topic,
+                               {this->producer, this->epoch, this->sequence},
+                               this->batch),
       kReplyTimeout, [this](const std::optional<Http1Client::Reply>& reply) {
         this->OnReply(reply);
       });
@@ -58,12 +63,11 @@
 
 auto TopicProducer::OnReply(const std::optional<Http1Client::Reply>& reply)
     -> void {
-  if (reply) {
-    static_cast<void>(this->era.Observe(platform::ReadLogEra(reply->fields)));
-  }
+  const bool is_current =
+      reply && this->era.Observe(platform::ReadLogEra(reply->fields));
   const auto append_reply =
-      reply ? platform::ParseAppendReply(reply->status, reply->body)
-            : std::nullopt;
+      is_current ? platform::ParseAppendReply(reply->status, reply->body)
+                 : std::nullopt;
   const bool is_appended =
       append_reply &&
       (append_reply->status == gateway::AppendStatus::kDone ||
--- a/modules/al_logstore/topic_producer.h
+++ b/modules/al_logstore/topic_producer.h
@@ -21,6 +21,10 @@
    until the log confirms it. The log ignores duplicates, and rejects a delayed
    call whose sequence number is out of order.
 
+    Each era of the log is a new epoch of the producer, as a restored log has an
+   older sequence number. It rejects what is delayed from an earlier epoch. An
+   acknowledgement of an earlier era is worth nothing; the batch is sent again.
+
     Thread safety: none; used on the loop's thread.
 */
 class TopicProducer {
@@ -59,7 +63,8 @@
   std::unique_ptr<LoopTimer> timer;
   std::vector<gateway::KeyedRecord> batch;
   OnAppended appended;
-  std::uint64_t sequence = 0;
+  std::uint64_t sequence = 0;  ///< In `epoch`.
+  std::uint64_t epoch = 0;
   int failures = 0;
 };
 
