A drain outlives an older record that returns

A restored log has the record of a draining upstream from before, and the router sent it new work again. Class of fault: the newest state seen is replaced by an older one. A process that was leaving stays so.

--- a/modules/al_gateway/upstreams/upstream_directory.cc
+++ b/modules/al_gateway/upstreams/upstream_directory.cc
@@ -22,6 +22,7 @@
 // Commands
 
 auto UpstreamDirectory::Put(UpstreamRecord record) -> void {
+  this->KeepDrain(record);
   const auto found = this->by_id.find(record.id);
   if (found != this->by_id.end() &&
       found->second.state->record().service == record.service) {
@@ -48,6 +49,20 @@
   this->by_id[id] = {std::move(state), Instant()};
 }
 
+auto UpstreamDirectory::KeepDrain(UpstreamRecord& record) -> void {
+  const auto known = this->draining.find(record.id);
+  const bool was_draining =
+      known != this->draining.end() && known->second == record.started_at_ms;
+  if (was_draining) {
+    record.leaving = true;
+  } else if (record.leaving) {
+    if (this->draining.size() >= kMaxNotices) {
+      this->draining.clear();
+    }
+    this->draining[record.id] = record.started_at_ms;
+  }
+}
+
 auto UpstreamDirectory::Remove(std::string_view id, Instant now) -> void {
   const auto found = this->by_id.find(std::string(id));
   if (found == this->by_id.end()) {
--- a/modules/al_gateway/upstreams/upstream_directory.h
+++ b/modules/al_gateway/upstreams/upstream_directory.h
@@ -23,6 +23,9 @@
    Such an upstream becomes suspect, and is removed if its record does not
    return within a grace period.
 
+    An upstream whose record said that it is leaving stays so until a restart:
+   an older record may return with a restored copy of the log.
+
     What an upstream says about itself in its responses (that it is leaving, or
    wants no requests for a time) belongs to its process: it outlives an outage
    in which its record expires and returns, and ends with a restart.
@@ -114,6 +117,9 @@
     Instant noticed_at{};
   };
 
+  /** Marks a record as leaving if an earlier one of its process was, and
+     remembers one that is. */
+  auto KeepDrain(UpstreamRecord& record) -> void;
   auto Erase(const std::string& id) -> void;
   /** Returns the notice of a process, a new one if there is none. */
   auto NoticeOf(const UpstreamProcess& upstream, Instant now) -> Notice&;
@@ -127,6 +133,10 @@
   std::unordered_map<std::string, Entry> by_id;
   std::unordered_map<std::string, std::vector<State>> by_service;
   std::unordered_map<std::string, Notice> notices;  ///< By id.
+  /** The start of the processes whose records said that they are leaving, by
+   * id.
+   */
+  std::unordered_map<std::string, std::int64_t> draining;
   Instant suspect_until{};
 };
 
