Raise no allowance after a restore until all routers have written theirs again

A team got more than its Prepaid. The proof of the budget rests on a log that keeps what it acknowledged: a raise is valid where the sum at its place is within the budget. In the trace the sum fell from 1,754,692 to 1,033,930 tokens with the restore, while all routers went on to hold what they had taken, and six raises were relied on before the others had written again.

Now a router keeps the newest entry that it read of each holder, whatever the log has; it writes its own again at once, and with one other router those of each holder that the log lacks, under a key of their own; its next announcement tells that it has. Until all active routers have announced that in the new era, none plans or relies on a raise: they spend what they held, which the old log's sum covers. A router that starts meanwhile sees the old announcements and waits, too.

--- a/modules/al_gateway/membership/router_registry.cc
+++ b/modules/al_gateway/membership/router_registry.cc
@@ -108,10 +108,18 @@
 auto RouterRegistry::IsAmongHighestRanked(std::string_view item,
                                           int count,
                                           Instant now) const -> bool {
+  return this->IsAmongHighestRankedExcept({}, item, count, now);
+}
+
+auto RouterRegistry::IsAmongHighestRankedExcept(std::string_view except,
+                                                std::string_view item,
+                                                int count,
+                                                Instant now) const -> bool {
   const std::uint64_t own = StableHash(item, this->self);
   int ranked_higher = 0;
   for (const auto& [name, member] : this->members) {
     if (name != this->self && !member.announcement.leaving &&
+        member.announcement.incarnation != except &&
         this->IsActive(member, now) && StableHash(item, name) > own) {
       ++ranked_higher;
     }
@@ -119,6 +127,16 @@
   return ranked_higher < count;
 }
 
+auto RouterRegistry::HaveAllAnnounced(std::uint64_t log_era, Instant now) const
+    -> bool {
+  return std::all_of(this->members.begin(), this->members.end(),
+                     [&](const auto& item) {
+                       return item.first == this->self ||
+                              item.second.announcement.log_era >= log_era ||
+                              !this->IsActive(item.second, now);
+                     });
+}
+
 auto RouterRegistry::FindHighestRanked(std::string_view item, Instant now) const
     -> const RouterAnnouncement* {
   const RouterAnnouncement* highest = nullptr;
--- a/modules/al_gateway/membership/router_registry.h
+++ b/modules/al_gateway/membership/router_registry.h
@@ -24,7 +24,9 @@
   bool leaving = false;        ///< It shuts down and takes no new callers.
   std::uint64_t beat = 0;      ///< Number of the announcement.
   std::uint64_t config_version = 0;  ///< Of its configuration.
-  std::uint64_t link_mbps = 0;       ///< Link bandwidth of its VM; 0: unknown.
+  std::uint64_t log_era = 0;    ///< In which it has written all its allowance
+                                ///< entries again.
+  std::uint64_t link_mbps = 0;  ///< Link bandwidth of its VM; 0: unknown.
   double requests_per_second = 0.0;  ///< That callers send to it.
 };
 
@@ -89,6 +91,19 @@
   [[nodiscard]] auto FindHighestRanked(std::string_view item, Instant now) const
       -> const RouterAnnouncement*;
 
+  /** Returns whether all active routers but this one have announced themselves
+     in an era of the log, or a later one. */
+  [[nodiscard]] auto HaveAllAnnounced(std::uint64_t log_era, Instant now) const
+      -> bool;
+
+  /** Returns whether this router is among the first `count` in the rendezvous
+     order of `item` among the active routers but the one whose incarnation is
+     `except`. */
+  [[nodiscard]] auto IsAmongHighestRankedExcept(std::string_view except,
+                                                std::string_view item,
+                                                int count,
+                                                Instant now) const -> bool;
+
   /** Returns the mean of the requests per second of the active routers. */
   [[nodiscard]] auto MeanRequestRate(Instant now) const -> double;
 
--- a/modules/al_gateway/prepaid/allowance_ledger.cc
+++ b/modules/al_gateway/prepaid/allowance_ledger.cc
@@ -1,14 +1,45 @@
 #include "al_gateway/prepaid/allowance_ledger.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace auburnloft::gateway {
 
 auto AllowanceLedger::Apply(AllowanceEntry entry) -> void {
   TeamEntries& entries = this->teams[entry.team];
-  AllowanceEntry& known = entries.by_holder[entry.holder];
-  entries.taken = entries.taken - known.taken_tokens + entry.taken_tokens;
-  known = std::move(entry);
+  HolderEntry& known = entries.by_holder[entry.holder];
+  known.logged_revision = std::max(known.logged_revision, entry.revision);
+  known.is_logged = true;
+  if (entry.revision < known.newest.revision) {
+    return;
+  }
+  entries.taken =
+      entries.taken - known.newest.taken_tokens + entry.taken_tokens;
+  known.newest = std::move(entry);
+}
+
+auto AllowanceLedger::BeginEra() -> void {
+  for (auto& [team, entries] : this->teams) {
+    for (auto& [holder, entry] : entries.by_holder) {
+      entry.logged_revision = 0;
+      entry.is_logged = false;
+    }
+  }
+}
+
+auto AllowanceLedger::MissingEntries(const IsActive& writes_for) const
+    -> std::vector<AllowanceEntry> {
+  std::vector<AllowanceEntry> missing;
+  for (const auto& [team, entries] : this->teams) {
+    for (const auto& [holder, entry] : entries.by_holder) {
+      const bool is_missing =
+          !entry.is_logged || entry.logged_revision < entry.newest.revision;
+      if (is_missing && writes_for(holder)) {
+        missing.push_back(entry.newest);
+      }
+    }
+  }
+  return missing;
 }
 
 auto AllowanceLedger::Taken(std::string_view team) const -> std::int64_t {
@@ -25,13 +56,14 @@
   }
   totals.taken = found->second.taken;
   for (const auto& [holder, entry] : found->second.by_holder) {
+    const AllowanceEntry& newest = entry.newest;
     if (is_active(holder)) {
-      totals.settled_by_active += entry.settled_tokens;
-      totals.reserved_by_active += entry.reserved_tokens;
-      totals.demand_of_active += entry.demand_per_second;
+      totals.settled_by_active += newest.settled_tokens;
+      totals.reserved_by_active += newest.reserved_tokens;
+      totals.demand_of_active += newest.demand_per_second;
     } else {
-      totals.taken_by_expired += entry.taken_tokens;
-      totals.settled_by_expired += entry.settled_tokens;
+      totals.taken_by_expired += newest.taken_tokens;
+      totals.settled_by_expired += newest.settled_tokens;
     }
   }
   return totals;
@@ -45,7 +77,7 @@
     return;
   }
   for (const auto& [holder, entry] : found->second.by_holder) {
-    visit(entry);
+    visit(entry.newest);
   }
 }
 
@@ -53,7 +85,7 @@
     const std::function<void(const AllowanceEntry&)>& visit) const -> void {
   for (const auto& [team, entries] : this->teams) {
     for (const auto& [holder, entry] : entries.by_holder) {
-      visit(entry);
+      visit(entry.newest);
     }
   }
 }
--- a/modules/al_gateway/prepaid/allowance_ledger.h
+++ b/modules/al_gateway/prepaid/allowance_ledger.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <vector>
 
 namespace auburnloft::gateway {
 
@@ -45,6 +46,12 @@
    was below what its holder could spend. This requires only the newest entry of
    each key, which the log keeps indefinitely.
 
+    A restore of the log from an older copy loses entries by which their holders
+   go on to spend. The ledger keeps the newest entry that it has read of each
+   holder, by its revision, whatever the log has now; BeginEra() and
+   MissingEntries() tell which of them the log lacks, so that routers can write
+   them again on behalf of holders that are gone.
+
     A transfer between holders needs no entry: the sender counts it as spent
    before it sends, and its entries cover it for good; the receiver may then
    lower its own entry by the same amount, below 0 if need be, without a change
@@ -70,16 +77,27 @@
   //============================================================================
   // Commands
 
-  /** Applies the next entry of the log, which replaces the holder's last one.
+  /** Applies the next entry of the log. It replaces the holder's last one
+     unless that has a higher revision: it was lost, or written on behalf of the
+     holder.
    */
   auto Apply(AllowanceEntry entry) -> void;
 
+  /** Records that the log was restored from an older copy and is listed again.
+   */
+  auto BeginEra() -> void;
+
   //============================================================================
   // Queries
 
   /** Returns the tokens that all holders have taken. */
   [[nodiscard]] auto Taken(std::string_view team) const -> std::int64_t;
 
+  /** Returns the entries that the log lacks since it was restored.
+      @param writes_for  whether this router writes for a holder. */
+  [[nodiscard]] auto MissingEntries(const IsActive& writes_for) const
+      -> std::vector<AllowanceEntry>;
+
   /** Returns the sums over a team's holders.
       @param is_active  tells whether a holder is an active router incarnation.
    */
@@ -96,8 +114,13 @@
       -> void;
 
  private:
+  struct HolderEntry {
+    AllowanceEntry newest;              ///< By its revision.
+    std::uint64_t logged_revision = 0;  ///< Of those that the log has.
+    bool is_logged = false;             ///< Whether the log has any.
+  };
   struct TeamEntries {
-    std::unordered_map<std::string, AllowanceEntry> by_holder;
+    std::unordered_map<std::string, HolderEntry> by_holder;
     std::int64_t taken = 0;
   };
 
--- a/modules/al_gateway/prepaid/allowance_manager.cc
+++ b/modules/al_gateway/prepaid/allowance_manager.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <limits>
 #include <utility>
 
 namespace auburnloft::gateway {
@@ -126,9 +127,11 @@
         ledger.TotalsOf(team, fleet.is_active);
     const std::uint64_t target =
         this->TargetTokens(team, account, totals, fleet, now);
-    const std::int64_t taken =
+    const std::int64_t taken = std::min(
         UpdateTakenTokens(account, totals, target, fleet.reserve_holders,
-                          fleet.holds_reserve(team), scope);
+                          fleet.holds_reserve(team), scope),
+        fleet.may_increase ? std::numeric_limits<std::int64_t>::max()
+                           : account.spendable);
     const bool withdraws = account.written > account.spendable;
     const bool is_short = RemainingOf(account.prepaid, totals.taken) <
                           static_cast<std::int64_t>(target);
@@ -145,6 +148,19 @@
   return entries;
 }
 
+auto AllowanceManager::PlanRestoredEntries() -> std::vector<AllowanceEntry> {
+  this->OnHistoryLost();
+  std::vector<AllowanceEntry> entries;
+  for (auto& [team, account] : this->accounts) {
+    if (account.written != 0 || account.spendable != 0) {
+      entries.push_back(this->MakeEntry(team, account, account.spendable,
+                                        account.demand_written));
+    }
+  }
+  this->pending_entries = static_cast<int>(entries.size());
+  return entries;
+}
+
 auto AllowanceManager::PlanReturnEntries() -> std::vector<AllowanceEntry> {
   std::vector<AllowanceEntry> entries;
   for (auto& [team, account] : this->accounts) {
@@ -158,14 +174,15 @@
 }
 
 auto AllowanceManager::OnRecorded(const AllowanceEntry& entry,
-                                  std::int64_t taken_by_all) -> void {
+                                  std::int64_t taken_by_all,
+                                  bool may_increase) -> void {
   Account& account = this->accounts[entry.team];
   if (entry.revision != account.pending_revision) {
     return;  // Written before unread log records were lost.
   }
   account.pending_revision = 0;
   this->pending_entries = std::max(0, this->pending_entries - 1);
-  if (entry.taken_tokens > account.spendable &&
+  if (entry.taken_tokens > account.spendable && may_increase &&
       taken_by_all <= static_cast<std::int64_t>(account.prepaid)) {
     account.spendable = entry.taken_tokens;
   }
--- a/modules/al_gateway/prepaid/allowance_manager.h
+++ b/modules/al_gateway/prepaid/allowance_manager.h
@@ -47,6 +47,9 @@
   /** Returns whether this router holds a part of the team's reserve. */
   std::function<bool(std::string_view team)> holds_reserve;
   AllowanceLedger::IsActive is_active;
+  /** False after a restore of the log until all active routers have written
+     their entries again: no increase can be valid before. */
+  bool may_increase = true;
 };
 
 /** Manages one router's allowances: the part of each team's budget that this
@@ -107,6 +110,10 @@
                                  EntryScope scope,
                                  Instant now) -> std::vector<AllowanceEntry>;
 
+  /** Returns an entry for each team of which this router may spend tokens, as
+     the log was restored and may have an older one, or none. */
+  [[nodiscard]] auto PlanRestoredEntries() -> std::vector<AllowanceEntry>;
+
   /** Returns the entries that give back all uncommitted tokens at shutdown.
      They stop being spendable at once. */
   [[nodiscard]] auto PlanReturnEntries() -> std::vector<AllowanceEntry>;
@@ -114,9 +121,11 @@
   /** Handles an entry of this holder that was read back from the log. An
      increase becomes spendable if it is valid.
       @param taken_by_all  sum over the newest entries of all holders at the
-                           entry's position in the log. */
-  auto OnRecorded(const AllowanceEntry& entry, std::int64_t taken_by_all)
-      -> void;
+                           entry's position in the log.
+      @param may_increase  as in FleetStatus, at that position. */
+  auto OnRecorded(const AllowanceEntry& entry,
+                  std::int64_t taken_by_all,
+                  bool may_increase) -> void;
 
   /** Transfers available tokens to another router. This router counts them as
      spent, so the transfer needs no ledger entry. It keeps enough for its own
--- a/modules/al_gateway/prompts/prompt_quarantine.h
+++ b/modules/al_gateway/prompts/prompt_quarantine.h
@@ -98,6 +98,11 @@
   /** Records that a trial of `part` was sent; others wait for its outcome. */
   auto BeginTrial(const std::string& part, Instant now) -> void;
 
+  /** Makes TakeReport() return the report again, as the others may have lost
+   * it.
+   */
+  auto ReportAgain() -> void { this->last_report = {}; }
+
   /** Returns this router's report if it differs from the last one returned, and
      marks it as returned. It is empty if there is nothing left to tell.
       @param only_news  returns none if the report has only become shorter. */
--- a/modules/al_gateway/upstreams/upstream_limits.cc
+++ b/modules/al_gateway/upstreams/upstream_limits.cc
@@ -137,6 +137,12 @@
   }
 }
 
+auto UpstreamLimits::ReportAgain() -> void {
+  for (auto& [upstream, limit] : this->limits) {
+    limit.shared_per_second.reset();
+  }
+}
+
 auto UpstreamLimits::TakeReport(Instant now)
     -> std::optional<UpstreamLimitReport> {
   const bool is_due = std::any_of(
--- a/modules/al_gateway/upstreams/upstream_limits.h
+++ b/modules/al_gateway/upstreams/upstream_limits.h
@@ -78,6 +78,10 @@
      drops what is outdated; call it regularly. */
   auto Update(const Fleet& fleet, Instant now) -> void;
 
+  /** Makes TakeReport() return what this router heard, as the others may have
+     lost it. */
+  auto ReportAgain() -> void;
+
   /** Returns what this router heard, if the others do not know it yet or were
      last told long ago. */
   [[nodiscard]] auto TakeReport(Instant now)
--- a/programs/gateway/fleet_records.cc
+++ b/programs/gateway/fleet_records.cc
@@ -12,6 +12,7 @@
 
 constexpr std::string_view kRouterKey = "r/";
 constexpr std::string_view kAllowanceKey = "a/";
+constexpr std::string_view kRestoredKey = "b/";
 constexpr std::string_view kPromptKey = "p/";
 constexpr std::string_view kLimitKey = "l/";
 
@@ -55,6 +56,18 @@
   return readable ? std::optional(std::move(message)) : std::nullopt;
 }
 
+auto Serialize(const AllowanceEntry& entry) -> std::string {
+  wire::AllowanceRecord message;
+  message.set_team(entry.team);
+  message.set_holder(entry.holder);
+  message.set_taken_tokens(entry.taken_tokens);
+  message.set_settled_tokens(entry.settled_tokens);
+  message.set_demand_per_second(entry.demand_per_second);
+  message.set_revision(entry.revision);
+  message.set_reserved_tokens(entry.reserved_tokens);
+  return message.SerializeAsString();
+}
+
 }  // namespace
 
 auto ToRecord(const RouterAnnouncement& announcement) -> KeyedRecord {
@@ -68,6 +81,7 @@
   message.set_leaving(announcement.leaving);
   message.set_beat(announcement.beat);
   message.set_config_version(announcement.config_version);
+  message.set_log_era(announcement.log_era);
   message.set_link_mbps(announcement.link_mbps);
   message.set_requests_per_second(announcement.requests_per_second);
   return {std::string(kRouterKey) + announcement.name,
@@ -75,16 +89,13 @@
 }
 
 auto ToRecord(const AllowanceEntry& entry) -> KeyedRecord {
-  wire::AllowanceRecord message;
-  message.set_team(entry.team);
-  message.set_holder(entry.holder);
-  message.set_taken_tokens(entry.taken_tokens);
-  message.set_settled_tokens(entry.settled_tokens);
-  message.set_demand_per_second(entry.demand_per_second);
-  message.set_revision(entry.revision);
-  message.set_reserved_tokens(entry.reserved_tokens);
   return {std::string(kAllowanceKey) + entry.team + "/" + entry.holder,
-          message.SerializeAsString()};
+          Serialize(entry)};
+}
+
+auto ToRestoredRecord(const AllowanceEntry& entry) -> KeyedRecord {
+  return {std::string(kRestoredKey) + entry.team + "/" + entry.holder,
+          Serialize(entry)};
 }
 
 auto ToRecord(const PromptReport& report, Instant now) -> KeyedRecord {
@@ -153,13 +164,17 @@
   announcement.leaving = message->leaving();
   announcement.beat = message->beat();
   announcement.config_version = message->config_version();
+  announcement.log_era = message->log_era();
   announcement.link_mbps = message->link_mbps();
   announcement.requests_per_second = message->requests_per_second();
   return announcement;
 }
 
 auto ReadAllowance(const KeyedRecord& record) -> std::optional<AllowanceEntry> {
-  const auto message = Read<wire::AllowanceRecord>(record, kAllowanceKey);
+  auto message = Read<wire::AllowanceRecord>(record, kAllowanceKey);
+  if (!message) {
+    message = Read<wire::AllowanceRecord>(record, kRestoredKey);
+  }
   if (!message) {
     return std::nullopt;
   }
--- a/programs/gateway/fleet_records.h
+++ b/programs/gateway/fleet_records.h
@@ -19,6 +19,10 @@
     -> KeyedRecord;
 [[nodiscard]] auto ToRecord(const AllowanceEntry& entry) -> KeyedRecord;
 
+/** Makes the record of an entry that the log lost, on behalf of its holder. It
+   has a key of its own, so that it does not replace a newer entry. */
+[[nodiscard]] auto ToRestoredRecord(const AllowanceEntry& entry) -> KeyedRecord;
+
 /** An empty report becomes a record that deletes its key. */
 [[nodiscard]] auto ToRecord(const PromptReport& report, Instant now)
     -> KeyedRecord;
@@ -30,7 +34,8 @@
 [[nodiscard]] auto ReadAnnouncement(const KeyedRecord& record)
     -> std::optional<RouterAnnouncement>;
 
-/** @return none if the record is not a valid allowance entry. */
+/** Reads an allowance entry that its holder wrote, or another router on its
+   behalf. @return none if the record is no valid one. */
 [[nodiscard]] auto ReadAllowance(const KeyedRecord& record)
     -> std::optional<AllowanceEntry>;
 
--- a/programs/gateway/fleet_topic_client.cc
+++ b/programs/gateway/fleet_topic_client.cc
@@ -34,6 +34,18 @@
  */
 constexpr Duration kBatchDelay = std::chrono::milliseconds(2);
 
+/** Routers that write the lost entries of another one again, which may be gone.
+ */
+constexpr int kRestoringRouters = 2;
+
+/** Maximum records of an append after a restore: well below the size that the
+   log accepts. */
+constexpr std::size_t kMaxRestoredRecords = 4'000;
+
+/** Time after a restore in which lost entries of expired routers are looked
+   for: longer than an expiry takes in the largest fleet. */
+constexpr Duration kRestoreWatch = std::chrono::seconds(60);
+
 /** Bounds of a responsive log: the last read is at most 1.5 read intervals old,
    and an append has its reply within a few times its usual latency. */
 constexpr Duration kMaxReadAge = std::chrono::milliseconds(600);
@@ -51,6 +63,7 @@
                                    DecisionLog& log,
                                    Callbacks callbacks)
     : poller(poller),
+      era(era),
       self(std::move(self)),
       allowance_manager(allowance_manager),
       prompts(prompts),
@@ -99,6 +112,21 @@
   }
 }
 
+auto FleetTopicClient::OnLogRestored() -> void {
+  const Instant now = this->poller.loop().Now();
+  this->allowance_ledger.BeginEra();
+  this->allowance_manager.OnHistoryLost();
+  // The others need time to announce themselves again.
+  this->routers.RecordLogRecovery(now);
+  this->prompts.ReportAgain();
+  this->limits.ReportAgain();
+  this->listed = false;
+  this->must_restore = true;
+  this->restored_records.clear();
+  this->restored_at = now;
+  this->increases_held = true;
+}
+
 auto FleetTopicClient::AnnounceLeaving() -> void {
   this->self.leaving = true;
   this->announce_at_once = true;
@@ -176,6 +204,10 @@
   if (this->producer.busy() || !this->listed) {
     return;
   }
+  if (this->must_restore) {
+    this->AppendRestored();
+    return;
+  }
   if (this->on_returned) {
     this->AppendBatch(this->allowance_manager.PlanReturnEntries(),
                       this->TakePromptReport(true, this->poller.loop().Now()),
@@ -183,6 +215,7 @@
     return;
   }
   const Instant now = this->poller.loop().Now();
+  this->UpdateIncreaseHold(now);
   const FleetStatus view = this->MakeFleetView();
   const bool announce =
       this->announce_at_once ||
@@ -199,6 +232,68 @@
   }
 }
 
+auto FleetTopicClient::AppendRestored() -> void {
+  const Instant now = this->poller.loop().Now();
+  if (this->restored_records.empty()) {
+    this->restored_records = this->PlanRestore();
+  }
+  const std::size_t rest =
+      this->restored_records.size() -
+      std::min(this->restored_records.size(), kMaxRestoredRecords);
+  std::vector<KeyedRecord> records(
+      this->restored_records.begin() + static_cast<std::ptrdiff_t>(rest),
+      this->restored_records.end());
+  this->restored_records.resize(rest);
+  if (this->restored_records.empty()) {
+    this->must_restore = false;
+    records.push_back(this->MakeAnnouncement());
+  }
+  this->append_sent_at = now;
+  this->producer.Append(std::move(records),
+                        [this] { this->follower.ReadNow(); });
+}
+
+auto FleetTopicClient::PlanRestore() -> std::vector<KeyedRecord> {
+  const Instant now = this->poller.loop().Now();
+  std::vector<KeyedRecord> records;
+  for (const AllowanceEntry& entry :
+       this->allowance_manager.PlanRestoredEntries()) {
+    records.push_back(ToRecord(entry));
+  }
+  const std::size_t own = records.size();
+  const auto lost =
+      this->allowance_ledger.MissingEntries([this](std::string_view holder) {
+        return holder != this->self.incarnation &&
+               this->routers.IsAmongHighestRankedExcept(
+                   holder, holder, kRestoringRouters, this->log_read_at);
+      });
+  for (const AllowanceEntry& entry : lost) {
+    records.push_back(ToRestoredRecord(entry));
+  }
+  this->log.WriteLine(DecisionLog::Severity::kNotable, "log_restored",
+                      {{"era", this->era.number()},
+                       {"own_entries", own},
+                       {"entries_of_others", lost.size()},
+                       {"after_ms", now - *this->restored_at}},
+                      now);
+  return records;
+}
+
+auto FleetTopicClient::MayIncrease() const -> bool {
+  return this->listed && !this->must_restore &&
+         this->routers.HaveAllAnnounced(this->era.number(), this->log_read_at);
+}
+
+auto FleetTopicClient::UpdateIncreaseHold(Instant now) -> void {
+  if (this->increases_held && this->MayIncrease()) {
+    this->increases_held = false;
+    this->log.WriteLine(
+        DecisionLog::Severity::kNotable, "increases_resumed",
+        {{"era", this->era.number()}, {"held_ms", now - *this->restored_at}},
+        now);
+  }
+}
+
 auto FleetTopicClient::TakePromptReport(bool announce, Instant now)
     -> std::optional<PromptReport> {
   if (now - this->prompts_reported_at < kPromptReportInterval) {
@@ -242,6 +337,7 @@
     return this->routers.IsAmongHighestRanked(team, count, this->log_read_at);
   };
   view.is_active = this->MakeIsActive();
+  view.may_increase = this->MayIncrease();
   return view;
 }
 
@@ -252,14 +348,14 @@
     bool announce) -> void {
   std::vector<KeyedRecord> records;
   if (announce) {
-    ++this->self.beat;
-    this->announce_at_once = false;
-    this->announced_at = this->poller.loop().Now();
-    records.push_back(ToRecord(this->self));
+    records.push_back(this->MakeAnnouncement());
   }
   for (const AllowanceEntry& entry : entries) {
     records.push_back(ToRecord(entry));
   }
+  if (announce) {
+    this->AddLostEntries(records);
+  }
   if (report) {
     records.push_back(ToRecord(*report, this->poller.loop().Now()));
   }
@@ -279,6 +375,31 @@
       });
 }
 
+auto FleetTopicClient::MakeAnnouncement() -> KeyedRecord {
+  ++this->self.beat;
+  this->self.log_era = this->era.number();
+  this->announce_at_once = false;
+  this->announced_at = this->poller.loop().Now();
+  return ToRecord(this->self);
+}
+
+auto FleetTopicClient::AddLostEntries(std::vector<KeyedRecord>& records) const
+    -> void {
+  if (!this->restored_at ||
+      this->poller.loop().Now() - *this->restored_at >= kRestoreWatch) {
+    return;
+  }
+  const auto lost = this->allowance_ledger.MissingEntries(
+      [this, is_active = this->MakeIsActive()](std::string_view holder) {
+        return !is_active(holder) &&
+               this->routers.IsAmongHighestRanked(holder, kRestoringRouters,
+                                                  this->log_read_at);
+      });
+  for (const AllowanceEntry& entry : lost) {
+    records.push_back(ToRestoredRecord(entry));
+  }
+}
+
 auto FleetTopicClient::OnRecord(const KeyedRecord& record) -> void {
   if (auto announcement = ReadAnnouncement(record)) {
     this->routers.Apply(std::move(*announcement), this->poller.loop().Now());
@@ -313,7 +434,7 @@
   this->allowance_ledger.Apply(entry);
   if (entry.holder == this->self.incarnation && this->listed) {
     this->allowance_manager.OnRecorded(
-        entry, this->allowance_ledger.Taken(entry.team));
+        entry, this->allowance_ledger.Taken(entry.team), this->MayIncrease());
     const auto totals =
         this->allowance_ledger.TotalsOf(entry.team, this->MakeIsActive());
     this->log.WriteLine(
--- a/programs/gateway/fleet_topic_client.h
+++ b/programs/gateway/fleet_topic_client.h
@@ -66,6 +66,11 @@
       requested within a short delay go into one append. */
   auto ScheduleWrite() -> void;
 
+  /** Handles that the log was restored from an older copy: lists the topic
+     again, writes this router's entries again, and those of others that are
+     lost. No allowance is increased until all active routers have done so. */
+  auto OnLogRestored() -> void;
+
   /** Announces at once that this router accepts no new callers. */
   auto AnnounceLeaving() -> void;
 
@@ -114,6 +119,14 @@
   auto OnContact(bool answered) -> void;
   auto OnTick() -> void;
   auto AppendPlanned() -> void;
+  /** Writes again what the log has lost, and announces that when it is done. */
+  auto AppendRestored() -> void;
+  /** Finds the entries that the log has lost and this router writes again. */
+  [[nodiscard]] auto PlanRestore() -> std::vector<KeyedRecord>;
+  /** Returns whether increases of allowances can be valid. */
+  [[nodiscard]] auto MayIncrease() const -> bool;
+  /** Logs the end of the time in which no allowance may be increased. */
+  auto UpdateIncreaseHold(Instant now) -> void;
   [[nodiscard]] auto ScopeOf(bool with_announcement, int routers) const
       -> EntryScope;
   [[nodiscard]] auto MakeFleetView() const -> FleetStatus;
@@ -121,6 +134,11 @@
                    const std::optional<PromptReport>& report,
                    const std::optional<UpstreamLimitReport>& limit_report,
                    bool announce) -> void;
+  /** Adds the entries that the log has lost of routers that have expired since,
+     as far as this router writes them again. */
+  auto AddLostEntries(std::vector<KeyedRecord>& records) const -> void;
+  /** Returns the record of the next announcement. */
+  [[nodiscard]] auto MakeAnnouncement() -> KeyedRecord;
   /** Takes this router's report about prompts if it is due.
       @param announce  whether the announcement is due, which a report that has
      no news accompanies. */
@@ -134,6 +152,7 @@
   auto OnAllowance(const AllowanceEntry& entry) -> void;
 
   SocketPoller& poller;
+  LogEra& era;
   RouterAnnouncement self;
   AllowanceManager& allowance_manager;
   PromptQuarantine& prompts;
@@ -154,6 +173,14 @@
   Instant log_read_at{};
   bool announce_at_once = false;
   bool listed = false;
+  /** Whether the entries have not been written again since the log was
+   * restored.
+   */
+  bool must_restore = false;
+  /** Records to write again; the announcement follows the last one. */
+  std::vector<KeyedRecord> restored_records;
+  std::optional<Instant> restored_at;  ///< None: the log was never restored.
+  bool increases_held = false;
 };
 
 }  // namespace auburnloft::gateway
--- a/programs/gateway/gateway_daemon.cc
+++ b/programs/gateway/gateway_daemon.cc
@@ -404,6 +404,8 @@
   this->log.WriteLine(DecisionLog::Severity::kNotable, "log_era",
                       {{"old", *previous}, {"new", this->log_era.number()}},
                       this->loop.Now());
+  this->upstreams.RecordLogRecovery(this->loop.Now());
+  this->fleet_topic.OnLogRestored();
 }
 
 auto GatewayDaemon::OnShortage(const std::string& team) -> void {
--- a/tests/gateway/allowance_test.cc
+++ b/tests/gateway/allowance_test.cc
@@ -36,7 +36,7 @@
       manager.PlanEntries(ledger, SingleRouterView(), EntryScope::kIncreases,
                           FromUnixMillis(1'000));
   ledger.Apply(entries.front());
-  manager.OnRecorded(entries.front(), ledger.Taken("team"));
+  manager.OnRecorded(entries.front(), ledger.Taken("team"), true);
 }
 
 }  // namespace
@@ -65,7 +65,7 @@
   // Another holder's entry, which takes the whole budget, precedes this one.
   ledger.Apply(MakeEntry("b", 1'000));
   ledger.Apply(entries.front());
-  manager.OnRecorded(entries.front(), ledger.Taken("team"));
+  manager.OnRecorded(entries.front(), ledger.Taken("team"), true);
   CHECK_FALSE(manager.TryReserve("team", 1, false, now));
   // The invalid entry is reset to 0, so that it does not block other holders.
   entries = manager.PlanEntries(ledger, SingleRouterView(),
@@ -170,7 +170,7 @@
                           FromUnixMillis(1'000));
   manager.OnHistoryLost();
   ledger.Apply(entries.front());
-  manager.OnRecorded(entries.front(), ledger.Taken("team"));
+  manager.OnRecorded(entries.front(), ledger.Taken("team"), true);
   CHECK_EQUAL(0, manager.Available("team"));
 }
 
--- a/tests/support/allowance_fleet.cc
+++ b/tests/support/allowance_fleet.cc
@@ -273,7 +273,7 @@
     const AllowanceEntry& entry = this->log[process.read_to];
     process.ledger.Apply(entry);
     if (entry.holder == process.holder) {
-      process.manager.OnRecorded(entry, process.ledger.Taken(kTeam));
+      process.manager.OnRecorded(entry, process.ledger.Taken(kTeam), true);
     }
   }
 }
