--- a/programs/ctl/fleet_view.cc
+++ b/programs/ctl/fleet_view.cc
@@ -83,7 +83,8 @@
                     {"domain", announcement.domain},
                     {"client_address", announcement.client_address},
                     {"peer_address", announcement.peer_address},
-                    {"config_version", announcement.config_version}});
+                    {"config_version", announcement.config_version},
+                    {"log_era", announcement.log_era}});
   }
   return {{"config_version", this->config.version},
           {"routers", std::move(rows)}};
--- a/programs/gateway/state_dump.cc
+++ b/programs/gateway/state_dump.cc
@@ -27,7 +27,8 @@
                                     {"domain", router.domain},
                                     {"alive", is_active},
                                     {"leaving", router.leaving},
-                                    {"config_version", router.config_version}});
+                                    {"config_version", router.config_version},
+                                    {"log_era", router.log_era}});
       });
   state["allowances"] = nlohmann::json::array();
   view.fleet.ledger().VisitAll([&state](const AllowanceEntry& entry) {
--- a/standins/wire/wire_upstream.h
+++ b/standins/wire/wire_upstream.h
@@ -50,6 +50,7 @@
     kWrongAttemptId,  ///< Plain responses carry another attempt's id.
     kFails,           ///< Executes, and responds with status 500.
     kSilent,          ///< Executes, and never responds.
+    kLimited,         ///< Executes, and names a limit of requests a second.
     kDeadlyPart,      ///< Resets all streams when one with the prompt part
                       ///< `dead` is to begin, as a crash does.
   };
--- a/tests/gateway/allowance_test.cc
+++ b/tests/gateway/allowance_test.cc
@@ -1,6 +1,7 @@
 // Prepaid budgets that routers share through the log service, without a keeper
 // (the leader of a ledger partition): the load and fault patterns under which
 // they must hold.
+#include "al_gateway/membership/router_registry.h"
 #include "support/allowance_fleet.h"
 #include "support/test_harness.h"
 
@@ -365,3 +366,107 @@
   fleet.Run(seconds(40));
   CHECK_TRUE(fleet.report().overspent);
 }
+
+//==============================================================================
+// The log is restored from an older copy
+
+// Guards against a budget that is exceeded as the restored log lacks entries by
+// which routers still spend. Load pattern: seeded mixes of all faults.
+TEST(Allowance, HoldsAcrossRestoresOfTheLog) {
+  constexpr int kSeeds = 100;
+  this->settings.restores_log = true;
+  std::uint64_t restores = 0;
+  for (int seed = 1; seed <= kSeeds; ++seed) {
+    const auto report =
+        RunSeededFaults(this->settings, static_cast<std::uint64_t>(seed));
+    CHECK_FALSE(report.overspent);
+    restores += report.restores;
+  }
+  CHECK_TRUE(restores > kSeeds);
+}
+
+// Guards against restores in quick succession while all routers live and reach
+// the log: no entry is unknown then, so none may be spent twice.
+TEST(Allowance, LosesNothingInRestoresThatAllRoutersSee) {
+  for (const int routers : {8, 85}) {
+    this->settings.routers = routers;
+    this->settings.budget = 600'000;
+    AllowanceFleet fleet(this->settings);
+    for (int round = 0; round < 12; ++round) {
+      fleet.Run(milliseconds(1'700));
+      fleet.RestoreLog(seconds(round % 4));
+      fleet.Run(milliseconds(round % 3 == 0 ? 50 : 900));
+      fleet.RestoreLog(seconds(9));
+    }
+    fleet.Run(seconds(20));
+    CHECK_EQUAL(0, fleet.report().excess);
+    CHECK_TRUE(fleet.report().spent > this->settings.budget / 2);
+  }
+}
+
+// Guards against an entry that an older record, read later, replaces.
+TEST(Allowance, KeepsTheEntryWithTheHighestRevision) {
+  AllowanceLedger ledger;
+  AllowanceEntry entry = MakeEntry("a", 300);
+  entry.revision = 7;
+  ledger.Apply(entry);
+  ledger.BeginEra();
+  const auto for_all = [](std::string_view /*holder*/) { return true; };
+  CHECK_EQUAL(1, ledger.MissingEntries(for_all).size());
+  AllowanceEntry older = MakeEntry("a", 100);
+  older.revision = 3;
+  ledger.Apply(older);
+  CHECK_EQUAL(300, ledger.Taken("team"));
+  CHECK_EQUAL(1, ledger.MissingEntries(for_all).size());
+  ledger.Apply(entry);
+  CHECK_EQUAL(0, ledger.MissingEntries(for_all).size());
+}
+
+// Guards against a raise that is relied on before all routers have written
+// their entries again.
+TEST(Allowance, RelyOnNoRaiseDuringTheHold) {
+  AllowanceManager manager("a", AllowanceSizing());
+  AllowanceLedger ledger;
+  TakeFirstAllowance(manager, ledger);
+  const std::uint64_t before = manager.Available("team");
+  FleetStatus fleet = SingleRouterView();
+  fleet.may_increase = false;
+  manager.SetWaitingTokens("team", 400);
+  CHECK_TRUE(manager
+                 .PlanEntries(ledger, fleet, EntryScope::kIncreases,
+                              FromUnixMillis(2'000))
+                 .empty());
+  fleet.may_increase = true;
+  const auto raise = manager.PlanEntries(ledger, fleet, EntryScope::kIncreases,
+                                         FromUnixMillis(2'000));
+  CHECK_EQUAL(1, raise.size());
+  ledger.Apply(raise.front());
+  manager.OnRecorded(raise.front(), ledger.Taken("team"), false);
+  CHECK_EQUAL(before, manager.Available("team"));
+  const auto restored = manager.PlanRestoredEntries();
+  CHECK_EQUAL(1, restored.size());
+  CHECK_EQUAL(static_cast<std::int64_t>(before), restored.front().taken_tokens);
+}
+
+// Guards against routers that start during the hold and know nothing of it: the
+// restored log has the older announcements of those that are still to come.
+TEST(Allowance, WaitForAllActiveRoutersAfterARestore) {
+  RouterRegistry registry("new");
+  Instant now = FromUnixMillis(1'000'000);
+  const auto announce = [&](const char* name, std::uint64_t era) {
+    RouterAnnouncement announcement;
+    announcement.name = name;
+    announcement.log_era = era;
+    registry.Apply(announcement, now);
+  };
+  announce("a", 1);
+  announce("b", 2);
+  CHECK_FALSE(registry.HaveAllAnnounced(2, now));
+  now += seconds(2);
+  announce("b", 2);
+  CHECK_FALSE(registry.HaveAllAnnounced(2, now));
+  now += seconds(2);
+  CHECK_TRUE(registry.HaveAllAnnounced(2, now));
+  announce("a", 2);
+  CHECK_TRUE(registry.HaveAllAnnounced(2, now));
+}
