--- a/tests/gateway/allowance_test.cc
+++ b/tests/gateway/allowance_test.cc
@@ -40,6 +40,21 @@
   manager.OnRecorded(entries.front(), ledger.Taken("team"), true);
 }
 
+/** Plays restores of the log in quick succession; all routers live and reach
+    it. */
+auto RunRestores(AllowanceFleet::Settings settings) -> AllowanceFleet::Report {
+  settings.budget = 600'000;
+  AllowanceFleet fleet(settings);
+  for (int round = 0; round < 12; ++round) {
+    fleet.Run(milliseconds(1'700));
+    fleet.RestoreLog(seconds(round % 4));
+    fleet.Run(milliseconds(round % 3 == 0 ? 50 : 900));
+    fleet.RestoreLog(seconds(9));
+  }
+  fleet.Run(seconds(20));
+  return fleet.report();
+}
+
 }  // namespace
 
 TEST_GROUP(Allowance) {
@@ -390,17 +405,37 @@
 TEST(Allowance, LosesNothingInRestoresThatAllRoutersSee) {
   for (const int routers : {8, 85}) {
     this->settings.routers = routers;
-    this->settings.budget = 600'000;
-    AllowanceFleet fleet(this->settings);
-    for (int round = 0; round < 12; ++round) {
-      fleet.Run(milliseconds(1'700));
-      fleet.RestoreLog(seconds(round % 4));
-      fleet.Run(milliseconds(round % 3 == 0 ? 50 : 900));
-      fleet.RestoreLog(seconds(9));
-    }
-    fleet.Run(seconds(20));
-    CHECK_EQUAL(0, fleet.report().excess);
-    CHECK_TRUE(fleet.report().spent > this->settings.budget / 2);
+    const auto report = RunRestores(this->settings);
+    CHECK_EQUAL(0, report.excess);
+    CHECK_TRUE(report.spent > this->settings.budget / 2);
+  }
+}
+
+// Shows that the checks above can fail: with a fault that is put in, these
+// seeds exceed the budget, and without it they do not.
+TEST(Allowance, DetectsFaultsAfterARestore) {
+  const auto excess_of = [this](std::uint64_t seed, auto put_in) {
+    AllowanceFleet::Settings faulty = this->settings;
+    faulty.restores_log = true;
+    put_in(faulty);
+    return RunSeededFaults(faulty, seed).excess;
+  };
+  using Settings = AllowanceFleet::Settings;
+  const auto forget_others = [](Settings& faulty) {
+    faulty.writes_for_others = false;
+  };
+  const auto raise_at_once = [](Settings& faulty) {
+    faulty.holds_increases = false;
+  };
+  const auto believe_late = [](Settings& faulty) {
+    faulty.believes_late_replies = true;
+  };
+  const auto put_in_none = [](Settings& /*faulty*/) {};
+  CHECK_TRUE(excess_of(487, forget_others) > 0);
+  CHECK_TRUE(excess_of(474, raise_at_once) > 0);
+  CHECK_TRUE(excess_of(444, believe_late) > 0);
+  for (const std::uint64_t seed : {487, 474, 444}) {
+    CHECK_EQUAL(0, excess_of(seed, put_in_none));
   }
 }
 
