Routers ask each other for tokens while raises are held

A holder of the reserve waited for a raise of its own, which is not planned until all routers have written their entries again.

--- a/programs/gateway/fleet_topic_client.cc
+++ b/programs/gateway/fleet_topic_client.cc
@@ -152,6 +152,11 @@
           now - this->append_sent_at < kMaxAppendLatency);
 }
 
+auto FleetTopicClient::MayIncrease() const -> bool {
+  return this->listed && !this->must_restore &&
+         this->routers.HaveAllAnnounced(this->era.number(), this->log_read_at);
+}
+
 auto FleetTopicClient::IsReserveHolder(std::string_view team) const -> bool {
   return this->routers.IsAmongHighestRanked(
       team, std::min(this->CountActive(), kReserveHolders), this->log_read_at);
@@ -279,11 +284,6 @@
   return records;
 }
 
-auto FleetTopicClient::MayIncrease() const -> bool {
-  return this->listed && !this->must_restore &&
-         this->routers.HaveAllAnnounced(this->era.number(), this->log_read_at);
-}
-
 auto FleetTopicClient::UpdateIncreaseHold(Instant now) -> void {
   if (this->increases_held && this->MayIncrease()) {
     this->increases_held = false;
--- a/programs/gateway/fleet_topic_client.h
+++ b/programs/gateway/fleet_topic_client.h
@@ -104,6 +104,10 @@
       reply for longer than usual. */
   [[nodiscard]] auto IsLogResponsive() const -> bool;
 
+  /** True unless the log was restored and some active router has not written
+     its entries again: increases of allowances are not valid then. */
+  [[nodiscard]] auto MayIncrease() const -> bool;
+
   /** True if this router holds a share of the team's reserve. */
   [[nodiscard]] auto IsReserveHolder(std::string_view team) const -> bool;
   [[nodiscard]] auto MakeIsActive() const -> AllowanceLedger::IsActive;
@@ -123,8 +127,6 @@
   auto AppendRestored() -> void;
   /** Finds the entries that the log has lost and this router writes again. */
   [[nodiscard]] auto PlanRestore() -> std::vector<KeyedRecord>;
-  /** Returns whether increases of allowances can be valid. */
-  [[nodiscard]] auto MayIncrease() const -> bool;
   /** Logs the end of the time in which no allowance may be increased. */
   auto UpdateIncreaseHold(Instant now) -> void;
   [[nodiscard]] auto ScopeOf(bool with_announcement, int routers) const
--- a/programs/gateway/gateway_daemon.cc
+++ b/programs/gateway/gateway_daemon.cc
@@ -419,6 +419,7 @@
     const std::uint64_t shortage =
         this->allowance_manager.Shortage(team, this->loop.Now());
     if (this->fleet_topic.IsLogResponsive() &&
+        this->fleet_topic.MayIncrease() &&
         unallocated >= static_cast<std::int64_t>(shortage)) {
       return;
     }
