--- a/modules/al_gateway/prepaid/allowance_manager.cc
+++ b/modules/al_gateway/prepaid/allowance_manager.cc
@@ -278,6 +278,11 @@
   return found == this->accounts.end() ? 0 : found->second.available();
 }
 
+auto AllowanceManager::Covered(std::string_view team) const -> std::int64_t {
+  const auto found = this->accounts.find(team);
+  return found == this->accounts.end() ? 0 : found->second.spendable;
+}
+
 auto AllowanceManager::Shortage(std::string_view team, Instant now) const
     -> std::uint64_t {
   const auto found = this->accounts.find(team);
--- a/modules/al_gateway/prepaid/allowance_manager.h
+++ b/modules/al_gateway/prepaid/allowance_manager.h
@@ -176,6 +176,10 @@
   /** Returns the tokens that can still be reserved. */
   [[nodiscard]] auto Available(std::string_view team) const -> std::uint64_t;
 
+  /** Returns the net tokens up to which this router may spend: its valid entries
+     must never be below. */
+  [[nodiscard]] auto Covered(std::string_view team) const -> std::int64_t;
+
   /** Returns the tokens that are missing for the queued requests and for the
      steady demand of the near future. */
   [[nodiscard]] auto Shortage(std::string_view team, Instant now) const
