Raises are spendable half a second after they were read back; shorter hold

The delay is the interval between the routers' reads and a reply, in place of two intervals, and only a router that has just started waits for routers that it does not know; a router that lived through the restore knows them.

--- a/modules/al_gateway/prepaid/allowance_manager.cc
+++ b/modules/al_gateway/prepaid/allowance_manager.cc
@@ -56,9 +56,9 @@
    held for them on every router would add up to most of a budget. */
 constexpr double kMinSteadyRequestsPerSecond = 2.0;
 
-/** Time in which the other routers read an entry, if the log replies: two
-   intervals between their reads, and a reply of a slow log. */
-constexpr Duration kWitnessTime = std::chrono::milliseconds(900);
+/** Time in which the other routers read an entry, if the log replies: the
+   interval between their reads, and a reply. */
+constexpr Duration kWitnessTime = std::chrono::milliseconds(500);
 
 /** Subtracts, but not below 0. */
 auto SaturatingSubtract(std::uint64_t from, std::uint64_t amount)
--- a/programs/gateway/fleet_topic_client.cc
+++ b/programs/gateway/fleet_topic_client.cc
@@ -434,7 +434,8 @@
 
 auto FleetTopicClient::OnRecord(const KeyedRecord& record) -> void {
   if (auto announcement = ReadAnnouncement(record)) {
-    if (!this->listed && announcement->log_era != 0 &&
+    const bool has_just_started = !this->listed && !this->restored_at;
+    if (has_just_started && announcement->log_era != 0 &&
         announcement->log_era < this->announced_era()) {
       // The log was restored, perhaps not long ago: routers that the copy does
       // not know may be about to write their entries again.
