--- a/programs/gateway/fleet_topic_client.cc
+++ b/programs/gateway/fleet_topic_client.cc
@@ -262,7 +262,8 @@
       return;
     }
   }
-  const bool is_complete = this->restored_records.empty();
+  const bool is_complete = this->restore_step == RestoreStep::kVerify &&
+                           this->restored_records.empty();
   std::vector<KeyedRecord> records;
   while (!this->restored_records.empty() &&
          records.size() < kMaxRestoredRecords) {
