--- a/modules/al_gateway/al_gateway.h
+++ b/modules/al_gateway/al_gateway.h
@@ -7,7 +7,8 @@
     Parts:
     - model/       types of the configuration, request metadata and log records
     - routing/     RouteTable, and Admit(), which forwards or refuses a request
-    - upstreams/   UpstreamDirectory, UpstreamSelector and their measurements
+    - upstreams/   UpstreamDirectory, UpstreamSelector and their measurements;
+                   UpstreamLimits: requests a second that upstreams take
     - limits/      timeouts, ExecutionCounter, and FleetRetryBudget: this
                    router's share of the fleet's retries
     - prepaid/     AllowanceLedger and AllowanceManager: budgets without
--- a/modules/al_gateway/membership/router_registry.cc
+++ b/modules/al_gateway/membership/router_registry.cc
@@ -119,7 +119,7 @@
   int ranked_higher = 0;
   for (const auto& [name, member] : this->members) {
     if (name != this->self && !member.announcement.leaving &&
-        member.announcement.incarnation != except &&
+        (except.empty() || member.announcement.incarnation != except) &&
         this->IsActive(member, now) && StableHash(item, name) > own) {
       ++ranked_higher;
     }
--- a/modules/al_gateway/membership/router_registry.h
+++ b/modules/al_gateway/membership/router_registry.h
@@ -100,7 +100,7 @@
 
   /** Returns whether this router is among the first `count` in the rendezvous
      order of `item` among the active routers but the one whose incarnation is
-     `except`. */
+     `except`, which may be empty. */
   [[nodiscard]] auto IsAmongHighestRankedExcept(std::string_view except,
                                                 std::string_view item,
                                                 int count,
