--- a/bench/allowance_main.cc
+++ b/bench/allowance_main.cc
@@ -213,6 +213,7 @@
                             "the seeds also restore the log from older copies",
                             command);
   std::vector<std::string> names;
+  names.reserve(kInjectedFaults.size());
   for (const InjectedFault& fault : kInjectedFaults) {
     names.emplace_back(fault.name);
   }
