--- a/modules/al_gateway/model/upstream_process.h
+++ b/modules/al_gateway/model/upstream_process.h
@@ -1,9 +1,9 @@
 #ifndef AL_GATEWAY_MODEL_UPSTREAM_PROCESS_H_
 #define AL_GATEWAY_MODEL_UPSTREAM_PROCESS_H_
 
-#include <compare>
 #include <cstdint>
 #include <string>
+#include <tuple>
 
 namespace auburnloft::gateway {
 
@@ -12,7 +12,12 @@
   std::string id;
   std::int64_t started_at_ms = 0;  ///< Unix time; 0 if unknown.
 
-  auto operator<=>(const UpstreamProcess&) const = default;
+  auto operator==(const UpstreamProcess&) const -> bool = default;
+
+  auto operator<(const UpstreamProcess& other) const -> bool {
+    return std::tie(this->id, this->started_at_ms) <
+           std::tie(other.id, other.started_at_ms);
+  }
 };
 
 }  // namespace auburnloft::gateway
