--- a/tests/gateway/upstream_limits_test.cc
+++ b/tests/gateway/upstream_limits_test.cc
@@ -236,7 +236,8 @@
     }
   }
 
-  auto FleetOf(const Router& router) const -> UpstreamLimits::Fleet {
+  [[nodiscard]] auto FleetOf(const Router& router) const
+      -> UpstreamLimits::Fleet {
     UpstreamLimits::Fleet fleet;
     fleet.routers = router.registry.CountActive(router.log_read_at);
     fleet.is_log_reachable = this->now - router.log_read_at < seconds(2);
