Hold the allowances of a router that starts with a log that lost all announcements

Cause: router 2 was killed and started again while the log was away. A newcomer waited only if the log showed an announcement of an earlier era; a log without announcements shows none.

Change: a newcomer waits unless some announcement tells that the restore is complete in this era. While it waits it announces the era before, since another newcomer would take its announcement for that proof. The log line increases_held tells of the wait.

Test LogRestoreSessions.KeepABudgetFromRoutersThatStartWithAnEmptyLog failed before (more than 30,000 tokens spent), passes now.

--- a/modules/al_gateway/membership/router_registry.cc
+++ b/modules/al_gateway/membership/router_registry.cc
@@ -138,6 +138,13 @@
                      });
 }
 
+auto RouterRegistry::HasAnyAnnounced(std::uint64_t log_era) const -> bool {
+  return std::any_of(this->members.begin(), this->members.end(),
+                     [log_era](const auto& item) {
+                       return item.second.announcement.log_era >= log_era;
+                     });
+}
+
 auto RouterRegistry::FindHighestRanked(std::string_view item, Instant now) const
     -> const RouterAnnouncement* {
   const RouterAnnouncement* highest = nullptr;
--- a/modules/al_gateway/membership/router_registry.h
+++ b/modules/al_gateway/membership/router_registry.h
@@ -98,6 +98,10 @@
   [[nodiscard]] auto HaveAllAnnounced(std::uint64_t log_era, Instant now) const
       -> bool;
 
+  /** Returns whether some router, active or not, has announced itself in an era
+     of the log, or a later one. */
+  [[nodiscard]] auto HasAnyAnnounced(std::uint64_t log_era) const -> bool;
+
   /** Returns whether this router is among the first `count` in the rendezvous
      order of `item` among the active routers but the one whose incarnation is
      `except`, which may be empty. */
--- a/programs/gateway/fleet_topic_client.cc
+++ b/programs/gateway/fleet_topic_client.cc
@@ -79,20 +79,18 @@
       log(log),
       callbacks(std::move(callbacks)),
       routers(this->self.name),
-      follower(poller,
-               log_address,
-               era,
-               {std::string(platform::kFleetTopic), Duration(0), kReadInterval},
-               {[this](const KeyedRecord& record) { this->OnRecord(record); },
-                [this] {
-                  this->allowance_manager.OnHistoryLost();
-                  this->listed = false;
-                },
-                [this](const std::set<std::string>& /*keys*/) {
-                  this->listed = true;
-                  this->callbacks.on_listed();
-                },
-                [this](bool answered) { this->OnContact(answered); }}),
+      follower(
+          poller,
+          log_address,
+          era,
+          {std::string(platform::kFleetTopic), Duration(0), kReadInterval},
+          {[this](const KeyedRecord& record) { this->OnRecord(record); },
+           [this] {
+             this->allowance_manager.OnHistoryLost();
+             this->listed = false;
+           },
+           [this](const std::set<std::string>& /*keys*/) { this->OnListed(); },
+           [this](bool answered) { this->OnContact(answered); }}),
       producer(poller,
                log_address,
                era,
@@ -132,7 +130,7 @@
   this->restore_step = RestoreStep::kWriteOwn;
   this->restored_records.clear();
   this->restored_at = now;
-  this->increases_held = true;
+  this->increases_held_since = now;
 }
 
 auto FleetTopicClient::AnnounceLeaving() -> void {
@@ -162,11 +160,15 @@
 
 auto FleetTopicClient::MayIncrease() const -> bool {
   return this->listed && this->restore_step == RestoreStep::kDone &&
-         this->poller.loop().Now() >= this->increases_held_until &&
+         !this->IsHeldAsNewcomer() &&
          this->routers.HaveAllAnnounced(this->announced_era(),
                                         this->log_read_at);
 }
 
+auto FleetTopicClient::IsHeldAsNewcomer() const -> bool {
+  return this->poller.loop().Now() < this->increases_held_until;
+}
+
 auto FleetTopicClient::IsReserveHolder(std::string_view team) const -> bool {
   return this->routers.IsAmongHighestRanked(
       team, std::min(this->CountActive(), kReserveHolders), this->log_read_at);
@@ -209,6 +211,23 @@
   this->callbacks.on_contact(answered);
 }
 
+auto FleetTopicClient::OnListed() -> void {
+  const Instant now = this->poller.loop().Now();
+  this->listed = true;
+  const bool has_just_started = this->announced_at == Instant();
+  if (has_just_started && !this->restored_at && this->era.number() > 0 &&
+      !this->routers.HasAnyAnnounced(this->announced_era())) {
+    // Routers that the copy of the log does not know may be about to write
+    // their entries again.
+    this->increases_held_since = now;
+    this->increases_held_until = now + kNewcomerHold;
+    this->log.WriteLine(
+        DecisionLog::Severity::kNotable, "increases_held",
+        {{"era", this->era.number()}, {"for_ms", kNewcomerHold}}, now);
+  }
+  this->callbacks.on_listed();
+}
+
 auto FleetTopicClient::OnTick() -> void {
   this->timer->Start(kPlanInterval);
   this->AppendPlanned();
@@ -233,8 +252,10 @@
   const Instant now = this->poller.loop().Now();
   this->UpdateIncreaseHold(now);
   const FleetStatus view = this->MakeFleetView();
+  const bool may_announce_era =
+      this->self.log_era < this->announced_era() && !this->IsHeldAsNewcomer();
   const bool announce =
-      this->announce_at_once ||
+      this->announce_at_once || may_announce_era ||
       now - this->announced_at >=
           AnnouncementInterval(static_cast<std::size_t>(view.routers));
   const std::vector<AllowanceEntry> entries =
@@ -318,12 +339,11 @@
 }
 
 auto FleetTopicClient::UpdateIncreaseHold(Instant now) -> void {
-  if (this->increases_held && this->MayIncrease()) {
-    this->increases_held = false;
-    this->log.WriteLine(
-        DecisionLog::Severity::kNotable, "increases_resumed",
-        {{"era", this->era.number()}, {"held_ms", now - *this->restored_at}},
-        now);
+  if (this->increases_held_since && this->MayIncrease()) {
+    const Duration held =
+        now - *std::exchange(this->increases_held_since, std::nullopt);
+    this->log.WriteLine(DecisionLog::Severity::kNotable, "increases_resumed",
+                        {{"era", this->era.number()}, {"held_ms", held}}, now);
   }
 }
 
@@ -410,7 +430,8 @@
 
 auto FleetTopicClient::MakeAnnouncement() -> KeyedRecord {
   ++this->self.beat;
-  this->self.log_era = this->announced_era();
+  this->self.log_era = this->IsHeldAsNewcomer() ? this->announced_era() - 1
+                                                : this->announced_era();
   this->announce_at_once = false;
   this->announced_at = this->poller.loop().Now();
   return ToRecord(this->self);
@@ -435,13 +456,6 @@
 
 auto FleetTopicClient::OnRecord(const KeyedRecord& record) -> void {
   if (auto announcement = ReadAnnouncement(record)) {
-    const bool has_just_started = !this->listed && !this->restored_at;
-    if (has_just_started && announcement->log_era != 0 &&
-        announcement->log_era < this->announced_era()) {
-      // The log was restored, perhaps not long ago: routers that the copy does
-      // not know may be about to write their entries again.
-      this->increases_held_until = this->poller.loop().Now() + kNewcomerHold;
-    }
     this->routers.Apply(std::move(*announcement), this->poller.loop().Now());
   } else if (const auto entry = ReadAllowance(record)) {
     this->OnAllowance(*entry);
--- a/programs/gateway/fleet_topic_client.h
+++ b/programs/gateway/fleet_topic_client.h
@@ -124,6 +124,7 @@
   enum class RestoreStep { kWriteOwn, kVerify, kDone };
 
   auto OnContact(bool answered) -> void;
+  auto OnListed() -> void;
   auto OnTick() -> void;
   auto AppendPlanned() -> void;
   /** Goes on to write again what the log has lost. First this router writes its
@@ -139,6 +140,10 @@
   [[nodiscard]] auto announced_era() const -> std::uint64_t {
     return this->era.number() + 1;
   }
+  /** True in the first seconds of a process that has started with a restored
+      log in which no router tells that the restore is complete. It announces
+      the era before, so that other newcomers do not rely on it. */
+  [[nodiscard]] auto IsHeldAsNewcomer() const -> bool;
   /** Logs the end of the time in which no allowance may be increased. */
   auto UpdateIncreaseHold(Instant now) -> void;
   [[nodiscard]] auto ScopeOf(bool with_announcement, int routers) const
@@ -192,7 +197,7 @@
   std::optional<Instant> restored_at;  ///< None: the log was never restored.
   Instant restore_written_at{};    ///< When `restored_records` became empty.
   Instant increases_held_until{};  ///< After a start.
-  bool increases_held = false;
+  std::optional<Instant> increases_held_since;
 };
 
 }  // namespace auburnloft::gateway
--- a/tests/gateway/log_restore_test.cc
+++ b/tests/gateway/log_restore_test.cc
@@ -104,6 +104,20 @@
   CHECK_TRUE(spent <= kBudget);
 }
 
+// Guards against a team that gets more than its budget, as a router starts with
+// a log that has lost all entries and announcements of the others.
+TEST(LogRestoreSessions, KeepABudgetFromRoutersThatStartWithAnEmptyLog) {
+  constexpr std::uint64_t kBudget = 30'000;
+  this->fixture.Publish(1, kBudget);
+  this->fixture.RunFor(seconds(1));
+  std::uint64_t spent = this->SpendAt(1);
+  CHECK_TRUE(spent > kBudget / 2);
+  this->fixture.store.Restore();
+  this->fixture.AddRouter(2);
+  spent += this->SpendAt(2);
+  CHECK_TRUE(spent <= kBudget);
+}
+
 TEST_GROUP(LogRestore) {
   EventLoop loop;
   SocketPoller poller{loop};
