Announce each router again as soon as it sees the restored log

After a restore a router announced itself only when it had verified its entries, 0.75 s or more after it saw the new era. Until then routers that start do not know of it: neither where callers may connect nor which configuration it has. Its announcement now goes with its first write, in the era before, so that the hold on raises still waits for the verified one.

--- a/programs/gateway/fleet_topic_client.cc
+++ b/programs/gateway/fleet_topic_client.cc
@@ -318,6 +318,8 @@
        this->allowance_manager.PlanRestoredEntries()) {
     records.push_back(ToRecord(entry));
   }
+  // Written first, as ContinueRestore() takes the last ones first.
+  records.push_back(this->MakeAnnouncement());
   return records;
 }
 
@@ -430,8 +432,9 @@
 
 auto FleetTopicClient::MakeAnnouncement() -> KeyedRecord {
   ++this->self.beat;
-  this->self.log_era = this->IsHeldAsNewcomer() ? this->announced_era() - 1
-                                                : this->announced_era();
+  const bool is_complete =
+      this->restore_step == RestoreStep::kDone && !this->IsHeldAsNewcomer();
+  this->self.log_era = this->announced_era() - (is_complete ? 0 : 1);
   this->announce_at_once = false;
   this->announced_at = this->poller.loop().Now();
   return ToRecord(this->self);
--- a/tests/gateway/log_restore_test.cc
+++ b/tests/gateway/log_restore_test.cc
@@ -118,6 +118,33 @@
   CHECK_TRUE(spent <= kBudget);
 }
 
+// Guards against a router that newcomers do not know of until the restore is
+// complete, as the log has lost its announcement.
+TEST(LogRestoreSessions, AnnounceEachRouterAgainAtOnce) {
+  this->fixture.AddRouter(2);
+  int announcements = 0;
+  TopicFollower::Callbacks callbacks;
+  callbacks.on_record = [&](const KeyedRecord& record) {
+    announcements += record.key == "r/router-2" ? 1 : 0;
+  };
+  callbacks.on_listed = [](const std::set<std::string>& /*keys*/) {};
+  callbacks.on_contact = [](bool /*answered*/) {};
+  LogEra era([](std::optional<std::uint64_t> /*previous*/) {});
+  TopicFollower follower(this->fixture.poller, testing::AddressFor("store"),
+                         era,
+                         {"keyed.fleet", Duration(0), milliseconds(10), false},
+                         std::move(callbacks));
+  follower.Start();
+  this->fixture.RunFor(seconds(2));
+  announcements = 0;
+  const auto has_announced = [&] { return announcements > 0; };
+  // The next regular announcement is then due in a second.
+  CHECK_TRUE(this->fixture.loop.RunUntil(has_announced, seconds(2)));
+  this->fixture.store.Restore();
+  announcements = 0;
+  CHECK_TRUE(this->fixture.loop.RunUntil(has_announced, milliseconds(700)));
+}
+
 TEST_GROUP(LogRestore) {
   EventLoop loop;
   SocketPoller poller{loop};
@@ -154,7 +181,7 @@
   for (const char* const key : {"new-1", "new-2", "new-3", "new-4"}) {
     store.Put("keyed.fleet", key, "value");
   }
-  this->RunFor(milliseconds(600));
+  this->RunFor(milliseconds(400));
   for (const char* const key : {"new-1", "new-2", "new-3", "new-4"}) {
     CHECK_TRUE(keys.contains(key));
   }
