Give new routers the configuration that a restored log has lost

A router that starts between a restore and the operator's write reads an older configuration than the others have in force, and served its routes and keys until the operator wrote the newest one again. Each router announces its configuration's version already; now each keeps the text, and one that sees a newer version announced than its own, in a log that was ever restored, requests it from a router that has it: at once after a start, after 2 s otherwise, as the log and the readers deliver it by then. Routers that start together ask different ones.

Weighed: holding readiness until the log tells that the restore is complete. It would keep all routers of a fleet that lost power from serving for 3 s and more, where no neighbour has a newer one to give.

Test LogRestoreSessions.GiveTheNewestConfigurationToNewRouters failed with the call of Update() left out (all requests refused by the older budget), passes.

--- a/programs/gateway/gateway_daemon.cc
+++ b/programs/gateway/gateway_daemon.cc
@@ -167,6 +167,13 @@
           this->context,
           {[this](bool answered) { this->OnContact(answered); },
            [this](const std::string& text) { this->ApplyConfig(text); }}),
+      config_exchange(
+          this->poller,
+          this->options.self.name,
+          this->log_era,
+          this->fleet_topic,
+          this->log,
+          [this](const std::string& text) { this->ApplyConfig(text); }),
       tick_timer(std::make_unique<LoopTimer>(loop, [this] { this->OnTick(); })),
       drain_timer(
           std::make_unique<LoopTimer>(loop, [this] { this->OnDrainTick(); })),
@@ -288,6 +295,8 @@
                                   const Http1Request& request) -> void {
   if (request.target == UpstreamDiscovery::kPath) {
     this->upstream_discovery.OnPeerRequest(session, request);
+  } else if (request.target == ConfigExchange::kPath) {
+    this->config_exchange.OnPeerRequest(session, request);
   } else {
     this->allowance_exchange.OnPeerRequest(session, request);
   }
@@ -355,7 +364,8 @@
       config->version <= this->context.table->config().version) {
     if (config->version == this->context.table->config().version) {
       // Read again since this router has become a reader.
-      this->upstream_discovery.SetConfig(config->version, text);
+      this->upstream_discovery.SetConfig(
+          config->version, std::make_shared<const std::string>(text));
     }
     return;
   }
@@ -373,7 +383,9 @@
                        {"teams", config->teams.size()}},
                       this->loop.Now());
   this->fleet_topic.SetConfigVersion(config->version);
-  this->upstream_discovery.SetConfig(config->version, text);
+  const auto shared_text = std::make_shared<const std::string>(text);
+  this->upstream_discovery.SetConfig(config->version, shared_text);
+  this->config_exchange.SetConfig(config->version, shared_text);
   this->context.table = std::make_shared<RouteTable>(std::move(*config));
 }
 
@@ -426,6 +438,7 @@
   this->UpdateLoadShare(now);
   this->upstream_discovery.UpdatePlan();
   this->UpdateConfigSource();
+  this->config_exchange.Update();
   if (!this->stopping_since &&
       now - this->surplus_returned_at >= kSurplusInterval) {
     this->surplus_returned_at = now;
--- a/programs/gateway/gateway_daemon.h
+++ b/programs/gateway/gateway_daemon.h
@@ -11,6 +11,7 @@
 #include "al_gateway/membership/router_registry.h"
 #include "al_http1/http1_server.h"
 #include "gateway/allowance_exchange.h"
+#include "gateway/config_exchange.h"
 #include "gateway/fleet_topic_client.h"
 #include "gateway/gateway_context.h"
 #include "gateway/gateway_metrics.h"
@@ -113,6 +114,7 @@
   FleetTopicClient fleet_topic;
   AllowanceExchange allowance_exchange;
   UpstreamDiscovery upstream_discovery;
+  ConfigExchange config_exchange;
   std::unique_ptr<TopicFollower> config_follower;
   Http1SessionLimits limits;
   std::vector<std::unique_ptr<Http1Server>>
--- a/programs/gateway/upstream_discovery.cc
+++ b/programs/gateway/upstream_discovery.cc
@@ -120,10 +120,11 @@
   }
 }
 
-auto UpstreamDiscovery::SetConfig(std::uint64_t version, std::string text)
+auto UpstreamDiscovery::SetConfig(std::uint64_t version,
+                                  std::shared_ptr<const std::string> text)
     -> void {
   this->config_version = version;
-  this->config_text = this->reads_log() ? std::move(text) : std::string();
+  this->config_text = this->reads_log() ? std::move(text) : nullptr;
 }
 
 auto UpstreamDiscovery::reads_log() const -> bool {
@@ -214,9 +215,9 @@
   for (const UpstreamChange& change : update.changes) {
     ToWire(change, *message.add_changes());
   }
-  if (update_request.wants_config() &&
+  if (update_request.wants_config() && this->config_text &&
       update_request.config_version() < this->config_version) {
-    message.set_config(this->config_text);
+    message.set_config(*this->config_text);
   }
   SendPeerReply(session, PeerStatus::kOk, message.SerializeAsString());
 }
@@ -230,7 +231,7 @@
         DecisionLog::Severity::kNotable, "feed",
         {{"source", "peer"}, {"upstreams", this->context.upstreams.size()}},
         this->poller.loop().Now());
-    this->config_text.clear();
+    this->config_text.reset();
   }
   const std::string peer = this->source.peer();
   if (peer != this->reader_address) {
--- a/programs/gateway/upstream_discovery.h
+++ b/programs/gateway/upstream_discovery.h
@@ -70,7 +70,8 @@
 
   /** Sets the configuration that this router passes on if it is a reader.
       @param text  as the log has it. */
-  auto SetConfig(std::uint64_t version, std::string text) -> void;
+  auto SetConfig(std::uint64_t version, std::shared_ptr<const std::string> text)
+      -> void;
 
   /** Returns whether this router follows the log itself: it is a reader, its
      readers do not reply, or it has not started yet. */
@@ -113,7 +114,8 @@
   std::string reader_incarnation;
   std::uint64_t last_change = 0;  ///< Number of the last change received.
   std::uint64_t config_version = 0;
-  std::string config_text;       ///< Empty unless other routers may request it.
+  std::shared_ptr<const std::string>
+      config_text;               ///< Null unless other routers may request it.
   Instant config_received_at{};  ///< From a reader.
   bool started = false;
 };
--- a/tests/gateway/log_restore_test.cc
+++ b/tests/gateway/log_restore_test.cc
@@ -145,6 +145,20 @@
   CHECK_TRUE(this->fixture.loop.RunUntil(has_announced, milliseconds(700)));
 }
 
+// Guards against a router that starts after a restore and serves an older
+// configuration than the others do, as the log has lost the newest one.
+TEST(LogRestoreSessions, GiveTheNewestConfigurationToNewRouters) {
+  constexpr std::uint64_t kTooSmall = 10;
+  constexpr std::uint64_t kBudget = 30'000;
+  this->fixture.Publish(1, kTooSmall);
+  this->fixture.Publish(2, kBudget);
+  this->fixture.store.Restore();
+  this->fixture.PutConfig(1, kTooSmall);
+  this->fixture.AddRouter(2);
+  this->fixture.RunFor(milliseconds(1'500));
+  CHECK_TRUE(this->SpendAt(2) > 0);
+}
+
 TEST_GROUP(LogRestore) {
   EventLoop loop;
   SocketPoller poller{loop};
