Request a configuration that others have newer in any era of the log

The platform's log begins with era 1, so that an era above 0 does not tell that it was ever restored; the condition excluded nothing there.

--- a/programs/gateway/config_exchange.cc
+++ b/programs/gateway/config_exchange.cc
@@ -31,13 +31,11 @@
 ConfigExchange::ConfigExchange(
     SocketPoller& poller,
     std::string own_name,
-    const LogEra& era,
     const FleetTopicClient& fleet,
     DecisionLog& log,
     std::function<void(const std::string& text)> on_config)
     : poller(poller),
       own_name(std::move(own_name)),
-      era(era),
       fleet(fleet),
       log(log),
       on_config(std::move(on_config)),
@@ -59,9 +57,7 @@
     return;
   }
   const Instant now = this->poller.loop().Now();
-  // A log that was never restored has the newest configuration.
-  const RouterAnnouncement* const peer =
-      this->era.number() > 0 ? this->FindNewer() : nullptr;
+  const RouterAnnouncement* const peer = this->FindNewer();
   if (peer == nullptr) {
     this->behind_since.reset();
     this->asked.clear();
@@ -116,8 +112,7 @@
   this->log.WriteLine(DecisionLog::Severity::kNotable, "config_requested",
                       {{"peer", peer.name},
                        {"version", peer.config_version},
-                       {"own_version", this->version},
-                       {"era", this->era.number()}},
+                       {"own_version", this->version}},
                       this->poller.loop().Now());
   this->asked.insert(peer.name);
   wire::ConfigAsk message;
--- a/programs/gateway/config_exchange.h
+++ b/programs/gateway/config_exchange.h
@@ -12,7 +12,6 @@
 #include "al_core/time/instant.h"
 #include "al_http1/http1_client.h"
 #include "al_http1/http1_server_session.h"
-#include "al_logstore/log_era.h"
 #include "al_net/socket_poller.h"
 #include "gateway/decision_log.h"
 #include "gateway/fleet_topic_client.h"
@@ -38,7 +37,6 @@
                         the log had it. */
   ConfigExchange(SocketPoller& poller,
                  std::string own_name,
-                 const LogEra& era,
                  const FleetTopicClient& fleet,
                  DecisionLog& log,
                  std::function<void(const std::string& text)> on_config);
@@ -68,7 +66,6 @@
 
   SocketPoller& poller;
   std::string own_name;
-  const LogEra& era;
   const FleetTopicClient& fleet;
   DecisionLog& log;
   std::function<void(const std::string& text)> on_config;
--- a/programs/gateway/gateway_daemon.cc
+++ b/programs/gateway/gateway_daemon.cc
@@ -170,7 +170,6 @@
       config_exchange(
           this->poller,
           this->options.self.name,
-          this->log_era,
           this->fleet_topic,
           this->log,
           [this](const std::string& text) { this->ApplyConfig(text); }),
