Spend an increase once the other routers of a small fleet have confirmed it

Change: the raiser sends the recorded increase to the others, up to twelve, with the log's era. Each keeps it in its ledger, so that it is written again if the log loses it, and confirms. When all active routers that do not leave have confirmed, it is spendable, in a round trip, also while the log is away. One that does not reply or is in another era leaves the increase to the time-out, as before, and so do larger fleets: there most routers get tokens by transfers.

Tests: GatewaySessions.SpendsAnIncreaseThatTheOtherRoutersHaveConfirmed failed without the message (503 0.4 s after the configuration), passes; Allowance.SpendIncreasesThatOthersHaveConfirmed, Allowance.WritesAgainWhatItLearnedFromItsHolder.

--- a/modules/al_gateway/prepaid/allowance_ledger.cc
+++ b/modules/al_gateway/prepaid/allowance_ledger.cc
@@ -5,17 +5,22 @@
 
 namespace auburnloft::gateway {
 
-auto AllowanceLedger::Apply(AllowanceEntry entry) -> void {
-  TeamEntries& entries = this->teams[entry.team];
-  HolderEntry& known = entries.by_holder[entry.holder];
+auto AllowanceLedger::Apply(const AllowanceEntry& entry) -> void {
+  HolderEntry& known = this->teams[entry.team].by_holder[entry.holder];
   known.logged_revision = std::max(known.logged_revision, entry.revision);
   known.is_logged = true;
+  this->Learn(entry);
+}
+
+auto AllowanceLedger::Learn(const AllowanceEntry& entry) -> void {
+  TeamEntries& entries = this->teams[entry.team];
+  HolderEntry& known = entries.by_holder[entry.holder];
   if (entry.revision < known.newest.revision) {
     return;
   }
   entries.taken =
       entries.taken - known.newest.taken_tokens + entry.taken_tokens;
-  known.newest = std::move(entry);
+  known.newest = entry;
 }
 
 auto AllowanceLedger::BeginEra() -> void {
--- a/modules/al_gateway/prepaid/allowance_ledger.h
+++ b/modules/al_gateway/prepaid/allowance_ledger.h
@@ -81,7 +81,11 @@
      unless that has a higher revision: it was lost, or written on behalf of the
      holder.
    */
-  auto Apply(AllowanceEntry entry) -> void;
+  auto Apply(const AllowanceEntry& entry) -> void;
+
+  /** Keeps an entry that was not read from the log, unless its holder has a
+     newer one. */
+  auto Learn(const AllowanceEntry& entry) -> void;
 
   /** Records that the log was restored from an older copy and is listed again.
    */
--- a/modules/al_gateway/prepaid/allowance_manager.cc
+++ b/modules/al_gateway/prepaid/allowance_manager.cc
@@ -177,10 +177,10 @@
 }
 
 auto AllowanceManager::OnRecorded(const AllowanceEntry& entry,
-                                  const LogPosition& position) -> void {
+                                  const LogPosition& position) -> bool {
   Account& account = this->accounts[entry.team];
   if (entry.revision != account.pending_revision) {
-    return;  // Written before unread log records were lost.
+    return false;  // Written before unread log records were lost.
   }
   account.pending_revision = 0;
   this->pending_entries = std::max(0, this->pending_entries - 1);
@@ -188,25 +188,33 @@
       position.may_increase &&
       position.taken_by_all <= static_cast<std::int64_t>(account.prepaid);
   if (entry.taken_tokens <= account.granted || !is_valid) {
-    return;
+    return false;
   }
   account.granted = entry.taken_tokens;
-  if (position.has_other_routers) {
-    account.unwitnessed.push_back({account.granted, position.read_at});
-  } else {
+  if (!position.has_other_routers) {
     account.spendable = account.granted;
+    return false;
+  }
+  account.unwitnessed.push_back(
+      {account.granted, entry.revision, position.read_at});
+  return true;
+}
+
+auto AllowanceManager::OnConfirmed(std::string_view team,
+                                   std::uint64_t revision) -> void {
+  const auto found = this->accounts.find(team);
+  if (found != this->accounts.end()) {
+    found->second.Release([revision](const UnwitnessedIncrease& increase) {
+      return increase.revision <= revision;
+    });
   }
 }
 
 auto AllowanceManager::RecordLogRead(Instant now) -> void {
   for (auto& [team, account] : this->accounts) {
-    auto next = account.unwitnessed.begin();
-    for (; next != account.unwitnessed.end() &&
-           now - next->recorded_at >= kWitnessTime;
-         ++next) {
-      account.spendable = std::max(account.spendable, next->taken);
-    }
-    account.unwitnessed.erase(account.unwitnessed.begin(), next);
+    account.Release([now](const UnwitnessedIncrease& increase) {
+      return now - increase.recorded_at >= kWitnessTime;
+    });
   }
 }
 
@@ -278,6 +286,17 @@
   }
 }
 
+auto AllowanceManager::Account::Release(
+    const std::function<bool(const UnwitnessedIncrease&)>& is_known) -> void {
+  const auto first_unknown = std::find_if_not(
+      this->unwitnessed.begin(), this->unwitnessed.end(), is_known);
+  std::for_each(this->unwitnessed.begin(), first_unknown,
+                [this](const UnwitnessedIncrease& increase) {
+                  this->spendable = std::max(this->spendable, increase.taken);
+                });
+  this->unwitnessed.erase(this->unwitnessed.begin(), first_unknown);
+}
+
 auto AllowanceManager::Account::LowerTo(std::int64_t total) -> void {
   this->granted = std::min(this->granted, total);
   this->spendable = std::min(this->spendable, total);
--- a/modules/al_gateway/prepaid/allowance_manager.h
+++ b/modules/al_gateway/prepaid/allowance_manager.h
@@ -75,10 +75,10 @@
    ledger entries to append. When they are read back in the order of the log,
    OnRecorded() checks them.
 
-    A valid increase becomes spendable only when the log has replied to reads
-   for long enough that the other routers have read it. Otherwise a router could
-   spend it and exit, and a restore of the log from an older copy would lose
-   the only trace.
+    A valid increase becomes spendable only when the other routers have
+   confirmed it, or the log has replied to reads for long enough that they have
+   read it. Otherwise a router could spend it and exit, and a restore of the log
+   from an older copy would lose the only trace.
 
     Thread safety: none; used on one thread.
 */
@@ -132,9 +132,14 @@
   [[nodiscard]] auto PlanReturnEntries() -> std::vector<AllowanceEntry>;
 
   /** Handles an entry of this holder that was read back from the log. A valid
-     increase becomes spendable when the other routers have read it, too. */
+     increase becomes spendable when the other routers know of it, too.
+      @return whether it is a valid increase that is not spendable yet. */
   auto OnRecorded(const AllowanceEntry& entry, const LogPosition& position)
-      -> void;
+      -> bool;
+
+  /** Records that all other routers have confirmed to know an entry of this
+     holder, and those before it. */
+  auto OnConfirmed(std::string_view team, std::uint64_t revision) -> void;
 
   /** Records that the log replied to a read at `now`: the increases that were
      recorded long enough before are known to the others, and become spendable.
@@ -212,6 +217,7 @@
   /** A valid increase that other routers may not have read. */
   struct UnwitnessedIncrease {
     std::int64_t taken = 0;  ///< The net total with it.
+    std::uint64_t revision = 0;
     Instant recorded_at{};
   };
 
@@ -233,6 +239,12 @@
         0.0;  ///< Running mean of the requests' maximum.
     std::uint64_t pending_revision = 0;  ///< 0: no unrecorded entry.
 
+    /** Makes the increases spendable of which `is_known` holds; in order, up to
+       the first one of which it does not. */
+    auto Release(
+        const std::function<bool(const UnwitnessedIncrease&)>& is_known)
+        -> void;
+
     /** Lowers the net total, and what may be spent of it. */
     auto LowerTo(std::int64_t total) -> void;
 
--- a/programs/gateway/fleet_records.cc
+++ b/programs/gateway/fleet_records.cc
@@ -56,18 +56,6 @@
   return readable ? std::optional(std::move(message)) : std::nullopt;
 }
 
-auto Serialize(const AllowanceEntry& entry) -> std::string {
-  wire::AllowanceRecord message;
-  message.set_team(entry.team);
-  message.set_holder(entry.holder);
-  message.set_taken_tokens(entry.taken_tokens);
-  message.set_settled_tokens(entry.settled_tokens);
-  message.set_demand_per_second(entry.demand_per_second);
-  message.set_revision(entry.revision);
-  message.set_reserved_tokens(entry.reserved_tokens);
-  return message.SerializeAsString();
-}
-
 }  // namespace
 
 auto ToRecord(const RouterAnnouncement& announcement) -> KeyedRecord {
@@ -90,12 +78,36 @@
 
 auto ToRecord(const AllowanceEntry& entry) -> KeyedRecord {
   return {std::string(kAllowanceKey) + entry.team + "/" + entry.holder,
-          Serialize(entry)};
+          ToMessage(entry).SerializeAsString()};
 }
 
 auto ToRestoredRecord(const AllowanceEntry& entry) -> KeyedRecord {
   return {std::string(kRestoredKey) + entry.team + "/" + entry.holder,
-          Serialize(entry)};
+          ToMessage(entry).SerializeAsString()};
+}
+
+auto ToMessage(const AllowanceEntry& entry) -> wire::AllowanceRecord {
+  wire::AllowanceRecord message;
+  message.set_team(entry.team);
+  message.set_holder(entry.holder);
+  message.set_taken_tokens(entry.taken_tokens);
+  message.set_settled_tokens(entry.settled_tokens);
+  message.set_demand_per_second(entry.demand_per_second);
+  message.set_revision(entry.revision);
+  message.set_reserved_tokens(entry.reserved_tokens);
+  return message;
+}
+
+auto FromMessage(const wire::AllowanceRecord& message) -> AllowanceEntry {
+  AllowanceEntry entry;
+  entry.team = message.team();
+  entry.holder = message.holder();
+  entry.taken_tokens = message.taken_tokens();
+  entry.settled_tokens = message.settled_tokens();
+  entry.demand_per_second = message.demand_per_second();
+  entry.revision = message.revision();
+  entry.reserved_tokens = message.reserved_tokens();
+  return entry;
 }
 
 auto ToRecord(const PromptReport& report, Instant now) -> KeyedRecord {
@@ -175,18 +187,7 @@
   if (!message) {
     message = Read<wire::AllowanceRecord>(record, kRestoredKey);
   }
-  if (!message) {
-    return std::nullopt;
-  }
-  AllowanceEntry entry;
-  entry.team = message->team();
-  entry.holder = message->holder();
-  entry.taken_tokens = message->taken_tokens();
-  entry.settled_tokens = message->settled_tokens();
-  entry.demand_per_second = message->demand_per_second();
-  entry.revision = message->revision();
-  entry.reserved_tokens = message->reserved_tokens();
-  return entry;
+  return message ? std::optional(FromMessage(*message)) : std::nullopt;
 }
 
 auto ReadPromptReport(const KeyedRecord& record, bool was_listed, Instant now)
--- a/programs/gateway/fleet_records.h
+++ b/programs/gateway/fleet_records.h
@@ -9,6 +9,10 @@
 #include "al_gateway/prompts/prompt_report.h"
 #include "al_gateway/upstreams/upstream_limit_report.h"
 
+namespace auburnloft::wire {
+class AllowanceRecord;
+}
+
 /** Encodes and decodes the records of the fleet topic: one record for each
    router, one for each team and each incarnation of a router that holds an
    allowance of the team, one for each router that knows of prompt parts which
@@ -19,6 +23,11 @@
     -> KeyedRecord;
 [[nodiscard]] auto ToRecord(const AllowanceEntry& entry) -> KeyedRecord;
 
+[[nodiscard]] auto ToMessage(const AllowanceEntry& entry)
+    -> wire::AllowanceRecord;
+[[nodiscard]] auto FromMessage(const wire::AllowanceRecord& message)
+    -> AllowanceEntry;
+
 /** Makes the record of an entry that the log lost, on behalf of its holder. It
    has a key of its own, so that it does not replace a newer entry. */
 [[nodiscard]] auto ToRestoredRecord(const AllowanceEntry& entry) -> KeyedRecord;
--- a/programs/gateway/fleet_topic_client.cc
+++ b/programs/gateway/fleet_topic_client.cc
@@ -490,9 +490,12 @@
 auto FleetTopicClient::OnAllowance(const AllowanceEntry& entry) -> void {
   this->allowance_ledger.Apply(entry);
   if (entry.holder == this->self.incarnation && this->listed) {
-    this->allowance_manager.OnRecorded(
+    const bool must_be_known = this->allowance_manager.OnRecorded(
         entry, {this->allowance_ledger.Taken(entry.team), this->MayIncrease(),
                 this->CountActive() > 1, this->poller.loop().Now()});
+    if (must_be_known) {
+      this->callbacks.on_increase_recorded(entry);
+    }
     const auto totals =
         this->allowance_ledger.TotalsOf(entry.team, this->MakeIsActive());
     this->log.WriteLine(
--- a/programs/gateway/fleet_topic_client.h
+++ b/programs/gateway/fleet_topic_client.h
@@ -37,6 +37,9 @@
   struct Callbacks {
     /** An entry of this router's allowance was read back. */
     std::function<void(const std::string& team)> on_allowance_increased;
+    /** An entry that raises this router's allowance was read back, and is not
+       spendable until the other routers know of it. */
+    std::function<void(const AllowanceEntry& entry)> on_increase_recorded;
     /** A call to the log ended; `answered` if it had a valid reply. */
     std::function<void(bool answered)> on_contact;
     /** All routers of the fleet were listed, at the start or again. */
@@ -71,6 +74,12 @@
      lost. No allowance is increased until all active routers have done so. */
   auto OnLogRestored() -> void;
 
+  /** Keeps another router's entry that its holder has read back, in case that
+     the log loses it. */
+  auto LearnEntry(const AllowanceEntry& entry) -> void {
+    this->allowance_ledger.Learn(entry);
+  }
+
   /** Announces at once that this router accepts no new callers. */
   auto AnnounceLeaving() -> void;
 
--- a/programs/gateway/gateway_daemon.cc
+++ b/programs/gateway/gateway_daemon.cc
@@ -138,8 +138,20 @@
                   {[this](const std::string& team) {
                      this->reservations.RetryWaiting(team);
                    },
+                   [this](const AllowanceEntry& entry) {
+                     this->increase_notifier.Send(entry);
+                   },
                    [this](bool answered) { this->OnContact(answered); },
                    [this] { this->upstream_discovery.Start(); }}),
+      increase_notifier(this->poller,
+                        this->options.self.incarnation,
+                        this->log_era,
+                        this->fleet_topic,
+                        this->allowance_manager,
+                        this->log,
+                        [this](const std::string& team) {
+                          this->reservations.RetryWaiting(team);
+                        }),
       allowance_exchange(this->poller,
                          this->options.self.incarnation,
                          this->allowance_manager,
@@ -294,6 +306,8 @@
                                   const Http1Request& request) -> void {
   if (request.target == UpstreamDiscovery::kPath) {
     this->upstream_discovery.OnPeerRequest(session, request);
+  } else if (request.target == IncreaseNotifier::kPath) {
+    this->increase_notifier.OnPeerRequest(session, request);
   } else if (request.target == ConfigExchange::kPath) {
     this->config_exchange.OnPeerRequest(session, request);
   } else {
--- a/programs/gateway/gateway_daemon.h
+++ b/programs/gateway/gateway_daemon.h
@@ -15,6 +15,7 @@
 #include "gateway/fleet_topic_client.h"
 #include "gateway/gateway_context.h"
 #include "gateway/gateway_metrics.h"
+#include "gateway/increase_notifier.h"
 #include "gateway/upstream_discovery.h"
 
 namespace auburnloft::gateway {
@@ -112,6 +113,7 @@
   PromptQuarantine prompts;
   GatewayContext context;
   FleetTopicClient fleet_topic;
+  IncreaseNotifier increase_notifier;
   AllowanceExchange allowance_exchange;
   UpstreamDiscovery upstream_discovery;
   ConfigExchange config_exchange;
--- a/tests/gateway/allowance_test.cc
+++ b/tests/gateway/allowance_test.cc
@@ -537,6 +537,50 @@
               static_cast<std::int64_t>(manager.Available("team")));
 }
 
+// Guards against an increase that stays unspent though all others know of it,
+// and against one that is spent as an earlier one is confirmed.
+TEST(Allowance, SpendIncreasesThatOthersHaveConfirmed) {
+  AllowanceManager manager("a", AllowanceSizing());
+  AllowanceLedger ledger;
+  manager.SetBudget("team", 1'000);
+  const Instant now = FromUnixMillis(1'000);
+  const auto record_increase = [&] {
+    const auto entries = manager.PlanEntries(ledger, SingleRouterView(),
+                                             EntryScope::kIncreases, now);
+    ledger.Apply(entries.front());
+    CHECK_TRUE(manager.OnRecorded(entries.front(),
+                                  {ledger.Taken("team"), true, true, now}));
+    return entries.front();
+  };
+  const AllowanceEntry first = record_increase();
+  manager.SetWaitingTokens("team", 400);
+  const AllowanceEntry second = record_increase();
+  CHECK_TRUE(second.taken_tokens > first.taken_tokens);
+  manager.OnConfirmed("team", first.revision);
+  CHECK_EQUAL(first.taken_tokens,
+              static_cast<std::int64_t>(manager.Available("team")));
+  manager.OnConfirmed("team", second.revision);
+  CHECK_EQUAL(second.taken_tokens,
+              static_cast<std::int64_t>(manager.Available("team")));
+}
+
+// Guards against a confirmed increase that no router writes again, as none had
+// read it from the log before the restore.
+TEST(Allowance, WritesAgainWhatItLearnedFromItsHolder) {
+  AllowanceLedger ledger;
+  AllowanceEntry entry = MakeEntry("a", 300);
+  entry.revision = 7;
+  ledger.Learn(entry);
+  CHECK_EQUAL(300, ledger.Taken("team"));
+  const auto for_all = [](std::string_view /*holder*/) { return true; };
+  CHECK_EQUAL(1, ledger.MissingEntries(for_all).size());
+  ledger.BeginEra();
+  CHECK_EQUAL(1, ledger.MissingEntries(for_all).size());
+  ledger.Apply(entry);
+  CHECK_EQUAL(300, ledger.Taken("team"));
+  CHECK_EQUAL(0, ledger.MissingEntries(for_all).size());
+}
+
 // Guards against routers that start during the hold and know nothing of it: the
 // restored log has the older announcements of those that are still to come.
 TEST(Allowance, WaitForAllActiveRoutersAfterARestore) {
--- a/tests/gateway/gateway_session_test.cc
+++ b/tests/gateway/gateway_session_test.cc
@@ -288,6 +288,16 @@
   CHECK_EQUAL(503, this->Call("a2", "/draft/", "1400,100").status);
 }
 
+// Guards against callers that are refused until all routers have read an
+// increase from the log, though each has confirmed it: half a second and more.
+TEST(GatewaySessions, SpendsAnIncreaseThatTheOtherRoutersHaveConfirmed) {
+  this->fixture.AddRouter(2);
+  this->fixture.RunFor(milliseconds(1'500));
+  this->fixture.PutConfig(1, 30'000);
+  this->fixture.RunFor(milliseconds(400));
+  CHECK_EQUAL(200, this->Call("a1", "/draft/", "1000,20").status);
+}
+
 TEST(GatewaySessions, KeepsItsBudgetThroughLostRepliesOfTheLog) {
   this->fixture.Publish(1, 2'000);
   this->fixture.store.SetFault(StoreServer::Fault::kLost);
