--- a/tests/gateway/log_restore_test.cc
+++ b/tests/gateway/log_restore_test.cc
@@ -4,8 +4,12 @@
 #include <set>
 
 #include "al_gateway/al_gateway.h"
+#include "al_http1/http1_client.h"
 #include "al_http1/http1_server.h"
 #include "al_logstore/al_logstore.h"
+#include "fleet.pb.h"
+#include "gateway/increase_notifier.h"
+#include "gateway/peer_message.h"
 #include "support/free_port.h"
 #include "support/gateway_fixture.h"
 #include "support/test_harness.h"
@@ -159,6 +163,37 @@
   CHECK_TRUE(this->SpendAt(2) > 0);
 }
 
+// Guards against an increase that a router confirms and does not keep: the log
+// may lose it, and its raiser may have died. An increase of another era must
+// not be confirmed, as the two do not mean the same log.
+TEST(LogRestoreSessions, CountIncreasesThatTheyConfirm) {
+  constexpr std::uint64_t kBudget = 30'000;
+  constexpr std::uint64_t kTakenByAnother = 25'000;
+  wire::AllowanceIncreases message;
+  wire::AllowanceRecord& entry = *message.add_entries();
+  entry.set_team("blue");
+  entry.set_holder("router-2#1");
+  entry.set_taken_tokens(kTakenByAnother);
+  entry.set_revision(1);
+  const auto send = [&](std::uint64_t era) {
+    message.set_log_era(era);
+    Http1Client client(this->fixture.poller,
+                       GatewayFixture::AddressOf(1, "peers"));
+    int status = 0;
+    client.Call(
+        MakePeerRequest(IncreaseNotifier::kPath, message.SerializeAsString()),
+        milliseconds(500), [&](const std::optional<Http1Client::Reply>& reply) {
+          status = reply ? reply->status : -1;
+        });
+    this->fixture.loop.RunUntil([&] { return status != 0; }, seconds(1));
+    return status;
+  };
+  CHECK_EQUAL(503, send(1));
+  CHECK_EQUAL(200, send(0));
+  this->fixture.Publish(1, kBudget);
+  CHECK_TRUE(this->SpendAt(1) <= kBudget - kTakenByAnother);
+}
+
 TEST_GROUP(LogRestore) {
   EventLoop loop;
   SocketPoller poller{loop};
--- a/tests/support/allowance_fleet.h
+++ b/tests/support/allowance_fleet.h
@@ -46,8 +46,10 @@
     bool waits_for_announcements =
         true;              ///< False: raises are held for `min_hold` only.
     Duration min_hold{0};  ///< Least hold on raises after a restore.
-    bool waits_for_readers = true;  ///< False: raises are spent at once.
-    bool holds_newcomers = true;    ///< False: processes raise at their start.
+    bool waits_for_readers = true;   ///< False: raises are spent at once.
+    bool confirms_increases = true;  ///< Whether routers of a small fleet send
+                                     ///< each other their increases.
+    bool holds_newcomers = true;     ///< False: processes raise at their start.
     bool believes_late_replies = false;  ///< Raises that the lost log
                                          ///< acknowledged late are relied on.
     double handover_loss_probability = 0.0;  ///< Per amount handed over.
@@ -147,6 +149,8 @@
   /** Returns whether all active routers have written their entries again, as
      far as a process knows. */
   [[nodiscard]] auto MayIncrease(const RouterProcess& process) const -> bool;
+  /** Sends an increase to the other routers of a small fleet. */
+  auto Confirm(RouterProcess& process, const AllowanceEntry& entry) -> void;
   auto PlanAndAppend(RouterProcess& process) -> void;
   auto Append(RouterProcess& process, std::vector<AllowanceEntry> entries)
       -> void;
