Write off what may be lost if no router is left that knows

Cause: nobody is left that knows what was taken since the copy, so that it is given out again.

Change: a router that starts with a restored log, and finds after its hold that no router has announced the era, counts as taken what the lost incarnations may have taken: the demand that their entries in the copy report, times the age of the copy by its newest announcement, 30 s at most. The first two in the order of a rendezvous write it, under one key a team and era; the others announce the era only after them. Announcements tell when they were written.

An estimate, not a proof: a demand that began after the copy is not in it. Counting the rest of all budgets as spent would be one, and would refuse all callers of all teams until an operator tops up.

--- a/modules/al_gateway/membership/router_registry.cc
+++ b/modules/al_gateway/membership/router_registry.cc
@@ -145,6 +145,14 @@
                      });
 }
 
+auto RouterRegistry::NewestAnnouncementAt() const -> std::optional<Instant> {
+  Instant newest{};
+  for (const auto& [name, member] : this->members) {
+    newest = std::max(newest, member.announcement.written_at);
+  }
+  return newest == Instant() ? std::nullopt : std::optional(newest);
+}
+
 auto RouterRegistry::FindHighestRanked(std::string_view item, Instant now) const
     -> const RouterAnnouncement* {
   const RouterAnnouncement* highest = nullptr;
--- a/modules/al_gateway/membership/router_registry.h
+++ b/modules/al_gateway/membership/router_registry.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -27,6 +28,7 @@
   std::uint64_t log_era = 0;  ///< Number of the log's era, plus 1, in which it
                               ///< has written its allowance entries again; 0:
                               ///< it does not tell.
+  Instant written_at{};       ///< By the clock of its VM; the epoch: unknown.
   std::uint64_t link_mbps = 0;       ///< Link bandwidth of its VM; 0: unknown.
   double requests_per_second = 0.0;  ///< That callers send to it.
 };
@@ -102,6 +104,10 @@
      of the log, or a later one. */
   [[nodiscard]] auto HasAnyAnnounced(std::uint64_t log_era) const -> bool;
 
+  /** Returns when the newest announcement was written, by its writer's clock;
+     none if no announcement tells. */
+  [[nodiscard]] auto NewestAnnouncementAt() const -> std::optional<Instant>;
+
   /** Returns whether this router is among the first `count` in the rendezvous
      order of `item` among the active routers but the one whose incarnation is
      `except`, which may be empty. */
--- a/modules/al_gateway/prepaid/allowance_ledger.cc
+++ b/modules/al_gateway/prepaid/allowance_ledger.cc
@@ -52,6 +52,16 @@
   return found == this->teams.end() ? 0 : found->second.taken;
 }
 
+auto AllowanceLedger::DemandOver(Duration span, const IsActive& is_active) const
+    -> std::map<std::string, std::uint64_t> {
+  std::map<std::string, std::uint64_t> demand;
+  for (const auto& [team, entries] : this->teams) {
+    const double per_second = this->TotalsOf(team, is_active).demand_of_active;
+    demand[team] = static_cast<std::uint64_t>(per_second * ToSeconds(span));
+  }
+  return demand;
+}
+
 auto AllowanceLedger::TotalsOf(std::string_view team,
                                const IsActive& is_active) const -> Totals {
   Totals totals;
--- a/modules/al_gateway/prepaid/allowance_ledger.h
+++ b/modules/al_gateway/prepaid/allowance_ledger.h
@@ -3,11 +3,14 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <string>
 #include <string_view>
 #include <unordered_map>
 #include <vector>
 
+#include "al_core/time/instant.h"
+
 namespace auburnloft::gateway {
 
 /** A ledger entry: what one router incarnation has taken of a team's budget.
@@ -108,6 +111,11 @@
   [[nodiscard]] auto TotalsOf(std::string_view team,
                               const IsActive& is_active) const -> Totals;
 
+  /** Returns the tokens that the active holders of each team request in `span`,
+     by the demand that they reported last. */
+  [[nodiscard]] auto DemandOver(Duration span, const IsActive& is_active) const
+      -> std::map<std::string, std::uint64_t>;
+
   /** Calls `visit` with the newest entry of each holder of a team. */
   auto VisitTeam(std::string_view team,
                  const std::function<void(const AllowanceEntry&)>& visit) const
--- a/programs/gateway/fleet_records.cc
+++ b/programs/gateway/fleet_records.cc
@@ -70,6 +70,7 @@
   message.set_beat(announcement.beat);
   message.set_config_version(announcement.config_version);
   message.set_log_era(announcement.log_era);
+  message.set_written_at_ms(ToUnixMillis(announcement.written_at));
   message.set_link_mbps(announcement.link_mbps);
   message.set_requests_per_second(announcement.requests_per_second);
   return {std::string(kRouterKey) + announcement.name,
@@ -177,6 +178,7 @@
   announcement.beat = message->beat();
   announcement.config_version = message->config_version();
   announcement.log_era = message->log_era();
+  announcement.written_at = FromUnixMillis(message->written_at_ms());
   announcement.link_mbps = message->link_mbps();
   announcement.requests_per_second = message->requests_per_second();
   return announcement;
--- a/programs/gateway/fleet_topic_client.cc
+++ b/programs/gateway/fleet_topic_client.cc
@@ -50,6 +50,19 @@
    not know: they notice the restore, write and verify in this time. */
 constexpr Duration kNewcomerHold = std::chrono::milliseconds(3'000);
 
+/** Holder of the entries that stand for what nobody knows after a restore; the
+   number of the era follows. */
+constexpr std::string_view kLostUseHolder = "lost#";
+
+/** Time for which routers leave it to the first ones in the order of the holder
+   to write these entries: they may have started later. */
+constexpr Duration kLostUseGrace = std::chrono::milliseconds(1'000);
+
+/** Maximum time between the copy of a log and the start of a router for which
+   use is estimated: the platform's copies are some seconds old, and clocks of
+   VMs differ. */
+constexpr Duration kMaxLostTime = std::chrono::seconds(30);
+
 /** Time after a restore in which lost entries of expired routers are looked
    for: longer than an expiry takes in the largest fleet. */
 constexpr Duration kRestoreWatch = std::chrono::seconds(60);
@@ -166,7 +179,8 @@
 }
 
 auto FleetTopicClient::IsHeldAsNewcomer() const -> bool {
-  return this->poller.loop().Now() < this->increases_held_until;
+  return this->poller.loop().Now() < this->increases_held_until ||
+         !this->lost_use.empty();
 }
 
 auto FleetTopicClient::IsReserveHolder(std::string_view team) const -> bool {
@@ -224,6 +238,7 @@
     this->log.WriteLine(
         DecisionLog::Severity::kNotable, "increases_held",
         {{"era", this->era.number()}, {"for_ms", kNewcomerHold}}, now);
+    this->EstimateLostUse(now);
   }
   this->callbacks.on_listed();
 }
@@ -250,6 +265,7 @@
     return;
   }
   const Instant now = this->poller.loop().Now();
+  this->ResolveLostUse(now);
   this->UpdateIncreaseHold(now);
   const FleetStatus view = this->MakeFleetView();
   const bool may_announce_era =
@@ -340,6 +356,52 @@
   return records;
 }
 
+auto FleetTopicClient::EstimateLostUse(Instant now) -> void {
+  const auto copied_at = this->routers.NewestAnnouncementAt();
+  if (copied_at) {
+    const Duration lost =
+        std::clamp(now - *copied_at, Duration(0), kMaxLostTime);
+    this->lost_use =
+        this->allowance_ledger.DemandOver(lost, this->MakeIsActive());
+    std::erase_if(this->lost_use,
+                  [](const auto& item) { return item.second == 0; });
+  }
+}
+
+auto FleetTopicClient::ResolveLostUse(Instant now) -> void {
+  if (this->lost_use.empty() || now < this->increases_held_until) {
+    return;
+  }
+  if (this->routers.HasAnyAnnounced(this->announced_era())) {
+    this->lost_use.clear();
+    return;
+  }
+  const std::string holder =
+      std::string(kLostUseHolder) + std::to_string(this->era.number());
+  if (!this->routers.IsAmongHighestRanked(holder, kRestoringRouters,
+                                          this->log_read_at) &&
+      now < this->increases_held_until + kLostUseGrace) {
+    return;
+  }
+  std::uint64_t sum = 0;
+  for (const auto& [team, tokens] : this->lost_use) {
+    AllowanceEntry entry;
+    entry.team = team;
+    entry.holder = holder;
+    entry.taken_tokens = static_cast<std::int64_t>(
+        std::min(tokens, this->allowance_manager.BudgetOf(team)));
+    entry.revision = 1;
+    sum += static_cast<std::uint64_t>(entry.taken_tokens);
+    this->lost_use_records.push_back(ToRecord(entry));
+  }
+  this->log.WriteLine(DecisionLog::Severity::kNotable, "lost_use_written_off",
+                      {{"era", this->era.number()},
+                       {"teams", this->lost_use.size()},
+                       {"tokens", sum}},
+                      now);
+  this->lost_use.clear();
+}
+
 auto FleetTopicClient::UpdateIncreaseHold(Instant now) -> void {
   if (this->increases_held_since && this->MayIncrease()) {
     const Duration held =
@@ -411,6 +473,9 @@
   if (announce) {
     this->AddLostEntries(records);
   }
+  records.insert(records.end(), this->lost_use_records.begin(),
+                 this->lost_use_records.end());
+  this->lost_use_records.clear();
   if (report) {
     records.push_back(ToRecord(*report, this->poller.loop().Now()));
   }
@@ -437,6 +502,7 @@
   this->self.log_era = this->announced_era() - (is_complete ? 0 : 1);
   this->announce_at_once = false;
   this->announced_at = this->poller.loop().Now();
+  this->self.written_at = this->announced_at;
   return ToRecord(this->self);
 }
 
--- a/programs/gateway/fleet_topic_client.h
+++ b/programs/gateway/fleet_topic_client.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <span>
@@ -153,6 +154,13 @@
       log in which no router tells that the restore is complete. It announces
       the era before, so that other newcomers do not rely on it. */
   [[nodiscard]] auto IsHeldAsNewcomer() const -> bool;
+  /** Estimates what was taken after the copy of a restored log, for the case
+     that no router is left that knows. */
+  auto EstimateLostUse(Instant now) -> void;
+  /** Decides whether the estimate is needed, once the hold on a newcomer is
+      over: not if another router has announced the era, as that one knows what
+      was taken or has written the estimate. */
+  auto ResolveLostUse(Instant now) -> void;
   /** Logs the end of the time in which no allowance may be increased. */
   auto UpdateIncreaseHold(Instant now) -> void;
   [[nodiscard]] auto ScopeOf(bool with_announcement, int routers) const
@@ -206,6 +214,9 @@
   std::optional<Instant> restored_at;  ///< None: the log was never restored.
   Instant restore_written_at{};    ///< When `restored_records` became empty.
   Instant increases_held_until{};  ///< After a start.
+  /** Tokens by team that may have been taken after the copy of the log. */
+  std::map<std::string, std::uint64_t> lost_use;
+  std::vector<KeyedRecord> lost_use_records;  ///< For the next append.
   std::optional<Instant> increases_held_since;
 };
 
--- a/tests/gateway/log_restore_test.cc
+++ b/tests/gateway/log_restore_test.cc
@@ -89,6 +89,21 @@
     return spent;
   }
 
+  /** Sends requests to router 1, one after the other.
+      @return the prompt tokens of those that were served. */
+  auto Spend(int requests)->std::uint64_t {
+    std::uint64_t spent = 0;
+    for (int number = 0; number < requests; ++number) {
+      GatewayFixture::Call call;
+      call.id = "s-" + std::to_string(++this->ids);
+      call.path = "/draft/";
+      call.tokens = kTokens;
+      spent += this->fixture.Send(call).status == 200 ? kPromptTokens : 0;
+      this->fixture.RunFor(milliseconds(50));
+    }
+    return spent;
+  }
+
   int ids = 0;
 };
 
@@ -194,6 +209,26 @@
   CHECK_TRUE(this->SpendAt(1) <= kBudget - kTakenByAnother);
 }
 
+// Guards against a team that gets more than its budget as all routers die
+// before one can write again what the log has lost: nobody knows of it.
+TEST(LogRestoreSessions, WriteOffWhatRoutersThatAllDiedMayHaveSpent) {
+  constexpr std::uint64_t kBudget = 60'000;
+  this->fixture.Publish(1, kBudget);
+  this->fixture.RunFor(seconds(1));
+  std::uint64_t spent = this->Spend(10);
+  CHECK_TRUE(spent > 0);
+  this->fixture.store.Copy();
+  spent += this->Spend(25);
+  CHECK_TRUE(spent < kBudget);
+  this->fixture.router.reset();
+  this->fixture.store.Restore();
+  this->fixture.AddRouter(2);
+  this->fixture.RunFor(seconds(4));
+  const std::uint64_t spent_after = this->SpendAt(2);
+  CHECK_TRUE(spent_after > 0);
+  CHECK_TRUE(spent + spent_after <= kBudget);
+}
+
 TEST_GROUP(LogRestore) {
   EventLoop loop;
   SocketPoller poller{loop};
