Forget the oldest drain, not all, when many are known

A record of a draining upstream that a restored log brings back is marked as leaving, as 1,024 drains are remembered; the next one cleared them all, a drain in progress included. Now it replaces the oldest.

Test LogRestore.KeepsTheNewestOfManyDrains failed before, passes.

--- a/modules/al_gateway/upstreams/upstream_directory.cc
+++ b/modules/al_gateway/upstreams/upstream_directory.cc
@@ -56,10 +56,15 @@
   if (was_draining) {
     record.leaving = true;
   } else if (record.leaving) {
-    if (this->draining.size() >= kMaxNotices) {
-      this->draining.clear();
+    if (known == this->draining.end()) {
+      this->draining_order.push_back(record.id);
     }
     this->draining[record.id] = record.started_at_ms;
+    if (this->draining.size() > kMaxNotices) {
+      // Drains are over long before this many others have begun.
+      this->draining.erase(this->draining_order.front());
+      this->draining_order.pop_front();
+    }
   }
 }
 
--- a/modules/al_gateway/upstreams/upstream_directory.h
+++ b/modules/al_gateway/upstreams/upstream_directory.h
@@ -1,6 +1,7 @@
 #ifndef AL_GATEWAY_UPSTREAMS_UPSTREAM_DIRECTORY_H_
 #define AL_GATEWAY_UPSTREAMS_UPSTREAM_DIRECTORY_H_
 
+#include <deque>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -137,6 +138,7 @@
    * id.
    */
   std::unordered_map<std::string, std::int64_t> draining;
+  std::deque<std::string> draining_order;  ///< Their ids, oldest first.
   Instant suspect_until{};
 };
 
--- a/tests/gateway/log_restore_test.cc
+++ b/tests/gateway/log_restore_test.cc
@@ -305,3 +305,24 @@
   directory.Put(restarted);
   CHECK_TRUE(directory.UpstreamsOfService("s").front()->is_usable(now));
 }
+
+// Guards against a drain that is forgotten because many others have begun.
+TEST(LogRestore, KeepsTheNewestOfManyDrains) {
+  constexpr int kDrains = 2'100;
+  UpstreamDirectory directory([](const UpstreamState&) {});
+  const Instant now = FromUnixMillis(1'000'000);
+  UpstreamRecord record = MakeRecord(true);
+  for (int number = 0; number < kDrains; ++number) {
+    record.id = "u-" + std::to_string(number);
+    directory.Put(record);
+    directory.Remove(record.id, now);
+  }
+  record.leaving = false;
+  for (int number = kDrains - 100; number < kDrains; ++number) {
+    record.id = "u-" + std::to_string(number);
+    directory.Put(record);
+  }
+  for (const auto& upstream : directory.UpstreamsOfService("s")) {
+    CHECK_FALSE(upstream->is_usable(now));
+  }
+}
