--- a/programs/ctl/fleet_view.cc
+++ b/programs/ctl/fleet_view.cc
@@ -32,8 +32,8 @@
       this->active_incarnations.insert(announcement->incarnation);
     }
     this->routers[announcement->name] = std::move(*announcement);
-  } else if (auto entry = gateway::ReadAllowance(record)) {
-    this->ledger.Apply(std::move(*entry));
+  } else if (const auto entry = gateway::ReadAllowance(record)) {
+    this->ledger.Apply(*entry);
   }
 }
 
--- a/tests/gateway/allowance_test.cc
+++ b/tests/gateway/allowance_test.cc
@@ -406,15 +406,14 @@
 // which routers still spend. Load pattern: seeded mixes of all faults, with a
 // budget that lasts and with one that is used up.
 TEST(Allowance, HoldsAcrossRestoresOfTheLog) {
-  constexpr int kSeeds = 100;
+  constexpr std::uint64_t kSeeds = 100;
   this->settings.restores_log = true;
   std::uint64_t restores = 0;
   for (const std::uint64_t budget :
        {AllowanceFleet::Settings().budget, std::uint64_t{100'000}}) {
     this->settings.budget = budget;
-    for (int seed = 1; seed <= kSeeds; ++seed) {
-      const auto report =
-          RunSeededFaults(this->settings, static_cast<std::uint64_t>(seed));
+    for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+      const auto report = RunSeededFaults(this->settings, seed);
       CHECK_FALSE(report.overspent);
       restores += report.restores;
     }
