--- a/bench/allowance_main.cc
+++ b/bench/allowance_main.cc
@@ -230,8 +230,11 @@
 
 constexpr std::array<InjectedFault, 8> kInjectedFaults = {{
     {"none", [](AllowanceFleet::Settings&) {}},
-    {"offsets-kept",
-     [](AllowanceFleet::Settings& settings) { settings.starts_over = false; }},
+    {"offsets-kept",  // By the follower, while its consumer starts over.
+     [](AllowanceFleet::Settings& settings) {
+       settings.starts_over = false;
+       settings.writes_for_others = false;
+     }},
     {"own-not-written-again",
      [](AllowanceFleet::Settings& settings) { settings.writes_again = false; }},
     {"nothing-written-again",
--- a/tests/gateway/allowance_test.cc
+++ b/tests/gateway/allowance_test.cc
@@ -463,6 +463,10 @@
     faulty.writes_for_others = false;
     faulty.writes_again = false;
   };
+  const auto keep_offsets = [](Settings& faulty) {
+    faulty.writes_for_others = false;
+    faulty.starts_over = false;
+  };
   const auto believe_late = [](Settings& faulty) {
     faulty.believes_late_replies = true;
   };
@@ -473,6 +477,9 @@
   const auto hold_no_newcomers = [](Settings& faulty) {
     faulty.holds_newcomers = false;
   };
+  CHECK_FALSE(play(3, forget_others).overspent);
+  CHECK_TRUE(play(3, keep_offsets).overspent);
+  CHECK_TRUE(play(9, keep_offsets).overspent);
   CHECK_TRUE(play(9'946, forget_others).overspent);
   CHECK_TRUE(play(9'970, forget_others).overspent);
   CHECK_TRUE(play(9'991, write_nothing).overspent);
@@ -481,7 +488,7 @@
   CHECK_TRUE(play(8'179, hold_nothing).overspent);
   CHECK_TRUE(play(299, hold_no_newcomers).overspent);
   for (const std::uint64_t seed :
-       {299, 8'179, 9'921, 9'933, 9'946, 9'970, 9'991}) {
+       {3, 9, 299, 8'179, 9'921, 9'933, 9'946, 9'970, 9'991}) {
     CHECK_FALSE(play(seed, put_in_none).overspent);
   }
 }
