A poller's end takes its descriptor off the event loop

Traced: SocketPoller closed its epoll descriptor while the loop still watched it; the next poller of the loop got the number. Processes end their one poller with the loop; LogRestoreSessions.WriteOffWhatRoutersThatAllDiedMayHaveSpent is the first test that ends a router and starts another one on the same loop, and whether the number comes back depended on the sockets that were open.

The loop ends the watch and closes the descriptor.

--- a/modules/al_edge/loop/event_loop.cc
+++ b/modules/al_edge/loop/event_loop.cc
@@ -1,6 +1,7 @@
 #include "al_edge/loop/event_loop.h"
 
 #include <libwebsockets.h>
+#include <unistd.h>
 
 #include <array>
 #include <atomic>
@@ -220,9 +221,17 @@
     return false;
   }
   lws_set_opaque_user_data(wsi, &watch);
+  this->watches[descriptor] = wsi;
   return true;
 }
 
+auto EventLoop::StopWatching(int descriptor) -> void {
+  if (const auto watch = this->watches.extract(descriptor)) {
+    lws_set_timeout(watch.mapped(), PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_SYNC);
+  }
+  close(descriptor);
+}
+
 //==============================================================================
 // Queries
 
--- a/modules/al_edge/loop/event_loop.h
+++ b/modules/al_edge/loop/event_loop.h
@@ -3,11 +3,13 @@
 
 #include <functional>
 #include <list>
+#include <map>
 #include <memory>
 #include <vector>
 
 #include "al_core/time/instant.h"
 
+struct lws;
 struct lws_context;
 struct lws_vhost;
 
@@ -75,6 +77,12 @@
       @return false if the loop cannot watch it. */
   auto WatchReadable(int descriptor, Callback on_readable) -> bool;
 
+  /** Ends the watch of a descriptor, and closes it: its number may be given out
+     again while libwebsockets still knows it.
+      @pre WatchReadable() returned true for it, and no callback of the loop is
+      running. */
+  auto StopWatching(int descriptor) -> void;
+
   //============================================================================
   // Queries
 
@@ -100,6 +108,7 @@
   std::chrono::steady_clock::time_point steady_start;
   std::list<std::unique_ptr<Timer>> timers;
   std::list<Callback> readable_callbacks;
+  std::map<int, struct ::lws*> watches;  ///< By descriptor.
   std::vector<Callback> posted;
   Callback terminate_handler;
   Callback hangup_handler;
--- a/modules/al_net/socket_poller.cc
+++ b/modules/al_net/socket_poller.cc
@@ -30,7 +30,7 @@
 }
 
 SocketPoller::~SocketPoller() {
-  close(this->epoll_descriptor);
+  this->event_loop.StopWatching(this->epoll_descriptor);
 }
 
 auto SocketPoller::Add(int descriptor, Handler handler) -> Token {
--- a/tests/gateway/http1_test.cc
+++ b/tests/gateway/http1_test.cc
@@ -1,5 +1,7 @@
 // HTTP/1.1 framing of the bytes that callers and faulty upstreams send.
+#include "al_edge/loop/event_loop.h"
 #include "al_http1/al_http1.h"
+#include "al_net/socket_poller.h"
 #include "support/test_harness.h"
 
 using namespace auburnloft;  // NOLINT(google-build-using-namespace)
@@ -122,3 +124,13 @@
   CHECK_EQUAL(std::string("de"), reader.TakeBody());
   CHECK_TRUE(reader.is_done());
 }
+
+// Guards against a loop that ends the process, as it still watches the
+// descriptor of a poller that is gone, and whose number the next one gets.
+TEST(Http1, LoopsOutliveTheirPollers) {
+  EventLoop loop;
+  for (int number = 0; number < 3; ++number) {
+    const SocketPoller poller(loop);
+    CHECK_FALSE(loop.RunUntil([] { return false; }, Duration(1'000)));
+  }
+}
