Say why a router asks at once for a newer configuration after its start

The comment of kStartPeriod said the reverse of what happens: that the configuration read is older than the log's copy. It is the copy's.

--- a/programs/gateway/config_exchange.cc
+++ b/programs/gateway/config_exchange.cc
@@ -21,9 +21,9 @@
    readers of a large fleet. */
 constexpr Duration kDistributionTime = std::chrono::seconds(2);
 
-/** Time after the start in which a newer configuration is requested at once:
-   the one that this router has read may be older than the restored log's copy.
- */
+/** Time after the start in which a newer configuration is requested at once: a
+   restored log may have given this router an older one, and no reader serves it
+   yet. */
 constexpr Duration kStartPeriod = std::chrono::seconds(5);
 
 }  // namespace
