--- a/modules/al_gateway/al_gateway.h
+++ b/modules/al_gateway/al_gateway.h
@@ -15,7 +15,7 @@
                    keepers (leaders of ledger partitions)
     - membership/  RouterRegistry: the active routers; DiscoveryPlan and
                    DiscoverySource: which routers read upstream records
-    - prompts/     PromptQuarantine: prompt parts that crash upstreams
+    - quarantine/  CrashQuarantine: requests that crash upstreams
     - streams/     EventSplitter: complete events of a stream
 */
 #ifndef AL_GATEWAY_AL_GATEWAY_H_
@@ -30,7 +30,8 @@
 #include "al_gateway/model/upstream_record.h"
 #include "al_gateway/prepaid/allowance_ledger.h"
 #include "al_gateway/prepaid/allowance_manager.h"
-#include "al_gateway/prompts/prompt_quarantine.h"
+#include "al_gateway/quarantine/crash_quarantine.h"
+#include "al_gateway/quarantine/crash_suspects.h"
 #include "al_gateway/routing/route_table.h"
 #include "al_gateway/upstreams/upstream_change_log.h"
 #include "al_gateway/upstreams/upstream_directory.h"
--- a/modules/al_gateway/prompts/prompt_quarantine.cc
+++ b/modules/al_gateway/quarantine/crash_quarantine.cc
@@ -1,4 +1,4 @@
-#include "al_gateway/prompts/prompt_quarantine.h"
+#include "al_gateway/quarantine/crash_quarantine.h"
 
 #include <algorithm>
 #include <utility>
@@ -21,7 +21,7 @@
 /** A trial without a result by then was lost, or its caller left. */
 constexpr Duration kTrialTimeout = std::chrono::seconds(10);
 
-/** After the end of its quarantine, a part that got no trial is released. */
+/** After the end of its quarantine, a suspect that got no trial is released. */
 constexpr Duration kReleaseWithoutTrial = std::chrono::minutes(10);
 
 /** Minimum interval between evaluations of other routers' reports, which all
@@ -33,26 +33,9 @@
  */
 constexpr Duration kMinRetryAfter = std::chrono::seconds(1);
 
-/** Bounds of a prompt that is tracked, and of a report. A part with a longer id
-   is ignored. */
-constexpr std::size_t kMaxParts = 8;
-constexpr std::size_t kMaxPartBytes = 64;
+/** Maximum number of successes and of quarantines in a report. */
 constexpr std::size_t kMaxReported = 64;
 
-/** Returns the ids of the parts that are tracked. The last part of a prompt is
-   not: it belongs to one request or session, while others share the rest. */
-auto TrackedParts(std::span<const PromptPart> parts)
-    -> std::vector<std::string> {
-  const std::size_t shared = parts.empty() ? 0 : parts.size() - 1;
-  std::vector<std::string> tracked;
-  for (const PromptPart& part : parts.first(std::min(shared, kMaxParts))) {
-    if (part.id.size() <= kMaxPartBytes) {
-      tracked.push_back(part.id);
-    }
-  }
-  return tracked;
-}
-
 auto QuarantineDuration(int failed_trials) -> Duration {
   Duration duration = kFirstQuarantine;
   for (int i = 0; i < std::min(failed_trials, kMaxFailedTrials); ++i) {
@@ -63,49 +46,49 @@
 
 }  // namespace
 
-PromptQuarantine::PromptQuarantine(std::string self, OnChange on_change)
+CrashQuarantine::CrashQuarantine(std::string self, OnChange on_change)
     : self(std::move(self)), on_change(std::move(on_change)) {}
 
 //==============================================================================
 // Commands
 
-auto PromptQuarantine::RecordSuccess(std::span<const PromptPart> parts,
-                                     Instant now) -> void {
+auto CrashQuarantine::RecordSuccess(std::span<const std::string> suspects,
+                                    Instant now) -> void {
   bool releases = false;
-  for (const std::string& part : TrackedParts(parts)) {
-    this->evidence.RecordOwnSuccess(part, now);
-    releases = releases || this->by_part.contains(part);
+  for (const std::string& suspect : suspects) {
+    this->evidence.RecordOwnSuccess(suspect, now);
+    releases = releases || this->by_suspect.contains(suspect);
   }
   if (releases) {
     this->Evaluate(now);
   }
 }
 
-auto PromptQuarantine::RecordFailure(const std::string& upstream,
-                                     std::span<const PromptPart> parts,
-                                     Instant now) -> void {
-  PromptReport::Failure failure{upstream, TrackedParts(parts), now};
-  if (failure.parts.empty()) {
+auto CrashQuarantine::RecordFailure(const std::string& upstream,
+                                    std::span<const std::string> suspects,
+                                    Instant now) -> void {
+  if (suspects.empty()) {
     return;
   }
-  this->evidence.AddFailure(this->self, std::move(failure));
+  this->evidence.AddFailure(
+      this->self, {upstream, {suspects.begin(), suspects.end()}, now});
   this->has_news = true;
   this->Evaluate(now);
 }
 
-auto PromptQuarantine::Apply(const PromptReport& report, Instant now) -> void {
+auto CrashQuarantine::Apply(const CrashReport& report, Instant now) -> void {
   if (report.reporter == this->self) {
     return;
   }
   this->evidence.ReplaceFailures(report.reporter, report.failures);
-  for (const PromptReport::Success& success : report.successes) {
-    this->evidence.RecordReportedSuccess(success.part, success.at);
+  for (const CrashReport::Success& success : report.successes) {
+    this->evidence.RecordReportedSuccess(success.suspect, success.at);
   }
   this->AdoptQuarantines(report, now);
   this->has_new_evidence = true;
 }
 
-auto PromptQuarantine::Update(Instant now) -> void {
+auto CrashQuarantine::Update(Instant now) -> void {
   const Duration passed = now - this->evaluated_at;
   const bool is_settling =
       passed >= kSettlingEvaluationInterval &&
@@ -114,7 +97,7 @@
       (this->has_new_evidence && passed >= kReportEvaluationInterval)) {
     this->Evaluate(now);
   }
-  std::erase_if(this->by_part, [this, now](const auto& item) {
+  std::erase_if(this->by_suspect, [this, now](const auto& item) {
     const bool expired = now >= item.second.ends_at + kReleaseWithoutTrial;
     if (expired) {
       this->on_change({Change::Kind::kExpired,
@@ -129,22 +112,22 @@
   });
 }
 
-auto PromptQuarantine::BeginTrial(const std::string& part, Instant now)
+auto CrashQuarantine::BeginTrial(const std::string& suspect, Instant now)
     -> void {
-  if (const auto found = this->by_part.find(part);
-      found != this->by_part.end()) {
+  if (const auto found = this->by_suspect.find(suspect);
+      found != this->by_suspect.end()) {
     found->second.trial_began_at = now;
   }
 }
 
-auto PromptQuarantine::TakeReport(bool only_news, Instant now)
-    -> std::optional<PromptReport> {
+auto CrashQuarantine::TakeReport(bool only_news, Instant now)
+    -> std::optional<CrashReport> {
   this->Update(now);
   this->UpdateReportedSuccesses(now);
   if (only_news && !this->has_news) {
     return std::nullopt;
   }
-  PromptReport report = this->MakeReport(now);
+  CrashReport report = this->MakeReport(now);
   this->has_news = false;
   if (report == this->last_report) {
     return std::nullopt;
@@ -156,27 +139,28 @@
 //==============================================================================
 // Queries
 
-auto PromptQuarantine::Check(std::span<const PromptPart> parts,
-                             const RunsTrials& runs_trials,
-                             Instant now) const -> Decision {
-  if (this->by_part.empty() && this->held_until.empty()) {
+auto CrashQuarantine::Check(std::span<const std::string> suspects,
+                            const RunsTrials& runs_trials,
+                            Instant now) const -> Decision {
+  if (this->by_suspect.empty() && this->held_until.empty()) {
     return {};
   }
   Decision decision;
-  for (const std::string& part : TrackedParts(parts)) {
-    const auto held = this->held_until.find(part);
+  for (const std::string& suspect : suspects) {
+    const auto held = this->held_until.find(suspect);
     if (held != this->held_until.end() && now < held->second) {
-      return {false, part, false, std::max(kMinRetryAfter, held->second - now)};
+      return {false, suspect, false,
+              std::max(kMinRetryAfter, held->second - now)};
     }
-    const auto found = this->by_part.find(part);
-    if (found == this->by_part.end()) {
+    const auto found = this->by_suspect.find(suspect);
+    if (found == this->by_suspect.end()) {
       continue;
     }
     const State& state = found->second;
     const bool is_trial = now >= state.ends_at &&
                           now - state.trial_began_at >= kTrialTimeout &&
-                          decision.part.empty() && runs_trials(part);
-    decision.part = part;
+                          decision.suspect.empty() && runs_trials(suspect);
+    decision.suspect = suspect;
     decision.is_trial = is_trial;
     decision.is_allowed = is_trial;
     decision.retry_after =
@@ -188,35 +172,35 @@
   return decision;
 }
 
-auto PromptQuarantine::MayRetry(std::span<const PromptPart> parts) const
+auto CrashQuarantine::MayRetry(std::span<const std::string> suspects) const
     -> bool {
-  const std::vector<std::string> tracked = TrackedParts(parts);
-  return std::ranges::none_of(tracked, [this](const std::string& part) {
-    return this->by_part.contains(part) || this->held_until.contains(part);
+  return std::ranges::none_of(suspects, [this](const std::string& suspect) {
+    return this->by_suspect.contains(suspect) ||
+           this->held_until.contains(suspect);
   });
 }
 
-auto PromptQuarantine::quarantines() const
-    -> std::vector<PromptReport::Quarantine> {
-  std::vector<PromptReport::Quarantine> listed;
-  for (const auto& [part, state] : this->by_part) {
+auto CrashQuarantine::quarantines() const
+    -> std::vector<CrashReport::Quarantine> {
+  std::vector<CrashReport::Quarantine> listed;
+  for (const auto& [suspect, state] : this->by_suspect) {
     listed.push_back(
-        {part, state.failed_at, state.ends_at, state.failed_trials});
+        {suspect, state.failed_at, state.ends_at, state.failed_trials});
   }
   return listed;
 }
 
 //==============================================================================
 
-auto PromptQuarantine::KnownParts() const -> std::set<std::string> {
-  std::set<std::string> parts;
-  for (const auto& [part, state] : this->by_part) {
-    parts.insert(part);
+auto CrashQuarantine::KnownSuspects() const -> std::set<std::string> {
+  std::set<std::string> suspects;
+  for (const auto& [suspect, state] : this->by_suspect) {
+    suspects.insert(suspect);
   }
-  return parts;
+  return suspects;
 }
 
-auto PromptQuarantine::Evaluate(Instant now) -> void {
+auto CrashQuarantine::Evaluate(Instant now) -> void {
   this->evaluated_at = now;
   this->has_new_evidence = false;
   this->evidence.Expire(now);
@@ -226,9 +210,9 @@
   this->HoldBackUnconfirmed();
 }
 
-auto PromptQuarantine::ApplyTrialFailures(Instant now) -> void {
-  for (auto& [part, state] : this->by_part) {
-    const auto last = this->evidence.LastFailure(part);
+auto CrashQuarantine::ApplyTrialFailures(Instant now) -> void {
+  for (auto& [suspect, state] : this->by_suspect) {
+    const auto last = this->evidence.LastFailure(suspect);
     if (!last || *last <= state.failed_at) {
       continue;
     }
@@ -241,7 +225,7 @@
     state.trial_began_at = Instant();
     this->has_news = true;
     this->on_change({Change::Kind::kTrialFailed,
-                     part,
+                     suspect,
                      0,
                      0,
                      now - *last,
@@ -250,79 +234,85 @@
   }
 }
 
-auto PromptQuarantine::ReleaseByEvidence(Instant now) -> void {
-  std::erase_if(this->by_part, [this, now](const auto& item) {
-    const auto& [part, state] = item;
-    const Instant success = this->evidence.LastSuccess(part);
+auto CrashQuarantine::ReleaseByEvidence(Instant now) -> void {
+  std::erase_if(this->by_suspect, [this, now](const auto& item) {
+    const auto& [suspect, state] = item;
+    const Instant success = this->evidence.LastSuccess(suspect);
     if (success <= state.failed_at) {
       return false;
     }
-    this->reported_successes[part] = success;
+    this->reported_successes[suspect] = success;
     this->has_news = true;
-    this->on_change(
-        {Change::Kind::kReleased, part, 0, 0, now - success, Duration(0), {}});
+    this->on_change({Change::Kind::kReleased,
+                     suspect,
+                     0,
+                     0,
+                     now - success,
+                     Duration(0),
+                     {}});
     return true;
   });
 }
 
-auto PromptQuarantine::QuarantineSuspects(Instant now) -> void {
-  while (this->by_part.size() < kMaxReported) {
-    const auto suspect =
-        this->evidence.FindSuspect(this->KnownParts(), now - kSettlingTime);
-    if (!suspect) {
+auto CrashQuarantine::QuarantineSuspects(Instant now) -> void {
+  while (this->by_suspect.size() < kMaxReported) {
+    const auto culprit =
+        this->evidence.FindCulprit(this->KnownSuspects(), now - kSettlingTime);
+    if (!culprit) {
       return;
     }
     const Duration duration = QuarantineDuration(0);
-    this->by_part[suspect->part] = {suspect->last_at, now + duration, 0, {}};
+    this->by_suspect[culprit->suspect] = {
+        culprit->last_at, now + duration, 0, {}};
     this->has_news = true;
     this->on_change({Change::Kind::kQuarantined,
-                     suspect->part,
-                     suspect->upstreams,
-                     suspect->reporters,
-                     now - suspect->first_at,
+                     culprit->suspect,
+                     culprit->upstreams,
+                     culprit->reporters,
+                     now - culprit->first_at,
                      duration,
                      {}});
   }
 }
 
-auto PromptQuarantine::HoldBackUnconfirmed() -> void {
+auto CrashQuarantine::HoldBackUnconfirmed() -> void {
   this->held_until.clear();
-  for (const PromptEvidence::Suspect& suspect :
-       this->evidence.FindUnconfirmed(this->KnownParts())) {
-    this->held_until[suspect.part] = suspect.last_at + kSettlingTime;
+  for (const CrashEvidence::Assessment& assessment :
+       this->evidence.FindUnconfirmed(this->KnownSuspects())) {
+    this->held_until[assessment.suspect] = assessment.last_at + kSettlingTime;
   }
 }
 
-auto PromptQuarantine::AdoptQuarantines(const PromptReport& report, Instant now)
+auto CrashQuarantine::AdoptQuarantines(const CrashReport& report, Instant now)
     -> void {
-  for (const PromptReport::Quarantine& reported : report.quarantines) {
-    const auto found = this->by_part.find(reported.part);
+  for (const CrashReport::Quarantine& reported : report.quarantines) {
+    const auto found = this->by_suspect.find(reported.suspect);
     const bool is_news =
-        found == this->by_part.end()
-            ? this->by_part.size() < kMaxReported
+        found == this->by_suspect.end()
+            ? this->by_suspect.size() < kMaxReported
             : found->second.failed_trials < reported.failed_trials;
     if (!is_news ||
-        this->evidence.LastSuccess(reported.part) > reported.failed_at ||
+        this->evidence.LastSuccess(reported.suspect) > reported.failed_at ||
         now >= reported.ends_at + kReleaseWithoutTrial) {
       continue;
     }
-    this->by_part[reported.part] = {
+    this->by_suspect[reported.suspect] = {
         reported.failed_at, reported.ends_at, reported.failed_trials, {}};
     this->has_news = true;
-    this->on_change({Change::Kind::kAdopted, reported.part, 0, 0,
+    this->on_change({Change::Kind::kAdopted, reported.suspect, 0, 0,
                      now - reported.failed_at, reported.ends_at - now,
                      report.reporter});
   }
 }
 
-auto PromptQuarantine::UpdateReportedSuccesses(Instant now) -> void {
+auto CrashQuarantine::UpdateReportedSuccesses(Instant now) -> void {
   std::erase_if(this->reported_successes, [now](const auto& item) {
-    return now - item.second >= PromptEvidence::kFailureLifetime;
+    return now - item.second >= CrashEvidence::kFailureLifetime;
   });
-  for (const PromptReport::Success& success :
-       this->evidence.FindSuccessesToReport(this->KnownParts())) {
-    this->reported_successes[success.part] = success.at;
-    this->evidence.RecordReportedSuccess(success.part, success.at);
+  for (const CrashReport::Success& success :
+       this->evidence.FindSuccessesToReport(this->KnownSuspects())) {
+    this->reported_successes[success.suspect] = success.at;
+    this->evidence.RecordReportedSuccess(success.suspect, success.at);
     this->has_news = true;
   }
   while (this->reported_successes.size() > kMaxReported) {
@@ -332,13 +322,13 @@
   }
 }
 
-auto PromptQuarantine::MakeReport(Instant now) -> PromptReport {
+auto CrashQuarantine::MakeReport(Instant now) -> CrashReport {
   this->evidence.Expire(now);
-  PromptReport report;
+  CrashReport report;
   report.reporter = this->self;
   report.failures = this->evidence.FailuresOf(this->self);
-  for (const auto& [part, at] : this->reported_successes) {
-    report.successes.push_back({part, at});
+  for (const auto& [suspect, at] : this->reported_successes) {
+    report.successes.push_back({suspect, at});
   }
   report.quarantines = this->quarantines();
   return report;
--- a/modules/al_gateway/prompts/prompt_quarantine.h
+++ b/modules/al_gateway/quarantine/crash_quarantine.h
@@ -1,5 +1,5 @@
-#ifndef AL_GATEWAY_PROMPTS_PROMPT_QUARANTINE_H_
-#define AL_GATEWAY_PROMPTS_PROMPT_QUARANTINE_H_
+#ifndef AL_GATEWAY_QUARANTINE_CRASH_QUARANTINE_H_
+#define AL_GATEWAY_QUARANTINE_CRASH_QUARANTINE_H_
 
 #include <cstddef>
 #include <functional>
@@ -12,33 +12,34 @@
 #include <vector>
 
 #include "al_core/time/instant.h"
-#include "al_gateway/model/request_metadata.h"
-#include "al_gateway/prompts/prompt_evidence.h"
-#include "al_gateway/prompts/prompt_report.h"
+#include "al_gateway/quarantine/crash_evidence.h"
+#include "al_gateway/quarantine/crash_report.h"
 
 namespace auburnloft::gateway {
 
-/** Finds prompt parts that crash each upstream which begins to answer them, and
-   keeps requests with such a part from the upstreams (a "poison pill"
+/** Finds prompt suspects that crash each upstream which begins to answer them,
+   and keeps requests with such a suspect from the upstreams (a "poison pill"
    quarantine).
 
-    A part that was at three upstreams which crashed is held back for a moment.
-   It is quarantined once it was in failed requests of several upstreams
-   (see PromptEvidence), unless a success clears it or a part that is already
+    A suspect that was at three upstreams which crashed is held back for a
+   moment. It is quarantined once it was in failed requests of several upstreams
+   (see CrashEvidence), unless a success clears it or a suspect that is already
    quarantined explains the crashes. A failure counts after a delay, in which
    the other routers report successes. Routers exchange reports, so that the
    evidence of all counts and a router that has just started knows the
-   quarantines of the others. A success of an earlier request releases the part.
+   quarantines of the others. A success of an earlier request releases the
+   suspect.
 
     After a quarantine, one router of the fleet sends a single request as a
-   trial. Its first event releases the part; a failure doubles the quarantine
-   twice. Without a trial, the part is released after a longer time.
+   trial. Its first event releases the suspect; a failure doubles the quarantine
+   twice. Without a trial, the suspect is released after a longer time.
 
-    The last part of a prompt belongs to one request or session, and is ignored.
+    The last suspect of a prompt belongs to one request or session, and is
+   ignored.
 
     Thread safety: none; used on one thread.
 */
-class PromptQuarantine {
+class CrashQuarantine {
  public:
   /** What changed, for the log. */
   struct Change {
@@ -50,8 +51,8 @@
       kExpired,   ///< Without a trial.
     };
     Kind kind = Kind::kQuarantined;
-    std::string part;
-    int upstreams = 0;        ///< kQuarantined: that failed with the part.
+    std::string suspect;
+    int upstreams = 0;        ///< kQuarantined: that failed with the suspect.
     int reporters = 0;        ///< kQuarantined: routers with evidence.
     Duration evidence_age{};  ///< Since the first failure; kAdopted: the last.
     Duration ends_in{};       ///< Until a trial may begin.
@@ -62,41 +63,43 @@
   /** Whether a request may be sent. */
   struct Decision {
     bool is_allowed = true;
-    std::string part;         ///< Quarantined, also in a trial, or held back.
-    bool is_trial = false;    ///< Allowed as a trial of `part`.
+    std::string suspect;      ///< Quarantined, also in a trial, or held back.
+    bool is_trial = false;    ///< Allowed as a trial of `suspect`.
     Duration retry_after{0};  ///< If it is not allowed.
   };
 
-  /** Returns whether this router runs the trials of a part. */
-  using RunsTrials = std::function<bool(std::string_view part)>;
+  /** Returns whether this router runs the trials of a suspect. */
+  using RunsTrials = std::function<bool(std::string_view suspect)>;
 
   /** @param self  this router's incarnation. */
-  PromptQuarantine(std::string self, OnChange on_change);
+  CrashQuarantine(std::string self, OnChange on_change);
 
-  PromptQuarantine(const PromptQuarantine&) = delete;
-  auto operator=(const PromptQuarantine&) -> PromptQuarantine& = delete;
+  CrashQuarantine(const CrashQuarantine&) = delete;
+  auto operator=(const CrashQuarantine&) -> CrashQuarantine& = delete;
 
   //============================================================================
   // Commands
 
   /** Records that an upstream has begun to answer a request. */
-  auto RecordSuccess(std::span<const PromptPart> parts, Instant now) -> void;
+  auto RecordSuccess(std::span<const std::string> suspects, Instant now)
+      -> void;
 
   /** Records that an upstream ended a request before it began to
      answer.
       @param upstream  the upstream's id and start. */
   auto RecordFailure(const std::string& upstream,
-                     std::span<const PromptPart> parts,
+                     std::span<const std::string> suspects,
                      Instant now) -> void;
 
   /** Applies another router's report, which replaces its previous one. */
-  auto Apply(const PromptReport& report, Instant now) -> void;
+  auto Apply(const CrashReport& report, Instant now) -> void;
 
   /** Evaluates new evidence and ends what has expired; call it regularly. */
   auto Update(Instant now) -> void;
 
-  /** Records that a trial of `part` was sent; others wait for its outcome. */
-  auto BeginTrial(const std::string& part, Instant now) -> void;
+  /** Records that a trial of `suspect` was sent; others wait for its outcome.
+   */
+  auto BeginTrial(const std::string& suspect, Instant now) -> void;
 
   /** Makes TakeReport() return the report again, as the others may have lost
    * it.
@@ -107,23 +110,24 @@
      marks it as returned. It is empty if there is nothing left to tell.
       @param only_news  returns none if the report has only become shorter. */
   [[nodiscard]] auto TakeReport(bool only_news, Instant now)
-      -> std::optional<PromptReport>;
+      -> std::optional<CrashReport>;
 
   //============================================================================
   // Queries
 
   /** Decides whether a request may be sent. */
-  [[nodiscard]] auto Check(std::span<const PromptPart> parts,
+  [[nodiscard]] auto Check(std::span<const std::string> suspects,
                            const RunsTrials& runs_trials,
                            Instant now) const -> Decision;
 
   /** Returns whether a request that failed may be sent again: not if one of its
-     parts is quarantined or may be at fault. */
-  [[nodiscard]] auto MayRetry(std::span<const PromptPart> parts) const -> bool;
+     suspects is quarantined or may be at fault. */
+  [[nodiscard]] auto MayRetry(std::span<const std::string> suspects) const
+      -> bool;
 
-  /** The parts in quarantine, with their state. */
+  /** The suspects in quarantine, with their state. */
   [[nodiscard]] auto quarantines() const
-      -> std::vector<PromptReport::Quarantine>;
+      -> std::vector<CrashReport::Quarantine>;
 
  private:
   struct State {
@@ -133,24 +137,24 @@
     Instant trial_began_at{};
   };
 
-  [[nodiscard]] auto KnownParts() const -> std::set<std::string>;
+  [[nodiscard]] auto KnownSuspects() const -> std::set<std::string>;
   auto ApplyTrialFailures(Instant now) -> void;
   auto HoldBackUnconfirmed() -> void;
   auto ReleaseByEvidence(Instant now) -> void;
   auto QuarantineSuspects(Instant now) -> void;
-  auto AdoptQuarantines(const PromptReport& report, Instant now) -> void;
-  [[nodiscard]] auto MakeReport(Instant now) -> PromptReport;
+  auto AdoptQuarantines(const CrashReport& report, Instant now) -> void;
+  [[nodiscard]] auto MakeReport(Instant now) -> CrashReport;
   auto Evaluate(Instant now) -> void;
   /** Adds the successes that others need to know to those that are reported. */
   auto UpdateReportedSuccesses(Instant now) -> void;
 
   std::string self;
   OnChange on_change;
-  PromptEvidence evidence;
-  std::map<std::string, State> by_part;
+  CrashEvidence evidence;
+  std::map<std::string, State> by_suspect;
   std::map<std::string, Instant> held_until;  ///< Parts that may be at fault.
   std::map<std::string, Instant> reported_successes;  ///< Of this router.
-  PromptReport last_report;
+  CrashReport last_report;
   Instant evaluated_at{};
   bool has_new_evidence = false;
   bool has_news = false;  ///< To report.
@@ -158,4 +162,4 @@
 
 }  // namespace auburnloft::gateway
 
-#endif  // AL_GATEWAY_PROMPTS_PROMPT_QUARANTINE_H_
+#endif  // AL_GATEWAY_QUARANTINE_CRASH_QUARANTINE_H_
--- a/modules/al_gateway/prompts/prompt_report.h
+++ b/modules/al_gateway/quarantine/crash_report.h
@@ -1,5 +1,5 @@
-#ifndef AL_GATEWAY_PROMPTS_PROMPT_REPORT_H_
-#define AL_GATEWAY_PROMPTS_PROMPT_REPORT_H_
+#ifndef AL_GATEWAY_QUARANTINE_CRASH_REPORT_H_
+#define AL_GATEWAY_QUARANTINE_CRASH_REPORT_H_
 
 #include <string>
 #include <vector>
@@ -8,31 +8,32 @@
 
 namespace auburnloft::gateway {
 
-/** What one router knows about prompt parts that crash upstreams, for the other
+/** What one router knows about requests that crash upstreams, for the other
    routers. Points in time are those of the router that holds the report; the
    wire format carries ages instead, as the clocks of routers differ. */
-struct PromptReport {
-  /** An upstream ended a generation before its first event. */
+struct CrashReport {
+  /** An upstream ended a request without an answer. */
   struct Failure {
-    std::string upstream;            ///< Its id and start.
-    std::vector<std::string> parts;  ///< Shared parts, in the prompt's order.
+    std::string upstream;  ///< Its id and start.
+    std::vector<std::string>
+        suspects;  ///< From the most shared one to the least.
     Instant at{};
 
     auto operator==(const Failure&) const -> bool = default;
   };
 
-  /** An upstream sent an event to a request with the part. */
+  /** An upstream sent an event to a request with the suspect. */
   struct Success {
-    std::string part;
+    std::string suspect;
     Instant at{};
 
     auto operator==(const Success&) const -> bool = default;
   };
 
-  /** A part that is not sent to upstreams. */
+  /** A suspect that is not sent to upstreams. */
   struct Quarantine {
-    std::string part;
-    Instant failed_at{};    ///< Of the last failure with the part.
+    std::string suspect;
+    Instant failed_at{};    ///< Of the last failure with the suspect.
     Instant ends_at{};      ///< When a trial may begin.
     int failed_trials = 0;  ///< Trials that ended in a failure.
 
@@ -44,7 +45,7 @@
   std::vector<Success> successes;
   std::vector<Quarantine> quarantines;
 
-  auto operator==(const PromptReport&) const -> bool = default;
+  auto operator==(const CrashReport&) const -> bool = default;
 
   [[nodiscard]] auto empty() const -> bool {
     return this->failures.empty() && this->successes.empty() &&
@@ -54,4 +55,4 @@
 
 }  // namespace auburnloft::gateway
 
-#endif  // AL_GATEWAY_PROMPTS_PROMPT_REPORT_H_
+#endif  // AL_GATEWAY_QUARANTINE_CRASH_REPORT_H_
--- a/programs/ctl/prompt_release.cc
+++ b/programs/ctl/prompt_release.cc
@@ -23,7 +23,7 @@
 
 auto MakePromptRelease(const std::string& part, Instant now)
     -> gateway::KeyedRecord {
-  gateway::PromptReport report;
+  gateway::CrashReport report;
   report.reporter =
       std::string(kReporter) + "#" + std::to_string(ToUnixMillis(now));
   report.successes.push_back({part, now});
--- /dev/null
+++ b/programs/gateway/crash_guard.h
@@ -0,0 +1,71 @@
+#ifndef GATEWAY_CRASH_GUARD_H_
+#define GATEWAY_CRASH_GUARD_H_
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "al_gateway/model/request_metadata.h"
+#include "al_gateway/quarantine/crash_quarantine.h"
+#include "al_http1/http1_message.h"
+#include "gateway/gateway_context.h"
+
+namespace auburnloft::gateway {
+
+class UpstreamAttempt;
+
+/** Applies the quarantine to one request: keeps it from upstreams if it, or a
+   part of its prompt, crashes them, and records what its attempts tell.
+
+    Thread safety: none; used on the loop's thread.
+*/
+class CrashGuard {
+ public:
+  /** @pre the referenced objects outlive this one. */
+  CrashGuard(GatewayContext& context,
+             const Http1Request& request,
+             const RequestMetadata& metadata);
+
+  CrashGuard(const CrashGuard&) = delete;
+  auto operator=(const CrashGuard&) -> CrashGuard& = delete;
+
+  //============================================================================
+  // Commands
+
+  /** Sets the team to which the request belongs. Call it before the first
+     Check(). */
+  auto SetTeam(std::string_view name) -> void { this->team = name; }
+
+  /** Decides whether the request may be sent now, and logs a refusal. */
+  [[nodiscard]] auto Check() -> CrashQuarantine::Decision;
+
+  /** Records that the attempt is sent as the trial of a quarantined suspect. */
+  auto BeginTrial(const std::string& suspect, const UpstreamAttempt& attempt)
+      -> void;
+
+  /** Records that the upstream has begun to answer. */
+  auto RecordSuccess() -> void;
+
+  /** Records that the upstream ended the attempt without an answer. */
+  auto RecordFailure(const UpstreamAttempt& attempt) -> void;
+
+  //============================================================================
+  // Queries
+
+  /** Returns whether the request may be sent to another upstream after a
+     failure. */
+  [[nodiscard]] auto MayRetry() const -> bool;
+
+ private:
+  [[nodiscard]] auto SharedParts() const -> std::vector<std::string>;
+  [[nodiscard]] auto WholeRequest() const -> std::string;
+
+  GatewayContext& context;
+  const Http1Request& request;
+  const RequestMetadata& metadata;
+  std::string team;
+};
+
+}  // namespace auburnloft::gateway
+
+#endif  // GATEWAY_CRASH_GUARD_H_
--- a/programs/gateway/fleet_records.cc
+++ b/programs/gateway/fleet_records.cc
@@ -13,7 +13,7 @@
 constexpr std::string_view kRouterKey = "r/";
 constexpr std::string_view kAllowanceKey = "a/";
 constexpr std::string_view kRestoredKey = "b/";
-constexpr std::string_view kPromptKey = "p/";
+constexpr std::string_view kCrashKey = "p/";
 constexpr std::string_view kLimitKey = "l/";
 
 /** Routers read a record within this time, unless the log is slow. A longer
@@ -111,32 +111,32 @@
   return entry;
 }
 
-auto ToRecord(const PromptReport& report, Instant now) -> KeyedRecord {
+auto ToRecord(const CrashReport& report, Instant now) -> KeyedRecord {
   KeyedRecord record;
   record.key =
-      std::string(kPromptKey) + std::string(RouterNameOf(report.reporter));
+      std::string(kCrashKey) + std::string(RouterNameOf(report.reporter));
   if (report.empty()) {
     return record;
   }
-  wire::PromptRecord message;
+  wire::CrashRecord message;
   message.set_reporter(report.reporter);
   message.set_written_at_ms(ToUnixMillis(now));
-  for (const PromptReport::Failure& failure : report.failures) {
-    wire::PromptFailureRecord& item = *message.add_failures();
+  for (const CrashReport::Failure& failure : report.failures) {
+    wire::CrashFailureRecord& item = *message.add_failures();
     item.set_upstream(failure.upstream);
-    for (const std::string& part : failure.parts) {
-      item.add_parts(part);
+    for (const std::string& suspect : failure.suspects) {
+      item.add_suspects(suspect);
     }
     item.set_age_ms(AgeInMillis(failure.at, now));
   }
-  for (const PromptReport::Success& success : report.successes) {
-    wire::PromptSuccessRecord& item = *message.add_successes();
-    item.set_part(success.part);
+  for (const CrashReport::Success& success : report.successes) {
+    wire::CrashSuccessRecord& item = *message.add_successes();
+    item.set_suspect(success.suspect);
     item.set_age_ms(AgeInMillis(success.at, now));
   }
-  for (const PromptReport::Quarantine& quarantine : report.quarantines) {
-    wire::PromptQuarantineRecord& item = *message.add_quarantines();
-    item.set_part(quarantine.part);
+  for (const CrashReport::Quarantine& quarantine : report.quarantines) {
+    wire::CrashQuarantineRecord& item = *message.add_quarantines();
+    item.set_suspect(quarantine.suspect);
     item.set_failed_age_ms(AgeInMillis(quarantine.failed_at, now));
     item.set_ends_in_ms(ToMillis(quarantine.ends_at - now));
     item.set_failed_trials(quarantine.failed_trials);
@@ -192,9 +192,9 @@
   return message ? std::optional(FromMessage(*message)) : std::nullopt;
 }
 
-auto ReadPromptReport(const KeyedRecord& record, bool was_listed, Instant now)
-    -> std::optional<PromptReport> {
-  const auto message = Read<wire::PromptRecord>(record, kPromptKey);
+auto ReadCrashReport(const KeyedRecord& record, bool was_listed, Instant now)
+    -> std::optional<CrashReport> {
+  const auto message = Read<wire::CrashRecord>(record, kCrashKey);
   if (!message) {
     return std::nullopt;
   }
@@ -203,19 +203,19 @@
   const auto before = [written_at](std::uint64_t age_ms) {
     return BeforeWriting(written_at, age_ms);
   };
-  PromptReport report;
+  CrashReport report;
   report.reporter = message->reporter();
-  for (const wire::PromptFailureRecord& item : message->failures()) {
+  for (const wire::CrashFailureRecord& item : message->failures()) {
     report.failures.push_back({item.upstream(),
-                               {item.parts().begin(), item.parts().end()},
+                               {item.suspects().begin(), item.suspects().end()},
                                before(item.age_ms())});
   }
-  for (const wire::PromptSuccessRecord& item : message->successes()) {
-    report.successes.push_back({item.part(), before(item.age_ms())});
+  for (const wire::CrashSuccessRecord& item : message->successes()) {
+    report.successes.push_back({item.suspect(), before(item.age_ms())});
   }
-  for (const wire::PromptQuarantineRecord& item : message->quarantines()) {
+  for (const wire::CrashQuarantineRecord& item : message->quarantines()) {
     report.quarantines.push_back(
-        {item.part(), before(item.failed_age_ms()),
+        {item.suspect(), before(item.failed_age_ms()),
          written_at + std::chrono::milliseconds(item.ends_in_ms()),
          item.failed_trials()});
   }
--- a/programs/gateway/fleet_records.h
+++ b/programs/gateway/fleet_records.h
@@ -6,7 +6,7 @@
 #include "al_gateway/membership/router_registry.h"
 #include "al_gateway/model/log_messages.h"
 #include "al_gateway/prepaid/allowance_ledger.h"
-#include "al_gateway/prompts/prompt_report.h"
+#include "al_gateway/quarantine/crash_report.h"
 #include "al_gateway/upstreams/upstream_limit_report.h"
 
 namespace auburnloft::wire {
@@ -33,7 +33,7 @@
 [[nodiscard]] auto ToRestoredRecord(const AllowanceEntry& entry) -> KeyedRecord;
 
 /** An empty report becomes a record that deletes its key. */
-[[nodiscard]] auto ToRecord(const PromptReport& report, Instant now)
+[[nodiscard]] auto ToRecord(const CrashReport& report, Instant now)
     -> KeyedRecord;
 
 [[nodiscard]] auto ToRecord(const UpstreamLimitReport& report, Instant now)
@@ -52,9 +52,9 @@
    the clock of its router, or, if that cannot be right, the current time.
     @param was_listed  whether the record may have been written long ago.
     @return none if the record is not a valid report. */
-[[nodiscard]] auto ReadPromptReport(const KeyedRecord& record,
-                                    bool was_listed,
-                                    Instant now) -> std::optional<PromptReport>;
+[[nodiscard]] auto ReadCrashReport(const KeyedRecord& record,
+                                   bool was_listed,
+                                   Instant now) -> std::optional<CrashReport>;
 
 /** As above, for a report about limits of upstreams. */
 [[nodiscard]] auto ReadUpstreamLimitReport(const KeyedRecord& record,
--- a/programs/gateway/fleet_topic_client.cc
+++ b/programs/gateway/fleet_topic_client.cc
@@ -22,9 +22,9 @@
    the loss of one router, few enough that one share covers a large request. */
 constexpr int kReserveHolders = 6;
 
-/** Minimum interval between two reports about prompts. A crash fails many
+/** Minimum interval between two reports about crashes. A crash fails many
    requests at once, and all routers read each report. */
-constexpr Duration kPromptReportInterval = std::chrono::milliseconds(200);
+constexpr Duration kCrashReportInterval = std::chrono::milliseconds(200);
 
 /** Minimum interval between two reports about limits of upstreams, which may
    name another one in each response. */
@@ -79,7 +79,7 @@
                                    LogEra& era,
                                    RouterAnnouncement self,
                                    AllowanceManager& allowance_manager,
-                                   PromptQuarantine& prompts,
+                                   CrashQuarantine& quarantine,
                                    UpstreamLimits& limits,
                                    DecisionLog& log,
                                    Callbacks callbacks)
@@ -87,7 +87,7 @@
       era(era),
       self(std::move(self)),
       allowance_manager(allowance_manager),
-      prompts(prompts),
+      quarantine(quarantine),
       limits(limits),
       log(log),
       callbacks(std::move(callbacks)),
@@ -137,7 +137,7 @@
   this->allowance_manager.OnLogRestored();
   // The others need time to announce themselves again.
   this->routers.RecordLogRecovery(now);
-  this->prompts.ReportAgain();
+  this->quarantine.ReportAgain();
   this->limits.ReportAgain();
   this->listed = false;
   this->restore_step = RestoreStep::kWriteOwn;
@@ -188,8 +188,8 @@
       team, std::min(this->CountActive(), kReserveHolders), this->log_read_at);
 }
 
-auto FleetTopicClient::RunsTrials(std::string_view part) const -> bool {
-  return this->routers.IsAmongHighestRanked(part, 1, this->log_read_at);
+auto FleetTopicClient::RunsTrials(std::string_view suspect) const -> bool {
+  return this->routers.IsAmongHighestRanked(suspect, 1, this->log_read_at);
 }
 
 auto FleetTopicClient::MakeLimitFleet() const -> UpstreamLimits::Fleet {
@@ -260,7 +260,7 @@
   }
   if (this->on_returned) {
     this->AppendBatch(this->allowance_manager.PlanReturnEntries(),
-                      this->TakePromptReport(true, this->poller.loop().Now()),
+                      this->TakeCrashReport(true, this->poller.loop().Now()),
                       std::nullopt, true);
     return;
   }
@@ -278,7 +278,7 @@
       this->allowance_manager.PlanEntries(this->allowance_ledger, view,
                                           this->ScopeOf(announce, view.routers),
                                           now);
-  const auto report = this->TakePromptReport(announce, now);
+  const auto report = this->TakeCrashReport(announce, now);
   const auto limit_report = this->TakeLimitReport(now);
   if (announce || report || limit_report || !entries.empty()) {
     this->AppendBatch(entries, report, limit_report, announce);
@@ -411,14 +411,14 @@
   }
 }
 
-auto FleetTopicClient::TakePromptReport(bool announce, Instant now)
-    -> std::optional<PromptReport> {
-  if (now - this->prompts_reported_at < kPromptReportInterval) {
+auto FleetTopicClient::TakeCrashReport(bool announce, Instant now)
+    -> std::optional<CrashReport> {
+  if (now - this->crashes_reported_at < kCrashReportInterval) {
     return std::nullopt;
   }
-  auto report = this->prompts.TakeReport(!announce, now);
+  auto report = this->quarantine.TakeReport(!announce, now);
   if (report) {
-    this->prompts_reported_at = now;
+    this->crashes_reported_at = now;
   }
   return report;
 }
@@ -460,7 +460,7 @@
 
 auto FleetTopicClient::AppendBatch(
     std::span<const AllowanceEntry> entries,
-    const std::optional<PromptReport>& report,
+    const std::optional<CrashReport>& report,
     const std::optional<UpstreamLimitReport>& limit_report,
     bool announce) -> void {
   std::vector<KeyedRecord> records;
@@ -528,9 +528,9 @@
     this->routers.Apply(std::move(*announcement), this->poller.loop().Now());
   } else if (const auto entry = ReadAllowance(record)) {
     this->OnAllowance(*entry);
-  } else if (const auto report = ReadPromptReport(record, !this->listed,
-                                                  this->poller.loop().Now())) {
-    this->prompts.Apply(*report, this->poller.loop().Now());
+  } else if (const auto report = ReadCrashReport(record, !this->listed,
+                                                 this->poller.loop().Now())) {
+    this->quarantine.Apply(*report, this->poller.loop().Now());
   } else if (const auto limit_report = ReadUpstreamLimitReport(
                  record, !this->listed, this->poller.loop().Now())) {
     this->OnLimitReport(*limit_report);
--- a/programs/gateway/fleet_topic_client.h
+++ b/programs/gateway/fleet_topic_client.h
@@ -14,7 +14,7 @@
 #include "al_gateway/membership/router_registry.h"
 #include "al_gateway/prepaid/allowance_ledger.h"
 #include "al_gateway/prepaid/allowance_manager.h"
-#include "al_gateway/prompts/prompt_quarantine.h"
+#include "al_gateway/quarantine/crash_quarantine.h"
 #include "al_gateway/upstreams/upstream_limits.h"
 #include "al_logstore/topic_follower.h"
 #include "al_logstore/topic_producer.h"
@@ -52,7 +52,7 @@
                    LogEra& era,
                    RouterAnnouncement self,
                    AllowanceManager& allowance_manager,
-                   PromptQuarantine& prompts,
+                   CrashQuarantine& quarantine,
                    UpstreamLimits& limits,
                    DecisionLog& log,
                    Callbacks callbacks);
@@ -126,8 +126,8 @@
    */
   [[nodiscard]] auto MakeLimitFleet() const -> UpstreamLimits::Fleet;
 
-  /** True if this router runs the trials of a quarantined prompt part. */
-  [[nodiscard]] auto RunsTrials(std::string_view part) const -> bool;
+  /** True if this router runs the trials of a quarantined suspect. */
+  [[nodiscard]] auto RunsTrials(std::string_view suspect) const -> bool;
 
  private:
   /** What follows after a restore of the log. */
@@ -167,7 +167,7 @@
       -> EntryScope;
   [[nodiscard]] auto MakeFleetView() const -> FleetStatus;
   auto AppendBatch(std::span<const AllowanceEntry> entries,
-                   const std::optional<PromptReport>& report,
+                   const std::optional<CrashReport>& report,
                    const std::optional<UpstreamLimitReport>& limit_report,
                    bool announce) -> void;
   /** Adds the entries that the log has lost of routers that have expired since,
@@ -175,11 +175,11 @@
   auto AddLostEntries(std::vector<KeyedRecord>& records) const -> void;
   /** Returns the record of the next announcement. */
   [[nodiscard]] auto MakeAnnouncement() -> KeyedRecord;
-  /** Takes this router's report about prompts if it is due.
+  /** Takes this router's report about crashes if it is due.
       @param announce  whether the announcement is due, which a report that has
      no news accompanies. */
-  auto TakePromptReport(bool announce, Instant now)
-      -> std::optional<PromptReport>;
+  auto TakeCrashReport(bool announce, Instant now)
+      -> std::optional<CrashReport>;
   /** Takes this router's report about limits of upstreams if it is due. */
   auto TakeLimitReport(Instant now) -> std::optional<UpstreamLimitReport>;
   auto OnRecord(const KeyedRecord& record) -> void;
@@ -191,7 +191,7 @@
   LogEra& era;
   RouterAnnouncement self;
   AllowanceManager& allowance_manager;
-  PromptQuarantine& prompts;
+  CrashQuarantine& quarantine;
   UpstreamLimits& limits;
   DecisionLog& log;
   Callbacks callbacks;
@@ -204,7 +204,7 @@
   std::function<void()> on_returned;
   Instant announced_at{};
   Instant append_sent_at{};
-  Instant prompts_reported_at{};
+  Instant crashes_reported_at{};
   Instant limits_reported_at{};
   Instant log_read_at{};
   bool announce_at_once = false;
--- a/programs/gateway/gateway_context.h
+++ b/programs/gateway/gateway_context.h
@@ -10,7 +10,7 @@
 #include "al_edge/loop/event_loop.h"
 #include "al_gateway/limits/fleet_retry_budget.h"
 #include "al_gateway/limits/rate_meter.h"
-#include "al_gateway/prompts/prompt_quarantine.h"
+#include "al_gateway/quarantine/crash_quarantine.h"
 #include "al_gateway/routing/route_table.h"
 #include "al_gateway/upstreams/upstream_limits.h"
 #include "al_gateway/upstreams/upstream_selector.h"
@@ -36,7 +36,7 @@
   FleetRetryBudget& retry_budget;
   AllowanceManager& allowance_manager;
   ReservationQueue& reservations;
-  PromptQuarantine& prompts;
+  CrashQuarantine& quarantine;
   RandomSource& random;
   DecisionLog& log;
   GatewayMetrics& metrics;
@@ -44,8 +44,8 @@
      iteration, unless the daemon ends before. */
   std::shared_ptr<std::vector<std::shared_ptr<void>>> ended_handlers =
       std::make_shared<std::vector<std::shared_ptr<void>>>();
-  PromptQuarantine::RunsTrials runs_prompt_trials;
-  std::function<void()> report_news;  ///< Writes news about prompts and limits
+  CrashQuarantine::RunsTrials runs_trials;
+  std::function<void()> report_news;  ///< Writes news about crashes and limits
                                       ///< of upstreams soon.
   RateMeter request_rate;       ///< Requests that callers send to this router.
   double close_fraction = 0.0;  ///< Of responses, after which the connection is
--- a/programs/gateway/gateway_daemon.cc
+++ b/programs/gateway/gateway_daemon.cc
@@ -110,10 +110,10 @@
       reservations(loop,
                    this->allowance_manager,
                    [this](const std::string& team) { this->OnShortage(team); }),
-      prompts(this->options.self.incarnation,
-              [this](const PromptQuarantine::Change& change) {
-                this->LogPromptChange(change);
-              }),
+      quarantine(this->options.self.incarnation,
+                 [this](const CrashQuarantine::Change& change) {
+                   this->LogQuarantineChange(change);
+                 }),
       context{loop,
               nullptr,
               this->upstreams,
@@ -123,7 +123,7 @@
               this->retry_budget,
               this->allowance_manager,
               this->reservations,
-              this->prompts,
+              this->quarantine,
               this->random,
               this->log,
               this->metrics},
@@ -132,7 +132,7 @@
                   this->log_era,
                   this->options.self,
                   this->allowance_manager,
-                  this->prompts,
+                  this->quarantine,
                   this->upstream_limits,
                   this->log,
                   {[this](const std::string& team) {
@@ -192,8 +192,8 @@
         this->StopWhenResponsesAreSent();
       })) {
   this->log.SetQuiet(this->options.quiet);
-  this->context.runs_prompt_trials = [this](std::string_view part) {
-    return this->fleet_topic.RunsTrials(part);
+  this->context.runs_trials = [this](std::string_view suspect) {
+    return this->fleet_topic.RunsTrials(suspect);
   };
   this->context.report_news = [this] { this->fleet_topic.ScheduleWrite(); };
   this->reservations.SetIsBudgetExhausted(
@@ -484,16 +484,16 @@
   }
 }
 
-auto GatewayDaemon::LogPromptChange(const PromptQuarantine::Change& change)
+auto GatewayDaemon::LogQuarantineChange(const CrashQuarantine::Change& change)
     -> void {
   /** In the order of Kind. */
   constexpr std::array<std::string_view, 5> kNames = {
       "quarantined", "adopted", "trial_failed", "released", "expired"};
   const std::string_view name = kNames[static_cast<std::size_t>(change.kind)];
-  this->metrics.CountPromptChange(name);
+  this->metrics.CountQuarantineChange(name);
   this->log.WriteLine(
-      DecisionLog::Severity::kNotable, "prompt_quarantine",
-      {{"part", change.part},
+      DecisionLog::Severity::kNotable, "crash_quarantine",
+      {{"suspect", change.suspect},
        {"change", name},
        {"upstreams", change.upstreams},
        {"reporters", change.reporters},
--- a/programs/gateway/gateway_daemon.h
+++ b/programs/gateway/gateway_daemon.h
@@ -90,7 +90,7 @@
   auto OnTick() -> void;
   /** Updates how many connections are closed to spread callers evenly. */
   auto UpdateLoadShare(Instant now) -> void;
-  auto LogPromptChange(const PromptQuarantine::Change& change) -> void;
+  auto LogQuarantineChange(const CrashQuarantine::Change& change) -> void;
   auto OnDrainTick() -> void;
   auto FinishDrain() -> void;
   auto StopWhenResponsesAreSent() -> void;
@@ -110,7 +110,7 @@
   FleetRetryBudget retry_budget;
   AllowanceManager allowance_manager;
   ReservationQueue reservations;
-  PromptQuarantine prompts;
+  CrashQuarantine quarantine;
   GatewayContext context;
   FleetTopicClient fleet_topic;
   IncreaseNotifier increase_notifier;
--- a/programs/gateway/gateway_metrics.cc
+++ b/programs/gateway/gateway_metrics.cc
@@ -23,7 +23,7 @@
   AppendCounters(text, "auburnloft_requests_total", "outcome", this->requests);
   AppendCounters(text, "auburnloft_upstream_sends_total", "result",
                  this->sends);
-  AppendCounters(text, "auburnloft_prompt_quarantine_total", "change",
+  AppendCounters(text, "auburnloft_crash_quarantine_total", "change",
                  this->prompt_changes);
   AppendCounters(text, "auburnloft_upstream_notices_total", "notice",
                  this->upstream_notices);
--- a/programs/gateway/gateway_metrics.h
+++ b/programs/gateway/gateway_metrics.h
@@ -38,7 +38,7 @@
   }
 
   /** Counts a change of a prompt part's quarantine. */
-  auto CountPromptChange(std::string_view change) -> void {
+  auto CountQuarantineChange(std::string_view change) -> void {
     ++this->prompt_changes[std::string(change)];
   }
 
--- a/programs/gateway/request_handler.cc
+++ b/programs/gateway/request_handler.cc
@@ -22,11 +22,6 @@
 constexpr int kFirstServerError = 500;
 constexpr int kFirstRedirect = 300;
 
-/** An engine needs at least one step after the prompt, some 16 ms, before it
-   begins to answer. A connection that ends sooner was closed by the upstream
-   while it was idle. */
-constexpr Duration kMinTimeToFirstToken = std::chrono::milliseconds(10);
-
 }  // namespace
 
 RequestHandler::RequestHandler(GatewayContext& context,
@@ -39,7 +34,8 @@
                                                 this->metadata.attempt_id)),
       table(context.table),
       arrived_at(context.loop.Now()),
-      budget(context) {}
+      budget(context),
+      crash_guard(context, this->request, this->metadata) {}
 
 RequestHandler::~RequestHandler() = default;
 
@@ -77,6 +73,9 @@
   }
   this->route = std::get<Admission>(decision).route;
   this->team = std::get<Admission>(decision).team;
+  if (this->team != nullptr) {
+    this->crash_guard.SetTeam(this->team->name);
+  }
   if (this->route->kind == RouteKind::kStream &&
       this->context.max_stream_duration.count() > 0 &&
       MaxStreamDuration(this->metadata) > this->context.max_stream_duration) {
@@ -96,9 +95,10 @@
   this->service = std::string(RouteTable::ChooseService(
       *this->route, this->context.random.UniformDouble()));
   this->context.retry_budget.RecordRequest(this->service, this->arrived_at);
-  if (!this->RefuseQuarantinedPrompt()) {
-    this->ReserveBudget();
+  if (this->RefuseIfQuarantined()) {
+    return;
   }
+  this->ReserveBudget();
 }
 
 auto RequestHandler::ReserveBudget() -> void {
@@ -134,7 +134,9 @@
 // Attempts
 
 auto RequestHandler::Dispatch() -> void {
-  if (this->RefuseQuarantinedPrompt()) {
+  const CrashQuarantine::Decision decision = this->crash_guard.Check();
+  if (!decision.is_allowed) {
+    this->RefuseQuarantined(decision);
     return;
   }
   AttemptParameters parameters = this->MakeAttemptParameters();
@@ -148,8 +150,8 @@
     this->context.chooser.RecordPrompt(*this->metadata.generation, upstream,
                                        this->attempt->sent_at());
   }
-  if (const auto decision = this->CheckPrompt(); decision.is_trial) {
-    this->BeginPromptTrial(decision.part);
+  if (decision.is_trial) {
+    this->crash_guard.BeginTrial(decision.suspect, *this->attempt);
   }
   this->execution_counter.RecordSent();
   parameters.attempt_number = this->execution_counter.attempts();
@@ -165,18 +167,6 @@
                                     this->MakeCallbacks());
 }
 
-auto RequestHandler::BeginPromptTrial(const std::string& part) -> void {
-  const Instant now = this->context.loop.Now();
-  this->context.prompts.BeginTrial(part, now);
-  this->context.metrics.CountPromptChange("trial");
-  this->context.log.WriteLine(
-      DecisionLog::Severity::kNotable, "prompt_trial",
-      {{"id", this->metadata.attempt_id},
-       {"part", part},
-       {"upstream", this->attempt->upstream().record().id}},
-      now);
-}
-
 auto RequestHandler::MakeAttemptParameters() const -> AttemptParameters {
   return {this->request,
           this->metadata,
@@ -342,10 +332,9 @@
 }
 
 auto RequestHandler::RecordFirstByte() -> void {
-  if (this->attempt->RecordFirstByte() && this->metadata.generation &&
+  if (this->attempt->RecordFirstByte() &&
       this->attempt->head().status < kFirstRedirect) {
-    this->context.prompts.RecordSuccess(this->metadata.generation->parts,
-                                        this->context.loop.Now());
+    this->crash_guard.RecordSuccess();
   }
 }
 
@@ -365,7 +354,7 @@
   this->attempt_timer->Stop();
   if (outcome != Http1Outcome::kComplete) {
     if (outcome != Http1Outcome::kNotSent) {
-      this->RecordPromptFailure();
+      this->RecordUnanswered();
     }
     this->OnFailedAttempt(outcome);
     return;
@@ -387,7 +376,7 @@
   }
   if (this->route->kind == RouteKind::kStream && head.status < kFirstRedirect &&
       this->event_splitter.IsBrokenOff(!head.ends_with_connection)) {
-    this->RecordPromptFailure();
+    this->RecordUnanswered();
     this->RejectResponse("the stream ends early");
     return;
   }
@@ -455,30 +444,10 @@
   }
 }
 
-auto RequestHandler::RecordPromptFailure() -> void {
-  const Instant now = this->context.loop.Now();
-  if (!this->metadata.generation || this->attempt->has_begun() ||
-      this->event_splitter.has_event() ||
-      now - this->attempt->sent_at() < kMinTimeToFirstToken) {
-    return;
+auto RequestHandler::RecordUnanswered() -> void {
+  if (!this->event_splitter.has_event()) {
+    this->crash_guard.RecordFailure(*this->attempt);
   }
-  const UpstreamRecord& upstream = this->attempt->upstream().record();
-  std::string parts;
-  for (const PromptPart& part : this->metadata.generation->parts) {
-    parts += (parts.empty() ? "" : ",") + part.id;
-  }
-  this->context.log.WriteLine(
-      DecisionLog::Severity::kNotable, "prompt_failure",
-      {{"id", this->metadata.attempt_id},
-       {"upstream", upstream.id},
-       {"after_ms", now - this->attempt->sent_at()},
-       {"prompt_tokens", this->metadata.generation->prompt_tokens},
-       {"parts", parts}},
-      now);
-  this->context.prompts.RecordFailure(
-      upstream.id + "@" + std::to_string(upstream.started_at_ms),
-      this->metadata.generation->parts, now);
-  this->context.report_news();
 }
 
 auto RequestHandler::OnAttemptTimeout() -> void {
@@ -511,27 +480,17 @@
 //==============================================================================
 // Decisions
 
-auto RequestHandler::CheckPrompt() const -> PromptQuarantine::Decision {
-  if (!this->metadata.generation) {
-    return {};
+auto RequestHandler::RefuseIfQuarantined() -> bool {
+  const CrashQuarantine::Decision decision = this->crash_guard.Check();
+  if (!decision.is_allowed) {
+    this->RefuseQuarantined(decision);
   }
-  return this->context.prompts.Check(this->metadata.generation->parts,
-                                     this->context.runs_prompt_trials,
-                                     this->context.loop.Now());
+  return !decision.is_allowed;
 }
 
-auto RequestHandler::RefuseQuarantinedPrompt() -> bool {
-  this->context.prompts.Update(this->context.loop.Now());
-  const PromptQuarantine::Decision decision = this->CheckPrompt();
-  if (decision.is_allowed) {
-    return false;
-  }
-  constexpr std::string_view kWhy = "a part of the prompt crashes upstreams";
-  this->context.log.WriteLine(DecisionLog::Severity::kNotable, "prompt_refused",
-                              {{"id", this->metadata.attempt_id},
-                               {"part", decision.part},
-                               {"retry_after_ms", decision.retry_after}},
-                              this->context.loop.Now());
+auto RequestHandler::RefuseQuarantined(
+    const CrashQuarantine::Decision& decision) -> void {
+  constexpr std::string_view kWhy = "the request crashes upstreams";
   if (this->execution_counter.never_executed()) {
     this->Refuse(kUnavailable, kWhy, decision.retry_after);
   } else if (this->response->has_started()) {
@@ -539,14 +498,12 @@
   } else {
     this->Refuse(kBadGateway, kWhy, Duration(0));
   }
-  return true;
 }
 
 auto RequestHandler::TryTakeRetry() -> bool {
   return this->execution_counter.CanExecuteAgain(*this->route,
                                                  this->RemainingTime()) &&
-         (!this->metadata.generation ||
-          this->context.prompts.MayRetry(this->metadata.generation->parts)) &&
+         this->crash_guard.MayRetry() &&
          HasUpstream(this->context, this->MakeAttemptParameters()) &&
          this->context.retry_budget.TryTake(
              this->service, this->context.routers, this->context.loop.Now());
--- a/programs/gateway/request_handler.h
+++ b/programs/gateway/request_handler.h
@@ -14,6 +14,7 @@
 #include "al_http1/http1_client_connection.h"
 #include "al_http1/http1_server_session.h"
 #include "gateway/caller_response.h"
+#include "gateway/crash_guard.h"
 #include "gateway/gateway_context.h"
 #include "gateway/request_budget.h"
 #include "gateway/request_report.h"
@@ -53,8 +54,6 @@
 
   // Attempts.
   auto Dispatch() -> void;
-  /** Sends the request as the trial of a quarantined part. */
-  auto BeginPromptTrial(const std::string& part) -> void;
   [[nodiscard]] auto MakeAttemptParameters() const -> AttemptParameters;
   auto OnNoUpstream() -> void;
   [[nodiscard]] auto MakeCallbacks()
@@ -79,15 +78,15 @@
   auto OnCompleteResponse() -> void;
   auto OnNotExecuted() -> void;
   auto OnFailedAttempt(Http1Outcome outcome) -> void;
-  /** Records that the upstream ended a generation before its first event, as
-     evidence that a part of its prompt crashes upstreams. */
-  auto RecordPromptFailure() -> void;
+  /** Records that the upstream ended the attempt before its first event, as
+     evidence that the request crashes upstreams. */
+  auto RecordUnanswered() -> void;
 
   // Decisions.
-  /** Refuses the request if a part of its prompt is quarantined.
+  /** Refuses the request if it is quarantined, as a whole or by a part.
       @return whether it is refused. */
-  auto RefuseQuarantinedPrompt() -> bool;
-  [[nodiscard]] auto CheckPrompt() const -> PromptQuarantine::Decision;
+  auto RefuseIfQuarantined() -> bool;
+  auto RefuseQuarantined(const CrashQuarantine::Decision& decision) -> void;
   [[nodiscard]] auto TryTakeRetry() -> bool;
   auto TryRetry(std::string_view why) -> bool;
   [[nodiscard]] auto RemainingTime() const -> Duration;
@@ -118,6 +117,7 @@
   std::unique_ptr<LoopTimer> deadline_timer;
   std::unique_ptr<LoopTimer> attempt_timer;
   RequestBudget budget;
+  CrashGuard crash_guard;
   std::unique_ptr<UpstreamAttempt> attempt;
   std::vector<std::string> tried_upstreams;  ///< By id.
   ExecutionCounter execution_counter;
--- a/programs/gateway/state_dump.cc
+++ b/programs/gateway/state_dump.cc
@@ -38,10 +38,10 @@
                                    {"settled", entry.settled_tokens}});
   });
   state["quarantined_parts"] = nlohmann::json::array();
-  for (const PromptReport::Quarantine& item :
-       view.context.prompts.quarantines()) {
+  for (const CrashReport::Quarantine& item :
+       view.context.quarantine.quarantines()) {
     state["quarantined_parts"].push_back(
-        {{"part", item.part},
+        {{"suspect", item.suspect},
          {"failed_trials", item.failed_trials},
          {"ends_at_ms", ToUnixMillis(item.ends_at)}});
   }
--- a/tests/gateway/prompt_quarantine_session_test.cc
+++ b/tests/gateway/crash_quarantine_session_test.cc
@@ -29,7 +29,7 @@
 /** Two routers and six engines. Requests whose id begins with `bad` have the
     part `dead` and crash the engine, which starts again; all others are served.
  */
-TEST_GROUP(PromptQuarantineSessions) {
+TEST_GROUP(CrashQuarantineSessions) {
   GatewayFixture fixture;
   std::vector<std::unique_ptr<RawUpstream>> engines;
   std::vector<std::unique_ptr<LoopTimer>> timers;
@@ -94,7 +94,7 @@
 
 // Guards against a part of prompts that ends engine after engine: once five
 // have crashed, no router sends it on, and what shares the rest is served.
-TEST(PromptQuarantineSessions, StopAPartThatEndsEngines) {
+TEST(CrashQuarantineSessions, StopAPartThatEndsEngines) {
   for (int number = 1; number <= 5; ++number) {
     const std::string text = std::to_string(number);
     this->Call(1 + number % 2, "bad" + text, "dead");
@@ -115,7 +115,7 @@
 
 // Guards against a retry that carries such a part to one more engine: what
 // ended engines three times is not sent again, and not said to be unexecuted.
-TEST(PromptQuarantineSessions, RetryNoPartThatEndsEngines) {
+TEST(CrashQuarantineSessions, RetryNoPartThatEndsEngines) {
   this->Call(1, "good1", "sound");
   this->Call(1, "bad1", "dead", "/ask/");
   CHECK_EQUAL(2, this->bad_arrivals);  // The route allows two attempts.
--- a/tests/gateway/prompt_quarantine_test.cc
+++ b/tests/gateway/crash_quarantine_test.cc
@@ -19,14 +19,15 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-auto Prompt(const std::vector<std::string>& shared) -> std::vector<PromptPart> {
+auto Prompt(const std::vector<std::string>& shared)
+    -> std::vector<std::string> {
   std::vector<PromptPart> parts;
   parts.reserve(shared.size() + 1);
   for (const std::string& id : shared) {
     parts.push_back({id, 100});
   }
   parts.push_back({"own", 100});
-  return parts;
+  return SharedPartsOf(parts);
 }
 
 /** Routers that exchange their reports as the fleet topic does: each reads all
@@ -36,10 +37,10 @@
   explicit PromptFleet(int routers) {
     for (int number = 0; number < routers; ++number) {
       this->names.push_back("router-" + std::to_string(number) + "#1");
-      this->routers.push_back(std::make_unique<PromptQuarantine>(
-          this->names.back(), [this](const PromptQuarantine::Change& change) {
-            if (change.kind == PromptQuarantine::Change::Kind::kQuarantined) {
-              this->quarantined.insert(change.part);
+      this->routers.push_back(std::make_unique<CrashQuarantine>(
+          this->names.back(), [this](const CrashQuarantine::Change& change) {
+            if (change.kind == CrashQuarantine::Change::Kind::kQuarantined) {
+              this->quarantined.insert(change.suspect);
             }
           }));
     }
@@ -71,7 +72,7 @@
     return this->Decide(router, shared).is_allowed;
   }
   auto Decide(int router, const std::vector<std::string>& shared)
-      -> PromptQuarantine::Decision {
+      -> CrashQuarantine::Decision {
     return this->At(router).Check(
         Prompt(shared), [router](std::string_view) { return router == 0; },
         this->now);
@@ -91,7 +92,7 @@
       return old.key == record.key;
     });
     this->records.push_back(record);
-    if (const auto report = ReadPromptReport(record, false, this->now)) {
+    if (const auto report = ReadCrashReport(record, false, this->now)) {
       for (const auto& router : this->routers) {
         router->Apply(*report, this->now);
       }
@@ -102,16 +103,16 @@
   auto Restart(int router) -> void {
     const auto index = static_cast<std::size_t>(router);
     this->names[index] = "router-" + std::to_string(router) + "#2";
-    this->routers[index] = std::make_unique<PromptQuarantine>(
-        this->names[index], [](const PromptQuarantine::Change&) {});
+    this->routers[index] = std::make_unique<CrashQuarantine>(
+        this->names[index], [](const CrashQuarantine::Change&) {});
     for (const KeyedRecord& record : this->records) {
-      if (const auto report = ReadPromptReport(record, true, this->now)) {
+      if (const auto report = ReadCrashReport(record, true, this->now)) {
         this->routers[index]->Apply(*report, this->now);
       }
     }
   }
 
-  auto At(int router) -> PromptQuarantine& {
+  auto At(int router) -> CrashQuarantine& {
     return *this->routers[static_cast<std::size_t>(router)];
   }
   [[nodiscard]] auto size() const -> int {
@@ -137,7 +138,7 @@
   }
 
   std::vector<std::string> names;
-  std::vector<std::unique_ptr<PromptQuarantine>> routers;
+  std::vector<std::unique_ptr<CrashQuarantine>> routers;
   std::vector<KeyedRecord> records;
   Instant exchanged_at{};
 };
@@ -181,7 +182,7 @@
 
 }  // namespace
 
-TEST_GROUP(PromptQuarantine) {
+TEST_GROUP(CrashQuarantine) {
   PromptFleet fleet{8};
 
   /** Each of three routers sees one crash by a prompt with `dead`. */
@@ -197,7 +198,7 @@
 
 // Guards against evidence that no router has enough of: three routers that saw
 // one crash each are enough for all eight.
-TEST(PromptQuarantine, CombinesTheEvidenceOfAllRouters) {
+TEST(CrashQuarantine, CombinesTheEvidenceOfAllRouters) {
   this->fleet.Succeed(4, {"base", "sound"});
   this->QuarantineDead();
   CHECK_EQUAL(0, this->fleet.SendingRouters({"base", "dead"}));
@@ -206,7 +207,7 @@
 
 // Guards against the quarantine of a part that all requests share: it was in
 // each crash, and succeeds elsewhere.
-TEST(PromptQuarantine, SparesAPartThatSucceedsElsewhere) {
+TEST(CrashQuarantine, SparesAPartThatSucceedsElsewhere) {
   for (int crash = 0; crash < 6; ++crash) {
     this->fleet.Fail(1, "engine-" + std::to_string(crash),
                      {"base", "other-" + std::to_string(crash), "dead"});
@@ -221,7 +222,7 @@
 
 // Guards against a crash that convicts all that waited at the same upstream:
 // failures that the quarantined part explains count against no other part.
-TEST(PromptQuarantine, BlamesNoBystanderOfAnExplainedCrash) {
+TEST(CrashQuarantine, BlamesNoBystanderOfAnExplainedCrash) {
   this->QuarantineDead();
   for (int crash = 4; crash <= 9; ++crash) {
     // Sent before the quarantine, with the same bystander waiting each time.
@@ -236,7 +237,7 @@
 // Guards against engines that all crash while the routers still make sure: a
 // part that was at three of them is held back at once, for a moment, even if
 // the crashes turn out to be those of one rack.
-TEST(PromptQuarantine, HoldsASuspectBackWhileEvidenceSettles) {
+TEST(CrashQuarantine, HoldsASuspectBackWhileEvidenceSettles) {
   for (int engine = 0; engine < 3; ++engine) {
     this->fleet.Fail(1, "engine-" + std::to_string(engine), {"base", "dead"});
   }
@@ -249,7 +250,7 @@
 }
 
 // Guards against two deadly parts that hide each other.
-TEST(PromptQuarantine, FindsSeveralDeadlyParts) {
+TEST(CrashQuarantine, FindsSeveralDeadlyParts) {
   for (int crash = 0; crash < 4; ++crash) {
     const std::string text = std::to_string(crash);
     this->fleet.Fail(1, "engine-a" + text, {"base", "dead-1"});
@@ -265,7 +266,7 @@
 
 // Guards against a part that was sound until a new version of the engines: its
 // old successes must not protect it.
-TEST(PromptQuarantine, FindsAPartThatWasSoundBefore) {
+TEST(CrashQuarantine, FindsAPartThatWasSoundBefore) {
   for (int router = 0; router < 8; ++router) {
     this->fleet.Succeed(router, {"base", "dead"});
   }
@@ -276,7 +277,7 @@
 
 // Guards against a false quarantine that lasts: a request that was under way
 // begins its answer.
-TEST(PromptQuarantine, ReleasesAPartThatSucceeds) {
+TEST(CrashQuarantine, ReleasesAPartThatSucceeds) {
   this->QuarantineDead();
   this->fleet.Succeed(5, {"base", "dead"});
   CHECK_TRUE(this->fleet.Sends(5, {"base", "dead"}));
@@ -287,7 +288,7 @@
 // Guards against an operator who cannot free a part: the record that
 // `auburnloft-ctl fleet release-part` writes releases it at all routers, and a
 // router that starts later does not adopt the quarantine again.
-TEST(PromptQuarantine, IsReleasedByAnOperator) {
+TEST(CrashQuarantine, IsReleasedByAnOperator) {
   this->fleet.Succeed(4, {"base", "sound"});
   this->QuarantineDead();
   this->fleet.Write(MakePromptRelease("dead", this->fleet.now));
@@ -300,7 +301,7 @@
 
 // Guards against a restarted router that sends a quarantined part again, and
 // against one that takes old records for news.
-TEST(PromptQuarantine, IsKnownToARestartedRouter) {
+TEST(CrashQuarantine, IsKnownToARestartedRouter) {
   this->QuarantineDead();
   this->fleet.Restart(2);
   CHECK_FALSE(this->fleet.Sends(2, {"base", "dead"}));
@@ -312,14 +313,14 @@
 // Guards against crashes half a second apart that seem to be one, as the
 // reports about them are read up to 400 ms later; and against a clock that is
 // wrong.
-TEST(PromptQuarantine, KnowsWhenAReportedCrashHappened) {
+TEST(CrashQuarantine, KnowsWhenAReportedCrashHappened) {
   const Instant now = this->fleet.now;
-  PromptReport report;
+  CrashReport report;
   report.reporter = "router-1#1";
   report.failures.push_back({"engine", {"dead"}, now - milliseconds(50)});
   const KeyedRecord record = ToRecord(report, now);
   const auto failure_time = [&record](Instant read_at) {
-    return ReadPromptReport(record, false, read_at)->failures.front().at;
+    return ReadCrashReport(record, false, read_at)->failures.front().at;
   };
   CHECK_TRUE(failure_time(now + milliseconds(400)) == now - milliseconds(50));
   for (const Duration wrong : {Duration(seconds(5)), Duration(seconds(-5))}) {
@@ -328,7 +329,7 @@
 }
 
 // Guards against a fleet whose routers all try a part again at once.
-TEST(PromptQuarantine, TriesAPartAgainAtOneRouterOnly) {
+TEST(CrashQuarantine, TriesAPartAgainAtOneRouterOnly) {
   this->QuarantineDead();
   this->fleet.Advance(seconds(31));
   CHECK_EQUAL(1, this->fleet.SendingRouters({"base", "dead"}));
@@ -347,7 +348,7 @@
 
 // Guards against reports that circulate for ever: two routers that adopt a
 // quarantine from each other must not prolong it.
-TEST(PromptQuarantine, EndsAlthoughAllRoutersReportIt) {
+TEST(CrashQuarantine, EndsAlthoughAllRoutersReportIt) {
   this->QuarantineDead();
   const Instant end = this->fleet.At(1).quarantines().front().ends_at;
   this->fleet.Advance(seconds(25));
@@ -362,7 +363,7 @@
 
 // Guards against memory and reports that grow with the parts that callers
 // invent.
-TEST(PromptQuarantine, IsBoundedWhateverPartsCallersSend) {
+TEST(CrashQuarantine, IsBoundedWhateverPartsCallersSend) {
   const std::string long_id(1'000, 'x');
   for (int number = 0; number < 20'000; ++number) {
     const std::string id = "invented-" + std::to_string(number);
@@ -376,7 +377,7 @@
 
 // Guards against a rack of engines that crash together: a part of which
 // requests wait at all of them is at three upstreams, but at one crash.
-TEST(PromptQuarantine, CountsTheCrashesOfARackOnce) {
+TEST(CrashQuarantine, CountsTheCrashesOfARackOnce) {
   for (int engine = 0; engine < 3; ++engine) {
     this->fleet.Fail(engine, "engine-" + std::to_string(engine), {"hot"});
     this->fleet.Advance(milliseconds(50));
@@ -388,7 +389,7 @@
 // Guards against ordinary crashes that convict a sound part: each 10 s a rack
 // of three engines crashes under load, and whatever waits there fails; seeded
 // minutes at 8 routers and at 195.
-TEST(PromptQuarantine, ConvictsNoSoundPartInOrdinaryCrashes) {
+TEST(CrashQuarantine, ConvictsNoSoundPartInOrdinaryCrashes) {
   for (std::uint64_t seed = 1; seed <= 20; ++seed) {
     CHECK_EQUAL(0, ConvictionsInOrdinaryCrashes(8, seed));
   }
