--- a/tests/support/raw_upstream.cc
+++ b/tests/support/raw_upstream.cc
@@ -112,6 +112,7 @@
   Arrival arrival;
   arrival.id =
       std::string(request.fields.Find(platform::kAttemptIdHeader).value_or(""));
+  arrival.target = request.target;
   arrival.number = ++this->arrival_count;
   arrival.send = [this, connection = peer.connection](std::string_view bytes) {
     this->total_sent += bytes.size();
--- a/tests/support/raw_upstream.h
+++ b/tests/support/raw_upstream.h
@@ -24,8 +24,9 @@
  public:
   /** A request that arrived. */
   struct Arrival {
-    std::string id;  ///< Attempt id.
-    int number = 0;  ///< Counts from 1.
+    std::string id;      ///< Attempt id.
+    std::string target;  ///< Path with its query.
+    int number = 0;      ///< Counts from 1.
     std::function<void(std::string_view bytes)> send;
     std::function<void()> close;  ///< Sends a FIN after the bytes.
     std::function<void()> reset;  ///< Ends the connection with a reset.
