--- a/modules/al_gateway/quarantine/crash_evidence.cc
+++ b/modules/al_gateway/quarantine/crash_evidence.cc
@@ -5,6 +5,8 @@
 #include <tuple>
 #include <utility>
 
+#include "al_gateway/quarantine/crash_suspects.h"
+
 namespace auburnloft::gateway {
 
 namespace {
@@ -33,19 +35,32 @@
 /** More upstreams than those of a rack count although they crash together. */
 constexpr int kMinUpstreamsAtSameTime = 5;
 
-/** A suspect is at fault only if it was at one in this many of the crashes
-   since its first. In a series of crashes that have another cause, each suspect
-   is in some. */
+/** The times of a failure are rounded to milliseconds in reports. */
+constexpr Duration kRounding = std::chrono::milliseconds(2);
+
+/** A part of prompts is at fault only if it was at one in this many of the
+   crashes since its first. In a series of crashes that have another cause, each
+   suspect is in some. */
 constexpr int kMaxCrashesPerExplained = 4;
 
-/** Maximum number of failures of all routers: what 32 crashes of engines with
+/** A possible failure that was not confirmed by then is dropped: an upstream's
+   record expires within 4 s of its end. */
+constexpr Duration kConfirmationTime = std::chrono::seconds(5);
+
+/** Maximum number of failures of all routers: what 64 crashes of engines with
    16 waiting requests each leave behind. */
-constexpr std::size_t kMaxFailures = 512;
+constexpr std::size_t kMaxFailures = 1'024;
 
 /** Number of suspects from which old successes are dropped. */
 constexpr std::size_t kMaxSuccesses = 4'096;
 
-using FirstFailures = std::map<std::string_view, Instant>;  ///< By upstream.
+/** The time in which a request was at an upstream that ended. */
+struct Stay {
+  Instant sent_at{};
+  Instant ended_at{};
+};
+
+using FirstFailures = std::map<std::string_view, Stay>;  ///< By upstream.
 
 /** The collected failures of one suspect. */
 struct Tally {
@@ -56,58 +71,69 @@
 };
 
 auto AddFirstFailure(FirstFailures& failures,
-                     std::string_view upstream,
-                     Instant at) -> void {
-  Instant& first = failures.try_emplace(upstream, at).first->second;
-  first = std::min(first, at);
+                     const CrashReport::Failure& failure) -> void {
+  const Stay stay{failure.sent_at, failure.at};
+  Stay& first = failures.try_emplace(failure.upstream, stay).first->second;
+  if (stay.ended_at < first.ended_at) {
+    first = stay;
+  }
 }
 
-/** Returns the times of the first failures in ascending order. */
-auto CrashTimes(const FirstFailures& upstreams) -> std::vector<Instant> {
-  std::vector<Instant> times;
-  times.reserve(upstreams.size());
-  for (const auto& [upstream, at] : upstreams) {
-    times.push_back(at);
+/** Returns the first failures in the order of their times. */
+auto InOrder(const FirstFailures& upstreams) -> std::vector<Stay> {
+  std::vector<Stay> stays;
+  stays.reserve(upstreams.size());
+  for (const auto& [upstream, stay] : upstreams) {
+    stays.push_back(stay);
   }
-  std::sort(times.begin(), times.end());
-  return times;
+  std::ranges::sort(stays, {}, &Stay::ended_at);
+  return stays;
 }
 
-/** Counts crashes; those within kSameTime of a counted one are left out.
-    @param times  in ascending order. */
-auto CountCrashes(std::span<const Instant> times) -> int {
+/** Counts crashes; one that may have the same cause as a counted one is left
+   out: it is within kSameTime of it. A whole request that was sent only after
+   the counted crash was no bystander of both, so that it counts at once.
+    @param stays  in the order of their ends. */
+auto CountCrashes(std::span<const Stay> stays, bool is_whole_request) -> int {
   int count = 0;
   Instant counted_at = Instant::min();
-  for (const Instant at : times) {
-    if (count == 0 || at - counted_at >= kSameTime) {
+  for (const Stay& stay : stays) {
+    const bool is_repetition =
+        is_whole_request && stay.sent_at + kRounding >= counted_at;
+    if (count == 0 || is_repetition ||
+        stay.ended_at - counted_at >= kSameTime) {
       ++count;
-      counted_at = at;
+      counted_at = stay.ended_at;
     }
   }
   return count;
 }
 
-/** @param crash_times  of all upstreams, in ascending order. */
+/** @param crashes  of all upstreams, in their order. */
 auto Assess(std::string_view suspect,
             const Tally& tally,
-            std::span<const Instant> crash_times) -> CrashEvidence::Assessment {
-  const std::vector<Instant> own_times = CrashTimes(tally.upstreams);
+            std::span<const Stay> crashes) -> CrashEvidence::Assessment {
+  const std::vector<Stay> stays = InOrder(tally.upstreams);
   CrashEvidence::Assessment assessment;
   assessment.suspect = std::string(suspect);
-  assessment.upstreams = static_cast<int>(own_times.size());
-  assessment.crashes = CountCrashes(own_times);
-  assessment.first_at = own_times.front();
+  assessment.upstreams = static_cast<int>(stays.size());
+  assessment.crashes = CountCrashes(stays, IsWholeRequest(suspect));
+  assessment.first_at = stays.front().ended_at;
   assessment.last_at = tally.last_at;
-  assessment.crashes_since_first =
-      static_cast<int>(crash_times.end() -
-                       std::lower_bound(crash_times.begin(), crash_times.end(),
-                                        assessment.first_at));
+  assessment.crashes_since_first = static_cast<int>(std::ranges::count_if(
+      crashes, [first_at = assessment.first_at](const Stay& crash) {
+        return crash.ended_at >= first_at;
+      }));
+  assessment.had_one_cause = assessment.crashes < kMinCrashes;
   assessment.reporters = static_cast<int>(tally.reporters.size());
   assessment.position = tally.position;
   return assessment;
 }
 
 auto IsConclusive(const CrashEvidence::Assessment& assessment) -> bool {
+  if (IsWholeRequest(assessment.suspect)) {
+    return assessment.upstreams >= kMinCrashes;
+  }
   return (assessment.crashes >= kMinCrashes ||
           assessment.upstreams >= kMinUpstreamsAtSameTime) &&
          assessment.upstreams * kMaxCrashesPerExplained >=
@@ -127,18 +153,54 @@
 // Commands
 
 auto CrashEvidence::AddFailure(std::string_view reporter,
-                               CrashReport::Failure failure) -> void {
-  const auto is_own = [reporter](const Entry& entry) {
-    return entry.reporter == reporter;
-  };
-  if (static_cast<std::size_t>(std::ranges::count_if(this->failures, is_own)) >=
-      kMaxFailuresOfReporter) {
-    this->failures.erase(std::ranges::find_if(this->failures, is_own));
+                               CrashReport::Failure failure,
+                               Certainty certainty) -> void {
+  const auto of_reporter =
+      std::ranges::count(this->failures, reporter, &Entry::reporter);
+  if (static_cast<std::size_t>(of_reporter) >= kMaxFailuresOfReporter) {
+    this->DropOne(reporter);
   }
   if (this->failures.size() >= kMaxFailures) {
     this->failures.pop_front();
   }
-  this->failures.push_back({std::string(reporter), std::move(failure)});
+  this->newest_at = std::max(this->newest_at, failure.at);
+  this->failures.push_back(
+      {std::string(reporter), std::move(failure), certainty});
+  this->UpdateWholeRequests();
+}
+
+auto CrashEvidence::DropOne(std::string_view reporter) -> void {
+  const auto is_own = [reporter](const Entry& entry) {
+    return entry.reporter == reporter;
+  };
+  const auto failed_elsewhere = [this](const Entry& entry) {
+    return std::ranges::any_of(this->failures, [&entry](const Entry& other) {
+      return other.failure.upstream != entry.failure.upstream &&
+             !entry.failure.suspects.empty() &&
+             Contains(other.failure.suspects, {entry.failure.suspects.back()});
+    });
+  };
+  const auto found =
+      std::ranges::find_if(this->failures, [&](const Entry& entry) {
+        return is_own(entry) && !failed_elsewhere(entry);
+      });
+  this->failures.erase(found != this->failures.end()
+                           ? found
+                           : std::ranges::find_if(this->failures, is_own));
+}
+
+auto CrashEvidence::SetCertainty(std::string_view reporter,
+                                 std::string_view upstream,
+                                 Certainty certainty) -> bool {
+  bool has_changed = false;
+  for (Entry& entry : this->failures) {
+    if (entry.reporter == reporter && entry.failure.upstream == upstream &&
+        entry.certainty != Certainty::kConfirmed) {
+      entry.certainty = certainty;
+      has_changed = true;
+    }
+  }
+  return has_changed;
 }
 
 auto CrashEvidence::ReplaceFailures(
@@ -148,7 +210,7 @@
     return entry.reporter == reporter;
   });
   for (const CrashReport::Failure& failure : failures) {
-    this->AddFailure(reporter, failure);
+    this->AddFailure(reporter, failure, Certainty::kConfirmed);
   }
 }
 
@@ -165,25 +227,52 @@
 auto CrashEvidence::RecordSuccess(std::string_view suspect,
                                   Instant Successes::*kind,
                                   Instant at) -> void {
+  if (IsWholeRequest(suspect) &&
+      !this->whole_requests.contains(std::string(suspect))) {
+    return;
+  }
   const auto [found, is_new] =
       this->successes.try_emplace(std::string(suspect));
   found->second.*kind = std::max(found->second.*kind, at);
   if (!is_new || this->successes.size() <= kMaxSuccesses) {
     return;
   }
-  std::erase_if(this->successes, [at](const auto& item) {
-    return std::max(item.second.own, item.second.reported) <=
-           at - kFailureLifetime;
+  std::erase_if(this->successes, [this, at](const auto& item) {
+    return !this->whole_requests.contains(item.first) &&
+           std::max(item.second.own, item.second.reported) <=
+               at - kFailureLifetime;
   });
   if (this->successes.size() > kMaxSuccesses) {
-    this->successes.clear();
+    std::erase_if(this->successes, [this](const auto& item) {
+      return !this->whole_requests.contains(item.first);
+    });
   }
 }
 
 auto CrashEvidence::Expire(Instant now) -> void {
-  std::erase_if(this->failures, [now](const Entry& entry) {
-    return now - entry.failure.at >= kFailureLifetime;
+  std::erase_if(this->failures, [now](Entry& entry) {
+    const Duration age = now - entry.failure.at;
+    if (age >= kFailureLifetime) {
+      std::erase_if(entry.failure.suspects, [](const std::string& suspect) {
+        return !IsWholeRequest(suspect);
+      });
+    }
+    const bool is_unconfirmed =
+        entry.certainty == Certainty::kPossible && age >= kConfirmationTime;
+    return entry.failure.suspects.empty() || age >= kWholeRequestLifetime ||
+           is_unconfirmed;
   });
+  this->UpdateWholeRequests();
+}
+
+auto CrashEvidence::UpdateWholeRequests() -> void {
+  this->whole_requests.clear();
+  for (const Entry& entry : this->failures) {
+    if (!entry.failure.suspects.empty() &&
+        IsWholeRequest(entry.failure.suspects.back())) {
+      this->whole_requests.insert(entry.failure.suspects.back());
+    }
+  }
 }
 
 //==============================================================================
@@ -193,7 +282,8 @@
     -> std::vector<CrashReport::Failure> {
   std::vector<CrashReport::Failure> found;
   for (const Entry& entry : this->failures) {
-    if (entry.reporter == reporter) {
+    if (entry.reporter == reporter &&
+        entry.certainty == Certainty::kConfirmed) {
       found.push_back(entry.failure);
     }
   }
@@ -221,7 +311,7 @@
     const -> std::vector<CrashReport::Success> {
   std::vector<CrashReport::Success> found;
   for (const Assessment& assessment :
-       this->AssessAll(known, Instant::max(), ClearedBy::kReported)) {
+       this->AssessAll(known, {.cleared_by = ClearedBy::kReported})) {
     const Successes last = this->SuccessesOf(assessment.suspect);
     if (last.own < assessment.first_at - kSuccessValidity) {
       continue;  // It clears the suspect of nothing.
@@ -238,40 +328,36 @@
                                 Instant until) const
     -> std::optional<Assessment> {
   const std::vector<Assessment> assessments =
-      this->AssessAll(known, until, ClearedBy::kAll);
+      this->AssessAll(known, {.until = until, .only_confirmed = true});
   const auto found = std::ranges::find_if(assessments, IsConclusive);
   return found == assessments.end() ? std::nullopt : std::optional(*found);
 }
 
 auto CrashEvidence::FindUnconfirmed(const std::set<std::string>& known) const
     -> std::vector<Assessment> {
-  std::vector<Assessment> assessments =
-      this->AssessAll(known, Instant::max(), ClearedBy::kAll);
+  std::vector<Assessment> assessments = this->AssessAll(known, {});
   std::erase_if(assessments, [](const Assessment& assessment) {
     return assessment.upstreams < kMinCrashes;
   });
   return assessments;
 }
 
-auto CrashEvidence::NewestFailure() const -> Instant {
-  Instant newest = Instant::min();
+auto CrashEvidence::CountUpstreams(std::string_view suspect) const -> int {
+  std::set<std::string_view> upstreams;
   for (const Entry& entry : this->failures) {
-    newest = std::max(newest, entry.failure.at);
+    const auto found = std::ranges::find(entry.failure.suspects, suspect);
+    if (found != entry.failure.suspects.end() &&
+        entry.certainty != Certainty::kDoubted &&
+        this->Counts(*found, entry.failure.at, ClearedBy::kAll)) {
+      upstreams.insert(entry.failure.upstream);
+    }
   }
-  return newest;
+  return static_cast<int>(upstreams.size());
 }
 
 auto CrashEvidence::AssessAll(const std::set<std::string>& known,
-                              Instant until,
-                              ClearedBy cleared_by) const
+                              const Scope& scope) const
     -> std::vector<Assessment> {
-  const auto counts = [this, cleared_by](const std::string& suspect,
-                                         Instant at) {
-    const Instant cleared_at = cleared_by == ClearedBy::kReported
-                                   ? this->SuccessesOf(suspect).reported
-                                   : this->LastSuccess(suspect);
-    return cleared_at < at - kSuccessValidity;
-  };
   std::set<std::string_view> explained;
   for (const Entry& entry : this->failures) {
     if (Contains(entry.failure.suspects, known)) {
@@ -282,25 +368,28 @@
   std::map<std::string_view, Tally> tallies;  // By suspect.
   for (const Entry& entry : this->failures) {
     const CrashReport::Failure& failure = entry.failure;
-    if (failure.at > until || explained.contains(failure.upstream)) {
+    const bool is_in_scope =
+        failure.at <= scope.until && entry.certainty != Certainty::kDoubted &&
+        (!scope.only_confirmed || entry.certainty == Certainty::kConfirmed);
+    if (!is_in_scope || explained.contains(failure.upstream)) {
       continue;
     }
-    AddFirstFailure(crashed, failure.upstream, failure.at);
+    AddFirstFailure(crashed, failure);
     for (std::size_t i = 0; i < failure.suspects.size(); ++i) {
-      if (counts(failure.suspects[i], failure.at)) {
+      if (this->Counts(failure.suspects[i], failure.at, scope.cleared_by)) {
         Tally& tally = tallies[failure.suspects[i]];
-        AddFirstFailure(tally.upstreams, failure.upstream, failure.at);
+        AddFirstFailure(tally.upstreams, failure);
         tally.reporters.insert(entry.reporter);
         tally.position = std::max(tally.position, i);
         tally.last_at = std::max(tally.last_at, failure.at);
       }
     }
   }
-  const std::vector<Instant> crash_times = CrashTimes(crashed);
+  const std::vector<Stay> crashes = InOrder(crashed);
   std::vector<Assessment> assessments;
   for (const auto& [suspect, tally] : tallies) {
     if (static_cast<int>(tally.upstreams.size()) >= kMinUpstreamsOfSuspect) {
-      assessments.push_back(Assess(suspect, tally, crash_times));
+      assessments.push_back(Assess(suspect, tally, crashes));
     }
   }
   std::ranges::sort(assessments, {}, [this](const Assessment& assessment) {
@@ -311,6 +400,15 @@
   return assessments;
 }
 
+auto CrashEvidence::Counts(const std::string& suspect,
+                           Instant at,
+                           ClearedBy cleared_by) const -> bool {
+  const Instant cleared_at = cleared_by == ClearedBy::kReported
+                                 ? this->SuccessesOf(suspect).reported
+                                 : this->LastSuccess(suspect);
+  return cleared_at < at - kSuccessValidity;
+}
+
 auto CrashEvidence::SuccessesOf(std::string_view suspect) const -> Successes {
   const auto found = this->successes.find(std::string(suspect));
   return found == this->successes.end() ? Successes() : found->second;
--- a/modules/al_gateway/quarantine/crash_evidence.h
+++ b/modules/al_gateway/quarantine/crash_evidence.h
@@ -34,7 +34,9 @@
   struct Assessment {
     std::string suspect;
     int upstreams = 0;  ///< That ended a request with the suspect.
-    int crashes = 0;    ///< As above; those at the same time count once.
+    int crashes = 0;    ///< As above; those that one cause may have ended
+                        ///< together count once.
+    bool had_one_cause = false;   ///< Possibly, such as the loss of a rack.
     int crashes_since_first = 0;  ///< Of upstreams, also without the suspect.
     int reporters = 0;            ///< Routers that reported the failures.
     std::size_t position = 0;     ///< Among a request's suspects; the highest.
@@ -42,37 +44,60 @@
     Instant last_at{};
   };
 
-  /** Failures older than this are dropped. */
+  /** Older failures tell nothing about parts of prompts. */
   static constexpr Duration kFailureLifetime = std::chrono::seconds(30);
 
+  /** Older failures are dropped. A caller may repeat a request at any time of
+     the day, and after three crashes it may reach upstreams three more times in
+     all. */
+  static constexpr Duration kWholeRequestLifetime = std::chrono::hours(24);
+
   /** Maximum number of failures of one router. */
-  static constexpr std::size_t kMaxFailuresOfReporter = 16;
+  static constexpr std::size_t kMaxFailuresOfReporter = 32;
 
   //============================================================================
   // Commands
 
-  /** Adds a failure; drops the reporter's oldest beyond the maximum. */
-  auto AddFailure(std::string_view reporter, CrashReport::Failure failure)
-      -> void;
+  /** Whether it is known that the upstream of a failure has ended. */
+  enum class Certainty {
+    kPossible,
+    kDoubted,  ///< It accepts connections: it runs, or was quickly replaced.
+    kConfirmed,
+  };
+
+  /** Adds a failure. Beyond the maximum, drops the reporter's oldest one whose
+     request failed nowhere else. */
+  auto AddFailure(std::string_view reporter,
+                  CrashReport::Failure failure,
+                  Certainty certainty) -> void;
+
+  /** Sets how certain the reporter's failures at an upstream are, unless they
+     are confirmed.
+      @return whether there are any. */
+  auto SetCertainty(std::string_view reporter,
+                    std::string_view upstream,
+                    Certainty certainty) -> bool;
 
   /** Replaces all failures of a reporter. */
   auto ReplaceFailures(std::string_view reporter,
                        std::span<const CrashReport::Failure> failures) -> void;
 
-  /** Records a success at this router. */
+  /** Records a success at this router. That of a whole request without a known
+     failure is ignored. */
   auto RecordOwnSuccess(std::string_view suspect, Instant at) -> void;
 
   /** Records a success that a router, perhaps this one, has reported. */
   auto RecordReportedSuccess(std::string_view suspect, Instant at) -> void;
 
-  /** Drops failures that are too old. */
+  /** Drops what is too old: failures, what they tell about parts of prompts,
+     and possible failures that were not confirmed in time. */
   auto Expire(Instant now) -> void;
 
   //============================================================================
   // Queries
 
-  /** Returns the failures of `reporter` in the order in which they were added.
-   */
+  /** Returns the confirmed failures of `reporter` in the order in which they
+     were added. */
   [[nodiscard]] auto FailuresOf(std::string_view reporter) const
       -> std::vector<CrashReport::Failure>;
 
@@ -90,29 +115,44 @@
       const -> std::vector<CrashReport::Success>;
 
   /** Returns the suspect that explains the most failures, if it does so beyond
-     doubt: it was at three crashes at different times or at five upstreams, and
-     at a good part of all crashes since. Upstreams that ended a request with
-     one of `known` suspects are left out, as their crashes are explained. Among
-     equals, returns the suspect whose last success is the longest ago, then the
-     one later in the prompt, which fewer requests share.
+     doubt: a part of prompts was at three crashes at different times or at five
+     upstreams, and at a good part of all crashes since; a whole request was at
+     three upstreams.
+     Upstreams that ended a request with one of `known` suspects are left out,
+     as their crashes are explained. Among equals, returns the suspect whose
+     last success is the longest ago, then the one later in the prompt, which
+     fewer requests share.
       @param until  later failures are left out. */
   [[nodiscard]] auto FindCulprit(const std::set<std::string>& known,
                                  Instant until) const
       -> std::optional<Assessment>;
 
+  /** Returns the number of upstreams that ended, or may have ended, under a
+     suspect since its last success. */
+  [[nodiscard]] auto CountUpstreams(std::string_view suspect) const -> int;
+
+  /** Returns whether a failure of a whole request is known. */
+  [[nodiscard]] auto has_whole_requests() const -> bool {
+    return !this->whole_requests.empty();
+  }
+
   /** Returns the suspects that were at three upstreams or more that ended a
      request with them, and which no suspect of `known` explains: they may be at
      fault. */
   [[nodiscard]] auto FindUnconfirmed(const std::set<std::string>& known) const
       -> std::vector<Assessment>;
 
-  /** Returns when the newest failure happened; Instant::min() if none. */
-  [[nodiscard]] auto NewestFailure() const -> Instant;
+  /** Returns when the newest failure happened; Instant::min() if there was
+     none. */
+  [[nodiscard]] auto newest_failure() const -> Instant {
+    return this->newest_at;
+  }
 
  private:
   struct Entry {
     std::string reporter;
     CrashReport::Failure failure;
+    Certainty certainty = Certainty::kConfirmed;
   };
 
   /** The last successes of a suspect. */
@@ -123,6 +163,13 @@
   /** Which successes clear a suspect. */
   enum class ClearedBy { kAll, kReported };
 
+  /** Which failures are assessed. */
+  struct Scope {
+    Instant until = Instant::max();  ///< Later ones are left out.
+    ClearedBy cleared_by = ClearedBy::kAll;
+    bool only_confirmed = false;
+  };
+
   auto RecordSuccess(std::string_view suspect,
                      Instant Successes::*kind,
                      Instant at) -> void;
@@ -130,14 +177,23 @@
   /** Returns the suspects in unexplained failures of two or more upstreams, in
      the order of FindCulprit(). */
   [[nodiscard]] auto AssessAll(const std::set<std::string>& known,
-                               Instant until,
-                               ClearedBy cleared_by) const
+                               const Scope& scope) const
       -> std::vector<Assessment>;
 
+  /** Returns whether no success clears a suspect of a failure at `at`. */
+  [[nodiscard]] auto Counts(const std::string& suspect,
+                            Instant at,
+                            ClearedBy cleared_by) const -> bool;
+  auto DropOne(std::string_view reporter) -> void;
+  /** Collects the whole requests that failed; call it after each change. */
+  auto UpdateWholeRequests() -> void;
+
   [[nodiscard]] auto SuccessesOf(std::string_view suspect) const -> Successes;
 
   std::deque<Entry> failures;  ///< In the order in which they were added.
+  std::set<std::string> whole_requests;                  ///< Of all failures.
   std::unordered_map<std::string, Successes> successes;  ///< By suspect.
+  Instant newest_at = Instant::min();
 };
 
 }  // namespace auburnloft::gateway
--- a/modules/al_gateway/quarantine/crash_quarantine.cc
+++ b/modules/al_gateway/quarantine/crash_quarantine.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "al_gateway/quarantine/crash_suspects.h"
+
 namespace auburnloft::gateway {
 
 namespace {
@@ -16,12 +18,27 @@
    failed trial multiplies it. */
 constexpr Duration kFirstQuarantine = std::chrono::seconds(30);
 constexpr int kQuarantineFactor = 4;
-constexpr int kMaxFailedTrials = 4;
+constexpr int kMaxTrials = 4;
+
+/** Time until the first trial of a whole request that was at upstreams which
+   may have ended for one other cause: one more send tells. Shorter than
+   upstreams take to start again, so that no caller waits for it in vain. */
+constexpr Duration kProbation = std::chrono::milliseconds(2'000);
+
+/** Trials of a whole request within kWholeRequestLifetime: at most three more
+   sends are allowed after the third crash, and one may be under way when that
+   becomes known. */
+constexpr int kMaxTrialsOfWholeRequest = 2;
 
-/** A trial without a result by then was lost, or its caller left. */
-constexpr Duration kTrialTimeout = std::chrono::seconds(10);
+/** A request that was at this many upstreams which ended is not repeated by
+   the router: the next crash would be its third. */
+constexpr int kMaxEndsBeforeRetry = 2;
 
-/** After the end of its quarantine, a suspect that got no trial is released. */
+/** Delay of the next trial after one that no upstream executed. */
+constexpr Duration kTrialRetryDelay = std::chrono::seconds(1);
+
+/** After the end of its quarantine, a part of prompts that got no trial is
+   released. */
 constexpr Duration kReleaseWithoutTrial = std::chrono::minutes(10);
 
 /** Minimum interval between evaluations of other routers' reports, which all
@@ -36,14 +53,38 @@
 /** Maximum number of successes and of quarantines in a report. */
 constexpr std::size_t kMaxReported = 64;
 
-auto QuarantineDuration(int failed_trials) -> Duration {
+/** How reports name a process of an upstream. */
+auto NameOf(const UpstreamProcess& upstream) -> std::string {
+  return upstream.id + "@" + std::to_string(upstream.started_at_ms);
+}
+
+/** Returns how long a suspect is kept from upstreams after `trials` of it that
+   did not succeed. */
+auto QuarantineDuration(std::string_view suspect, int trials) -> Duration {
+  if (IsWholeRequest(suspect) && trials >= kMaxTrialsOfWholeRequest) {
+    return CrashEvidence::kWholeRequestLifetime;
+  }
   Duration duration = kFirstQuarantine;
-  for (int i = 0; i < std::min(failed_trials, kMaxFailedTrials); ++i) {
+  for (int i = 0; i < std::min(trials, kMaxTrials); ++i) {
     duration *= kQuarantineFactor;
   }
   return duration;
 }
 
+/** Returns how long a suspect is kept from upstreams before its first trial. */
+auto FirstQuarantine(const CrashEvidence::Assessment& culprit) -> Duration {
+  return IsWholeRequest(culprit.suspect) && culprit.had_one_cause
+             ? kProbation
+             : QuarantineDuration(culprit.suspect, 0);
+}
+
+/** Returns how long after the end of its quarantine a suspect that got no trial
+   is released: a whole request only when the bound on its sends has ended. */
+auto ReleaseWithoutTrial(std::string_view suspect) -> Duration {
+  return IsWholeRequest(suspect) ? CrashEvidence::kWholeRequestLifetime
+                                 : kReleaseWithoutTrial;
+}
+
 }  // namespace
 
 CrashQuarantine::CrashQuarantine(std::string self, OnChange on_change)
@@ -64,18 +105,37 @@
   }
 }
 
-auto CrashQuarantine::RecordFailure(const std::string& upstream,
+auto CrashQuarantine::RecordFailure(const UpstreamProcess& upstream,
                                     std::span<const std::string> suspects,
+                                    Instant sent_at,
                                     Instant now) -> void {
   if (suspects.empty()) {
     return;
   }
   this->evidence.AddFailure(
-      this->self, {upstream, {suspects.begin(), suspects.end()}, now});
-  this->has_news = true;
+      this->self,
+      {NameOf(upstream), {suspects.begin(), suspects.end()}, now, sent_at},
+      CrashEvidence::Certainty::kPossible);
   this->Evaluate(now);
 }
 
+auto CrashQuarantine::ConfirmEnd(const UpstreamProcess& upstream, Instant now)
+    -> void {
+  if (this->evidence.SetCertainty(this->self, NameOf(upstream),
+                                  CrashEvidence::Certainty::kConfirmed)) {
+    this->has_news = true;
+    this->Evaluate(now);
+  }
+}
+
+auto CrashQuarantine::DoubtEnd(const UpstreamProcess& upstream, Instant now)
+    -> void {
+  if (this->evidence.SetCertainty(this->self, NameOf(upstream),
+                                  CrashEvidence::Certainty::kDoubted)) {
+    this->Evaluate(now);
+  }
+}
+
 auto CrashQuarantine::Apply(const CrashReport& report, Instant now) -> void {
   if (report.reporter == this->self) {
     return;
@@ -92,13 +152,14 @@
   const Duration passed = now - this->evaluated_at;
   const bool is_settling =
       passed >= kSettlingEvaluationInterval &&
-      this->evidence.NewestFailure() >= this->evaluated_at - kSettlingTime;
+      this->evidence.newest_failure() >= this->evaluated_at - kSettlingTime;
   if (is_settling ||
       (this->has_new_evidence && passed >= kReportEvaluationInterval)) {
     this->Evaluate(now);
   }
   std::erase_if(this->by_suspect, [this, now](const auto& item) {
-    const bool expired = now >= item.second.ends_at + kReleaseWithoutTrial;
+    const bool expired =
+        now >= item.second.ends_at + ReleaseWithoutTrial(item.first);
     if (expired) {
       this->on_change({Change::Kind::kExpired,
                        item.first,
@@ -116,7 +177,23 @@
     -> void {
   if (const auto found = this->by_suspect.find(suspect);
       found != this->by_suspect.end()) {
-    found->second.trial_began_at = now;
+    State& state = found->second;
+    ++state.trials;
+    state.trial_began_at = now;
+    state.ends_at = now + QuarantineDuration(suspect, state.trials);
+    this->has_news = true;
+  }
+}
+
+auto CrashQuarantine::CancelTrial(const std::string& suspect, Instant now)
+    -> void {
+  if (const auto found = this->by_suspect.find(suspect);
+      found != this->by_suspect.end() &&
+      found->second.trial_began_at != Instant()) {
+    State& state = found->second;
+    --state.trials;
+    state.trial_began_at = Instant();
+    state.ends_at = now + kTrialRetryDelay;
   }
 }
 
@@ -157,9 +234,8 @@
       continue;
     }
     const State& state = found->second;
-    const bool is_trial = now >= state.ends_at &&
-                          now - state.trial_began_at >= kTrialTimeout &&
-                          decision.suspect.empty() && runs_trials(suspect);
+    const bool is_trial = now >= state.ends_at && decision.suspect.empty() &&
+                          runs_trials(suspect);
     decision.suspect = suspect;
     decision.is_trial = is_trial;
     decision.is_allowed = is_trial;
@@ -176,16 +252,29 @@
     -> bool {
   return std::ranges::none_of(suspects, [this](const std::string& suspect) {
     return this->by_suspect.contains(suspect) ||
-           this->held_until.contains(suspect);
+           this->held_until.contains(suspect) ||
+           (IsWholeRequest(suspect) &&
+            this->evidence.CountUpstreams(suspect) >= kMaxEndsBeforeRetry);
   });
 }
 
+auto CrashQuarantine::keeps_whole_requests() const -> bool {
+  const auto is_whole = [](const auto& item) {
+    return IsWholeRequest(item.first);
+  };
+  return std::ranges::any_of(this->by_suspect, is_whole) ||
+         std::ranges::any_of(this->held_until, is_whole);
+}
+
+auto CrashQuarantine::awaits_success() const -> bool {
+  return this->evidence.has_whole_requests() || this->keeps_whole_requests();
+}
+
 auto CrashQuarantine::quarantines() const
     -> std::vector<CrashReport::Quarantine> {
   std::vector<CrashReport::Quarantine> listed;
   for (const auto& [suspect, state] : this->by_suspect) {
-    listed.push_back(
-        {suspect, state.failed_at, state.ends_at, state.failed_trials});
+    listed.push_back({suspect, state.failed_at, state.ends_at, state.trials});
   }
   return listed;
 }
@@ -217,11 +306,15 @@
       continue;
     }
     state.failed_at = *last;
-    if (*last < state.ends_at) {
+    const bool is_own_trial =
+        state.trial_began_at != Instant() && *last >= state.trial_began_at;
+    if (!is_own_trial && *last < state.ends_at) {
       continue;  // It was sent before the quarantine.
     }
-    state.failed_trials = std::min(state.failed_trials + 1, kMaxFailedTrials);
-    state.ends_at = *last + QuarantineDuration(state.failed_trials);
+    if (!is_own_trial) {
+      ++state.trials;
+      state.ends_at = *last + QuarantineDuration(suspect, state.trials);
+    }
     state.trial_began_at = Instant();
     this->has_news = true;
     this->on_change({Change::Kind::kTrialFailed,
@@ -261,7 +354,7 @@
     if (!culprit) {
       return;
     }
-    const Duration duration = QuarantineDuration(0);
+    const Duration duration = FirstQuarantine(*culprit);
     this->by_suspect[culprit->suspect] = {
         culprit->last_at, now + duration, 0, {}};
     this->has_news = true;
@@ -287,17 +380,16 @@
     -> void {
   for (const CrashReport::Quarantine& reported : report.quarantines) {
     const auto found = this->by_suspect.find(reported.suspect);
-    const bool is_news =
-        found == this->by_suspect.end()
-            ? this->by_suspect.size() < kMaxReported
-            : found->second.failed_trials < reported.failed_trials;
+    const bool is_news = found == this->by_suspect.end()
+                             ? this->by_suspect.size() < kMaxReported
+                             : found->second.trials < reported.trials;
     if (!is_news ||
         this->evidence.LastSuccess(reported.suspect) > reported.failed_at ||
-        now >= reported.ends_at + kReleaseWithoutTrial) {
+        now >= reported.ends_at + ReleaseWithoutTrial(reported.suspect)) {
       continue;
     }
     this->by_suspect[reported.suspect] = {
-        reported.failed_at, reported.ends_at, reported.failed_trials, {}};
+        reported.failed_at, reported.ends_at, reported.trials, {}};
     this->has_news = true;
     this->on_change({Change::Kind::kAdopted, reported.suspect, 0, 0,
                      now - reported.failed_at, reported.ends_at - now,
--- a/modules/al_gateway/quarantine/crash_quarantine.h
+++ b/modules/al_gateway/quarantine/crash_quarantine.h
@@ -12,30 +12,32 @@
 #include <vector>
 
 #include "al_core/time/instant.h"
+#include "al_gateway/model/upstream_process.h"
 #include "al_gateway/quarantine/crash_evidence.h"
 #include "al_gateway/quarantine/crash_report.h"
 
 namespace auburnloft::gateway {
 
-/** Finds prompt suspects that crash each upstream which begins to answer them,
-   and keeps requests with such a suspect from the upstreams (a "poison pill"
-   quarantine).
-
-    A suspect that was at three upstreams which crashed is held back for a
-   moment. It is quarantined once it was in failed requests of several upstreams
-   (see CrashEvidence), unless a success clears it or a suspect that is already
-   quarantined explains the crashes. A failure counts after a delay, in which
-   the other routers report successes. Routers exchange reports, so that the
-   evidence of all counts and a router that has just started knows the
-   quarantines of the others. A success of an earlier request releases the
+/** Finds requests that crash each upstream which begins to run them, and keeps
+   them from the upstreams (a "poison pill" quarantine).
+
+    Callers send such a request again and again, at any router. What its
+   repetitions have in common is a suspect: a shared part of its prompt, or the
+   whole request (see crash_suspects.h).
+
+    A suspect that was at three upstreams which may have crashed is held back
+   for a moment. It is quarantined once the crashes are confirmed and it
+   explains them (see CrashEvidence), unless a success clears it or a suspect
+   that is already quarantined explains the crashes. A failure counts after a
+   delay, in which the other routers report successes. Routers exchange reports,
+   so that the evidence of all counts and a router that has just started knows
+   the quarantines of the others. A success of an earlier request releases the
    suspect.
 
     After a quarantine, one router of the fleet sends a single request as a
-   trial. Its first event releases the suspect; a failure doubles the quarantine
-   twice. Without a trial, the suspect is released after a longer time.
-
-    The last suspect of a prompt belongs to one request or session, and is
-   ignored.
+   trial. A success releases the suspect; until then, the trial counts as failed
+   and the quarantine is four times as long. A whole request gets two trials a
+   day. A part of prompts without a trial is released after a longer time.
 
     Thread safety: none; used on one thread.
 */
@@ -84,23 +86,33 @@
   auto RecordSuccess(std::span<const std::string> suspects, Instant now)
       -> void;
 
-  /** Records that an upstream ended a request before it began to
-     answer.
-      @param upstream  the upstream's id and start. */
-  auto RecordFailure(const std::string& upstream,
+  /** Records that a request got no answer from an upstream, which may have
+     crashed. It counts for others once ConfirmEnd() tells so. */
+  auto RecordFailure(const UpstreamProcess& upstream,
                      std::span<const std::string> suspects,
+                     Instant sent_at,
                      Instant now) -> void;
 
+  /** Records that an upstream has ended, after a failure there. */
+  auto ConfirmEnd(const UpstreamProcess& upstream, Instant now) -> void;
+
+  /** Records that an upstream accepts connections after a failure there; it may
+     still turn out to have been replaced. */
+  auto DoubtEnd(const UpstreamProcess& upstream, Instant now) -> void;
+
   /** Applies another router's report, which replaces its previous one. */
   auto Apply(const CrashReport& report, Instant now) -> void;
 
   /** Evaluates new evidence and ends what has expired; call it regularly. */
   auto Update(Instant now) -> void;
 
-  /** Records that a trial of `suspect` was sent; others wait for its outcome.
-   */
+  /** Records that a trial of `suspect` is sent. The next one waits as if this
+     one failed, so that a lost result costs no further upstream. */
   auto BeginTrial(const std::string& suspect, Instant now) -> void;
 
+  /** Records that no upstream executed the trial of `suspect`. */
+  auto CancelTrial(const std::string& suspect, Instant now) -> void;
+
   /** Makes TakeReport() return the report again, as the others may have lost
    * it.
    */
@@ -121,10 +133,18 @@
                            Instant now) const -> Decision;
 
   /** Returns whether a request that failed may be sent again: not if one of its
-     suspects is quarantined or may be at fault. */
+     suspects is quarantined or may be at fault, or if it has failed as a whole
+     at two upstreams. */
   [[nodiscard]] auto MayRetry(std::span<const std::string> suspects) const
       -> bool;
 
+  /** Returns whether Check() depends on the whole request: if not, it need not
+     be among the suspects. */
+  [[nodiscard]] auto keeps_whole_requests() const -> bool;
+
+  /** As above, for RecordSuccess(). */
+  [[nodiscard]] auto awaits_success() const -> bool;
+
   /** The suspects in quarantine, with their state. */
   [[nodiscard]] auto quarantines() const
       -> std::vector<CrashReport::Quarantine>;
@@ -133,8 +153,8 @@
   struct State {
     Instant failed_at{};
     Instant ends_at{};
-    int failed_trials = 0;
-    Instant trial_began_at{};
+    int trials = 0;
+    Instant trial_began_at{};  ///< At this router; unset after a failure.
   };
 
   [[nodiscard]] auto KnownSuspects() const -> std::set<std::string>;
--- a/modules/al_gateway/quarantine/crash_report.h
+++ b/modules/al_gateway/quarantine/crash_report.h
@@ -18,6 +18,7 @@
     std::vector<std::string>
         suspects;  ///< From the most shared one to the least.
     Instant at{};
+    Instant sent_at{};  ///< When the request was sent.
 
     auto operator==(const Failure&) const -> bool = default;
   };
@@ -33,9 +34,9 @@
   /** A suspect that is not sent to upstreams. */
   struct Quarantine {
     std::string suspect;
-    Instant failed_at{};    ///< Of the last failure with the suspect.
-    Instant ends_at{};      ///< When a trial may begin.
-    int failed_trials = 0;  ///< Trials that ended in a failure.
+    Instant failed_at{};  ///< Of the last failure with the suspect.
+    Instant ends_at{};    ///< When a trial may begin.
+    int trials = 0;       ///< That were sent and did not succeed.
 
     auto operator==(const Quarantine&) const -> bool = default;
   };
--- a/modules/al_net/tcp_connection.cc
+++ b/modules/al_net/tcp_connection.cc
@@ -249,7 +249,8 @@
   socklen_t size = sizeof(error);
   getsockopt(this->descriptor, SOL_SOCKET, SO_ERROR, &error, &size);
   if (error != 0) {
-    this->CloseAndNotify(TcpCloseReason::kNotConnected);
+    this->CloseAndNotify(error == ECONNREFUSED ? TcpCloseReason::kRefused
+                                               : TcpCloseReason::kNotConnected);
     return false;
   }
   this->timer.reset();
--- a/modules/al_net/tcp_connection.h
+++ b/modules/al_net/tcp_connection.h
@@ -22,6 +22,7 @@
   kClosedByPeer,  ///< The peer closed its sending side.
   kReset,         ///< The peer reset it, or it timed out.
   kNotConnected,  ///< It was never established; no byte was sent.
+  kRefused,       ///< As above: nothing listens at the address.
 };
 
 /** A TCP connection with an input and an output buffer.
--- a/programs/gateway/crash_guard.cc
+++ b/programs/gateway/crash_guard.cc
@@ -1,5 +1,7 @@
 #include "gateway/crash_guard.h"
 
+#include <utility>
+
 #include "al_gateway/quarantine/crash_suspects.h"
 #include "gateway/upstream_attempt.h"
 
@@ -7,11 +9,6 @@
 
 namespace {
 
-/** An engine needs at least one step after the prompt, some 16 ms, before it
-   begins to answer. A connection that ends sooner was closed by the upstream
-   while it was idle. */
-constexpr Duration kMinTimeToFirstToken = std::chrono::milliseconds(10);
-
 auto Join(const std::vector<std::string>& items) -> std::string {
   std::string text;
   for (const std::string& item : items) {
@@ -34,7 +31,8 @@
   const Instant now = this->context.loop.Now();
   this->context.quarantine.Update(now);
   CrashQuarantine::Decision decision = this->context.quarantine.Check(
-      this->SharedParts(), this->context.runs_trials, now);
+      this->Suspects(this->context.quarantine.keeps_whole_requests()),
+      this->context.runs_trials, now);
   if (!decision.is_allowed) {
     this->context.log.WriteLine(DecisionLog::Severity::kNotable,
                                 "quarantine_refused",
@@ -49,7 +47,9 @@
 auto CrashGuard::BeginTrial(const std::string& suspect,
                             const UpstreamAttempt& attempt) -> void {
   const Instant now = this->context.loop.Now();
+  this->trial_of = suspect;
   this->context.quarantine.BeginTrial(suspect, now);
+  this->context.report_news();
   this->context.metrics.CountQuarantineChange("trial");
   this->context.log.WriteLine(DecisionLog::Severity::kNotable,
                               "quarantine_trial",
@@ -59,42 +59,53 @@
                               now);
 }
 
-auto CrashGuard::RecordSuccess() -> void {
+auto CrashGuard::RecordBegin() -> void {
   if (this->metadata.generation) {
     this->context.quarantine.RecordSuccess(this->SharedParts(),
                                            this->context.loop.Now());
   }
 }
 
-auto CrashGuard::RecordFailure(const UpstreamAttempt& attempt) -> void {
+auto CrashGuard::RecordAnswer() -> void {
+  if (this->context.quarantine.awaits_success()) {
+    const std::vector<std::string> whole_request{this->WholeRequest()};
+    this->context.quarantine.RecordSuccess(whole_request,
+                                           this->context.loop.Now());
+  }
+}
+
+auto CrashGuard::RecordFailure(const UpstreamAttempt& attempt, bool has_begun)
+    -> void {
   const Instant now = this->context.loop.Now();
   const UpstreamRecord& upstream = attempt.upstream().record();
-  const std::vector<std::string> parts = this->SharedParts();
-  const bool counts = this->metadata.generation && !attempt.has_begun() &&
-                      now - attempt.sent_at() >= kMinTimeToFirstToken;
-  this->context.log.WriteLine(
-      DecisionLog::Severity::kNotable, "crash_evidence",
-      {{"id", this->metadata.attempt_id},
-       {"upstream", upstream.id},
-       {"after_ms", now - attempt.sent_at()},
-       {"open", attempt.upstream().open_requests()},
-       {"counts", counts ? 1 : 0},
-       {"request", this->WholeRequest()},
-       {"parts", parts.empty() ? std::string("-") : Join(parts)}},
-      now);
-  if (!counts) {
-    return;
+  const std::vector<std::string> suspects =
+      has_begun ? std::vector<std::string>{this->WholeRequest()}
+                : this->Suspects(true);
+  this->has_failed = true;
+  this->context.log.WriteLine(DecisionLog::Severity::kNotable, "crash_evidence",
+                              {{"id", this->metadata.attempt_id},
+                               {"upstream", upstream.id},
+                               {"after_ms", now - attempt.sent_at()},
+                               {"open", attempt.upstream().open_requests()},
+                               {"suspects", Join(suspects)}},
+                              now);
+  this->context.quarantine.RecordFailure(upstream.process(), suspects,
+                                         attempt.sent_at(), now);
+  this->context.observe_end(upstream);
+}
+
+auto CrashGuard::RecordNotExecuted() -> void {
+  if (!this->trial_of.empty()) {
+    this->context.quarantine.CancelTrial(
+        std::exchange(this->trial_of, std::string()), this->context.loop.Now());
   }
-  this->context.quarantine.RecordFailure(
-      upstream.id + "@" + std::to_string(upstream.started_at_ms), parts, now);
-  this->context.report_news();
 }
 
 //==============================================================================
 // Queries
 
 auto CrashGuard::MayRetry() const -> bool {
-  return this->context.quarantine.MayRetry(this->SharedParts());
+  return this->context.quarantine.MayRetry(this->Suspects(this->has_failed));
 }
 
 auto CrashGuard::SharedParts() const -> std::vector<std::string> {
@@ -103,6 +114,15 @@
              : std::vector<std::string>();
 }
 
+auto CrashGuard::Suspects(bool with_whole_request) const
+    -> std::vector<std::string> {
+  std::vector<std::string> suspects = this->SharedParts();
+  if (with_whole_request) {
+    suspects.push_back(this->WholeRequest());
+  }
+  return suspects;
+}
+
 auto CrashGuard::WholeRequest() const -> std::string {
   return WholeRequestOf({this->team, this->metadata.host, this->request.method,
                          this->request.target, this->request.body});
--- a/programs/gateway/crash_guard.h
+++ b/programs/gateway/crash_guard.h
@@ -39,15 +39,25 @@
   /** Decides whether the request may be sent now, and logs a refusal. */
   [[nodiscard]] auto Check() -> CrashQuarantine::Decision;
 
-  /** Records that the attempt is sent as the trial of a quarantined suspect. */
+  /** Records that the request is sent as the trial of a quarantined suspect. */
   auto BeginTrial(const std::string& suspect, const UpstreamAttempt& attempt)
       -> void;
 
-  /** Records that the upstream has begun to answer. */
-  auto RecordSuccess() -> void;
+  /** Records that the upstream has begun to answer: no part of the prompt
+     crashes it. */
+  auto RecordBegin() -> void;
 
-  /** Records that the upstream ended the attempt without an answer. */
-  auto RecordFailure(const UpstreamAttempt& attempt) -> void;
+  /** Records that the upstream has answered to the end: the request as a whole
+     does not crash it. */
+  auto RecordAnswer() -> void;
+
+  /** Records that the attempt's connection ended before the answer was
+     complete, and observes whether the upstream has ended.
+      @param has_begun  whether RecordBegin() was called for the request. */
+  auto RecordFailure(const UpstreamAttempt& attempt, bool has_begun) -> void;
+
+  /** Records that the upstream did not execute the attempt. */
+  auto RecordNotExecuted() -> void;
 
   //============================================================================
   // Queries
@@ -58,12 +68,18 @@
 
  private:
   [[nodiscard]] auto SharedParts() const -> std::vector<std::string>;
+  /** Returns the shared parts of the prompt, then the whole request if it is
+     needed: it costs a digest. */
+  [[nodiscard]] auto Suspects(bool with_whole_request) const
+      -> std::vector<std::string>;
   [[nodiscard]] auto WholeRequest() const -> std::string;
 
   GatewayContext& context;
   const Http1Request& request;
   const RequestMetadata& metadata;
   std::string team;
+  std::string trial_of;  ///< The suspect; empty if the request is no trial.
+  bool has_failed = false;
 };
 
 }  // namespace auburnloft::gateway
--- a/programs/gateway/fleet_records.cc
+++ b/programs/gateway/fleet_records.cc
@@ -128,6 +128,7 @@
       item.add_suspects(suspect);
     }
     item.set_age_ms(AgeInMillis(failure.at, now));
+    item.set_sent_age_ms(AgeInMillis(failure.sent_at, now));
   }
   for (const CrashReport::Success& success : report.successes) {
     wire::CrashSuccessRecord& item = *message.add_successes();
@@ -139,7 +140,7 @@
     item.set_suspect(quarantine.suspect);
     item.set_failed_age_ms(AgeInMillis(quarantine.failed_at, now));
     item.set_ends_in_ms(ToMillis(quarantine.ends_at - now));
-    item.set_failed_trials(quarantine.failed_trials);
+    item.set_trials(quarantine.trials);
   }
   record.value = message.SerializeAsString();
   return record;
@@ -208,7 +209,8 @@
   for (const wire::CrashFailureRecord& item : message->failures()) {
     report.failures.push_back({item.upstream(),
                                {item.suspects().begin(), item.suspects().end()},
-                               before(item.age_ms())});
+                               before(item.age_ms()),
+                               before(item.sent_age_ms())});
   }
   for (const wire::CrashSuccessRecord& item : message->successes()) {
     report.successes.push_back({item.suspect(), before(item.age_ms())});
@@ -217,7 +219,7 @@
     report.quarantines.push_back(
         {item.suspect(), before(item.failed_age_ms()),
          written_at + std::chrono::milliseconds(item.ends_in_ms()),
-         item.failed_trials()});
+         item.trials()});
   }
   return report;
 }
--- a/programs/gateway/gateway_context.h
+++ b/programs/gateway/gateway_context.h
@@ -45,6 +45,8 @@
   std::shared_ptr<std::vector<std::shared_ptr<void>>> ended_handlers =
       std::make_shared<std::vector<std::shared_ptr<void>>>();
   CrashQuarantine::RunsTrials runs_trials;
+  /** Observes whether an upstream has ended after a connection to it broke. */
+  std::function<void(const UpstreamRecord&)> observe_end;
   std::function<void()> report_news;  ///< Writes news about crashes and limits
                                       ///< of upstreams soon.
   RateMeter request_rate;       ///< Requests that callers send to this router.
--- a/programs/gateway/gateway_daemon.cc
+++ b/programs/gateway/gateway_daemon.cc
@@ -114,6 +114,14 @@
                  [this](const CrashQuarantine::Change& change) {
                    this->LogQuarantineChange(change);
                  }),
+      end_detector(this->poller,
+                   this->upstreams,
+                   {[this](const UpstreamProcess& upstream) {
+                      this->OnUpstreamEnded(upstream);
+                    },
+                    [this](const UpstreamProcess& upstream) {
+                      this->quarantine.DoubtEnd(upstream, this->loop.Now());
+                    }}),
       context{loop,
               nullptr,
               this->upstreams,
@@ -195,6 +203,9 @@
   this->context.runs_trials = [this](std::string_view suspect) {
     return this->fleet_topic.RunsTrials(suspect);
   };
+  this->context.observe_end = [this](const UpstreamRecord& upstream) {
+    this->end_detector.Observe(upstream);
+  };
   this->context.report_news = [this] { this->fleet_topic.ScheduleWrite(); };
   this->reservations.SetIsBudgetExhausted(
       [this](const std::string& team, std::uint64_t tokens) {
@@ -484,6 +495,14 @@
   }
 }
 
+auto GatewayDaemon::OnUpstreamEnded(const UpstreamProcess& upstream) -> void {
+  const Instant now = this->loop.Now();
+  this->log.WriteLine(DecisionLog::Severity::kNotable, "upstream_ended",
+                      {{"upstream", upstream.id}}, now);
+  this->quarantine.ConfirmEnd(upstream, now);
+  this->context.report_news();
+}
+
 auto GatewayDaemon::LogQuarantineChange(const CrashQuarantine::Change& change)
     -> void {
   /** In the order of Kind. */
--- a/programs/gateway/gateway_daemon.h
+++ b/programs/gateway/gateway_daemon.h
@@ -17,6 +17,7 @@
 #include "gateway/gateway_metrics.h"
 #include "gateway/increase_notifier.h"
 #include "gateway/upstream_discovery.h"
+#include "gateway/upstream_end_detector.h"
 
 namespace auburnloft::gateway {
 
@@ -90,6 +91,8 @@
   auto OnTick() -> void;
   /** Updates how many connections are closed to spread callers evenly. */
   auto UpdateLoadShare(Instant now) -> void;
+  /** Records that an upstream has ended under requests of this router. */
+  auto OnUpstreamEnded(const UpstreamProcess& upstream) -> void;
   auto LogQuarantineChange(const CrashQuarantine::Change& change) -> void;
   auto OnDrainTick() -> void;
   auto FinishDrain() -> void;
@@ -111,6 +114,7 @@
   AllowanceManager allowance_manager;
   ReservationQueue reservations;
   CrashQuarantine quarantine;
+  UpstreamEndDetector end_detector;
   GatewayContext context;
   FleetTopicClient fleet_topic;
   IncreaseNotifier increase_notifier;
--- a/programs/gateway/request_handler.cc
+++ b/programs/gateway/request_handler.cc
@@ -334,7 +334,7 @@
 auto RequestHandler::RecordFirstByte() -> void {
   if (this->attempt->RecordFirstByte() &&
       this->attempt->head().status < kFirstRedirect) {
-    this->crash_guard.RecordSuccess();
+    this->crash_guard.RecordBegin();
   }
 }
 
@@ -354,7 +354,7 @@
   this->attempt_timer->Stop();
   if (outcome != Http1Outcome::kComplete) {
     if (outcome != Http1Outcome::kNotSent) {
-      this->RecordUnanswered();
+      this->RecordCrashEvidence();
     }
     this->OnFailedAttempt(outcome);
     return;
@@ -376,7 +376,7 @@
   }
   if (this->route->kind == RouteKind::kStream && head.status < kFirstRedirect &&
       this->event_splitter.IsBrokenOff(!head.ends_with_connection)) {
-    this->RecordUnanswered();
+    this->RecordCrashEvidence();
     this->RejectResponse("the stream ends early");
     return;
   }
@@ -384,6 +384,7 @@
 }
 
 auto RequestHandler::OnCompleteResponse() -> void {
+  this->crash_guard.RecordAnswer();
   const int status = this->attempt->head().status;
   const bool failed = status >= kFirstServerError;
   const std::unique_ptr<UpstreamAttempt> finished = this->EndAttempt(
@@ -405,6 +406,7 @@
 
 auto RequestHandler::OnNotExecuted() -> void {
   this->execution_counter.RecordNotExecuted();
+  this->crash_guard.RecordNotExecuted();
   this->EndAttempt(this->attempt->response_metadata().is_replaced
                        ? UpstreamResult::kReplaced
                        : UpstreamResult::kNotExecuted);
@@ -426,6 +428,7 @@
 auto RequestHandler::OnFailedAttempt(Http1Outcome outcome) -> void {
   if (outcome == Http1Outcome::kNotSent) {
     this->execution_counter.RecordNotSent();
+    this->crash_guard.RecordNotExecuted();
     this->EndAttempt(UpstreamResult::kUnreachable);
     this->Dispatch();
     return;
@@ -444,10 +447,10 @@
   }
 }
 
-auto RequestHandler::RecordUnanswered() -> void {
-  if (!this->event_splitter.has_event()) {
-    this->crash_guard.RecordFailure(*this->attempt);
-  }
+auto RequestHandler::RecordCrashEvidence() -> void {
+  this->crash_guard.RecordFailure(
+      *this->attempt,
+      this->attempt->has_begun() || this->event_splitter.has_event());
 }
 
 auto RequestHandler::OnAttemptTimeout() -> void {
--- a/programs/gateway/request_handler.h
+++ b/programs/gateway/request_handler.h
@@ -78,9 +78,9 @@
   auto OnCompleteResponse() -> void;
   auto OnNotExecuted() -> void;
   auto OnFailedAttempt(Http1Outcome outcome) -> void;
-  /** Records that the upstream ended the attempt before its first event, as
-     evidence that the request crashes upstreams. */
-  auto RecordUnanswered() -> void;
+  /** Records that the attempt's connection ended before its answer was
+     complete, as evidence that the request crashes upstreams. */
+  auto RecordCrashEvidence() -> void;
 
   // Decisions.
   /** Refuses the request if it is quarantined, as a whole or by a part.
--- a/programs/gateway/state_dump.cc
+++ b/programs/gateway/state_dump.cc
@@ -42,7 +42,7 @@
        view.context.quarantine.quarantines()) {
     state["quarantined_parts"].push_back(
         {{"suspect", item.suspect},
-         {"failed_trials", item.failed_trials},
+         {"trials", item.trials},
          {"ends_at_ms", ToUnixMillis(item.ends_at)}});
   }
   state["upstream_limits"] = nlohmann::json::array();
--- a/tests/gateway/crash_quarantine_session_test.cc
+++ b/tests/gateway/crash_quarantine_session_test.cc
@@ -18,6 +18,9 @@
 /** The upstream crashes after the time that reading a prompt takes. */
 constexpr Duration kTimeToCrash = milliseconds(30);
 
+/** A process that crashed is replaced after this time. */
+constexpr Duration kTimeToStart = milliseconds(50);
+
 /** Within this time, the routers know that an engine has started again. */
 constexpr Duration kRestart = milliseconds(500);
 
@@ -62,12 +65,19 @@
       return;
     }
     ++this->bad_arrivals;
-    this->timers.push_back(std::make_unique<LoopTimer>(
-        this->fixture.loop, [this, number, reset = arrival.reset] {
-          reset();
-          this->List(number, ++this->last_start);
-        }));
-    this->timers.back()->Start(kTimeToCrash);
+    this->After(kTimeToCrash, [this, number] {
+      this->engines[static_cast<std::size_t>(number)]->Crash();
+    });
+    this->After(kTimeToCrash + kTimeToStart, [this, number] {
+      this->engines[static_cast<std::size_t>(number)]->Restart();
+      this->List(number, ++this->last_start);
+    });
+  }
+
+  auto After(Duration delay, const std::function<void()>& call)->void {
+    this->timers.push_back(
+        std::make_unique<LoopTimer>(this->fixture.loop, call));
+    this->timers.back()->Start(delay);
   }
 
   /** Writes the record of an engine that started at `start_unix_ms`. */
--- a/tests/gateway/crash_quarantine_test.cc
+++ b/tests/gateway/crash_quarantine_test.cc
@@ -60,7 +60,17 @@
   auto Fail(int router,
             const std::string& upstream,
             const std::vector<std::string>& shared) -> void {
-    this->At(router).RecordFailure(upstream, Prompt(shared), this->now);
+    this->FailSuspects(router, upstream, Prompt(shared), milliseconds(30));
+  }
+  /** An upstream ends `after` a request with the suspects was sent to it. */
+  auto FailSuspects(int router,
+                    const std::string& upstream,
+                    const std::vector<std::string>& suspects,
+                    Duration after) -> void {
+    const UpstreamProcess process{upstream, 1};
+    this->At(router).RecordFailure(process, suspects, this->now - after,
+                                   this->now);
+    this->At(router).ConfirmEnd(process, this->now);
   }
   auto Succeed(int router, const std::vector<std::string>& shared) -> void {
     this->At(router).RecordSuccess(Prompt(shared), this->now);
@@ -73,8 +83,12 @@
   }
   auto Decide(int router, const std::vector<std::string>& shared)
       -> CrashQuarantine::Decision {
+    return this->DecideFor(router, Prompt(shared));
+  }
+  auto DecideFor(int router, const std::vector<std::string>& suspects)
+      -> CrashQuarantine::Decision {
     return this->At(router).Check(
-        Prompt(shared), [router](std::string_view) { return router == 0; },
+        suspects, [router](std::string_view) { return router == 0; },
         this->now);
   }
   auto SendingRouters(const std::vector<std::string>& shared) -> int {
@@ -317,7 +331,8 @@
   const Instant now = this->fleet.now;
   CrashReport report;
   report.reporter = "router-1#1";
-  report.failures.push_back({"engine", {"dead"}, now - milliseconds(50)});
+  report.failures.push_back(
+      {"engine", {"dead"}, now - milliseconds(50), now - milliseconds(80)});
   const KeyedRecord record = ToRecord(report, now);
   const auto failure_time = [&record](Instant read_at) {
     return ReadCrashReport(record, false, read_at)->failures.front().at;
@@ -395,3 +410,233 @@
   }
   CHECK_EQUAL(0, ConvictionsInOrdinaryCrashes(195, 1));
 }
+
+namespace {
+
+/** The suspects of a plain request: itself. */
+auto WholeRequest(const std::string& target, const std::string& team = "blue")
+    -> std::vector<std::string> {
+  return {WholeRequestOf({team, "host", "GET", target, {}})};
+}
+
+}  // namespace
+
+/** A request of a plain service that ends each server, repeated at any router
+    of a fleet; the first router runs the trials. */
+TEST_GROUP(DeadlyRequests) {
+  std::unique_ptr<PromptFleet> fleet;
+  std::vector<std::string> deadly = WholeRequest("/deadly");
+  int sends = 0;
+
+  TEST_SETUP() {
+    this->fleet = std::make_unique<PromptFleet>(8);
+  }
+
+  /** A caller sends the request to `router`; if it lets it pass, the server
+      ends. */
+  auto Repeat(int router)->bool {
+    this->fleet->At(router).Update(this->fleet->now);
+    const auto decision = this->fleet->DecideFor(router, this->deadly);
+    if (!decision.is_allowed) {
+      return false;
+    }
+    if (decision.is_trial) {
+      this->fleet->At(router).BeginTrial(decision.suspect, this->fleet->now);
+    }
+    ++this->sends;
+    this->fleet->Advance(milliseconds(50));
+    this->fleet->FailSuspects(router, "server-" + std::to_string(this->sends),
+                              this->deadly, milliseconds(50));
+    return true;
+  }
+};
+
+// Guards against a request that callers repeat all day: after three servers
+// have ended under it, at most three more sends follow, those of trials
+// included, in fleets of each size.
+TEST(DeadlyRequests, ReachAtMostThreeMoreServersInADay) {
+  for (const int routers : {8, 85, 195}) {
+    this->fleet = std::make_unique<PromptFleet>(routers);
+    this->sends = 0;
+    for (int router = 0; this->sends < 3; router = (router + 1) % routers) {
+      this->Repeat(router);
+      this->fleet->Advance(seconds(1));
+    }
+    this->fleet->Advance(seconds(3));
+    const int before = this->sends;
+    // For the first minutes in short steps, then the rest of the day in long
+    // ones, each with a call at the router that runs the trials.
+    for (int step = 0; step < 200; ++step) {
+      this->fleet->now += step < 100 ? seconds(5) : std::chrono::minutes(12);
+      this->Repeat(0);
+      this->Repeat(1 + step % (routers - 1));
+      this->fleet->Advance(milliseconds(500));
+    }
+    CHECK_TRUE(this->sends - before <= 3);
+  }
+}
+
+// Guards against crashes minutes apart that are forgotten one by one.
+TEST(DeadlyRequests, AreFoundAlthoughTheyComeRarely) {
+  for (int number = 0; number < 3; ++number) {
+    CHECK_TRUE(this->Repeat(number));
+    this->fleet->Advance(seconds(1));
+    this->fleet->now += std::chrono::hours(1);
+  }
+  this->fleet->Advance(seconds(3));
+  CHECK_FALSE(this->Repeat(4));
+}
+
+// Guards against one call that takes server after server: a request whose
+// attempts ended two servers is not sent to a third one by the same router.
+TEST(DeadlyRequests, AreNotRetriedAfterTwoEnds) {
+  this->Repeat(1);
+  CHECK_TRUE(this->fleet->At(1).MayRetry(this->deadly));
+  this->Repeat(1);
+  CHECK_FALSE(this->fleet->At(1).MayRetry(this->deadly));
+  CHECK_TRUE(this->fleet->At(1).MayRetry(WholeRequest("/other")));
+}
+
+// Guards against a retry within half a second that counts as the same crash: a
+// request that was sent after one server had ended was no bystander there.
+TEST(DeadlyRequests, CountCrashesOfRetriesAtOnce) {
+  for (int number = 0; number < 3; ++number) {
+    this->Repeat(2);
+  }
+  this->fleet->Advance(seconds(3));
+  CHECK_EQUAL(3, this->sends);
+  CHECK_FALSE(this->Repeat(5));
+}
+
+// Guards against a rack of servers that fails with a request waiting at each,
+// which is then kept from all servers for long: one trial tells.
+TEST(DeadlyRequests, AreNotThoseThatWaitAtARackThatFails) {
+  for (int number = 0; number < 5; ++number) {
+    this->fleet->FailSuspects(number, "server-" + std::to_string(number),
+                              this->deadly, milliseconds(300));
+    this->fleet->Advance(milliseconds(50));
+  }
+  this->fleet->Advance(seconds(4));
+  const auto trial = this->fleet->DecideFor(0, this->deadly);
+  CHECK_TRUE(trial.is_trial);
+  this->fleet->At(0).BeginTrial(trial.suspect, this->fleet->now);
+  this->fleet->Advance(milliseconds(50));
+  this->fleet->At(0).RecordSuccess(this->deadly, this->fleet->now);
+  this->fleet->Advance(seconds(1));
+  for (int router = 0; router < this->fleet->size(); ++router) {
+    CHECK_TRUE(this->fleet->DecideFor(router, this->deadly).is_allowed);
+  }
+}
+
+// Guards against copies sent at the same moment that seem to be bystanders of a
+// rack again and again: three servers at once, then at most three more in all.
+TEST(DeadlyRequests, AreFoundAlthoughTheyEndServersTogether) {
+  int ended = 0;
+  for (int burst = 0; burst < 6; ++burst) {
+    int sent = 0;
+    for (int router = 0; router < 3; ++router) {
+      const auto decision = this->fleet->DecideFor(router, this->deadly);
+      if (decision.is_trial) {
+        this->fleet->At(router).BeginTrial(decision.suspect, this->fleet->now);
+      }
+      sent += decision.is_allowed ? 1 : 0;
+    }
+    this->fleet->Advance(milliseconds(50));
+    for (int copy = 0; copy < sent; ++copy) {
+      this->fleet->FailSuspects(copy, "server-" + std::to_string(++ended),
+                                this->deadly, milliseconds(50));
+    }
+    this->fleet->Advance(seconds(4));
+    for (int router = 0; router < this->fleet->size(); ++router) {
+      this->fleet->At(router).Update(this->fleet->now);
+    }
+  }
+  CHECK_TRUE(ended >= 3);
+  CHECK_TRUE(ended <= 6);
+}
+
+// Guards against broken answers and resets that convict a request although the
+// servers go on running.
+TEST(DeadlyRequests, AreNotThoseWhoseServersRunOn) {
+  for (int number = 0; number < 6; ++number) {
+    const UpstreamProcess server{"server-" + std::to_string(number), 1};
+    this->fleet->At(1).RecordFailure(server, this->deadly,
+                                     this->fleet->now - milliseconds(40),
+                                     this->fleet->now);
+    this->fleet->At(1).DoubtEnd(server, this->fleet->now);
+    this->fleet->Advance(seconds(1));
+  }
+  CHECK_TRUE(this->fleet->At(1).MayRetry(this->deadly));
+  CHECK_TRUE(this->Repeat(1));
+}
+
+// Guards against a popular request that is near each crash: a later answer to
+// the same request, at any router, clears it.
+TEST(DeadlyRequests, AreNotThoseThatAreAnswered) {
+  for (int number = 0; number < 6; ++number) {
+    CHECK_TRUE(this->Repeat(1));
+    this->fleet->Advance(milliseconds(700));
+    this->fleet->At(2).RecordSuccess(this->deadly, this->fleet->now);
+    this->fleet->Advance(milliseconds(700));
+  }
+  this->fleet->Advance(seconds(3));
+  CHECK_TRUE(this->Repeat(1));
+}
+
+// Guards against a caller who gets another team's request refused: the team is
+// a part of what identifies a request, and no field can run into the next one.
+TEST(DeadlyRequests, AreThoseOfOneTeamOnly) {
+  CHECK_TRUE(WholeRequest("/deadly", "blue") == this->deadly);
+  CHECK_FALSE(WholeRequest("/deadly", "green") == this->deadly);
+  CHECK_FALSE(WholeRequestOf({"t", "h", "GET", "/a", "bc"}) ==
+              WholeRequestOf({"t", "h", "GET", "/ab", "c"}));
+  // A part of a prompt cannot pass for a whole request either.
+  const std::vector<PromptPart> crafted = {{this->deadly.front(), 1},
+                                           {"own", 1}};
+  CHECK_TRUE(SharedPartsOf(crafted).empty());
+}
+
+// Guards against a quarantine that is lost with the routers: each one that
+// starts reads it from the log before it sends.
+TEST(DeadlyRequests, AreKnownAfterALossOfAllRouters) {
+  for (int number = 0; number < 3; ++number) {
+    this->Repeat(number);
+    this->fleet->Advance(seconds(1));
+  }
+  this->fleet->Advance(seconds(3));
+  for (int router = 0; router < this->fleet->size(); ++router) {
+    this->fleet->Restart(router);
+  }
+  for (int router = 0; router < this->fleet->size(); ++router) {
+    CHECK_FALSE(this->Repeat(router));
+  }
+}
+
+// Guards against a trial without a result that is repeated: it counts when it
+// is sent, unless no server executed it.
+TEST(DeadlyRequests, CountTrialsWhenTheyAreSent) {
+  for (int number = 0; number < 3; ++number) {
+    this->Repeat(number);
+    this->fleet->Advance(seconds(1));
+  }
+  this->fleet->Advance(seconds(33));
+  const auto trial = this->fleet->DecideFor(0, this->deadly);
+  CHECK_TRUE(trial.is_trial);
+  this->fleet->At(0).BeginTrial(trial.suspect, this->fleet->now);
+  this->fleet->At(0).CancelTrial(trial.suspect, this->fleet->now);
+  this->fleet->now += seconds(2);
+  CHECK_TRUE(this->fleet->DecideFor(0, this->deadly).is_trial);
+  this->fleet->At(0).BeginTrial(trial.suspect, this->fleet->now);
+  this->fleet->now += seconds(60);
+  CHECK_FALSE(this->fleet->DecideFor(0, this->deadly).is_allowed);
+}
+
+// Guards against requests that callers invent without end: what is kept rests
+// on failures, not on requests.
+TEST(DeadlyRequests, CostNothingWhileNothingFails) {
+  CHECK_FALSE(this->fleet->At(1).awaits_success());
+  CHECK_FALSE(this->fleet->At(1).keeps_whole_requests());
+  this->Repeat(1);
+  CHECK_TRUE(this->fleet->At(1).awaits_success());
+  CHECK_FALSE(this->fleet->At(1).keeps_whole_requests());
+}
--- a/tests/gateway/deadly_request_session_test.cc
+++ b/tests/gateway/deadly_request_session_test.cc
@@ -19,6 +19,9 @@
 /** The upstream ends after it has run a request for so long. */
 constexpr Duration kTimeToEnd = milliseconds(30);
 
+/** A process that ended is replaced after this time. */
+constexpr Duration kTimeToStart = milliseconds(50);
+
 /** Within this time, the routers know that an upstream has started again. */
 constexpr Duration kRestart = milliseconds(600);
 
@@ -78,13 +81,20 @@
       return;
     }
     ++this->ended;
-    this->timers.push_back(std::make_unique<LoopTimer>(
-        this->fixture.loop, [this, number, reset = arrival.reset] {
-          reset();
-          ++this->last_start;
-          this->List(number);
-        }));
-    this->timers.back()->Start(kTimeToEnd);
+    this->After(kTimeToEnd, [this, number] {
+      this->upstreams[static_cast<std::size_t>(number)]->Crash();
+    });
+    this->After(kTimeToEnd + kTimeToStart, [this, number] {
+      this->upstreams[static_cast<std::size_t>(number)]->Restart();
+      ++this->last_start;
+      this->List(number);
+    });
+  }
+
+  auto After(Duration delay, const std::function<void()>& call)->void {
+    this->timers.push_back(
+        std::make_unique<LoopTimer>(this->fixture.loop, call));
+    this->timers.back()->Start(delay);
   }
 
   /** Writes the record of an upstream that has started. */
--- a/tests/support/raw_upstream.cc
+++ b/tests/support/raw_upstream.cc
@@ -22,6 +22,16 @@
 /** Bytes without end are sent while fewer than this many are unsent. */
 constexpr std::size_t kMaxUnsentBytes = std::size_t{64} * 1024;
 
+/** Closes a connection with a reset, unless it is closed. */
+auto Reset(TcpConnection& connection, int descriptor) -> void {
+  if (!connection.is_open()) {
+    return;
+  }
+  const linger at_once{1, 0};
+  setsockopt(descriptor, SOL_SOCKET, SO_LINGER, &at_once, sizeof(at_once));
+  connection.Close();
+}
+
 }  // namespace
 
 struct RawUpstream::Peer {
@@ -39,9 +49,7 @@
                                         [this] { this->SendMore(); })),
       listener(poller,
                [this](int descriptor) { this->OnAccepted(descriptor); }) {
-  if (!this->listener.Listen(this->address)) {
-    throw std::runtime_error("a raw upstream cannot listen on its port");
-  }
+  this->Listen();
 }
 
 RawUpstream::~RawUpstream() {
@@ -50,6 +58,17 @@
   }
 }
 
+auto RawUpstream::Crash() -> void {
+  this->listener.Close();
+  for (const auto& peer : this->peers) {
+    Reset(*peer->connection, peer->descriptor);
+  }
+}
+
+auto RawUpstream::Restart() -> void {
+  this->Listen();
+}
+
 auto RawUpstream::SendWithoutEnd(const Arrival& arrival,
                                  std::string_view first,
                                  std::string_view repeated) -> void {
@@ -91,6 +110,12 @@
          std::string(body);
 }
 
+auto RawUpstream::Listen() -> void {
+  if (!this->listener.Listen(this->address)) {
+    throw std::runtime_error("a raw upstream cannot listen on its port");
+  }
+}
+
 auto RawUpstream::OnAccepted(int descriptor) -> void {
   auto peer = std::make_unique<Peer>();
   peer->descriptor = descriptor;
@@ -122,9 +147,7 @@
     connection->CloseGracefully(std::chrono::seconds(2));
   };
   arrival.reset = [connection = peer.connection, descriptor = peer.descriptor] {
-    const linger at_once{1, 0};
-    setsockopt(descriptor, SOL_SOCKET, SO_LINGER, &at_once, sizeof(at_once));
-    connection->Close();
+    Reset(*connection, descriptor);
   };
   this->script(arrival);
 }
--- a/tests/support/raw_upstream.h
+++ b/tests/support/raw_upstream.h
@@ -43,6 +43,13 @@
   /** Sets what happens at each arrival. */
   auto SetScript(Script script) -> void { this->script = std::move(script); }
 
+  /** Ends as a process that crashes: resets all connections, and refuses new
+     ones until Restart(). */
+  auto Crash() -> void;
+
+  /** Listens again after Crash(), as a new process does. */
+  auto Restart() -> void;
+
   /** Sends `first` once, and then `repeated` again and again, as fast as the
      connection takes it, until the router closes the connection. */
   auto SendWithoutEnd(const Arrival& arrival,
@@ -72,6 +79,7 @@
  private:
   struct Peer;
 
+  auto Listen() -> void;
   auto OnAccepted(int descriptor) -> void;
   auto OnInput(Peer& peer) -> void;
   auto SendMore() -> void;
