One odd record costs itself alone

Cause: numbers of records were converted without a range ( slots became 0, 1e300 became -1 or whatever the processor makes of it), any text was taken for an address, a member of a page with another type threw an exception that ended the process, a page with one key that is no UTF-8 was lost as a whole, and a key or a prompt part with such bytes made a message between routers unreadable for its receivers.

Keys and prompt parts that are no text are left out of messages. Times of callers, upstreams, configurations and fleet records are bounded where they could overflow.

--- a/modules/al_gateway/quarantine/crash_suspects.cc
+++ b/modules/al_gateway/quarantine/crash_suspects.cc
@@ -4,6 +4,7 @@
 #include <array>
 
 #include "al_core/text/digest.h"
+#include "al_core/text/printable.h"
 
 namespace auburnloft::gateway {
 
@@ -26,7 +27,8 @@
   const std::size_t shared = parts.empty() ? 0 : parts.size() - 1;
   std::vector<std::string> tracked;
   for (const PromptPart& part : parts.first(std::min(shared, kMaxParts))) {
-    if (part.id.size() <= kMaxPartBytes && !IsWholeRequest(part.id)) {
+    if (part.id.size() <= kMaxPartBytes && IsPrintable(part.id) &&
+        !IsWholeRequest(part.id)) {
       tracked.push_back(part.id);
     }
   }
--- a/modules/al_gateway/quarantine/crash_suspects.h
+++ b/modules/al_gateway/quarantine/crash_suspects.h
@@ -22,7 +22,8 @@
 
 /** Returns the ids of the shared parts of a prompt that are tracked: the first
    few. The last part is not, as it belongs to one request or session. An id
-   that is too long, or that could be taken for a whole request, is left out. */
+   that is too long, is no text, or could be taken for a whole request is left
+   out. */
 [[nodiscard]] auto SharedPartsOf(std::span<const PromptPart> parts)
     -> std::vector<std::string>;
 
--- a/programs/gateway/fleet_records.cc
+++ b/programs/gateway/fleet_records.cc
@@ -1,6 +1,7 @@
 #include "gateway/fleet_records.h"
 
 #include <algorithm>
+#include <cmath>
 #include <string>
 #include <string_view>
 
@@ -39,11 +40,13 @@
   return is_plausible ? told : now;
 }
 
+/** An age or a time beyond a day is as good as any, and does not overflow. */
+constexpr std::int64_t kMaxSpanMs = 86'400'000;
+
 /** Returns the time `age_ms` before `written_at`. */
 auto BeforeWriting(Instant written_at, std::uint64_t age_ms) -> Instant {
-  // An age beyond a day is as good as any, and does not overflow.
-  constexpr std::uint64_t kMaxAgeMs = 86'400'000;
-  return written_at - std::chrono::milliseconds(std::min(age_ms, kMaxAgeMs));
+  return written_at - std::chrono::milliseconds(std::min(
+                          age_ms, static_cast<std::uint64_t>(kMaxSpanMs)));
 }
 
 /** Parses the message of a record whose key begins with `prefix`. */
@@ -181,7 +184,10 @@
   announcement.log_era = message->log_era();
   announcement.written_at = FromUnixMillis(message->written_at_ms());
   announcement.link_mbps = message->link_mbps();
-  announcement.requests_per_second = message->requests_per_second();
+  announcement.requests_per_second =
+      std::isfinite(message->requests_per_second())
+          ? std::max(0.0, message->requests_per_second())
+          : 0.0;
   return announcement;
 }
 
@@ -218,7 +224,8 @@
   for (const wire::CrashQuarantineRecord& item : message->quarantines()) {
     report.quarantines.push_back(
         {item.suspect(), before(item.failed_age_ms()),
-         written_at + std::chrono::milliseconds(item.ends_in_ms()),
+         written_at + std::chrono::milliseconds(std::clamp(
+                          item.ends_in_ms(), -kMaxSpanMs, kMaxSpanMs)),
          item.trials()});
   }
   return report;
--- a/programs/gateway/gateway_metrics.cc
+++ b/programs/gateway/gateway_metrics.cc
@@ -24,7 +24,7 @@
   AppendCounters(text, "auburnloft_upstream_sends_total", "result",
                  this->sends);
   AppendCounters(text, "auburnloft_crash_quarantine_total", "change",
-                 this->prompt_changes);
+                 this->quarantine_changes);
   AppendCounters(text, "auburnloft_upstream_notices_total", "notice",
                  this->upstream_notices);
   text.append("# TYPE auburnloft_log_restores_total counter\n")
--- a/programs/gateway/gateway_metrics.h
+++ b/programs/gateway/gateway_metrics.h
@@ -37,9 +37,9 @@
     ++this->upstream_notices[std::string(notice)];
   }
 
-  /** Counts a change of a prompt part's quarantine. */
+  /** Counts a change of a quarantine. */
   auto CountQuarantineChange(std::string_view change) -> void {
-    ++this->prompt_changes[std::string(change)];
+    ++this->quarantine_changes[std::string(change)];
   }
 
   /** Counts a restore of the log from an older copy. */
@@ -56,7 +56,7 @@
  private:
   std::map<std::string, std::uint64_t> requests;
   std::map<std::string, std::uint64_t> sends;
-  std::map<std::string, std::uint64_t> prompt_changes;
+  std::map<std::string, std::uint64_t> quarantine_changes;
   std::map<std::string, std::uint64_t> upstream_notices;
   std::uint64_t log_restores = 0;
   LatencyHistogram first_byte;
--- a/programs/gateway/upstream_discovery.cc
+++ b/programs/gateway/upstream_discovery.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "al_core/text/printable.h"
 #include "al_edge/loop/event_loop.h"
 #include "al_edge/loop/loop_timer.h"
 #include "al_gateway/membership/discovery_plan.h"
@@ -38,6 +39,10 @@
    configuration must be in force. */
 constexpr Duration kMinConfigInterval = std::chrono::milliseconds(1'000);
 
+/** Maximum number of records that cannot be read and of which this is noted, so
+   that each is logged and counted once. */
+constexpr std::size_t kMaxUnreadable = 1'024;
+
 auto ToWire(const UpstreamChange& change, wire::UpstreamChangeRecord& message)
     -> void {
   message.set_id(change.id);
@@ -167,9 +172,19 @@
 }
 
 auto UpstreamDiscovery::OnRecord(const KeyedRecord& record) -> void {
+  if (!IsPrintable(record.key)) {
+    // It can be no upstream, and would spoil the updates for other routers.
+    this->OnUnreadable(record);
+    return;
+  }
   auto upstream = record.value
                       ? platform::ReadUpstream(record.key, *record.value)
                       : std::nullopt;
+  if (record.value && !upstream) {
+    this->OnUnreadable(record);
+  } else {
+    this->unreadable.erase(record.key);
+  }
   this->change_log->RecordChange(record.key, upstream);
   if (upstream) {
     this->context.upstreams.Put(std::move(*upstream));
@@ -178,6 +193,19 @@
   }
 }
 
+auto UpstreamDiscovery::OnUnreadable(const KeyedRecord& record) -> void {
+  if (this->unreadable.size() >= kMaxUnreadable ||
+      !this->unreadable.insert(record.key).second) {
+    return;
+  }
+  this->context.metrics.CountUpstreamNotice("unreadable");
+  this->context.log.WriteLine(
+      DecisionLog::Severity::kNotable, "upstream_unreadable",
+      {{"upstream", IsPrintable(record.key) ? record.key : std::string("-")},
+       {"bytes", record.value ? record.value->size() : 0}},
+      this->poller.loop().Now());
+}
+
 auto UpstreamDiscovery::OnListed(const std::set<std::string>& ids) -> void {
   this->listed = true;
   this->change_log->RemoveAllExcept(ids);
--- a/programs/gateway/upstream_discovery.h
+++ b/programs/gateway/upstream_discovery.h
@@ -87,6 +87,8 @@
   // From the log.
   auto ReadLog() -> void;
   auto OnRecord(const KeyedRecord& record) -> void;
+  /** Logs and counts a record that names no upstream, once. */
+  auto OnUnreadable(const KeyedRecord& record) -> void;
   auto OnListed(const std::set<std::string>& ids) -> void;
   auto OnLogContact(bool answered) -> void;
 
@@ -107,8 +109,9 @@
   std::unique_ptr<TopicFollower> follower;  ///< Null unless the log is read.
   std::unique_ptr<UpstreamChangeLog> change_log;  ///< Serves other routers.
   std::uint64_t change_log_count = 0;             ///< Started by this process.
-  bool listed = false;    ///< Whether the change log is complete.
-  Instant log_read_at{};  ///< When the follower last had a reply.
+  std::set<std::string> unreadable;  ///< Keys of records that were logged.
+  bool listed = false;               ///< Whether the change log is complete.
+  Instant log_read_at{};             ///< When the follower last had a reply.
   std::unique_ptr<Http1Client> reader_connection;  ///< To `reader_address`.
   std::string reader_address;                      ///< The reader asked last.
   std::string reader_incarnation;
--- a/standins/store/store_server.cc
+++ b/standins/store/store_server.cc
@@ -187,7 +187,10 @@
   }
   body["More"] = false;
   body["EndOffset"] = this->log.EndOffset(topic);
-  this->Respond(session, 200, body.dump());
+  // A key may be any bytes.
+  this->Respond(
+      session, 200,
+      body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
 }
 
 auto StoreServer::OnPut(const Session& session, const Http1Request& request)
--- a/tests/support/gateway_fixture.cc
+++ b/tests/support/gateway_fixture.cc
@@ -70,6 +70,7 @@
   options.self.peer_address = AddressOf(number, "peers");
   options.entry_address = AddressOf(number, "entry");
   options.readiness_address = AddressOf(number, "readiness");
+  options.metrics_address = AddressOf(number, "metrics");
   options.log_address = AddressFor("store");
   options.grace_period = seconds(8);
   options.on_stopped = [this] { ++this->stopped_routers; };
--- a/tests/support/gateway_fixture.h
+++ b/tests/support/gateway_fixture.h
@@ -86,7 +86,7 @@
   auto Get(const std::string& address, const std::string& target) -> Response;
 
   /** Returns the address of a router's listener: `clients`, `entry`,
-     `readiness` or `peers`. */
+     `readiness`, `peers` or `metrics`. */
   [[nodiscard]] static auto AddressOf(int router, const std::string& listener)
       -> std::string;
 
