An answer of another type is no continuation of a stream

Cause: a sealed 2xx on a stream's route was taken for a stream whatever its type, and a text without events that has a length or a last chunk counts as complete, which is right only for a stream that has not begun. A 204 finished it, too.

Change: events are passed on from responses of the type text/event-stream, or of none; a stream that has begun ends only with a response that continues it.

--- a/modules/al_gateway/model/request_metadata.h
+++ b/modules/al_gateway/model/request_metadata.h
@@ -56,9 +56,10 @@
   std::string attempt_id;  ///< Empty if the upstream sent none.
   bool not_executed =
       false;  ///< The upstream states that it did not execute the request.
-  bool is_replaced = false;  ///< Another upstream has the address now.
-  bool is_encoded = false;   ///< The body has a content encoding.
-  bool is_leaving = false;   ///< The upstream shuts down.
+  bool is_replaced = false;     ///< Another upstream has the address now.
+  bool is_encoded = false;      ///< The body has a content encoding.
+  bool is_event_stream = true;  ///< The body is of that type, or of none.
+  bool is_leaving = false;      ///< The upstream shuts down.
   std::optional<Duration> retry_after;  ///< The upstream wants no requests for
                                         ///< so long; may be below 0.
   std::optional<Instant> retry_at;      ///< As above, as a point in time.
--- a/programs/gateway/request_handler.cc
+++ b/programs/gateway/request_handler.cc
@@ -15,6 +15,7 @@
 namespace {
 
 constexpr int kOk = 200;
+constexpr int kNoContent = 204;
 constexpr int kPaymentRequired = 402;
 constexpr int kBadGateway = 502;
 constexpr int kUnavailable = 503;
@@ -287,11 +288,7 @@
 // Events of the current attempt
 
 auto RequestHandler::OnBody(const std::string& bytes) -> void {
-  const bool passes_events = this->route->kind == RouteKind::kStream &&
-                             this->attempt->head().status < kFirstRedirect &&
-                             !this->attempt->response_metadata().not_executed &&
-                             !this->attempt->response_metadata().is_encoded;
-  if (!passes_events) {
+  if (!this->PassesEvents()) {
     if (!this->attempt->AppendBody(bytes)) {
       this->RejectResponse("the body is too long");
     }
@@ -316,6 +313,27 @@
   }
 }
 
+auto RequestHandler::PassesEvents() const -> bool {
+  const ResponseMetadata& metadata = this->attempt->response_metadata();
+  return this->route->kind == RouteKind::kStream &&
+         this->attempt->head().status < kFirstRedirect &&
+         metadata.is_event_stream && !metadata.not_executed &&
+         !metadata.is_encoded;
+}
+
+auto RequestHandler::IsStreamBrokenOff() const -> bool {
+  if (!this->PassesEvents()) {
+    return false;
+  }
+  // A text without events is no continuation of a stream, though it may be the
+  // whole answer to a request whose stream has not begun.
+  const bool is_text =
+      !this->event_splitter.has_event() && !this->event_splitter.rest().empty();
+  return this->event_splitter.IsBrokenOff(
+             !this->attempt->head().ends_with_connection) ||
+         (this->response->has_started() && is_text);
+}
+
 auto RequestHandler::ForwardEvents(std::string_view whole_events) -> void {
   this->RecordFirstByte();
   if (!this->response->has_started()) {
@@ -374,8 +392,7 @@
     this->RejectResponse("the seal is missing");
     return;
   }
-  if (this->route->kind == RouteKind::kStream && head.status < kFirstRedirect &&
-      this->event_splitter.IsBrokenOff(!head.ends_with_connection)) {
+  if (this->IsStreamBrokenOff()) {
     this->RecordCrashEvidence();
     this->RejectResponse("the stream ends early");
     return;
@@ -387,9 +404,10 @@
   this->crash_guard.RecordAnswer();
   const int status = this->attempt->head().status;
   const bool failed = status >= kFirstServerError;
+  const bool is_stream = this->PassesEvents() && status != kNoContent;
   const std::unique_ptr<UpstreamAttempt> finished = this->EndAttempt(
       failed ? UpstreamResult::kFailed : UpstreamResult::kSucceeded);
-  if (this->response->has_started() && status < kFirstRedirect) {
+  if (this->response->has_started() && is_stream) {
     this->FinishStream();
     return;
   }
--- a/programs/gateway/request_handler.h
+++ b/programs/gateway/request_handler.h
@@ -68,6 +68,11 @@
 
   // Events of the current attempt.
   auto OnBody(const std::string& bytes) -> void;
+  /** Returns whether the body of the current response is passed on event by
+     event: other bodies are collected. */
+  [[nodiscard]] auto PassesEvents() const -> bool;
+  /** Returns whether the response that has ended is no complete stream. */
+  [[nodiscard]] auto IsStreamBrokenOff() const -> bool;
   auto ForwardEvents(std::string_view whole_events) -> void;
   /** Records that the upstream has begun to answer. */
   auto RecordFirstByte() -> void;
