A connection that carried a refusal of an id never carries that id again

What callers would see: 'not run, try again' for a request that a server runs (REFUSED), which may then run twice (TWICE).

Cause: an answer is matched by the attempt's id. A second copy of a refusal, which arrives after the same id was sent again over the same kept connection, has the id that is expected.

A kept connection on which bytes or a close wait unread is not used either.

Result: StrayResponses.OfAnEarlierRefusalDoNotRefuseARequestThatRuns got 503 for a request that ran before, and 200 now. ThatLieOnAKeptConnectionAnswerNoRequest passed before, too: idle connections that receive bytes were closed, and others' ids and answers without one not believed.

--- a/modules/al_http1/http1_client_connection.h
+++ b/modules/al_http1/http1_client_connection.h
@@ -95,6 +95,12 @@
     return this->is_idle() && !this->closes_after_response;
   }
 
+  /** Returns whether bytes, or the server's close, wait to be read. On an idle
+     connection they belong to no request. */
+  [[nodiscard]] auto HasUnreadInput() const -> bool {
+    return this->connection->HasUnreadInput();
+  }
+
   [[nodiscard]] auto is_connected() const -> bool {
     return this->connection->is_connected();
   }
--- a/modules/al_net/tcp_connection.cc
+++ b/modules/al_net/tcp_connection.cc
@@ -3,6 +3,7 @@
 #include <arpa/inet.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -215,6 +216,11 @@
   return this->watch_token != 0;
 }
 
+auto TcpConnection::HasUnreadInput() const -> bool {
+  pollfd watched{this->descriptor, POLLIN, 0};
+  return this->is_open() && poll(&watched, 1, 0) > 0;
+}
+
 auto TcpConnection::OnReady(SocketPoller::Readiness readiness) -> void {
   if (!this->established) {
     if (!readiness.writable || !this->FinishConnect()) {
--- a/modules/al_net/tcp_connection.h
+++ b/modules/al_net/tcp_connection.h
@@ -112,6 +112,10 @@
   [[nodiscard]] auto is_connected() const -> bool { return this->established; }
   [[nodiscard]] auto is_open() const -> bool { return this->descriptor >= 0; }
 
+  /** Returns whether the kernel holds input, or the peer's close, that on_input
+     or on_end will report. Costs a system call. */
+  [[nodiscard]] auto HasUnreadInput() const -> bool;
+
   /** True once the kernel has accepted a byte. */
   [[nodiscard]] auto has_sent() const -> bool { return this->has_sent_bytes; }
 
--- a/programs/gateway/upstream_attempt.cc
+++ b/programs/gateway/upstream_attempt.cc
@@ -71,8 +71,10 @@
                                 now);
   }
   this->chosen.upstream->RecordEnd(this->pending_prefill, result, now);
-  this->context.connections.Release(record.id, this->http_connection,
-                                    this->metadata.idle_timeout);
+  this->context.connections.Release(
+      record.id, this->http_connection,
+      this->metadata.not_executed ? id : std::string(),
+      this->metadata.idle_timeout);
 }
 
 }  // namespace auburnloft::gateway
--- a/programs/gateway/upstream_connection_pool.h
+++ b/programs/gateway/upstream_connection_pool.h
@@ -30,18 +30,24 @@
   //============================================================================
   // Commands
 
-  /** Acquires a connection to the upstream `id` at `address`: an idle one, or a
-     new one while fewer than `max_open` are in use.
+  /** Acquires a connection to the upstream `id` at `address` for a request with
+     the id `attempt_id`: an idle one, or a new one while fewer than `max_open`
+     are in use. An idle one that has carried a refusal of this id is not used:
+     a copy of that refusal would be taken for the answer.
       @return null at the limit, or if no socket can be opened. */
   [[nodiscard]] auto Acquire(const std::string& id,
                              std::string_view address,
+                             std::string_view attempt_id,
                              int max_open) -> Connection;
 
   /** Releases a connection, which is kept if it is reusable.
+      @param refused_id  the attempt id of the request if the upstream refused
+        it, else empty.
       @param idle_timeout  how long the upstream keeps idle connections, if its
         response states it. */
   auto Release(const std::string& id,
                const Connection& connection,
+               const std::string& refused_id,
                std::optional<Duration> idle_timeout) -> void;
 
   /** Closes the idle connections to an upstream that accepts no more requests.
@@ -62,8 +68,16 @@
   struct Group {
     std::vector<IdleConnection> idle;
     int in_use = 0;
+    /** Refused requests, by connection that carried them. */
+    std::unordered_map<const Http1ClientConnection*, std::vector<std::string>>
+        refused;
   };
 
+  /** Returns whether the connection may carry a request with the id. */
+  [[nodiscard]] static auto MayCarry(const Group& group,
+                                     const Connection& connection,
+                                     std::string_view attempt_id) -> bool;
+
   auto RemoveIdle(const std::string& id,
                   const Http1ClientConnection* connection) -> void;
 
--- a/programs/gateway/upstream_dispatch.cc
+++ b/programs/gateway/upstream_dispatch.cc
@@ -78,8 +78,8 @@
       return nullptr;
     }
     const UpstreamRecord& record = choice->upstream->record();
-    if (auto connection =
-            context.connections.Acquire(record.id, record.address, bound)) {
+    if (auto connection = context.connections.Acquire(
+            record.id, record.address, parameters.metadata.attempt_id, bound)) {
       return std::make_unique<UpstreamAttempt>(context, std::move(*choice),
                                                std::move(connection));
     }
--- a/tests/gateway/stray_response_test.cc
+++ b/tests/gateway/stray_response_test.cc
@@ -165,3 +165,60 @@
     this->fixture.RunFor(kRecovery);
   }
 }
+
+// Guards against 'not run, try again' for a request that a server runs: the
+// server writes its earlier refusal of the same id once more on a kept
+// connection when the request is sent again.
+TEST(StrayResponses, OfAnEarlierRefusalDoNotRefuseARequestThatRuns) {
+  Arrival first;
+  int runs = 0;
+  const auto refusal = [](const Arrival& arrival) {
+    return Head(arrival, "503 Full", Fields({kNotRun}, WithLength(kText)));
+  };
+  this->desk.SetScript([&](const Arrival& arrival) {
+    if (arrival.number == 1) {
+      first = arrival;
+      arrival.send(refusal(arrival));
+      return;
+    }
+    ++runs;
+    first.send(refusal(first));
+    this->After(milliseconds(30), [arrival] {
+      arrival.send(RawUpstream::Whole(arrival.id, "ran"));
+    });
+  });
+  CHECK_EQUAL(503, this->Call("a1", "/once/").status);
+  const auto response = this->Call("a1", "/once/");
+  CHECK_EQUAL(1, runs);
+  CHECK_EQUAL(200, response.status);
+  CHECK_EQUAL(std::string("ran"), response.body);
+}
+
+// Guards against the same copy where it comes earlier: it lies unread on the
+// kept connection when the next request is sent, with an id or without one.
+TEST(StrayResponses, ThatLieOnAKeptConnectionAnswerNoRequest) {
+  for (const bool has_id : {true, false}) {
+    const std::string name = has_id ? "id" : "none";
+    this->desk.SetScript([&](const Arrival& arrival) {
+      if (arrival.id == "first-" + name) {
+        arrival.send(
+            Head(arrival, "503 Full", Fields({kNotRun}, WithLength(kText))));
+        this->After(milliseconds(5), [arrival, has_id] {
+          Arrival copy = arrival;
+          copy.id = has_id ? arrival.id : "";
+          arrival.send(has_id ? Head(copy, "503 Full",
+                                     Fields({kNotRun}, WithLength(kText)))
+                              : "HTTP/1.1 503 Full\r\n" +
+                                    Fields({kNotRun}, WithLength(kText)));
+        });
+        return;
+      }
+      arrival.send(RawUpstream::Whole(arrival.id, "ran"));
+    });
+    CHECK_EQUAL(503, this->Call("first-" + name, "/once/").status);
+    this->fixture.RunFor(milliseconds(20));
+    const auto response = this->Call("second-" + name, "/once/");
+    CHECK_EQUAL(200, response.status);
+    CHECK_EQUAL(std::string("ran"), response.body);
+  }
+}
