A success releases a request that this router knows from the log only

Cause: found in review. The success of a whole request counted only with a failure known, which a router that has read nothing but quarantines does not have.

Change: the success of a quarantined request is recorded, and every one that is reported.

Result: DeadlyRequests.AreReleasedByRoutersThatReadOfThemOnly failed before.

--- a/modules/al_gateway/quarantine/crash_evidence.cc
+++ b/modules/al_gateway/quarantine/crash_evidence.cc
@@ -228,10 +228,6 @@
 auto CrashEvidence::RecordSuccess(std::string_view suspect,
                                   Instant Successes::*kind,
                                   Instant at) -> void {
-  if (IsWholeRequest(suspect) &&
-      !this->whole_requests.contains(std::string(suspect))) {
-    return;
-  }
   const auto [found, is_new] =
       this->successes.try_emplace(std::string(suspect));
   found->second.*kind = std::max(found->second.*kind, at);
--- a/modules/al_gateway/quarantine/crash_evidence.h
+++ b/modules/al_gateway/quarantine/crash_evidence.h
@@ -83,8 +83,7 @@
   auto ReplaceFailures(std::string_view reporter,
                        std::span<const CrashReport::Failure> failures) -> void;
 
-  /** Records a success at this router. That of a whole request without a known
-     failure is ignored. */
+  /** Records a success at this router. */
   auto RecordOwnSuccess(std::string_view suspect, Instant at) -> void;
 
   /** Records a success that a router, perhaps this one, has reported. */
@@ -132,6 +131,11 @@
      suspect since its last success. */
   [[nodiscard]] auto CountUpstreams(std::string_view suspect) const -> int;
 
+  /** Returns whether a failure of the whole request `suspect` is known. */
+  [[nodiscard]] auto HasFailed(const std::string& suspect) const -> bool {
+    return this->whole_requests.contains(suspect);
+  }
+
   /** Returns whether a failure of a whole request is known. */
   [[nodiscard]] auto has_whole_requests() const -> bool {
     return !this->whole_requests.empty();
--- a/modules/al_gateway/quarantine/crash_quarantine.cc
+++ b/modules/al_gateway/quarantine/crash_quarantine.cc
@@ -108,8 +108,14 @@
                                     Instant now) -> void {
   bool releases = false;
   for (const std::string& suspect : suspects) {
-    this->evidence.RecordOwnSuccess(suspect, now);
-    releases = releases || this->by_suspect.contains(suspect);
+    const bool is_quarantined = this->by_suspect.contains(suspect);
+    // Without a failure, the success of a whole request tells nothing, and
+    // there are as many as requests.
+    if (!IsWholeRequest(suspect) || is_quarantined ||
+        this->evidence.HasFailed(suspect)) {
+      this->evidence.RecordOwnSuccess(suspect, now);
+    }
+    releases = releases || is_quarantined;
   }
   if (releases) {
     this->Evaluate(now);
--- a/modules/al_gateway/quarantine/crash_report.h
+++ b/modules/al_gateway/quarantine/crash_report.h
@@ -14,7 +14,8 @@
 struct CrashReport {
   /** An upstream ended a request without an answer. */
   struct Failure {
-    std::string upstream;  ///< Its id and start.
+    std::string upstream;  ///< Its id and start, and after an end that is not
+                           ///< yet in its record, the number of ends.
     std::vector<std::string>
         suspects;  ///< From the most shared one to the least.
     Instant at{};
@@ -23,7 +24,7 @@
     auto operator==(const Failure&) const -> bool = default;
   };
 
-  /** An upstream sent an event to a request with the suspect. */
+  /** An upstream answered a request with the suspect. */
   struct Success {
     std::string suspect;
     Instant at{};
--- a/tests/gateway/crash_quarantine_test.cc
+++ b/tests/gateway/crash_quarantine_test.cc
@@ -682,6 +682,32 @@
   }
 }
 
+// Guards against a quarantine that outlives its cause: routers that know it
+// only from the log release the request by a trial that is answered, and one
+// that an operator has released is not taken over again.
+TEST(DeadlyRequests, AreReleasedByRoutersThatReadOfThemOnly) {
+  for (int number = 0; number < 3; ++number) {
+    this->Repeat(number);
+    this->fleet->Advance(seconds(1));
+  }
+  this->fleet->Advance(seconds(35));
+  const std::string& suspect = this->deadly.front();
+  // The second time, no record tells of the failures any more.
+  for (int loss = 0; loss < 2; ++loss) {
+    for (int router = 0; router < this->fleet->size(); ++router) {
+      this->fleet->Restart(router);
+    }
+    this->fleet->Advance(seconds(1));
+  }
+  CHECK_TRUE(this->fleet->DecideFor(0, this->deadly).is_trial);
+  this->fleet->At(0).BeginTrial(suspect, this->fleet->now);
+  CHECK_TRUE(this->fleet->At(0).awaits_success());
+  this->fleet->At(0).RecordSuccess(this->deadly, this->fleet->now);
+  CHECK_TRUE(this->fleet->DecideFor(0, this->deadly).is_allowed);
+  this->fleet->Advance(seconds(1));
+  CHECK_TRUE(this->fleet->DecideFor(5, this->deadly).is_allowed);
+}
+
 // Guards against a trial without a result that is repeated: it counts when it
 // is sent, unless no server executed it.
 TEST(DeadlyRequests, CountTrialsWhenTheyAreSent) {
