A probe of an upstream is closed after 10 ms

Cause: the probe of UpstreamEndDetector stayed open for up to 100 ms after it was accepted, to see whether an intermediary closes it, and may hold a slot of the upstream so long.

Change: a timer closes it after 10 ms.

--- a/programs/gateway/upstream_end_detector.cc
+++ b/programs/gateway/upstream_end_detector.cc
@@ -15,10 +15,13 @@
 /** Timeout of a probe: as for connections that carry requests. */
 constexpr Duration kProbeTimeout = std::chrono::milliseconds(400);
 
-/** Interval of the checks. A probe that was accepted stays open until the next
-   one, as it may hold a slot of the upstream: time enough for an intermediary
-   that does not reach the process to close it. */
-constexpr Duration kCheckInterval = std::chrono::milliseconds(100);
+/** How long a probe that was accepted stays open: time enough for an
+   intermediary that does not reach the process to close it. Not longer, as a
+   connection may hold a slot of the upstream. */
+constexpr Duration kProbeHold = std::chrono::milliseconds(10);
+
+/** Records are read each 400 ms. */
+constexpr Duration kCheckInterval = std::chrono::milliseconds(200);
 
 }  // namespace
 
@@ -54,24 +57,34 @@
                                 Observation& observation) -> void {
   TcpConnection::Callbacks on_probe;
   on_probe.on_connected = [this, process = upstream.process()] {
-    this->callbacks.on_accepted(process);
+    this->OnAccepted(process);
   };
   on_probe.on_end = [this, process = upstream.process()](TcpCloseReason why) {
     if (why != TcpCloseReason::kNotConnected) {
       this->ReportEnd(process);
     }
   };
+  observation.hold_timer.reset();
   observation.probe = TcpConnection::Connect(
       this->poller, upstream.address, kProbeTimeout, std::move(on_probe));
 }
 
+auto UpstreamEndDetector::OnAccepted(const UpstreamProcess& upstream) -> void {
+  const auto found = this->observations.find(upstream);
+  if (found == this->observations.end()) {
+    return;
+  }
+  // A raw pointer is safe: the observation owns the timer and the probe.
+  found->second.hold_timer = std::make_unique<LoopTimer>(
+      this->poller.loop(), [raw = found->second.probe.get()] { raw->Close(); });
+  found->second.hold_timer->Start(kProbeHold);
+  this->callbacks.on_accepted(upstream);
+}
+
 auto UpstreamEndDetector::CheckRecords() -> void {
   const Instant now = this->poller.loop().Now();
   std::vector<UpstreamProcess> ended;
   for (const auto& [upstream, observation] : this->observations) {
-    if (observation.probe && observation.probe->is_connected()) {
-      observation.probe->Close();
-    }
     if (!this->upstreams.Contains(upstream)) {
       ended.push_back(upstream);
     }
--- a/programs/gateway/upstream_end_detector.h
+++ b/programs/gateway/upstream_end_detector.h
@@ -60,9 +60,11 @@
   struct Observation {
     Instant ends_at{};
     std::shared_ptr<TcpConnection> probe;
+    std::unique_ptr<LoopTimer> hold_timer;  ///< Closes an accepted probe.
   };
 
   auto Probe(const UpstreamRecord& upstream, Observation& observation) -> void;
+  auto OnAccepted(const UpstreamProcess& upstream) -> void;
   auto CheckRecords() -> void;
   /** Ends the observation; calls on_ended if the process was observed. */
   auto ReportEnd(const UpstreamProcess& upstream) -> void;
