--- a/standins/wire/main.cc
+++ b/standins/wire/main.cc
@@ -33,10 +33,7 @@
   return call;
 }
 
-}  // namespace
-
-auto main(int argc, char** argv) -> int {
-  SettingsReader settings("A stand-in for an upstream of the users' platform.");
+auto DeclareSettings(SettingsReader& settings) -> void {
   settings.DeclareRequiredText("id", "id of this upstream");
   settings.DeclareAddress("address", "address to listen on, as ip:port");
   settings.DeclareRequiredText("service",
@@ -56,6 +53,13 @@
                           10'000);
   settings.DeclareInteger("between-us", "microseconds between two events",
                           10'000, 0, 10'000'000);
+}
+
+}  // namespace
+
+auto main(int argc, char** argv) -> int {
+  SettingsReader settings("A stand-in for an upstream of the users' platform.");
+  DeclareSettings(settings);
   if (!settings.Read(argc, argv)) {
     std::cerr << settings.findings().ToText();
     return kBadUsage;
