Drop a doubted failure in time, too

What callers would see: a request refused although it never ended a server: its connections were reset, the servers ran on, and ended later for another reason.

Cause: found in the review of the change.

--- a/modules/al_gateway/quarantine/crash_evidence.cc
+++ b/modules/al_gateway/quarantine/crash_evidence.cc
@@ -255,7 +255,7 @@
       });
     }
     const bool is_unconfirmed =
-        entry.certainty == Certainty::kPossible && age >= kConfirmationTime;
+        entry.certainty != Certainty::kConfirmed && age >= kConfirmationTime;
     return entry.failure.suspects.empty() || age >= kWholeRequestLifetime ||
            is_unconfirmed;
   });
--- a/tests/gateway/crash_quarantine_test.cc
+++ b/tests/gateway/crash_quarantine_test.cc
@@ -640,6 +640,24 @@
   CHECK_TRUE(this->Repeat(1));
 }
 
+// Guards against an old reset that counts as a crash once its server, which ran
+// on, ends for another reason.
+TEST(DeadlyRequests, AreNotThoseOfServersThatEndMuchLater) {
+  for (int number = 0; number < 3; ++number) {
+    const UpstreamProcess server{"server-" + std::to_string(number), 1};
+    this->fleet->At(1).RecordFailure(server, this->deadly,
+                                     this->fleet->now - milliseconds(40),
+                                     this->fleet->now);
+    this->fleet->At(1).DoubtEnd(server, this->fleet->now);
+    this->fleet->now += seconds(20);
+    this->fleet->At(1).RecordFailure(server, WholeRequest("/other"),
+                                     this->fleet->now, this->fleet->now);
+    this->fleet->At(1).ConfirmEnd(server, this->fleet->now);
+  }
+  this->fleet->Advance(seconds(3));
+  CHECK_TRUE(this->Repeat(1));
+}
+
 // Guards against a popular request that is near each crash: a later answer to
 // the same request, at any router, clears it.
 TEST(DeadlyRequests, AreNotThoseThatAreAnswered) {
