Collect the whole requests that failed once, not with each failure of a report

Each report of another router replaces up to 32 failures, and each of these rebuilt the set from up to 1,024. One is inserted now; the set is rebuilt where failures expire. No other change of behaviour: a dropped one stays in the set until then, which records a success too many at most.

--- a/modules/al_gateway/quarantine/crash_evidence.cc
+++ b/modules/al_gateway/quarantine/crash_evidence.cc
@@ -164,9 +164,12 @@
     this->failures.pop_front();
   }
   this->newest_at = std::max(this->newest_at, failure.at);
+  // Those of dropped failures go when Expire() collects all again.
+  if (!failure.suspects.empty() && IsWholeRequest(failure.suspects.back())) {
+    this->whole_requests.insert(failure.suspects.back());
+  }
   this->failures.push_back(
       {std::string(reporter), std::move(failure), certainty});
-  this->UpdateWholeRequests();
 }
 
 auto CrashEvidence::DropOne(std::string_view reporter) -> void {
--- a/modules/al_gateway/quarantine/crash_evidence.h
+++ b/modules/al_gateway/quarantine/crash_evidence.h
@@ -190,7 +190,8 @@
                             Instant at,
                             ClearedBy cleared_by) const -> bool;
   auto DropOne(std::string_view reporter) -> void;
-  /** Collects the whole requests that failed; call it after each change. */
+  /** Collects the whole requests that failed anew, after failures were dropped.
+   */
   auto UpdateWholeRequests() -> void;
 
   [[nodiscard]] auto SuccessesOf(std::string_view suspect) const -> Successes;
