--- a/review/stage.sh
+++ b/review/stage.sh
@@ -8,7 +8,7 @@
 record=$case_folder/record.txt
 trouble=${TROUBLE:-1}
 work=$(mktemp -d)
-children=()
+children=() keepers=()
 
 cannot_run() {
   echo "cannot run: $*"
@@ -21,12 +21,16 @@
   echo "verdict: $*"
 }
 
-# Ends all processes that were started, by their ids.
+# Ends all processes that were started, by their ids. A keeper of a router ends by itself once its router has ended.
 finish() {
-  local pid file
+  local pid file tries
   touch "$work/stop"
-  for file in "$work"/router-*.pid; do
-    [ -f "$file" ] && kill -KILL "$(cat "$file")" 2>/dev/null
+  for tries in $(seq 50); do
+    for file in "$work"/router-*.pid; do
+      [ -f "$file" ] && kill -KILL "$(cat "$file")" 2>/dev/null
+    done
+    kill -0 "${keepers[@]}" 2>/dev/null || break
+    sleep 0.1
   done
   for pid in "${children[@]}"; do
     kill -KILL "$pid" 2>/dev/null
@@ -92,6 +96,7 @@
     echo $! >"$work/router-$number.pid"
     wait $!
     status=$?
+    rm -f "$work/router-$number.pid"
     [ -e "$work/stop" ] && return
     note "router edge-$number ended by itself, status $status: $(grep -A1 -E '^terminate|what' "$work/router-$number.log" | tail -2 | tr '\n' ' ')"
     sleep 1
@@ -102,7 +107,7 @@
   local number tries
   for ((number = 1; number <= routers; number++)); do
     keep_router "$number" 2>/dev/null &
-    children+=($!)
+    keepers+=($!)
   done
   for ((number = 1; number <= routers; number++)); do
     for tries in $(seq 100); do
