Take no memory for a stated length

Cause: the string body of Boost.Beast reserves the stated length when the body begins, and std::bad_alloc left the loop. Requests used it too, with the limit of the configuration.

Change: a body type that grows as bytes arrive, in both readers.

--- a/modules/al_http1/beast_parsing.h
+++ b/modules/al_http1/beast_parsing.h
@@ -2,8 +2,14 @@
 #define AL_HTTP1_BEAST_PARSING_H_
 
 #include <boost/asio/buffer.hpp>
+#include <boost/beast/core/buffer_traits.hpp>
+#include <boost/beast/core/buffers_range.hpp>
 #include <boost/beast/http/error.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/optional.hpp>
 #include <cstddef>
+#include <cstdint>
+#include <string>
 #include <string_view>
 
 #include "al_http1/http1_message.h"
@@ -12,6 +18,43 @@
    their .cc files, so that no other file depends on Boost.Beast. */
 namespace auburnloft {
 
+/** The body of a Boost.Beast message that grows as its bytes arrive. The string
+   body of the library reserves the stated length when the body begins: a peer
+   that states a length which it never sends would take that memory, or end the
+   process if it cannot be reserved. */
+struct ArrivedBody {
+  using value_type = std::string;
+
+  class reader {
+   public:
+    template <bool is_request, typename Fields>
+    reader(boost::beast::http::header<is_request, Fields>& /*header*/,
+           value_type& body)
+        : body(body) {}
+
+    auto init(const boost::optional<std::uint64_t>& /*stated_length*/,
+              boost::beast::error_code& error) -> void {
+      error = {};
+    }
+
+    template <typename Buffers>
+    auto put(const Buffers& buffers, boost::beast::error_code& error)
+        -> std::size_t {
+      for (const boost::asio::const_buffer part :
+           boost::beast::buffers_range_ref(buffers)) {
+        this->body.append(static_cast<const char*>(part.data()), part.size());
+      }
+      error = {};
+      return boost::beast::buffer_bytes(buffers);
+    }
+
+    auto finish(boost::beast::error_code& error) -> void { error = {}; }
+
+   private:
+    value_type& body;
+  };
+};
+
 /** The result of FeedParser(). */
 struct ParserProgress {
   std::size_t used = 0;            ///< Bytes consumed.
--- a/modules/al_http1/http1_request_reader.cc
+++ b/modules/al_http1/http1_request_reader.cc
@@ -1,7 +1,6 @@
 #include "al_http1/http1_request_reader.h"
 
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <utility>
 
 #include "al_http1/beast_parsing.h"
@@ -29,7 +28,7 @@
 }  // namespace
 
 struct Http1RequestReader::Parser {
-  http::request_parser<http::string_body> beast;
+  http::request_parser<ArrivedBody> beast;
 };
 
 Http1RequestReader::Http1RequestReader(const Http1RequestLimits& limits)
--- a/modules/al_http1/http1_response_reader.cc
+++ b/modules/al_http1/http1_response_reader.cc
@@ -1,7 +1,6 @@
 #include "al_http1/http1_response_reader.h"
 
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <boost/optional.hpp>
 #include <utility>
 
@@ -19,7 +18,7 @@
 }  // namespace
 
 struct Http1ResponseReader::Parser {
-  http::response_parser<http::string_body> beast;
+  http::response_parser<ArrivedBody> beast;
 };
 
 Http1ResponseReader::Http1ResponseReader(bool is_head_request)
--- a/tests/gateway/hostile_upstream_test.cc
+++ b/tests/gateway/hostile_upstream_test.cc
@@ -135,6 +135,13 @@
   this->CheckGivesUp(RawUpstream::Head("a1", ""), "1234567890");
 }
 
+// Guards against a stated length that no memory holds: it cost the process.
+TEST(HostileUpstreams, AreGivenUpWithABodyOfAnEnormousStatedLength) {
+  this->CheckGivesUp(
+      RawUpstream::Head("a1", "Content-Length: 1000000000000000\r\n") + "1",
+      "1234567890");
+}
+
 TEST(HostileUpstreams, AreGivenUpWithChunksWithoutEnd) {
   this->CheckGivesUp(RawUpstream::Head("a1", "Transfer-Encoding: chunked\r\n"),
                      "4\r\n1234\r\n");
--- a/tests/gateway/http1_test.cc
+++ b/tests/gateway/http1_test.cc
@@ -1,4 +1,6 @@
 // HTTP/1.1 framing of the bytes that callers and faulty upstreams send.
+#include <limits>
+
 #include "al_edge/loop/event_loop.h"
 #include "al_http1/al_http1.h"
 #include "al_net/socket_poller.h"
@@ -78,6 +80,26 @@
   CHECK_EQUAL(413, body.error_status());
 }
 
+// Guards against a peer that states a length which nobody can reserve: the body
+// takes memory as it arrives only, in both directions.
+TEST(Http1, ReservesNothingForAStatedLength) {
+  for (const std::string_view length :
+       {"1000000000000000", "9223372036854775807", "18446744073709551615"}) {
+    const std::string rest =
+        "Content-Length: " + std::string(length) + "\r\n\r\nab";
+    Http1ResponseReader response(false);
+    response.Feed("HTTP/1.1 200 OK\r\n" + rest);
+    CHECK_FALSE(response.has_failed());
+    CHECK_EQUAL(std::string("ab"), response.TakeBody());
+    Http1RequestLimits limits;
+    limits.body_bytes = std::numeric_limits<std::size_t>::max();
+    Http1RequestReader request(limits);
+    request.Feed("POST / HTTP/1.1\r\n" + rest);
+    CHECK_EQUAL(0, request.error_status());
+    CHECK_FALSE(request.is_done());
+  }
+}
+
 TEST(Http1, RemovesHopByHopFields) {
   Http1Fields fields;
   fields.Add("Connection", "keep-alive, X-Hop");
