Accept a response whose head comes in a packet of its own

Callers of sound servers got 502 where the server sent the head of a response with a length before its body; a request that may not be repeated was lost.

Cause: Boost.Beast 1.74 takes any stated length for one over a limit of none, unless more input follows the head in the same call.

Change: the limit is the largest length.

--- a/modules/al_http1/http1_response_reader.cc
+++ b/modules/al_http1/http1_response_reader.cc
@@ -1,7 +1,8 @@
 #include "al_http1/http1_response_reader.h"
 
 #include <boost/beast/http/parser.hpp>
-#include <boost/optional.hpp>
+#include <cstdint>
+#include <limits>
 #include <utility>
 
 #include "al_http1/beast_parsing.h"
@@ -25,7 +26,9 @@
     : parser(std::make_unique<Parser>()) {
   this->parser->beast.eager(true);
   this->parser->beast.header_limit(kMaxHeaderBytes);
-  this->parser->beast.body_limit(boost::none);
+  // Not boost::none: Boost.Beast 1.74 takes any stated length for one over that
+  // limit if the head ends where the input does.
+  this->parser->beast.body_limit(std::numeric_limits<std::uint64_t>::max());
   if (is_head_request) {
     this->parser->beast.skip(true);
   }
--- a/tests/gateway/hostile_upstream_test.cc
+++ b/tests/gateway/hostile_upstream_test.cc
@@ -167,6 +167,21 @@
   this->CheckGivesUp("", "HTTP/1.1 100 Continue\r\n\r\n");
 }
 
+// A sound upstream that sends the head of a response before its body: a request
+// that may not be repeated would be lost.
+TEST(HostileUpstreams, AreNotThoseThatSendTheHeadAlone) {
+  std::unique_ptr<LoopTimer> body_timer;
+  this->desk.SetScript([&](const Arrival& arrival) {
+    arrival.send(RawUpstream::Head(arrival.id, "Content-Length: 5\r\n"));
+    body_timer = std::make_unique<LoopTimer>(
+        this->fixture.loop, [send = arrival.send] { send("whole"); });
+    body_timer->Start(milliseconds(100));
+  });
+  const auto response = this->Call("a1", "/once/");
+  CHECK_EQUAL(200, response.status);
+  CHECK_EQUAL(std::string("whole"), response.body);
+}
+
 // A stream that sends bytes but no event ends is no stream.
 TEST(HostileUpstreams, AreGivenUpWithAnEventWithoutEnd) {
   this->engine.SetScript([&](const Arrival& arrival) {
--- a/tests/gateway/http1_test.cc
+++ b/tests/gateway/http1_test.cc
@@ -80,6 +80,18 @@
   CHECK_EQUAL(413, body.error_status());
 }
 
+// Guards against a response that is taken for malformed because its head comes
+// in a packet of its own.
+TEST(Http1, ReadsAResponseWhoseHeadComesAlone) {
+  Http1ResponseReader reader(false);
+  reader.Feed("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n");
+  CHECK_FALSE(reader.has_failed());
+  CHECK_TRUE(reader.has_header());
+  reader.Feed("ab");
+  CHECK_TRUE(reader.is_done());
+  CHECK_EQUAL(std::string("ab"), reader.TakeBody());
+}
+
 // Guards against a peer that states a length which nobody can reserve: the body
 // takes memory as it arrives only, in both directions.
 TEST(Http1, ReservesNothingForAStatedLength) {
