Refuse long trailers in place of ending with an exception

The same trailer in a request ended it at each of its addresses, without a key.

Cause: Boost.Beast's fields throw std::length_error for 64 KiB. The parser's limit looked at what was left unread, but a trailer of up to 256 KiB is parsed at once.

Change: MessageParser collects a message's parts itself, and counts trailers and chunk extensions as they are parsed.

--- a/modules/al_http1/http1_request_reader.cc
+++ b/modules/al_http1/http1_request_reader.cc
@@ -1,14 +1,11 @@
 #include "al_http1/http1_request_reader.h"
 
-#include <boost/beast/http/parser.hpp>
 #include <utility>
 
-#include "al_http1/beast_parsing.h"
+#include "al_http1/message_parser.h"
 
 namespace auburnloft {
 
-namespace http = boost::beast::http;
-
 namespace {
 
 constexpr int kBadRequest = 400;
@@ -16,10 +13,10 @@
 constexpr int kHeaderTooLarge = 431;
 
 auto StatusFor(const boost::beast::error_code& error) -> int {
-  if (error == http::error::header_limit) {
+  if (error == boost::beast::http::error::header_limit) {
     return kHeaderTooLarge;
   }
-  if (error == http::error::body_limit) {
+  if (error == boost::beast::http::error::body_limit) {
     return kContentTooLarge;
   }
   return kBadRequest;
@@ -27,52 +24,48 @@
 
 }  // namespace
 
-struct Http1RequestReader::Parser {
-  http::request_parser<ArrivedBody> beast;
+struct Http1RequestReader::Parser : MessageParser<true> {
+  using MessageParser::MessageParser;
 };
 
 Http1RequestReader::Http1RequestReader(const Http1RequestLimits& limits)
-    : parser(std::make_unique<Parser>()) {
-  this->parser->beast.eager(true);
-  this->parser->beast.header_limit(
-      static_cast<std::uint32_t>(limits.header_bytes));
-  this->parser->beast.body_limit(limits.body_bytes);
+    : parser(std::make_unique<Parser>(limits.header_bytes)) {
+  this->parser->body_limit(limits.body_bytes);
 }
 
 Http1RequestReader::~Http1RequestReader() = default;
 
 auto Http1RequestReader::Feed(std::string_view bytes) -> std::size_t {
   this->has_bytes = this->has_bytes || (!bytes.empty() && !this->is_done());
-  const ParserProgress progress = FeedParser(this->parser->beast, bytes);
-  if (progress.error) {
-    this->error = StatusFor(progress.error);
+  const std::size_t used = this->parser->Feed(bytes);
+  if (this->parser->error()) {
+    this->error = StatusFor(this->parser->error());
   }
-  return progress.used;
+  return used;
 }
 
 auto Http1RequestReader::TakeRequest() -> Http1Request {
-  auto message = this->parser->beast.release();
   Http1Request request;
-  request.method = std::string(message.method_string());
-  request.target = std::string(message.target());
-  CopyFields(message, request.fields);
-  request.keeps_alive = message.keep_alive();
-  request.body = std::move(message.body());
+  request.method = std::move(this->parser->method);
+  request.target = std::move(this->parser->target);
+  request.fields = std::move(this->parser->fields);
+  request.body = std::move(this->parser->body);
+  request.keeps_alive = this->parser->keep_alive();
   return request;
 }
 
 auto Http1RequestReader::is_done() const -> bool {
-  return this->parser->beast.is_done();
+  return this->parser->is_done();
 }
 
 auto Http1RequestReader::has_header() const -> bool {
-  return this->parser->beast.is_header_done();
+  return this->parser->is_header_done();
 }
 
 auto Http1RequestReader::expects_continue() const -> bool {
-  const auto& fields = this->parser->beast.get();
-  return this->has_header() &&
-         boost::beast::iequals(fields[http::field::expect], "100-continue");
+  const auto expected = this->parser->fields.Find("Expect");
+  return this->has_header() && expected &&
+         EqualFieldNames(*expected, "100-continue");
 }
 
 }  // namespace auburnloft
--- /dev/null
+++ b/modules/al_http1/message_parser.h
@@ -0,0 +1,181 @@
+#ifndef AL_HTTP1_MESSAGE_PARSER_H_
+#define AL_HTTP1_MESSAGE_PARSER_H_
+
+#include <algorithm>
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/basic_parser.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/optional.hpp>
+#include <cstddef>
+#include <cstdint>
+#include <limits>
+#include <string>
+#include <string_view>
+
+#include "al_http1/http1_message.h"
+
+namespace auburnloft {
+
+/** The parser of Http1RequestReader and Http1ResponseReader. Included only by
+   their .cc files, so that no other file depends on Boost.Beast.
+
+   Collects the parts of a message itself, rather than in the containers of the
+   library: their field list throws for a field of 64 KiB, and their body
+   reserves the stated length. What a message makes the parser keep is bounded
+   by the bytes that have arrived, and apart from the body by the limits below;
+   no input makes it throw.
+
+   Thread safety: none; use on one thread.
+*/
+template <bool is_request>
+class MessageParser : public boost::beast::http::basic_parser<is_request> {
+ public:
+  using Error = boost::beast::error_code;
+
+  explicit MessageParser(std::size_t max_header_bytes) {
+    this->eager(true);
+    this->header_limit(static_cast<std::uint32_t>(std::min<std::size_t>(
+        max_header_bytes, std::numeric_limits<std::uint32_t>::max())));
+    // Not boost::none: Boost.Beast 1.74 takes any stated length for one over
+    // that limit if the header ends where the input does.
+    this->body_limit(std::numeric_limits<std::uint64_t>::max());
+  }
+
+  //============================================================================
+  // Commands
+
+  /** Parses bytes until the message is complete, more input is needed, or the
+     message is invalid. @return the number of bytes consumed. */
+  auto Feed(std::string_view bytes) -> std::size_t {
+    std::size_t used = 0;
+    while (used < bytes.size() && !this->is_done()) {
+      const std::string_view rest = bytes.substr(used);
+      if (this->NeedsMoreFirst(rest)) {
+        break;
+      }
+      Error status;
+      const std::size_t count = this->put(
+          boost::asio::const_buffer(rest.data(), rest.size()), status);
+      used += count;
+      if (status && status != boost::beast::http::error::need_more) {
+        this->failure = status;
+      }
+      if (status || count == 0) {
+        break;
+      }
+    }
+    if (!this->failure && this->is_header_done() && !this->is_done() &&
+        bytes.size() - used >= kMaxFramingBytes) {
+      this->failure = boost::beast::http::error::header_limit;
+    }
+    return used;
+  }
+
+  //============================================================================
+  // Queries
+
+  /** Set if the message is invalid. */
+  [[nodiscard]] auto error() const -> const Error& { return this->failure; }
+
+  std::string method;  ///< Of a request, as is the target.
+  std::string target;
+  int status = 0;  ///< Of a response, as is the reason phrase.
+  std::string reason;
+  Http1Fields fields;
+  std::string body;
+
+ private:
+  using StringView = boost::beast::string_view;
+
+  /** Maximum size of what is no content of a body: the extensions of all chunks
+     together, the size line of a chunk, and the trailer section. As large as
+     the usual limit of a header. */
+  static constexpr std::size_t kMaxFramingBytes = std::size_t{64} * 1024;
+
+  /** The shortest rest of a chunked body at a chunk's size line: the last chunk
+     and an empty trailer section. */
+  static constexpr std::size_t kMinChunkedRest = 5;
+
+  /** Returns whether the parser must not be called with `rest`: within the last
+     chunk, Boost.Beast 1.74 fails an assertion if it gets fewer bytes than the
+     rest must have, as happens if a server sends it in two parts. */
+  [[nodiscard]] auto NeedsMoreFirst(std::string_view rest) const -> bool {
+    return rest.size() < kMinChunkedRest && this->is_header_done() &&
+           this->chunked();
+  }
+
+  /** Adds to a size that has a limit. */
+  static auto Count(std::size_t& total,
+                    std::size_t more,
+                    std::size_t limit,
+                    Error& error) -> void {
+    total += more;
+    if (total > limit) {
+      error = boost::beast::http::error::header_limit;
+    }
+  }
+
+  auto on_request_impl(boost::beast::http::verb /*verb*/,
+                       StringView method_text,
+                       StringView target_text,
+                       int /*version*/,
+                       Error& /*error*/) -> void override {
+    this->method = std::string(method_text);
+    this->target = std::string(target_text);
+  }
+
+  auto on_response_impl(int code,
+                        StringView reason_text,
+                        int /*version*/,
+                        Error& /*error*/) -> void override {
+    this->status = code;
+    this->reason = std::string(reason_text);
+  }
+
+  auto on_field_impl(boost::beast::http::field /*known*/,
+                     StringView name,
+                     StringView value,
+                     Error& error) -> void override {
+    if (this->is_header_done()) {
+      Count(this->trailer_bytes, name.size() + value.size(), kMaxFramingBytes,
+            error);
+    }
+    if (!error) {
+      this->fields.Add({name.data(), name.size()},
+                       {value.data(), value.size()});
+    }
+  }
+
+  auto on_header_impl(Error& /*error*/) -> void override {}
+
+  auto on_body_init_impl(const boost::optional<std::uint64_t>& /*length*/,
+                         Error& /*error*/) -> void override {}
+
+  auto on_body_impl(StringView part, Error& /*error*/) -> std::size_t override {
+    this->body.append(part.data(), part.size());
+    return part.size();
+  }
+
+  auto on_chunk_header_impl(std::uint64_t /*size*/,
+                            StringView extensions,
+                            Error& error) -> void override {
+    Count(this->extension_bytes, extensions.size(), kMaxFramingBytes, error);
+  }
+
+  auto on_chunk_body_impl(std::uint64_t /*remain*/,
+                          StringView part,
+                          Error& /*error*/) -> std::size_t override {
+    this->body.append(part.data(), part.size());
+    return part.size();
+  }
+
+  auto on_finish_impl(Error& /*error*/) -> void override {}
+
+  std::size_t trailer_bytes = 0;
+  std::size_t extension_bytes = 0;
+  Error failure;
+};
+
+}  // namespace auburnloft
+
+#endif  // AL_HTTP1_MESSAGE_PARSER_H_
--- a/tests/gateway/hostile_upstream_test.cc
+++ b/tests/gateway/hostile_upstream_test.cc
@@ -159,6 +159,19 @@
       "X-More: 1234567890\r\n");
 }
 
+// Guards against a whole trailer that is too long for the parser's containers:
+// it cost the process.
+TEST(HostileUpstreams, AreGivenUpWithALongTrailer) {
+  this->desk.SetScript([&](const Arrival& arrival) {
+    arrival.send(
+        RawUpstream::Head(arrival.id, "Transfer-Encoding: chunked\r\n") +
+        "2\r\nok\r\n0\r\nX-Garbage: " + std::string(70'000, 'g') + "\r\n\r\n");
+  });
+  CHECK_EQUAL(502, this->Call("a1", "/once/").status);
+  this->fixture.RunFor(milliseconds(50));
+  CHECK_EQUAL(0, this->desk.open_connections());
+}
+
 TEST(HostileUpstreams, AreGivenUpWithAnotherRequestsBodyWithoutEnd) {
   this->CheckGivesUp(RawUpstream::Head("another", ""), "1234567890");
 }
--- a/tests/gateway/http1_test.cc
+++ b/tests/gateway/http1_test.cc
@@ -16,6 +16,30 @@
   return reader.error_status();
 }
 
+auto HasFailed(const Http1RequestReader& reader) -> bool {
+  return reader.error_status() != 0;
+}
+
+auto HasFailed(const Http1ResponseReader& reader) -> bool {
+  return reader.has_failed();
+}
+
+/** Feeds `bytes` in parts of `size`, as a connection does.
+    @return whether the reader refuses them before their end. */
+template <typename Reader>
+auto Refuses(Reader& reader, const std::string& bytes, std::size_t size)
+    -> bool {
+  std::string unread;
+  for (std::size_t at = 0; at < bytes.size() && !reader.is_done(); at += size) {
+    unread += bytes.substr(at, size);
+    unread.erase(0, reader.Feed(unread));
+    if (HasFailed(reader)) {
+      return true;
+    }
+  }
+  return false;
+}
+
 }  // namespace
 
 TEST_GROUP(Http1){};
@@ -112,6 +136,26 @@
   }
 }
 
+// Guards against a trailer that ends the process: what is no content has a
+// limit, whether it comes at once or in parts, in both directions.
+TEST(Http1, RefusesLongTrailersAndExtensions) {
+  const std::string large(70'000, 'g');
+  const std::string last = "2\r\nok\r\n0\r\n";
+  for (const std::string& rest :
+       {last + "X-A: " + large + "\r\n\r\n", last + large + ": a\r\n\r\n",
+        last + large, "2;x=" + large + "\r\nok\r\n0\r\n\r\n", "2;x=" + large,
+        "2\r\nok\r\n0;x=" + large + "\r\n\r\n"}) {
+    const std::string bytes = "Transfer-Encoding: chunked\r\n\r\n" + rest;
+    for (const std::size_t part : {bytes.size(), std::size_t{16'384}}) {
+      Http1RequestReader request{Http1RequestLimits()};
+      Http1ResponseReader response(false);
+      CHECK_TRUE(Refuses(request, "POST / HTTP/1.1\r\n" + bytes, part));
+      CHECK_EQUAL(431, request.error_status());
+      CHECK_TRUE(Refuses(response, "HTTP/1.1 200 OK\r\n" + bytes, part));
+    }
+  }
+}
+
 TEST(Http1, RemovesHopByHopFields) {
   Http1Fields fields;
   fields.Add("Connection", "keep-alive, X-Hop");
--- a/tests/support/gateway_fixture.cc
+++ b/tests/support/gateway_fixture.cc
@@ -150,7 +150,8 @@
   return this->Exchange(address, request);
 }
 
-auto GatewayFixture::SendRaw(const std::string& bytes) -> std::string {
+auto GatewayFixture::SendRaw(const std::string& bytes,
+                             const std::string& listener) -> std::string {
   std::string received;
   bool ended = false;
   std::shared_ptr<TcpConnection> connection;
@@ -161,7 +162,7 @@
     connection->Consume(connection->input().size());
   };
   callbacks.on_end = [&](TcpCloseReason /*end*/) { ended = true; };
-  connection = TcpConnection::Connect(this->poller, AddressOf(1, "clients"),
+  connection = TcpConnection::Connect(this->poller, AddressOf(1, listener),
                                       seconds(2), callbacks);
   this->loop.RunUntil([&] { return ended; }, milliseconds(600));
   connection->SetCallbacks({});
--- a/tests/support/gateway_fixture.h
+++ b/tests/support/gateway_fixture.h
@@ -74,9 +74,10 @@
       not listen. */
   auto StartSending(const Call& call) -> std::shared_ptr<Response>;
 
-  /** Sends raw bytes to router 1 and returns what it sends until the connection
-     ends, or within 600 ms. */
-  auto SendRaw(const std::string& bytes) -> std::string;
+  /** Sends raw bytes to a listener of router 1 and returns what it sends until
+     the connection ends, or within 600 ms. */
+  auto SendRaw(const std::string& bytes,
+               const std::string& listener = "clients") -> std::string;
 
   /** Runs the event loop for `span`. */
   auto RunFor(Duration span) -> void;
