Give up a header that grows line by line

A server (or caller) that sends header lines without end, a line a packet, was read until the request's deadline, and all lines were kept.

Cause: the header limit of Boost.Beast looks at the bytes of one call; whole lines are consumed, so that none is ever over the limit.

Change: MessageParser counts the header's bytes and its fields.

Evidence: Http1.RefusesAHeaderThatGrowsLineByLine (200,000 bytes accepted before) and Http1.RefusesThousandsOfFields failed before, pass now.

--- a/modules/al_http1/message_parser.h
+++ b/modules/al_http1/message_parser.h
@@ -32,7 +32,9 @@
  public:
   using Error = boost::beast::error_code;
 
-  explicit MessageParser(std::size_t max_header_bytes) {
+  /** @param max_header_bytes  size of the first line and all fields. */
+  explicit MessageParser(std::size_t max_header_bytes)
+      : max_header_bytes(max_header_bytes) {
     this->eager(true);
     this->header_limit(static_cast<std::uint32_t>(std::min<std::size_t>(
         max_header_bytes, std::numeric_limits<std::uint32_t>::max())));
@@ -92,6 +94,13 @@
      the usual limit of a header. */
   static constexpr std::size_t kMaxFramingBytes = std::size_t{64} * 1024;
 
+  /** Maximum number of fields. Each takes memory beyond its bytes, so that many
+     short ones take a multiple of the header's limit. */
+  static constexpr std::size_t kMaxFields = 1'000;
+
+  /** A colon and a line end, which no field lacks. */
+  static constexpr std::size_t kFieldOverhead = 3;
+
   /** The shortest rest of a chunked body at a chunk's size line: the last chunk
      and an empty trailer section. */
   static constexpr std::size_t kMinChunkedRest = 5;
@@ -119,26 +128,35 @@
                        StringView method_text,
                        StringView target_text,
                        int /*version*/,
-                       Error& /*error*/) -> void override {
+                       Error& error) -> void override {
     this->method = std::string(method_text);
     this->target = std::string(target_text);
+    Count(this->header_bytes, method_text.size() + target_text.size(),
+          this->max_header_bytes, error);
   }
 
   auto on_response_impl(int code,
                         StringView reason_text,
                         int /*version*/,
-                        Error& /*error*/) -> void override {
+                        Error& error) -> void override {
     this->status = code;
     this->reason = std::string(reason_text);
+    Count(this->header_bytes, reason_text.size(), this->max_header_bytes,
+          error);
   }
 
   auto on_field_impl(boost::beast::http::field /*known*/,
                      StringView name,
                      StringView value,
                      Error& error) -> void override {
-    if (this->is_header_done()) {
-      Count(this->trailer_bytes, name.size() + value.size(), kMaxFramingBytes,
-            error);
+    // The limit of the library holds for what one call of put() sees, not for
+    // fields that arrive one by one.
+    const bool is_trailer = this->is_header_done();
+    Count(is_trailer ? this->trailer_bytes : this->header_bytes,
+          name.size() + value.size() + kFieldOverhead,
+          is_trailer ? kMaxFramingBytes : this->max_header_bytes, error);
+    if (this->fields.all().size() >= kMaxFields) {
+      error = boost::beast::http::error::header_limit;
     }
     if (!error) {
       this->fields.Add({name.data(), name.size()},
@@ -171,6 +189,8 @@
 
   auto on_finish_impl(Error& /*error*/) -> void override {}
 
+  std::size_t max_header_bytes;
+  std::size_t header_bytes = 0;
   std::size_t trailer_bytes = 0;
   std::size_t extension_bytes = 0;
   Error failure;
--- a/tests/gateway/http1_test.cc
+++ b/tests/gateway/http1_test.cc
@@ -156,6 +156,33 @@
   }
 }
 
+// Guards against a header without end whose fields come one by one, so that no
+// part of it is over the limit.
+TEST(Http1, RefusesAHeaderThatGrowsLineByLine) {
+  std::string lines;
+  while (lines.size() < 200'000) {
+    lines += "X-More: 1234567890\r\n";
+  }
+  Http1RequestReader request{Http1RequestLimits()};
+  CHECK_TRUE(Refuses(request, "GET / HTTP/1.1\r\n" + lines, 20));
+  CHECK_EQUAL(431, request.error_status());
+  Http1ResponseReader response(false);
+  CHECK_TRUE(Refuses(response, "HTTP/1.1 200 OKAY\r\n" + lines, 20));
+}
+
+// Guards against short fields, each of which takes more memory than its bytes.
+TEST(Http1, RefusesThousandsOfFields) {
+  std::string lines;
+  for (int i = 0; i < 3'000; ++i) {
+    lines += "a:\r\n";
+  }
+  Http1RequestReader request{Http1RequestLimits()};
+  CHECK_TRUE(Refuses(request, "GET / HTTP/1.1\r\n" + lines + "\r\n", 16'384));
+  CHECK_EQUAL(431, request.error_status());
+  Http1ResponseReader response(false);
+  CHECK_TRUE(Refuses(response, "HTTP/1.1 200 OK\r\n" + lines + "\r\n", 16'384));
+}
+
 TEST(Http1, RemovesHopByHopFields) {
   Http1Fields fields;
   fields.Add("Connection", "keep-alive, X-Hop");
