Keep trailer fields out of the header

A request with its key in the trailer was served, and a trailer that says that a request was not executed was believed (503 for a request that had run).

Cause: Boost.Beast gives the fields of both sections to the same list.

Change: MessageParser drops trailer fields (RFC 9110, 6.5.1), and keeps the header's word about the connection.

Evidence: Http1.KeepsTrailerFieldsOutOfTheHeader, HostileCallers.HaveNoKeyInATrailer and HostileUpstreams.HaveNoSealInATrailer failed before, pass now.

--- a/modules/al_http1/http1_request_reader.cc
+++ b/modules/al_http1/http1_request_reader.cc
@@ -50,7 +50,7 @@
   request.target = std::move(this->parser->target);
   request.fields = std::move(this->parser->fields);
   request.body = std::move(this->parser->body);
-  request.keeps_alive = this->parser->keep_alive();
+  request.keeps_alive = this->parser->keeps_alive;
   return request;
 }
 
--- a/modules/al_http1/http1_response_reader.cc
+++ b/modules/al_http1/http1_response_reader.cc
@@ -52,7 +52,7 @@
   head.status = this->parser->status;
   head.reason = this->parser->reason;
   head.fields = this->parser->fields;
-  head.keeps_alive = this->parser->keep_alive();
+  head.keeps_alive = this->parser->keeps_alive;
   head.ends_with_connection = this->parser->need_eof();
   return head;
 }
--- a/modules/al_http1/message_parser.h
+++ b/modules/al_http1/message_parser.h
@@ -83,7 +83,8 @@
   std::string target;
   int status = 0;  ///< Of a response, as is the reason phrase.
   std::string reason;
-  Http1Fields fields;
+  Http1Fields fields;  ///< Of the header; those of a trailer are dropped.
+  bool keeps_alive = true;
   std::string body;
 
  private:
@@ -149,12 +150,18 @@
                      StringView name,
                      StringView value,
                      Error& error) -> void override {
+    if (this->has_whole_header) {
+      // RFC 9110, section 6.5.1: a trailer field must not be merged into the
+      // header unless its definition permits that. No field that is used here
+      // does, so that all are dropped.
+      Count(this->trailer_bytes, name.size() + value.size() + kFieldOverhead,
+            kMaxFramingBytes, error);
+      return;
+    }
     // The limit of the library holds for what one call of put() sees, not for
     // fields that arrive one by one.
-    const bool is_trailer = this->is_header_done();
-    Count(is_trailer ? this->trailer_bytes : this->header_bytes,
-          name.size() + value.size() + kFieldOverhead,
-          is_trailer ? kMaxFramingBytes : this->max_header_bytes, error);
+    Count(this->header_bytes, name.size() + value.size() + kFieldOverhead,
+          this->max_header_bytes, error);
     if (this->fields.all().size() >= kMaxFields) {
       error = boost::beast::http::error::header_limit;
     }
@@ -164,7 +171,11 @@
     }
   }
 
-  auto on_header_impl(Error& /*error*/) -> void override {}
+  auto on_header_impl(Error& /*error*/) -> void override {
+    this->has_whole_header = true;
+    // Later, `Connection` in a trailer changes what keep_alive() returns.
+    this->keeps_alive = this->keep_alive();
+  }
 
   auto on_body_init_impl(const boost::optional<std::uint64_t>& /*length*/,
                          Error& /*error*/) -> void override {}
@@ -190,6 +201,7 @@
   auto on_finish_impl(Error& /*error*/) -> void override {}
 
   std::size_t max_header_bytes;
+  bool has_whole_header = false;
   std::size_t header_bytes = 0;
   std::size_t trailer_bytes = 0;
   std::size_t extension_bytes = 0;
--- a/tests/gateway/hostile_caller_test.cc
+++ b/tests/gateway/hostile_caller_test.cc
@@ -29,3 +29,12 @@
     }
   }
 }
+
+// Guards against a key, or any other field that decides, in a trailer.
+TEST(HostileCallers, HaveNoKeyInATrailer) {
+  const std::string response = this->fixture.SendRaw(
+      "POST /once/x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: a1\r\n"
+      "Transfer-Encoding: chunked\r\n\r\n"
+      "2\r\nok\r\n0\r\nAuthorization: Token blue-key\r\n\r\n");
+  CHECK_TRUE(response.starts_with("HTTP/1.1 401 "));
+}
--- a/tests/gateway/hostile_upstream_test.cc
+++ b/tests/gateway/hostile_upstream_test.cc
@@ -342,6 +342,16 @@
   CHECK_EQUAL(502, this->Call("a2", "/once/").status);
 }
 
+// Guards against a seal, or a word about the execution, in a trailer.
+TEST(HostileUpstreams, HaveNoSealInATrailer) {
+  this->desk.SetScript([&](const Arrival& arrival) {
+    arrival.send("HTTP/1.1 200 OK\r\nX-Attempt-Id: " + arrival.id +
+                 "\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n" +
+                 "X-Server-Seal: s\r\nX-Not-Executed: 1\r\n\r\n");
+  });
+  CHECK_EQUAL(502, this->Call("a1", "/once/").status);
+}
+
 // Without the seal of an upstream, bytes that look like an answer are none.
 TEST(HostileUpstreams, SucceedOnlyWithASeal) {
   const auto unsealed = [](const Arrival& arrival) {
--- a/tests/gateway/http1_test.cc
+++ b/tests/gateway/http1_test.cc
@@ -156,6 +156,28 @@
   }
 }
 
+// Guards against trailer fields that are taken for fields of the header, in
+// both directions, whether they come with the header or after it.
+TEST(Http1, KeepsTrailerFieldsOutOfTheHeader) {
+  const std::string header = "Transfer-Encoding: chunked\r\n\r\n";
+  const std::string rest =
+      "2\r\nok\r\n0\r\nAuthorization: Token k\r\nX-More: 1\r\n"
+      "Connection: close\r\n\r\n";
+  for (const std::size_t part : {std::size_t{1}, std::size_t{4'096}}) {
+    Http1RequestReader request{Http1RequestLimits()};
+    CHECK_FALSE(Refuses(request, "POST / HTTP/1.1\r\n" + header + rest, part));
+    const Http1Request read = request.TakeRequest();
+    CHECK_EQUAL(1, read.fields.all().size());
+    CHECK_TRUE(read.keeps_alive);
+    CHECK_EQUAL(std::string("ok"), read.body);
+    Http1ResponseReader response(false);
+    CHECK_FALSE(Refuses(response, "HTTP/1.1 200 OK\r\n" + header + rest, part));
+    CHECK_EQUAL(1, response.Head().fields.all().size());
+    CHECK_TRUE(response.Head().keeps_alive);
+    CHECK_EQUAL(std::string("ok"), response.TakeBody());
+  }
+}
+
 // Guards against a header without end whose fields come one by one, so that no
 // part of it is over the limit.
 TEST(Http1, RefusesAHeaderThatGrowsLineByLine) {
