Give up a reply of the log or of another router that does not end

Report: bytes without end, kept by the one who called. Responses of upstreams had a limit; replies to Http1Client had none, in size or in time.

Cause: each part of the body restarts the time-out, and all parts are appended.

Change: a call fails beyond 4 MiB or 60 s.

Evidence: LogReading.GivesUpAReplyWithoutEnd (no end within 5 s) failed before.

--- a/modules/al_http1/http1_client.cc
+++ b/modules/al_http1/http1_client.cc
@@ -1,5 +1,6 @@
 #include "al_http1/http1_client.h"
 
+#include <algorithm>
 #include <cassert>
 #include <utility>
 
@@ -12,15 +13,21 @@
 
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(800);
 
+/** Maximum size of a reply. A page of the log has up to 1 MB of records, which
+   its encoding makes longer by a third. */
+constexpr std::size_t kMaxReplyBytes = std::size_t{4} << 20;
+
+/** Maximum time of a call whose reply keeps arriving: far above that of a whole
+   page over a slow link. */
+constexpr Duration kMaxCallTime = std::chrono::seconds(60);
+
 }  // namespace
 
 Http1Client::Http1Client(SocketPoller& poller, std::string address)
     : poller(poller),
       address(std::move(address)),
-      timer(std::make_unique<LoopTimer>(poller.loop(), [this] {
-        this->connection->Close();
-        this->Finish(std::nullopt);
-      })) {}
+      timer(std::make_unique<LoopTimer>(poller.loop(),
+                                        [this] { this->GiveUp(); })) {}
 
 Http1Client::~Http1Client() {
   if (this->connection) {
@@ -44,13 +51,20 @@
     return;
   }
   this->timer->Start(inactivity_timeout);
+  const Instant latest_end = this->poller.loop().Now() + kMaxCallTime;
   Http1ClientConnection::ExchangeCallbacks callbacks;
   callbacks.on_head = [this](const Http1ResponseHead& head) {
     this->reply.status = head.status;
     this->reply.fields = head.fields;
   };
-  callbacks.on_body = [this, inactivity_timeout](const std::string& bytes) {
-    this->timer->Start(inactivity_timeout);
+  callbacks.on_body = [this, inactivity_timeout,
+                       latest_end](const std::string& bytes) {
+    if (this->reply.body.size() + bytes.size() > kMaxReplyBytes) {
+      this->GiveUp();
+      return;
+    }
+    this->timer->Start(
+        std::min(inactivity_timeout, latest_end - this->poller.loop().Now()));
     this->reply.body.append(bytes);
   };
   callbacks.on_done = [this](Http1Outcome outcome) {
@@ -62,6 +76,11 @@
                           std::move(callbacks));
 }
 
+auto Http1Client::GiveUp() -> void {
+  this->connection->Close();
+  this->Finish(std::nullopt);
+}
+
 auto Http1Client::Finish(std::optional<Reply> result) -> void {
   this->timer->Stop();
   const OnReply call = std::exchange(this->pending_callback, {});
--- a/modules/al_http1/http1_client.h
+++ b/modules/al_http1/http1_client.h
@@ -39,7 +39,8 @@
 
   /** Sends a request and calls `on_reply` once. The call fails after
      `inactivity_timeout`, but each received part of the body restarts that
-     time: a long reply over a slow link may take longer in total.
+     time: a long reply over a slow link may take longer in total. A reply that
+     does not end within a maximum size and time fails the call, too.
       @pre !is_busy(). */
   auto Call(const Http1Request& request,
             Duration inactivity_timeout,
@@ -51,6 +52,8 @@
   }
 
  private:
+  /** Closes the connection and fails the call. */
+  auto GiveUp() -> void;
   auto Finish(std::optional<Reply> result) -> void;
 
   SocketPoller& poller;
--- a/tests/gateway/log_reading_test.cc
+++ b/tests/gateway/log_reading_test.cc
@@ -8,6 +8,7 @@
 #include "al_logstore/topic_follower.h"
 #include "store/store_server.h"
 #include "support/free_port.h"
+#include "support/raw_upstream.h"
 #include "support/test_harness.h"
 
 using namespace auburnloft;  // NOLINT(google-build-using-namespace)
@@ -94,6 +95,29 @@
   CHECK_FALSE(this->Call(milliseconds(15)).has_value());
 }
 
+// Guards against a reply without end, of the log or of another router: its
+// bytes keep arriving, so that the call never times out, and all are kept.
+TEST(LogReading, GivesUpAReplyWithoutEnd) {
+  testing::RawUpstream server(this->poller, "log");
+  server.SetScript([&](const testing::RawUpstream::Arrival& arrival) {
+    server.SendWithoutEnd(arrival, testing::RawUpstream::Head("a", ""),
+                          "1234567890");
+  });
+  Http1Client caller(this->poller, server.listen_address());
+  std::optional<bool> has_reply;
+  Http1Request request;
+  request.method = "GET";
+  request.target = "/";
+  caller.Call(request, milliseconds(200),
+              [&](const std::optional<Http1Client::Reply>& reply) {
+                has_reply = reply.has_value();
+              });
+  this->loop.RunUntil([&] { return has_reply.has_value(); }, seconds(5));
+  CHECK_TRUE(has_reply.has_value());
+  CHECK_FALSE(*has_reply);
+  CHECK_TRUE(server.sent_bytes() < std::size_t{8} << 20);
+}
+
 /** Load pattern: configurations in quick succession, each with many routes. A
    follower that processed each of them would fall behind. */
 TEST(LogReading, DeliversOnlyTheNewestOfRecordsThatReplaceEachOther) {
--- a/tests/support/raw_upstream.h
+++ b/tests/support/raw_upstream.h
@@ -61,6 +61,10 @@
   [[nodiscard]] auto Entry(std::string_view service,
                            std::int64_t start_unix_ms = 1) const -> std::string;
 
+  /** The address on which it listens. */
+  [[nodiscard]] auto listen_address() const -> const std::string& {
+    return this->address;
+  }
   [[nodiscard]] auto arrivals() const -> int { return this->arrival_count; }
   [[nodiscard]] auto sent_bytes() const -> std::size_t {
     return this->total_sent;
