Give up a stream that repeats the same events without end

A caller whose engine sends an event again and again waited for the deadline, while the router read and dropped as much as the engine could send.

Cause: dropped events counted for no limit.

Change: 1 MiB of repeated events in a row rejects the response. The search for an event's end begins at the new bytes.

Evidence: HostileUpstreams.AreGivenUpWithTheSameEventWithoutEnd failed before (no end within 1.8 s), passes now.

--- a/modules/al_gateway/streams/event_splitter.cc
+++ b/modules/al_gateway/streams/event_splitter.cc
@@ -1,5 +1,6 @@
 #include "al_gateway/streams/event_splitter.h"
 
+#include <algorithm>
 #include <charconv>
 
 namespace auburnloft::gateway {
@@ -46,16 +47,25 @@
 }  // namespace
 
 auto EventSplitter::Feed(std::string_view bytes) -> std::string {
+  // Searches only what is new: a long event that arrives in small parts would
+  // take quadratic time.
+  const std::size_t searched =
+      this->partial.size() - std::min<std::size_t>(this->partial.size(), 1);
   this->partial.append(bytes);
   std::string complete_events;
   std::size_t from = 0;
-  for (std::size_t end = this->partial.find(kEventEnd);
+  for (std::size_t end = this->partial.find(kEventEnd, searched);
        end != std::string::npos; end = this->partial.find(kEventEnd, from)) {
     const std::string_view event =
         std::string_view(this->partial)
             .substr(from, end + kEventEnd.size() - from);
-    if (IsComment(event) || this->Accept(event)) {
+    if (IsComment(event)) {
       complete_events.append(event);
+    } else if (this->Accept(event)) {
+      complete_events.append(event);
+      this->repeated_bytes = 0;
+    } else {
+      this->repeated_bytes += event.size();
     }
     from = end + kEventEnd.size();
   }
@@ -65,6 +75,7 @@
 
 auto EventSplitter::Resume() -> void {
   this->partial.clear();
+  this->repeated_bytes = 0;
   this->received_event = false;
 }
 
--- a/modules/al_gateway/streams/event_splitter.h
+++ b/modules/al_gateway/streams/event_splitter.h
@@ -24,6 +24,9 @@
      with some tokens, far below the memory of a small VM. */
   static constexpr std::size_t kMaxEventBytes = std::size_t{256} * 1024;
 
+  /** Maximum size of events in a row that were returned before. */
+  static constexpr std::size_t kMaxRepeatedBytes = std::size_t{1024} * 1024;
+
   /** Adds bytes of the stream.
       @return the events that these bytes complete. Events whose id is not
      higher than the last one are dropped, as another upstream may repeat them.
@@ -39,6 +42,13 @@
      maximum size of an event: the upstream does not send events. */
   [[nodiscard]] auto is_too_long() const -> bool;
 
+  /** Returns whether more events in a row were dropped, as they were returned
+     before, than an upstream sends that repeats a stream from its start: the
+     upstream makes no progress. */
+  [[nodiscard]] auto has_only_repeats() const -> bool {
+    return this->repeated_bytes > kMaxRepeatedBytes;
+  }
+
   /** Returns whether a stream that ends now was broken off: within an event, or
      by the close of the connection before its first event.
 
@@ -73,7 +83,8 @@
   auto Accept(std::string_view event) -> bool;
 
   std::string partial;
-  bool received_event = false;  ///< Since Resume().
+  std::size_t repeated_bytes = 0;  ///< Since an event was returned.
+  bool received_event = false;     ///< Since Resume().
   std::uint64_t events = 0;
   std::optional<std::uint64_t> id;
   bool gap = false;
--- a/programs/gateway/request_handler.cc
+++ b/programs/gateway/request_handler.cc
@@ -312,6 +312,8 @@
   if (this->event_splitter.is_too_long() ||
       this->pending_events.size() > EventSplitter::kMaxEventBytes) {
     this->RejectResponse("no event within the maximum size");
+  } else if (this->event_splitter.has_only_repeats()) {
+    this->RejectResponse("the same events without end");
   }
 }
 
--- a/tests/gateway/decisions_test.cc
+++ b/tests/gateway/decisions_test.cc
@@ -227,6 +227,32 @@
   CHECK_FALSE(events.has_gap());
 }
 
+// Guards against a search for the end of an event that misses one whose line
+// feeds come in two parts.
+TEST(Decisions, FindsEventsThatComeByteByByte) {
+  EventSplitter events;
+  const std::string bytes = "id: 1\ndata: a\n\n: c\n\nid: 2\n\n";
+  std::string returned;
+  for (const char byte : bytes) {
+    returned += events.Feed({&byte, 1});
+  }
+  CHECK_EQUAL(bytes, returned);
+}
+
+// Guards against an upstream that sends the same event without end.
+TEST(Decisions, NoticesRepeatsWithoutEnd) {
+  EventSplitter events;
+  (void)events.Feed("id: 1\n\n");
+  std::size_t repeated = 0;
+  while (!events.has_only_repeats()) {
+    CHECK_TRUE(events.Feed("id: 1\n\n").empty());
+    repeated += 7;
+    CHECK_TRUE(repeated <= EventSplitter::kMaxRepeatedBytes + 7);
+  }
+  (void)events.Feed("id: 2\n\n");
+  CHECK_FALSE(events.has_only_repeats());
+}
+
 TEST(Decisions, NoticesAMissingEvent) {
   EventSplitter events;
   (void)events.Feed("id: 1\n\nid: 3\n\n");
--- a/tests/gateway/hostile_upstream_test.cc
+++ b/tests/gateway/hostile_upstream_test.cc
@@ -208,6 +208,23 @@
   CHECK_TRUE(this->engine.sent_bytes() < kSentUntilClosed);
 }
 
+// Guards against an event that was received before and comes without end: it is
+// dropped each time, so that the stream neither goes on nor ends.
+TEST(HostileUpstreams, AreGivenUpWithTheSameEventWithoutEnd) {
+  this->engine.SetScript([&](const Arrival& arrival) {
+    this->engine.SendWithoutEnd(arrival, RawUpstream::Head(arrival.id, kEvents),
+                                "id: 1\ndata: one\n\n");
+  });
+  const Instant start = this->fixture.loop.Now();
+  const auto response = this->Call("a1", "/draft/", "10,20");
+  CHECK_FALSE(response.complete);
+  CHECK_EQUAL(std::string("id: 1\ndata: one\n\n"), response.body);
+  CHECK_TRUE(this->fixture.loop.Now() - start < milliseconds(1'800));
+  this->fixture.RunFor(milliseconds(50));
+  CHECK_EQUAL(0, this->engine.open_connections());
+  CHECK_TRUE(this->engine.sent_bytes() < kSentUntilClosed);
+}
+
 // The upstream sends a comment each 50 ms, but no event. The caller of a stream
 // that may be resumed gets a failure that it can repeat, after two seconds and
 // before the route's timeout of four.
