Read no further request while the caller does not take its responses

One caller that pipelines requests and reads nothing took a router from 11 to 416 MB in 36 s; no key is needed.

Cause: a session reads on once a response is in the process's buffer, which has no limit.

Change: no request is read while more than 64 KiB are unsent; the connection closes after the idle time-out.

Evidence: HostileCallers.GetNoFurtherResponsesUntilTheyRead failed before (300 MB taken in while the loop ran 2.5 s).

--- a/modules/al_http1/http1_server_session.cc
+++ b/modules/al_http1/http1_server_session.cc
@@ -16,6 +16,11 @@
    being closed. */
 constexpr Duration kLingerTimeout = std::chrono::seconds(2);
 
+/** While more response bytes than this are unsent, no further request is read:
+   a caller that pipelines requests and reads no response would fill the memory.
+ */
+constexpr std::size_t kMaxUnsentBytes = std::size_t{64} * 1024;
+
 auto ReasonPhrase(int status) -> std::string_view {
   switch (status) {
     case 408:
@@ -62,12 +67,7 @@
       poller, limits, std::move(on_request), std::move(on_closed)));
   TcpConnection::Callbacks callbacks;
   callbacks.on_input = [self = session.get()] { self->OnInput(); };
-  callbacks.on_flushed = [self = session.get()] {
-    if (self->exchange.on_flushed) {
-      const auto call = self->exchange.on_flushed;
-      call();
-    }
-  };
+  callbacks.on_flushed = [self = session.get()] { self->OnFlushed(); };
   callbacks.on_end = [self = session.get()](TcpCloseReason /*end*/) {
     self->OnEnd();
   };
@@ -160,7 +160,31 @@
   }
 }
 
+auto Http1ServerSession::OnFlushed() -> void {
+  if (this->exchange.on_flushed) {
+    const auto call = this->exchange.on_flushed;
+    call();
+    return;
+  }
+  if (std::exchange(this->waits_for_reader, false)) {
+    this->connection->SetReadingPaused(false);
+    this->DeferReadNext();
+  }
+}
+
+auto Http1ServerSession::DeferReadNext() -> void {
+  this->poller.loop().Defer([weak = this->weak_from_this()] {
+    if (const auto session = weak.lock();
+        session && session->state == State::kReading) {
+      session->ReadNext();
+    }
+  });
+}
+
 auto Http1ServerSession::ReadNext() -> void {
+  if (this->waits_for_reader) {
+    return;
+  }
   const bool had_started = this->reader->has_started();
   const std::string_view input = this->connection->input();
   if (input.empty()) {
@@ -207,7 +231,10 @@
 }
 
 auto Http1ServerSession::OnTimeout() -> void {
-  if (this->reader->has_started()) {
+  if (this->waits_for_reader) {
+    this->connection->Close();
+    this->MarkClosed();
+  } else if (this->reader->has_started()) {
     this->Refuse(kRequestTimeout);
   } else {
     this->CloseIfIdle(Duration(0));
@@ -235,13 +262,11 @@
   this->state = State::kReading;
   this->idle_since = this->poller.loop().Now();
   this->timer->Start(this->limits.idle_timeout);
-  if (!this->connection->input().empty()) {
-    this->poller.loop().Defer([weak = this->weak_from_this()] {
-      if (const auto session = weak.lock();
-          session && session->state == State::kReading) {
-        session->ReadNext();
-      }
-    });
+  if (this->connection->unsent_bytes() > kMaxUnsentBytes) {
+    this->waits_for_reader = true;
+    this->connection->SetReadingPaused(true);
+  } else if (!this->connection->input().empty()) {
+    this->DeferReadNext();
   }
 }
 
--- a/modules/al_http1/http1_server_session.h
+++ b/modules/al_http1/http1_server_session.h
@@ -31,7 +31,9 @@
 };
 
 /** The server side of one caller's connection. Reads one request at a time and
-   writes its response before it reads the next request.
+   writes its response before it reads the next request. While the caller does
+   not take its responses, no further request is read; after the idle time-out
+   the connection is closed.
 
     While a request is open, its handler calls Respond(), or StartResponse(),
    Send() and FinishResponse(), or Abort(). `on_disconnect` reports that the
@@ -120,10 +122,12 @@
                      OnClosed on_closed);
 
   auto OnInput() -> void;
+  auto OnFlushed() -> void;
   auto OnEnd() -> void;
   auto OnTimeout() -> void;
   auto Refuse(int status) -> void;
   auto ReadNext() -> void;
+  auto DeferReadNext() -> void;
   auto EndExchange() -> void;
   auto MarkClosed() -> void;
 
@@ -137,6 +141,7 @@
   Instant idle_since{};
   ExchangeCallbacks exchange;
   State state = State::kReading;
+  bool waits_for_reader = false;  ///< Until the caller has taken responses.
   bool caller_keeps_alive = true;
   bool is_head_request = false;
   bool sent_continue = false;
--- a/tests/gateway/hostile_caller_test.cc
+++ b/tests/gateway/hostile_caller_test.cc
@@ -1,10 +1,30 @@
 // Bytes from strangers at each address of a router: they cost their own
 // connection, and nothing else.
+#include <unistd.h>
+
+#include <fstream>
+
 #include "support/gateway_fixture.h"
+#include "support/raw_caller.h"
 #include "support/test_harness.h"
 
 using namespace auburnloft::testing;  // NOLINT(google-build-using-namespace)
 
+namespace {
+
+using std::chrono::milliseconds;
+
+/** Returns the memory of this process, router included, that is resident. */
+auto ResidentBytes() -> std::size_t {
+  std::ifstream file("/proc/self/statm");
+  std::size_t total = 0;
+  std::size_t resident = 0;
+  file >> total >> resident;
+  return resident * static_cast<std::size_t>(sysconf(_SC_PAGESIZE));
+}
+
+}  // namespace
+
 TEST_GROUP(HostileCallers) {
   GatewayFixture fixture;
 
@@ -38,3 +58,17 @@
       "2\r\nok\r\n0\r\nAuthorization: Token blue-key\r\n\r\n");
   CHECK_TRUE(response.starts_with("HTTP/1.1 401 "));
 }
+
+// Guards against a caller that sends requests without end and reads no
+// response: all responses were kept.
+TEST(HostileCallers, GetNoFurtherResponsesUntilTheyRead) {
+  const std::size_t before = ResidentBytes();
+  const RawCaller caller(GatewayFixture::AddressOf(1, "clients"),
+                         {"", "GET /none HTTP/1.1\r\nHost: h\r\n\r\n"});
+  this->fixture.RunFor(milliseconds(1'500));
+  const std::size_t sent = caller.sent_bytes();
+  this->fixture.RunFor(milliseconds(1'000));
+  CHECK_TRUE(sent > 0);
+  CHECK_EQUAL(sent, caller.sent_bytes());
+  CHECK_TRUE(ResidentBytes() < before + (std::size_t{8} << 20));
+}
