Give timers and all sockets their turn beside posted work

What a timer posted waited for the next event of a socket, up to a minute.

Cause: RunPosted() also ran what the callbacks posted in turn, and Defer() did not keep the loop from waiting.

Change: a turn runs what was posted before it; the loop does not wait while something is posted; a connection reads 64 KiB a turn. Defer() is merged into Post().

--- a/modules/al_edge/loop/event_loop.cc
+++ b/modules/al_edge/loop/event_loop.cc
@@ -71,7 +71,9 @@
 EventLoop::EventLoop()
     : wall_start(std::chrono::duration_cast<Duration>(
           std::chrono::system_clock::now().time_since_epoch())),
-      steady_start(std::chrono::steady_clock::now()) {
+      steady_start(std::chrono::steady_clock::now()),
+      wake_up(std::make_unique<Timer>()) {
+  this->wake_up->loop = this;
   lws_set_log_level(LLL_ERR, nullptr);
   lws_context_creation_info info{};
   info.port = CONTEXT_PORT_NO_LISTEN;
@@ -97,6 +99,8 @@
 
 EventLoop::~EventLoop() {
   signal_context = nullptr;
+  lws_sul_schedule(this->lws, 0, &this->wake_up->sul, nullptr,
+                   LWS_SET_TIMER_USEC_CANCEL);
   lws_context_destroy(this->lws);
 }
 
@@ -104,26 +108,27 @@
 // Commands
 
 auto EventLoop::Run() -> void {
-  while (!interrupted) {
-    this->RunPosted();
-    if (lws_service(this->lws, 0) < 0) {
-      break;
-    }
-    this->RunSignalHandlers();
+  while (!interrupted && this->RunTurn()) {
+  }
+}
+
+auto EventLoop::RunTurn() -> bool {
+  if (lws_service(this->lws, 0) < 0) {
+    return false;
   }
+  this->RunPosted();
+  this->RunSignalHandlers();
+  return true;
 }
 
 auto EventLoop::RunUntil(const std::function<bool()>& is_done, Duration timeout)
     -> bool {
   const Instant end = this->Now() + timeout;
   bool timed_out = false;
-  this->ScheduleAfter(timeout, [] {});  // Wakes the loop on time-out.
-  while (!interrupted && !is_done() && !timed_out) {
-    this->RunPosted();
-    if (lws_service(this->lws, 0) < 0) {
-      break;
-    }
-    this->RunSignalHandlers();
+  // A timer alone would not do: libwebsockets runs the timers that are due
+  // before it waits for sockets.
+  this->ScheduleAfter(timeout, [this] { this->Post([] {}); });
+  while (!interrupted && !is_done() && !timed_out && this->RunTurn()) {
     timed_out = this->Now() >= end;
   }
   return is_done();
@@ -158,10 +163,8 @@
 }
 
 auto EventLoop::RunPosted() -> void {
-  while (!this->posted.empty()) {
-    for (const Callback& callback : std::exchange(this->posted, {})) {
-      callback();
-    }
+  for (const Callback& callback : std::exchange(this->posted, {})) {
+    callback();
   }
 }
 
@@ -203,11 +206,22 @@
 
 auto EventLoop::Post(Callback callback) -> void {
   this->posted.push_back(std::move(callback));
-  lws_cancel_service(this->lws);
+  if (this->posted.size() == 1) {
+    this->SkipNextWait();
+  }
 }
 
-auto EventLoop::Defer(Callback callback) -> void {
-  this->posted.push_back(std::move(callback));
+auto EventLoop::SkipNextWait() -> void {
+  // A timer that is always due: libwebsockets then serves the sockets that are
+  // ready, but does not wait for others. It runs timers before it would wait,
+  // so that this one starts itself again.
+  const auto fire = [](lws_sorted_usec_list_t* sul) {
+    EventLoop& loop = *reinterpret_cast<Timer*>(sul)->loop;
+    if (!loop.posted.empty()) {
+      loop.SkipNextWait();
+    }
+  };
+  lws_sul_schedule(this->lws, 0, &this->wake_up->sul, fire, 1);
 }
 
 auto EventLoop::WatchReadable(int descriptor, Callback on_readable) -> bool {
--- a/modules/al_edge/loop/event_loop.h
+++ b/modules/al_edge/loop/event_loop.h
@@ -64,14 +64,12 @@
    */
   auto ScheduleAfter(Duration delay, Callback callback) -> void;
 
-  /** Queues `callback`, to be called once before the loop next waits for
-     events, and wakes the loop if it is waiting. */
+  /** Queues `callback`, to be called once in the next turn of the loop: the
+     timers that are due and all sockets that are ready get their turn first, so
+     that work which posts its own continuation delays nothing else for long.
+     The loop does not wait before it. */
   auto Post(Callback callback) -> void;
 
-  /** Queues `callback` as Post() does, but does not wake the loop, which is
-     cheaper. Call it only from within a callback of the loop. */
-  auto Defer(Callback callback) -> void;
-
   /** Calls `on_readable` whenever `descriptor` is readable. The loop does not
      close it.
       @return false if the loop cannot watch it. */
@@ -98,7 +96,13 @@
  private:
   struct Timer;
 
+  /** Runs what was queued before the call, not what that queues in turn. */
   auto RunPosted() -> void;
+  /** Makes the next turn serve sockets without waiting for them. */
+  auto SkipNextWait() -> void;
+  /** Runs one turn: timers, sockets, posted callbacks and signal handlers.
+      @return false if the loop has failed. */
+  auto RunTurn() -> bool;
   auto RunSignalHandlers() -> void;
   auto StartTimer(Timer& timer) -> void;
 
@@ -110,6 +114,7 @@
   std::list<Callback> readable_callbacks;
   std::map<int, struct ::lws*> watches;  ///< By descriptor.
   std::vector<Callback> posted;
+  std::unique_ptr<Timer> wake_up;  ///< Runs while callbacks are posted.
   Callback terminate_handler;
   Callback hangup_handler;
 };
--- a/modules/al_http1/http1_client.cc
+++ b/modules/al_http1/http1_client.cc
@@ -47,7 +47,7 @@
         std::min(inactivity_timeout, kConnectTimeout));
   }
   if (!this->connection) {
-    this->poller.loop().Defer([this] { this->Finish(std::nullopt); });
+    this->poller.loop().Post([this] { this->Finish(std::nullopt); });
     return;
   }
   this->timer->Start(inactivity_timeout);
--- a/modules/al_http1/http1_server_session.cc
+++ b/modules/al_http1/http1_server_session.cc
@@ -173,7 +173,7 @@
 }
 
 auto Http1ServerSession::DeferReadNext() -> void {
-  this->poller.loop().Defer([weak = this->weak_from_this()] {
+  this->poller.loop().Post([weak = this->weak_from_this()] {
     if (const auto session = weak.lock();
         session && session->state == State::kReading) {
       session->ReadNext();
--- a/modules/al_net/tcp_connection.cc
+++ b/modules/al_net/tcp_connection.cc
@@ -26,6 +26,10 @@
 /** Bytes per recv() call. */
 constexpr std::size_t kReadChunkBytes = std::size_t{16} * 1024;
 
+/** Bytes that one connection reads in a turn of the loop. The others, and the
+   timers, get their turn before it reads on. */
+constexpr std::size_t kMaxBytesPerTurn = std::size_t{64} * 1024;
+
 /** A connection closes when sent bytes stay unacknowledged for this time. It
    survives a network partition that ends sooner. */
 constexpr int kUnacknowledgedTimeoutMs = 4'000;
@@ -271,14 +275,20 @@
 auto TcpConnection::ReadAvailable() -> void {
   std::array<char, kReadChunkBytes> chunk;  // NOLINT: filled by recv().
   bool has_new_input = false;
+  std::size_t bytes_in_turn = 0;
   TcpCloseReason reason = TcpCloseReason::kOpen;
   while (!this->paused_by_owner && !this->input_full) {
+    if (bytes_in_turn >= kMaxBytesPerTurn) {
+      this->ResumeReading();
+      break;
+    }
     if (this->input().size() > kMaxUnreadBytes) {
       this->input_full = true;
       break;
     }
     const ssize_t count = recv(this->descriptor, chunk.data(), chunk.size(), 0);
     if (count > 0) {
+      bytes_in_turn += static_cast<std::size_t>(count);
       if (!this->is_shutting_down) {
         this->received.append(chunk.data(), static_cast<std::size_t>(count));
         has_new_input = true;
@@ -309,10 +319,17 @@
 }
 
 auto TcpConnection::ResumeReading() -> void {
-  // The poller is edge-triggered: bytes that arrived during the pause cause no
-  // new event.
-  this->poller.loop().Defer([weak = this->weak_from_this()] {
-    if (const auto self = weak.lock(); self && self->is_open()) {
+  if (std::exchange(this->resume_posted, true)) {
+    return;
+  }
+  // The poller is edge-triggered: bytes that arrived before cause no new event.
+  this->poller.loop().Post([weak = this->weak_from_this()] {
+    const auto self = weak.lock();
+    if (!self) {
+      return;
+    }
+    self->resume_posted = false;
+    if (self->is_open()) {
       self->ReadAvailable();
     }
   });
--- a/modules/al_net/tcp_connection.h
+++ b/modules/al_net/tcp_connection.h
@@ -30,7 +30,9 @@
     Received bytes are appended to input(), then on_input is called. The owner
    removes the bytes that it has processed with Consume(). Reading pauses when
    input() exceeds 256 KiB, possibly by up to one chunk of 16 KiB, until half of
-   that or less remains. This bounds the memory that a peer can use.
+   that or less remains. This bounds the memory that a peer can use. A
+   connection reads 64 KiB in a turn of the loop, so that a peer that never
+   stops sending does not keep others from theirs.
    Keep-alive probes and a time-out of unacknowledged bytes detect a peer that
    stops responding.
 
@@ -93,9 +95,8 @@
 
   /** Shuts the connection down gracefully: sends the unsent bytes and then a
      FIN, and closes when the peer closes or after `timeout`, even if bytes are
-     still unsent. Until then, it
-     discards received bytes and calls no callback. Closes at once if the
-     connection is not established. */
+     still unsent. Until then, it discards received bytes and calls no callback.
+     Closes at once if the connection is not established. */
   auto CloseGracefully(Duration timeout) -> void;
 
   //============================================================================
@@ -142,6 +143,7 @@
   bool established = false;
   bool has_sent_bytes = false;
   bool paused_by_owner = false;
+  bool resume_posted = false;
   bool input_full = false;  ///< input() exceeded its limit; reading waits.
   bool is_shutting_down = false;
 };
--- a/programs/gateway/request_handler.cc
+++ b/programs/gateway/request_handler.cc
@@ -642,7 +642,7 @@
   // it in its next iteration.
   const auto ended_handlers = this->context.ended_handlers;
   ended_handlers->push_back(std::move(this->self));
-  this->context.loop.Defer([ended_handlers] { ended_handlers->clear(); });
+  this->context.loop.Post([ended_handlers] { ended_handlers->clear(); });
 }
 
 auto RequestHandler::MakeReport() const -> RequestReport {
--- a/programs/gateway/upstream_end_detector.cc
+++ b/programs/gateway/upstream_end_detector.cc
@@ -114,7 +114,7 @@
   const std::shared_ptr<TcpConnection> probe = std::move(found->second.probe);
   if (probe) {
     probe->Close();
-    this->poller.loop().Defer([probe] {});
+    this->poller.loop().Post([probe] {});
   }
   this->observations.erase(found);
   this->callbacks.on_ended(upstream);
--- a/programs/soak/soak_callers.cc
+++ b/programs/soak/soak_callers.cc
@@ -157,7 +157,7 @@
   Call* const opened = call.get();
   this->calls.push_back(std::move(call));
   if (!opened->connection) {
-    this->poller.loop().Defer(
+    this->poller.loop().Post(
         [this, opened] { this->OnDone(*opened, Http1Outcome::kNotSent); });
     return;
   }
@@ -218,7 +218,7 @@
     this->idle_connections[result.router].push_back(call.connection);
   }
   this->finished.push_back(result);
-  this->poller.loop().Defer([this, done = &call] {
+  this->poller.loop().Post([this, done = &call] {
     std::erase_if(this->calls,
                   [done](const auto& item) { return item.get() == done; });
   });
--- a/standins/proxy/loopback_proxy.cc
+++ b/standins/proxy/loopback_proxy.cc
@@ -131,7 +131,7 @@
     side->SetCallbacks({});
     side->CloseGracefully(kCloseLimit);
   }
-  this->poller.loop().Defer([this, closed_connection = &connection] {
+  this->poller.loop().Post([this, closed_connection = &connection] {
     std::erase_if(this->connections, [closed_connection](const auto& item) {
       return item.get() == closed_connection;
     });
@@ -145,7 +145,7 @@
       connection->target_side->Close();
     }
   }
-  this->poller.loop().Defer([this] {
+  this->poller.loop().Post([this] {
     std::erase_if(this->connections,
                   [](const auto& item) { return item->closed; });
   });
