Bound what is read after a refusal

A caller that goes on sending while its connection closes gracefully was read for 2 s without a limit.

Change: the connection closes after 8 MiB.

Evidence: FloodedRouters.ServeBesideCallersThatSendAfterARefusal (still open) failed before.

--- a/modules/al_net/tcp_connection.cc
+++ b/modules/al_net/tcp_connection.cc
@@ -30,6 +30,11 @@
    timers, get their turn before it reads on. */
 constexpr std::size_t kMaxBytesPerTurn = std::size_t{64} * 1024;
 
+/** Bytes that are read and discarded while a connection closes gracefully: more
+   than the body of a usual request, so that its caller gets to read why it was
+   refused. */
+constexpr std::size_t kMaxDiscardedBytes = std::size_t{8} << 20;
+
 /** A connection closes when sent bytes stay unacknowledged for this time. It
    survives a network partition that ends sooner. */
 constexpr int kUnacknowledgedTimeoutMs = 4'000;
@@ -289,7 +294,13 @@
     const ssize_t count = recv(this->descriptor, chunk.data(), chunk.size(), 0);
     if (count > 0) {
       bytes_in_turn += static_cast<std::size_t>(count);
-      if (!this->is_shutting_down) {
+      if (this->is_shutting_down) {
+        this->discarded_bytes += static_cast<std::size_t>(count);
+        if (this->discarded_bytes > kMaxDiscardedBytes) {
+          this->Close();
+          return;
+        }
+      } else {
         this->received.append(chunk.data(), static_cast<std::size_t>(count));
         has_new_input = true;
       }
--- a/modules/al_net/tcp_connection.h
+++ b/modules/al_net/tcp_connection.h
@@ -95,8 +95,9 @@
 
   /** Shuts the connection down gracefully: sends the unsent bytes and then a
      FIN, and closes when the peer closes or after `timeout`, even if bytes are
-     still unsent. Until then, it discards received bytes and calls no callback.
-     Closes at once if the connection is not established. */
+     still unsent. Until then, it discards received bytes, up to a limit after
+     which it closes, and calls no callback. Closes at once if the connection is
+     not established. */
   auto CloseGracefully(Duration timeout) -> void;
 
   //============================================================================
@@ -144,6 +145,7 @@
   bool has_sent_bytes = false;
   bool paused_by_owner = false;
   bool resume_posted = false;
+  std::size_t discarded_bytes = 0;  ///< While it shuts down.
   bool input_full = false;  ///< input() exceeded its limit; reading waits.
   bool is_shutting_down = false;
 };
--- a/tests/gateway/event_loop_test.cc
+++ b/tests/gateway/event_loop_test.cc
@@ -89,6 +89,16 @@
   }
 };
 
+// Guards against callers that go on sending after they were refused: what they
+// send while their connection closes was read without a limit.
+TEST(FloodedRouters, ServeBesideCallersThatSendAfterARefusal) {
+  this->CheckServesBeside({"nonsense\r\n\r\n", "more nonsense", true});
+  for (const auto& caller : this->callers) {
+    CHECK_TRUE(caller->is_closed());
+    CHECK_TRUE(caller->sent_bytes() < std::size_t{32} << 20);
+  }
+}
+
 // Guards against a body without end of a request that is refused for it.
 TEST(FloodedRouters, ServeBesideCallersWhoseBodiesDoNotEnd) {
   this->CheckServesBeside(
