Answer or refuse what comes late in a planned stop

Report: requests late in the grace of a planned stop were taken, passed on and cut at its end, also ones that must not be repeated. On: plain requests of 1.4 s sent 6.3 to 7.1 s after the signal, 9 of 9 of each kind cut; long streams 5.

Cause: plain requests were taken until 0.9 s before the end, whatever they may last, and the process exited half a second later.

Change: a plain request is taken if its time-out ends before service does. What is open then is answered, not cut.

--- a/modules/al_gateway/limits/drain_schedule.h
+++ b/modules/al_gateway/limits/drain_schedule.h
@@ -20,12 +20,17 @@
 
   [[nodiscard]] auto started_at() const -> Instant { return this->start; }
 
-  /** Returns when unused allowances are returned. */
+  /** Returns when unused allowances are returned. Requests that need tokens are
+     refused from then on. */
   [[nodiscard]] auto returns_at() const -> Instant;
 
-  /** Returns until when responses can be completed. */
+  /** Returns when all open requests are answered, and the router stops to
+     listen. */
   [[nodiscard]] auto service_ends_at() const -> Instant;
 
+  /** Returns when the process exits at the latest. */
+  [[nodiscard]] auto exits_at() const -> Instant;
+
   /** Returns whether a request that lasts up to `longest` from `now` on can be
      answered. */
   [[nodiscard]] auto HasTimeFor(Duration longest, Instant now) const -> bool {
--- a/programs/gateway/fleet_topic_client.cc
+++ b/programs/gateway/fleet_topic_client.cc
@@ -153,6 +153,7 @@
 }
 
 auto FleetTopicClient::ReturnUnspent(std::function<void()> on_done) -> void {
+  this->is_returning = true;
   this->on_returned = std::move(on_done);
   this->AppendPlanned();
 }
@@ -258,10 +259,8 @@
     this->ContinueRestore();
     return;
   }
-  if (this->on_returned) {
-    this->AppendBatch(this->allowance_manager.PlanReturnEntries(),
-                      this->TakeCrashReport(true, this->poller.loop().Now()),
-                      std::nullopt, true);
+  if (this->is_returning) {
+    this->AppendReturns();
     return;
   }
   const Instant now = this->poller.loop().Now();
@@ -285,6 +284,18 @@
   }
 }
 
+auto FleetTopicClient::AppendReturns() -> void {
+  const std::vector<AllowanceEntry> entries =
+      this->allowance_manager.PlanReturnEntries();
+  if (!entries.empty()) {
+    this->AppendBatch(entries,
+                      this->TakeCrashReport(true, this->poller.loop().Now()),
+                      std::nullopt, true);
+  } else if (const auto call = std::exchange(this->on_returned, {})) {
+    call();
+  }
+}
+
 auto FleetTopicClient::ContinueRestore() -> void {
   const Instant now = this->poller.loop().Now();
   if (this->restored_records.empty()) {
@@ -483,16 +494,14 @@
     records.push_back(ToRecord(*limit_report, this->poller.loop().Now()));
   }
   this->append_sent_at = this->poller.loop().Now();
-  this->producer.Append(
-      std::move(records), [this, has_entries = !entries.empty()] {
-        if (const auto call = std::exchange(this->on_returned, {})) {
-          call();
-          return;
-        }
-        if (has_entries) {
-          this->follower.ReadNow();
-        }
-      });
+  this->producer.Append(std::move(records),
+                        [this, has_entries = !entries.empty()] {
+                          if (this->is_returning) {
+                            this->AppendReturns();
+                          } else if (has_entries) {
+                            this->follower.ReadNow();
+                          }
+                        });
 }
 
 auto FleetTopicClient::MakeAnnouncement() -> KeyedRecord {
--- a/programs/gateway/fleet_topic_client.h
+++ b/programs/gateway/fleet_topic_client.h
@@ -89,7 +89,8 @@
     this->self.requests_per_second = per_second;
   }
 
-  /** Returns all unspent tokens, then calls `on_done`. */
+  /** Returns all tokens that no open request needs, then calls `on_done`; no
+     more are taken. Call it again once those requests have ended. */
   auto ReturnUnspent(std::function<void()> on_done) -> void;
 
   auto SetConfigVersion(std::uint64_t version) -> void {
@@ -137,6 +138,8 @@
   auto OnListed() -> void;
   auto OnTick() -> void;
   auto AppendPlanned() -> void;
+  /** Appends what can be returned now; calls on_returned if nothing is left. */
+  auto AppendReturns() -> void;
   /** Goes on to write again what the log has lost. First this router writes its
      own entries, and with one other router those of each other holder. When
      all have been read, it writes what is still missing, whoever was to write
@@ -201,6 +204,7 @@
   TopicProducer producer;
   std::unique_ptr<LoopTimer> timer;
   std::unique_ptr<LoopTimer> batch_timer;
+  bool is_returning = false;
   std::function<void()> on_returned;
   Instant announced_at{};
   Instant append_sent_at{};
--- a/programs/gateway/gateway_context.h
+++ b/programs/gateway/gateway_context.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <unordered_set>
 #include <vector>
 
 #include "al_core/random/random_source.h"
@@ -23,6 +24,8 @@
 
 namespace auburnloft::gateway {
 
+class RequestHandler;
+
 /** State that all requests of one process share.
 
     Thread safety: none; used on the loop's thread.
@@ -56,8 +59,9 @@
                                 ///< closed.
   int routers = 1;              ///< Active routers in the fleet.
   std::optional<DrainSchedule> drain;  ///< Set by a planned stop.
+  bool returns_allowances = false;     ///< Late in a drain: none are reserved.
   bool is_stopping = false;  ///< Set at the end of a drain: no request starts.
-  int open_requests = 0;     ///< Requests in progress in this process.
+  std::unordered_set<RequestHandler*> open_requests;  ///< In this process.
   bool is_log_reachable = false;  ///< Whether the log service replies.
   Instant last_log_reply_at{};    ///< Of the log service.
 };
--- a/programs/gateway/gateway_daemon.cc
+++ b/programs/gateway/gateway_daemon.cc
@@ -35,7 +35,7 @@
    still served. */
 constexpr Duration kMinDrain = std::chrono::milliseconds(3'500);
 
-/** Timeout for returning allowances. */
+/** Timeout for returning the last allowances. */
 constexpr Duration kReturnTimeout = std::chrono::milliseconds(500);
 
 /** After the end of a drain: minimum time until the exit, during which requests
@@ -43,7 +43,8 @@
    response. It exceeds the time that a request spends on its way. */
 constexpr Duration kMinRefusePeriod = std::chrono::milliseconds(200);
 
-/** Maximum time until the exit if callers do not read their responses. */
+/** Maximum time until the exit if callers do not read their responses, within
+   the grace period. */
 constexpr Duration kMaxRefusePeriod = std::chrono::milliseconds(500);
 
 /** Interval at which surplus allowances are handed to reserve holders: about
@@ -523,7 +524,7 @@
   this->context.drain.emplace(now, this->options.grace_period);
   this->limits.closes_after_response = true;
   this->log.WriteLine(DecisionLog::Severity::kNotable, "drain",
-                      {{"open", this->context.open_requests}}, now);
+                      {{"open", this->context.open_requests.size()}}, now);
   this->fleet_topic.AnnounceLeaving();
   this->drain_timer->Start(kDrainInterval);
 }
@@ -541,12 +542,27 @@
     // Callers look up router addresses only when they have no open connection.
     this->servers.front()->CloseIdle(kIdleThreshold);
   }
-  const bool idle = passed >= kMinDrain && this->context.open_requests == 0;
-  if (!idle && now < this->context.drain->returns_at()) {
-    this->drain_timer->Start(kDrainInterval);
+  const bool idle = passed >= kMinDrain && this->context.open_requests.empty();
+  const Duration service_left = this->context.drain->service_ends_at() - now;
+  if (idle || service_left <= Duration(0)) {
+    this->FinishDrain();
     return;
   }
-  this->FinishDrain();
+  if (!this->context.returns_allowances &&
+      now >= this->context.drain->returns_at()) {
+    this->context.returns_allowances = true;
+    this->ReturnAllowances([] {});
+  }
+  this->drain_timer->Start(std::min(kDrainInterval, service_left));
+}
+
+auto GatewayDaemon::ReturnAllowances(const std::function<void()>& on_done)
+    -> void {
+  if (this->fleet_topic.IsLogResponsive()) {
+    this->fleet_topic.ReturnUnspent(on_done);
+  } else {
+    this->allowance_exchange.HandOverAll(on_done);
+  }
 }
 
 auto GatewayDaemon::FinishDrain() -> void {
@@ -555,28 +571,30 @@
   }
   this->stopping_since = this->loop.Now();
   this->context.is_stopping = true;
+  const std::size_t unanswered = this->context.open_requests.size();
+  const auto open = this->context.open_requests;  // Ending one removes it.
+  for (RequestHandler* const handler : open) {
+    handler->EndForShutdown();
+  }
   for (const auto& server : this->servers) {
     server->StopListening(kIdleThreshold);
   }
-  this->log.WriteLine(DecisionLog::Severity::kNotable, "stop",
-                      {{"open", this->context.open_requests},
-                       {"left_out", this->log.dropped_lines()}},
-                      this->loop.Now());
-  const auto on_returned = [this] { this->allowances_returned = true; };
-  if (this->fleet_topic.IsLogResponsive()) {
-    this->fleet_topic.ReturnUnspent(on_returned);
-  } else {
-    this->allowance_exchange.HandOverAll(on_returned);
-  }
+  this->log.WriteLine(
+      DecisionLog::Severity::kNotable, "stop",
+      {{"open", unanswered}, {"left_out", this->log.dropped_lines()}},
+      this->loop.Now());
+  this->ReturnAllowances([this] { this->allowances_returned = true; });
   this->stop_timer->Start(kStopInterval);
 }
 
 auto GatewayDaemon::StopWhenResponsesAreSent() -> void {
-  const Duration passed = this->loop.Now() - *this->stopping_since;
-  const bool is_done = this->context.open_requests == 0 &&
+  const Instant now = this->loop.Now();
+  const Duration passed = now - *this->stopping_since;
+  const bool is_done = this->context.open_requests.empty() &&
                        !this->servers.front()->HasUnsentResponses() &&
                        (this->allowances_returned || passed >= kReturnTimeout);
-  if (passed < kMaxRefusePeriod && (passed < kMinRefusePeriod || !is_done)) {
+  if (passed < kMaxRefusePeriod && now < this->context.drain->exits_at() &&
+      (passed < kMinRefusePeriod || !is_done)) {
     this->stop_timer->Start(kStopInterval);
     return;
   }
--- a/programs/gateway/gateway_daemon.h
+++ b/programs/gateway/gateway_daemon.h
@@ -55,8 +55,9 @@
       address fails. */
   [[nodiscard]] auto Start() -> bool;
 
-  /** Starts a drain: announces that this router leaves, waits for requests in
-      progress up to the grace period, returns unspent allowances, and stops. */
+  /** Starts a drain: announces that this router leaves, goes on serving
+      requests that can be answered in the grace period, returns unspent
+      allowances, answers what is still open, and stops. */
   auto Drain() -> void;
 
   /** Logs that SIGHUP was received. Settings come from the arguments and the
@@ -95,6 +96,9 @@
   auto OnUpstreamEnded(const UpstreamProcess& upstream) -> void;
   auto LogQuarantineChange(const CrashQuarantine::Change& change) -> void;
   auto OnDrainTick() -> void;
+  /** Returns the allowances that no open request needs, through the log or to
+     other routers. */
+  auto ReturnAllowances(const std::function<void()>& on_done) -> void;
   auto FinishDrain() -> void;
   auto StopWhenResponsesAreSent() -> void;
   [[nodiscard]] auto ready() const -> bool;
--- a/programs/gateway/request_handler.cc
+++ b/programs/gateway/request_handler.cc
@@ -23,6 +23,9 @@
 constexpr int kFirstServerError = 500;
 constexpr int kFirstRedirect = 300;
 
+/** Reason of what a planned stop refuses or ends. */
+constexpr std::string_view kShuttingDown = "shutting down";
+
 }  // namespace
 
 RequestHandler::RequestHandler(GatewayContext& context,
@@ -42,7 +45,7 @@
 
 auto RequestHandler::Start() -> void {
   this->self = this->shared_from_this();
-  ++this->context.open_requests;
+  this->context.open_requests.insert(this);
   this->context.request_rate.Add(1, this->arrived_at);
   if (this->context.close_fraction > 0.0 &&
       this->context.random.UniformDouble() < this->context.close_fraction) {
@@ -63,7 +66,7 @@
 
 auto RequestHandler::AdmitRequest() -> void {
   if (this->context.is_stopping) {
-    this->Refuse(kUnavailable, "shutting down", kShutdownRetryAfter);
+    this->Refuse(kUnavailable, kShuttingDown, kShutdownRetryAfter);
     return;
   }
   const auto decision = Admit(this->table.get(), this->metadata);
@@ -81,6 +84,10 @@
       this->metadata.timeout
           ? std::min(*this->metadata.timeout, this->route->timeout)
           : this->route->timeout;
+  if (this->context.drain && !this->MayFinishInDrain(timeout)) {
+    this->Refuse(kUnavailable, kShuttingDown, kShutdownRetryAfter);
+    return;
+  }
   this->deadline = this->arrived_at + timeout;
   this->deadline_timer = std::make_unique<LoopTimer>(
       this->context.loop, [this] { this->OnDeadline(); });
@@ -96,9 +103,22 @@
   this->ReserveBudget();
 }
 
+auto RequestHandler::MayFinishInDrain(Duration timeout) const -> bool {
+  if (this->NeedsTokens() && this->context.returns_allowances) {
+    return false;
+  }
+  // How long a stream may last depends on its upstream: see OpenAttempt().
+  return this->route->kind == RouteKind::kStream ||
+         this->context.drain->HasTimeFor(timeout, this->arrived_at);
+}
+
+auto RequestHandler::NeedsTokens() const -> bool {
+  return this->metadata.generation && this->team != nullptr &&
+         this->team->prepaid_tokens;
+}
+
 auto RequestHandler::ReserveBudget() -> void {
-  if (!this->metadata.generation || this->team == nullptr ||
-      !this->team->prepaid_tokens) {
+  if (!this->NeedsTokens()) {
     this->Dispatch();
     return;
   }
@@ -178,7 +198,7 @@
 auto RequestHandler::OnNoUpstream() -> void {
   if (this->execution_counter.never_executed()) {
     if (this->context.drain) {
-      this->Refuse(kUnavailable, "shutting down", kShutdownRetryAfter);
+      this->Refuse(kUnavailable, kShuttingDown, kShutdownRetryAfter);
     } else {
       this->Refuse(kUnavailable, "no upstream", this->UpstreamRetryAfter());
     }
@@ -556,17 +576,25 @@
 // Completion
 
 auto RequestHandler::OnDeadline() -> void {
+  this->EndUnanswered("timeout", kUnavailableRetryAfter);
+}
+
+auto RequestHandler::EndForShutdown() -> void {
+  this->EndUnanswered(kShuttingDown, kShutdownRetryAfter);
+}
+
+auto RequestHandler::EndUnanswered(std::string_view why, Duration retry_after)
+    -> void {
   if (this->attempt) {
     this->attempt->Cancel();
     this->EndAttempt(UpstreamResult::kFailed);
   }
   if (this->response->has_started()) {
-    this->AbortStream("timeout");
+    this->AbortStream(why);
   } else if (this->execution_counter.never_executed()) {
-    this->Refuse(kUnavailable, "timeout before it was sent",
-                 kUnavailableRetryAfter);
+    this->Refuse(kUnavailable, why, retry_after);
   } else {
-    this->Refuse(kTimedOut, "timeout", Duration(0));
+    this->Refuse(kTimedOut, why, Duration(0));
   }
 }
 
@@ -636,7 +664,7 @@
   LogRequest(this->context.log, report, this->context.loop.Now());
   this->deadline_timer.reset();
   this->attempt_timer.reset();
-  --this->context.open_requests;
+  this->context.open_requests.erase(this);
   this->response->Release();
   // Callers up the stack may still use this object, so the event loop releases
   // it in its next iteration.
--- a/programs/gateway/request_handler.h
+++ b/programs/gateway/request_handler.h
@@ -46,9 +46,18 @@
   /** Starts to handle the request; the response goes to the session. */
   auto Start() -> void;
 
+  /** Answers the request now, as the router stops: a stream that has begun is
+     broken off. */
+  auto EndForShutdown() -> void;
+
  private:
   // Before the first attempt.
   auto AdmitRequest() -> void;
+  /** Returns whether the request can be answered before a planned stop of this
+     router ends. @pre such a stop has begun. */
+  [[nodiscard]] auto MayFinishInDrain(Duration timeout) const -> bool;
+  /** Returns whether the request draws on its team's budget. */
+  [[nodiscard]] auto NeedsTokens() const -> bool;
   auto ReserveBudget() -> void;
   auto OnReservation(ReservationResult result) -> void;
 
@@ -98,6 +107,8 @@
 
   // Completion.
   auto OnDeadline() -> void;
+  /** Ends the request without an answer of an upstream. */
+  auto EndUnanswered(std::string_view why, Duration retry_after) -> void;
   auto OnCallerDisconnected() -> void;
   auto ForwardResponse(const UpstreamAttempt& finished) -> void;
   auto FinishStream() -> void;
--- a/programs/gateway/state_dump.cc
+++ b/programs/gateway/state_dump.cc
@@ -14,7 +14,7 @@
   state["config_version"] =
       view.context.table ? view.context.table->config().version : 0;
   state["log_in_touch"] = view.context.is_log_reachable;
-  state["open_requests"] = view.context.open_requests;
+  state["open_requests"] = view.context.open_requests.size();
   state["sockets"] = view.sockets;
   state["upstreams"] = view.upstreams;
   state["log_lines_left_out"] = view.context.log.dropped_lines();
--- a/programs/gateway/upstream_dispatch.cc
+++ b/programs/gateway/upstream_dispatch.cc
@@ -72,8 +72,9 @@
     return true;
   }
   Duration longest = parameters.time_left;
-  if (const auto per_token =
-          SlowestPerToken(context, parameters, *choice.upstream, now)) {
+  const auto per_token =
+      SlowestPerToken(context, parameters, *choice.upstream, now);
+  if (parameters.metadata.generation && per_token) {
     longest = std::min(
         longest,
         MaxStreamDuration(parameters.metadata,
--- a/standins/wire/wire_upstream.cc
+++ b/standins/wire/wire_upstream.cc
@@ -29,6 +29,7 @@
 struct WireUpstream::Stream {
   Session session;
   std::uint64_t next = 1;
+  std::uint64_t last = 1;
   bool has_deadly_part = false;
   std::unique_ptr<LoopTimer> timer;
 };
@@ -107,7 +108,7 @@
     std::from_chars(text.data(), text.data() + text.size(), from);
     this->StartStream(session, request, from + 1);
   } else {
-    this->SendPlainResponse(session, id);
+    this->StartPlainResponse(session, id);
   }
 }
 
@@ -158,12 +159,28 @@
   session->Respond(HeadFor(known ? 200 : 400, ""), {});
 }
 
-auto WireUpstream::SendPlainResponse(const Session& session,
+auto WireUpstream::StartPlainResponse(const Session& session,
+                                      const std::string& id) -> void {
+  if (this->settings.plain_delay == Duration(0)) {
+    this->SendPlainResponse(*session, id);
+    return;
+  }
+  this->poller.loop().ScheduleAfter(
+      this->settings.plain_delay,
+      [this, id, weak = std::weak_ptr<Http1ServerSession>(session)] {
+        const Session waiting = weak.lock();
+        if (waiting && waiting->is_serving()) {
+          this->SendPlainResponse(*waiting, id);
+        }
+      });
+}
+
+auto WireUpstream::SendPlainResponse(Http1ServerSession& session,
                                      const std::string& id) -> void {
   Http1ResponseHead head =
       HeadFor(200, this->fault == Fault::kWrongAttemptId ? "another" : id);
   head.fields.Add(platform::kSealHeader, "seal-" + id);
-  session->Respond(head, "answer to " + id);
+  session.Respond(head, "answer to " + id);
 }
 
 auto WireUpstream::StartStream(const Session& session,
@@ -178,6 +195,7 @@
   auto stream = std::make_unique<Stream>();
   stream->session = session;
   stream->next = from;
+  stream->last = this->EventCount(request);
   stream->has_deadly_part =
       request.fields.Find(platform::kPromptHeader)
           .value_or("")
@@ -191,6 +209,20 @@
   this->streams.push_back(std::move(stream));
 }
 
+auto WireUpstream::EventCount(const Http1Request& request) const
+    -> std::uint64_t {
+  const std::string_view tokens =
+      request.fields.Find(platform::kTokensHeader).value_or("");
+  const std::size_t comma = tokens.find(',');
+  if (this->settings.tokens_per_event == 0 || comma == std::string_view::npos) {
+    return this->settings.events;
+  }
+  std::uint64_t output = 0;
+  std::from_chars(tokens.data() + comma + 1, tokens.data() + tokens.size(),
+                  output);
+  return output / this->settings.tokens_per_event;
+}
+
 auto WireUpstream::SendEvent(Stream& stream) -> void {
   if (this->fault == Fault::kDeadlyPart && stream.has_deadly_part) {
     this->Crash();
@@ -205,7 +237,7 @@
   }
   stream.session->Send("id: " + std::to_string(stream.next) + "\ndata: event " +
                        std::to_string(stream.next) + "\n\n");
-  if (stream.next++ >= this->settings.events) {
+  if (stream.next++ >= stream.last) {
     const Session session = stream.session;
     this->RemoveStream(&stream);
     session->FinishResponse();
--- a/standins/wire/wire_upstream.h
+++ b/standins/wire/wire_upstream.h
@@ -34,10 +34,12 @@
     std::string id;       ///< Also the value expected in `X-Expect-Instance`.
     std::string address;  ///< IP:PORT to listen on.
     std::string announced_address;  ///< Address in the entry; empty: `address`.
-    std::int64_t start_unix_ms = 1;  ///< `born` in the entry.
-    Duration first_event_delay{0};   ///< Before a stream's first event.
-    Duration event_interval{0};      ///< Between the events of a stream.
-    std::uint64_t events = 4;        ///< Number of events of a stream.
+    std::int64_t start_unix_ms = 1;      ///< `born` in the entry.
+    Duration first_event_delay{0};       ///< Before a stream's first event.
+    Duration event_interval{0};          ///< Between the events of a stream.
+    std::uint64_t events = 4;            ///< Number of events of a stream.
+    std::uint64_t tokens_per_event = 0;  ///< 0: streams have `events` events.
+    Duration plain_delay{0};             ///< Before a plain response.
   };
 
   /** The injected fault. */
@@ -74,6 +76,17 @@
     this->settings.event_interval = event_interval;
   }
 
+  /** Lets the streams that start from now on have all tokens that their request
+     allows, `tokens_per_event` in each event, in place of a fixed number. */
+  auto SetTokensPerEvent(std::uint64_t tokens_per_event) -> void {
+    this->settings.tokens_per_event = tokens_per_event;
+  }
+
+  /** Sets how long plain requests take from now on. */
+  auto SetPlainDelay(Duration delay) -> void {
+    this->settings.plain_delay = delay;
+  }
+
   /** Sets a callback that receives the id of each attempt when its execution
       starts. */
   auto SetOnExecution(std::function<void(const std::string& id)> call) -> void {
@@ -111,11 +124,17 @@
 
   auto OnRequest(const Session& session, const Http1Request& request) -> void;
   auto OnFaults(const Session& session, const std::string& word) -> void;
+  /** Returns the number of events of the stream that answers a request. */
+  [[nodiscard]] auto EventCount(const Http1Request& request) const
+      -> std::uint64_t;
   [[nodiscard]] auto HeadFor(int status, std::string_view id) const
       -> Http1ResponseHead;
   /** Resets the connections of all streams. */
   auto Crash() -> void;
-  auto SendPlainResponse(const Session& session, const std::string& id) -> void;
+  auto StartPlainResponse(const Session& session, const std::string& id)
+      -> void;
+  auto SendPlainResponse(Http1ServerSession& session, const std::string& id)
+      -> void;
   auto StartStream(const Session& session,
                    const Http1Request& request,
                    std::uint64_t from) -> void;
--- a/tests/gateway/gateway_session_test.cc
+++ b/tests/gateway/gateway_session_test.cc
@@ -92,20 +92,32 @@
 
 // A caller with an outdated list of addresses sends a long stream late in a
 // shutdown. At the engines' pace, 20 ms a token, the router's exit would cut
-// the stream off, so the router refuses it.
+// the stream off, so the router refuses it. Another stream keeps the router
+// running until then.
 TEST(GatewaySessions, BeginsNoLongStreamLateInAShutdown) {
   this->fixture.Publish(1, 100'000);
-  this->fixture.engine_1->SetPace(milliseconds(2), milliseconds(100));
-  this->fixture.engine_2->SetPace(milliseconds(2), milliseconds(100));
+  for (auto* const engine :
+       {this->fixture.engine_1.get(), this->fixture.engine_2.get()}) {
+    engine->SetPace(milliseconds(2), milliseconds(100));
+    engine->SetTokensPerEvent(5);
+  }
   this->fixture.router->Drain();
   CHECK_EQUAL(200, this->Call("a1", "/draft/", "100,20").status);
-  this->fixture.RunFor(milliseconds(2'900));
+  this->fixture.RunFor(milliseconds(900));
+  GatewayFixture::Call call;
+  call.id = "a0";
+  call.path = "/draft/";
+  call.tokens = "100,150";
+  const auto early = this->fixture.StartSending(call);
+  this->fixture.RunFor(milliseconds(2'500));
   const auto late = this->Call("a2", "/draft/", "100,2000");
   CHECK_EQUAL(503, late.status);
   CHECK_FALSE(late.retry_after.empty());
   CHECK_EQUAL(200, this->Call("a3", "/draft/", "100,20").status);
   CHECK_EQUAL(200, this->Call("a4", "/once/").status);
-  CHECK_EQUAL(2, this->fixture.engine_1->executions().size() +
+  this->fixture.loop.RunUntil([&] { return early->ended; }, seconds(2));
+  CHECK_TRUE(early->complete);
+  CHECK_EQUAL(3, this->fixture.engine_1->executions().size() +
                      this->fixture.engine_2->executions().size());
 }
 
--- a/tests/gateway/planned_stop_test.cc
+++ b/tests/gateway/planned_stop_test.cc
@@ -3,6 +3,7 @@
 #include "al_gateway/limits/attempt_timeouts.h"
 #include "al_gateway/limits/drain_schedule.h"
 #include "al_gateway/upstreams/pace_meter.h"
+#include "support/drain_play.h"
 #include "support/gateway_fixture.h"
 #include "support/test_harness.h"
 
@@ -113,3 +114,24 @@
   CHECK_EQUAL(200, this->Call("a2", "/draft/", "100,20").status);
   CHECK_EQUAL(2, this->executions());
 }
+
+// Load pattern: each kind of request, each 100 ms of the grace period, on new
+// and kept connections. Guards against requests that are taken late and cut by
+// the exit, among them ones that must not be repeated.
+TEST_GROUP(PlannedStopsInCalm){};
+
+TEST(PlannedStopsInCalm, CutNoRequestOfAnyKind) {
+  DrainPlay::Settings settings;
+  settings.grace_period = seconds(6);
+  DrainPlay play(settings);
+  int answered = 0;
+  for (const DrainPlay::Result& result : play.Run()) {
+    const std::string what = std::string(DrainPlay::kKinds[result.kind].name) +
+                             " at " + std::to_string(result.moment.count());
+    CHECK_TRUE_TEXT(result.outcome != DrainPlay::Outcome::kCut, what.c_str());
+    CHECK_TRUE_TEXT(result.outcome != DrainPlay::Outcome::kFailed,
+                    what.c_str());
+    answered += result.outcome == DrainPlay::Outcome::kAnswered ? 1 : 0;
+  }
+  CHECK_TRUE(answered > 100);
+}
--- a/tests/support/gateway_fixture.cc
+++ b/tests/support/gateway_fixture.cc
@@ -136,10 +136,19 @@
 
 auto GatewayFixture::StartSending(const Call& call)
     -> std::shared_ptr<Response> {
-  const auto connection = Http1ClientConnection::Connect(
-      this->poller, AddressOf(1, "clients"), seconds(2));
-  return connection ? this->StartExchange(connection, MakeRequest(call))
-                    : nullptr;
+  const auto connection = this->Connect();
+  return connection ? this->StartSendingOn(connection, call) : nullptr;
+}
+
+auto GatewayFixture::Connect() -> std::shared_ptr<Http1ClientConnection> {
+  return Http1ClientConnection::Connect(this->poller, AddressOf(1, "clients"),
+                                        seconds(2));
+}
+
+auto GatewayFixture::StartSendingOn(
+    const std::shared_ptr<Http1ClientConnection>& connection,
+    const Call& call) -> std::shared_ptr<Response> {
+  return this->StartExchange(connection, MakeRequest(call));
 }
 
 auto GatewayFixture::Get(const std::string& address, const std::string& target)
--- a/tests/support/gateway_fixture.h
+++ b/tests/support/gateway_fixture.h
@@ -75,6 +75,13 @@
       not listen. */
   auto StartSending(const Call& call) -> std::shared_ptr<Response>;
 
+  /** Opens a connection to router 1; null if it does not listen. */
+  auto Connect() -> std::shared_ptr<Http1ClientConnection>;
+
+  /** As StartSending(), on a connection. @pre it is idle. */
+  auto StartSendingOn(const std::shared_ptr<Http1ClientConnection>& connection,
+                      const Call& call) -> std::shared_ptr<Response>;
+
   /** Sends raw bytes to a listener of router 1 and returns what it sends until
      the connection ends, or within 600 ms. */
   auto SendRaw(const std::string& bytes,
