Take JSON of another type for absent, in the own interface too

A caller's chat with "include_usage":"yes", an engine's event {"choices":[{}]} or its load report {"running":"x"} ended auburnloft-router, with all open requests.

Cause: value() of the JSON library throws for a member of another type, and [] of a constant object asserts that the member is there. Deep nesting uses up the stack.

Change: platform/json_reading.h is the module al_json, for all that others wrote: callers, engines, log, VM list, load tool.

--- a/platform/json_reading.cc
+++ b/modules/al_json/json_reading.cc
@@ -1,16 +1,33 @@
-#include "platform/json_reading.h"
+#include "al_json/json_reading.h"
 
 #include <algorithm>
 #include <cmath>
 #include <nlohmann/json.hpp>
 
-namespace auburnloft::platform {
+namespace auburnloft {
 
 using Json = nlohmann::json;
 
+namespace {
+
+/** Parses without exceptions. What is nested too deeply is not built.
+    @param is_too_deep  set if the text is. */
+auto ParseWithinDepth(std::string_view text, bool& is_too_deep) -> Json {
+  const auto accept = [&is_too_deep](int depth, Json::parse_event_t /*event*/,
+                                     Json& /*parsed*/) {
+    is_too_deep = is_too_deep || depth >= kMaxJsonDepth;
+    return !is_too_deep;
+  };
+  Json parsed = Json::parse(text, accept, false);
+  return is_too_deep ? Json(Json::value_t::discarded) : parsed;
+}
+
+}  // namespace
+
 auto ParseJson(std::string_view text) -> Json {
-  Json parsed = Json::parse(text, nullptr, false);
-  if (!parsed.is_discarded()) {
+  bool is_too_deep = false;
+  Json parsed = ParseWithinDepth(text, is_too_deep);
+  if (!parsed.is_discarded() || is_too_deep) {
     return parsed;
   }
   constexpr unsigned char kFirstNonAscii = 0x80;
@@ -18,7 +35,7 @@
   std::ranges::replace_if(
       replaced, [](unsigned char letter) { return letter >= kFirstNonAscii; },
       '?');
-  return Json::parse(replaced, nullptr, false);
+  return ParseWithinDepth(replaced, is_too_deep);
 }
 
 auto FindText(const Json& object, const char* name)
@@ -29,6 +46,22 @@
              : std::nullopt;
 }
 
+auto FindBoolean(const Json& object, const char* name) -> std::optional<bool> {
+  const auto found = object.find(name);
+  return found != object.end() && found->is_boolean()
+             ? std::optional(found->get<bool>())
+             : std::nullopt;
+}
+
+auto FindArray(const Json& object, const char* name)
+    -> const std::vector<Json>& {
+  static const std::vector<Json> none;
+  const auto found = object.find(name);
+  return found != object.end() && found->is_array()
+             ? found->get_ref<const Json::array_t&>()
+             : none;
+}
+
 auto FindWhole(const Json& object,
                const char* name,
                std::int64_t min,
@@ -52,4 +85,4 @@
   return found != object.end() && !found->is_null();
 }
 
-}  // namespace auburnloft::platform
+}  // namespace auburnloft
--- a/modules/al_platform/log/log_client.cc
+++ b/modules/al_platform/log/log_client.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "al_core/text/base64.h"
+#include "al_json/json_reading.h"
 
 namespace auburnloft {
 
@@ -16,16 +17,25 @@
   return "/streams/" + stream.value() + "/records";
 }
 
+auto FindOffset(const nlohmann::json& object, const char* name)
+    -> std::optional<LogOffset> {
+  const auto found = FindWhole(object, name, 0, kMaxWholeNumber);
+  return found ? std::optional(static_cast<LogOffset>(*found)) : std::nullopt;
+}
+
 auto ParseRecords(std::string_view body) -> std::optional<LogRecords> {
-  const nlohmann::json json = nlohmann::json::parse(body, nullptr, false);
+  const nlohmann::json json = ParseJson(body);
   if (!json.is_object() || !json.contains("records")) {
     return std::nullopt;
   }
   LogRecords records;
-  records.first = json.value("first", LogOffset{0});
-  records.next = json.value("next", LogOffset{0});
-  records.oldest = json.value("oldest", LogOffset{0});
-  for (const nlohmann::json& item : json["records"]) {
+  records.first = FindOffset(json, "first").value_or(0);
+  records.next = FindOffset(json, "next").value_or(0);
+  records.oldest = FindOffset(json, "oldest").value_or(0);
+  for (const nlohmann::json& item : FindArray(json, "records")) {
+    if (!item.is_string()) {
+      return std::nullopt;
+    }
     std::optional<std::string> bytes = FromBase64(item.get<std::string>());
     if (!bytes) {
       return std::nullopt;
@@ -36,11 +46,8 @@
 }
 
 auto ParseOffset(std::string_view body) -> std::optional<LogOffset> {
-  const nlohmann::json json = nlohmann::json::parse(body, nullptr, false);
-  if (!json.is_object() || !json.contains("offset")) {
-    return std::nullopt;
-  }
-  return json["offset"].get<LogOffset>();
+  const nlohmann::json json = ParseJson(body);
+  return json.is_object() ? FindOffset(json, "offset") : std::nullopt;
 }
 
 }  // namespace
--- a/modules/al_platform/vms/vm_list_client.cc
+++ b/modules/al_platform/vms/vm_list_client.cc
@@ -4,6 +4,8 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "al_json/json_reading.h"
+
 namespace auburnloft {
 
 VmListClient::VmListClient(HttpClient& http,
@@ -26,7 +28,7 @@
 }
 
 auto VmListClient::Parse(std::string_view body) -> std::optional<VmList> {
-  const nlohmann::json json = nlohmann::json::parse(body, nullptr, false);
+  const nlohmann::json json = ParseJson(body);
   if (!json.is_object() || !json.contains("vms") || !json["vms"].is_array()) {
     return std::nullopt;
   }
@@ -36,13 +38,16 @@
       return std::nullopt;
     }
     Vm vm;
-    vm.name = row.value("name", "");
-    vm.role = row.value("role", "router");
-    vm.domain = DomainId(row.value("domain", ""));
-    vm.http_address = row.value("http_address", "");
-    vm.peer_address = PeerAddress(row.value("peer_address", ""));
-    vm.state = row.value("state", "live") == "leaving" ? VmState::kLeaving
-                                                       : VmState::kActive;
+    const auto text = [&row](const char* name) {
+      return FindText(row, name).value_or("");
+    };
+    vm.name = text("name");
+    vm.role = FindText(row, "role").value_or("router");
+    vm.domain = DomainId(text("domain"));
+    vm.http_address = text("http_address");
+    vm.peer_address = PeerAddress(text("peer_address"));
+    vm.state =
+        text("state") == "leaving" ? VmState::kLeaving : VmState::kActive;
     list.push_back(std::move(vm));
   }
   return list;
--- a/modules/al_router/validation/request_validator.cc
+++ b/modules/al_router/validation/request_validator.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "al_core/text/digest.h"
+#include "al_json/json_reading.h"
 #include "al_router/validation/request_identity.h"
 
 namespace auburnloft {
@@ -39,6 +40,7 @@
   std::size_t messages = 0;
   std::int64_t max_tokens = 0;
   bool wants_stream = false;
+  bool wants_usage = false;
 };
 
 /** Reads a chat request's JSON and keeps the first fault as a sentence for the
@@ -52,9 +54,9 @@
   auto Read(std::string_view text, std::int64_t default_max_tokens)
       -> std::optional<ChatBody> {
     ChatBody body;
-    body.json = nlohmann::json::parse(text, nullptr, false);
+    body.json = ParseJson(text);
     if (!body.json.is_object()) {
-      return this->Fail("the body is not a JSON object");
+      return this->Fail("the body is not a JSON object, or is nested deeply");
     }
     const nlohmann::json& json = body.json;
     if (!json.contains("model") || !json["model"].is_string()) {
@@ -84,10 +86,31 @@
       return this->Fail("\"n\" other than 1 is not supported");
     }
     body.wants_stream = json.value("stream", false);
+    if (!this->ReadStreamOptions(json, body)) {
+      return std::nullopt;
+    }
     return body;
   }
 
  private:
+  auto ReadStreamOptions(const nlohmann::json& json, ChatBody& body) -> bool {
+    if (!HasMember(json, "stream_options")) {
+      return true;
+    }
+    const nlohmann::json& options = json["stream_options"];
+    if (!options.is_object()) {
+      this->Fail("\"stream_options\" is not an object");
+      return false;
+    }
+    const auto wanted = FindBoolean(options, "include_usage");
+    if (HasMember(options, "include_usage") && !wanted) {
+      this->Fail("\"include_usage\" is neither true nor false");
+      return false;
+    }
+    body.wants_usage = wanted.value_or(false);
+    return true;
+  }
+
   auto ReadMessages(const nlohmann::json& json, ChatBody& body) -> bool {
     if (!json.contains("messages") || !json["messages"].is_array() ||
         json["messages"].empty()) {
@@ -205,10 +228,7 @@
       static_cast<Tokens>(body->prompt.size()) / kCharactersPerToken;
   validated.is_chat = true;
   validated.wants_stream = body->wants_stream;
-  const nlohmann::json options =
-      body->json.value("stream_options", nlohmann::json::object());
-  validated.wants_usage =
-      options.is_object() && options.value("include_usage", false);
+  validated.wants_usage = body->wants_usage;
   validated.upstream_path = request.path;
   validated.content_type = "application/json";
   body->json["stream"] = true;
--- a/programs/load/audit.cc
+++ b/programs/load/audit.cc
@@ -6,6 +6,8 @@
 #include <thread>
 #include <utility>
 
+#include "al_json/json_reading.h"
+
 namespace auburnloft::load {
 
 namespace {
@@ -119,7 +121,7 @@
   call.path = std::move(path);
   const std::optional<HttpResponse> answer =
       this->session.Call(std::move(call));
-  return json::parse(answer ? answer->body : "", nullptr, false);
+  return ParseJson(answer ? answer->body : "");
 }
 
 auto Audit::ReadActiveIncarnations() -> std::set<std::string> {
@@ -127,7 +129,7 @@
   for (const std::string& router : this->routers) {
     const json state = this->GetJson(router, "/state");
     if (state.is_object()) {
-      active.insert(state.value("incarnation", ""));
+      active.insert(FindText(state, "incarnation").value_or(""));
     }
   }
   return active;
@@ -141,7 +143,7 @@
       continue;
     }
     for (const auto& [key, count] : counts.items()) {
-      executions[key] += count.get<int>();
+      executions[key] += count.is_number_integer() ? count.get<int>() : 0;
     }
   }
   return static_cast<std::uint64_t>(std::ranges::count_if(
--- a/programs/load/caller.cc
+++ b/programs/load/caller.cc
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "al_json/json_reading.h"
 #include "common/response_script.h"
 
 namespace auburnloft::load {
@@ -25,6 +26,26 @@
   return code == "draining" || code == "not_ready" || code == "in_progress";
 }
 
+/** Returns the text of the first choice of a response or of an event.
+    @param part  `message` or `delta`. */
+auto ContentOf(const json& object, const char* part) -> std::string {
+  const std::vector<json>& choices = FindArray(object, "choices");
+  if (choices.empty() || !choices.front().is_object()) {
+    return {};
+  }
+  const auto found = choices.front().find(part);
+  return found != choices.front().end() && found->is_object()
+             ? FindText(*found, "content").value_or("")
+             : std::string();
+}
+
+auto TotalTokens(const json& object) -> Tokens {
+  const auto usage = object.find("usage");
+  return usage != object.end() && usage->is_object()
+             ? FindWhole(*usage, "total_tokens", 0, kMaxWholeNumber).value_or(0)
+             : 0;
+}
+
 }  // namespace
 
 Caller::Caller(EventLoop& loop,
@@ -160,24 +181,27 @@
     this->has_done_marker = true;
     return;
   }
-  const json chunk = json::parse(event.data, nullptr, false);
+  const json chunk = ParseJson(event.data);
   if (!chunk.is_object()) {
     this->stream_error = "malformed";
     return;
   }
   if (chunk.contains("error")) {
-    this->stream_error = chunk["error"].value("code", "unknown");
+    this->stream_error =
+        chunk["error"].is_object()
+            ? FindText(chunk["error"], "code").value_or("unknown")
+            : "unknown";
     return;
   }
   if (chunk.contains("usage") && chunk["usage"].is_object()) {
-    this->result.used_tokens = chunk["usage"].value("total_tokens", Tokens{0});
+    this->result.used_tokens = TotalTokens(chunk);
     return;
   }
   if (this->result.first_piece == Duration{0}) {
     this->result.first_piece = this->loop.Now() - this->started;
   }
   ++this->result.pieces;
-  this->content += chunk["choices"][0]["delta"].value("content", "");
+  this->content += ContentOf(chunk, "delta");
   this->last_event_id = event.id;
 }
 
@@ -207,42 +231,45 @@
 
 auto Caller::OnCompleteBody() -> void {
   this->result.first_piece = this->loop.Now() - this->started;
-  const json response = json::parse(this->body, nullptr, false);
+  const json response = ParseJson(this->body);
   if (this->result.is_service) {
     const bool matches =
-        response.is_object() && response.value("done", "") == this->request.key;
+        response.is_object() && FindText(response, "done") == this->request.key;
     this->result.used_tokens = this->result.max_tokens;
     this->Finish(matches ? ResultKind::kComplete : ResultKind::kWrongContent,
                  "");
     return;
   }
   const ResponseScript script(this->prompt + "\n", this->request.kind->pieces);
-  const bool matches = response.is_object() && response.contains("choices") &&
-                       response["choices"][0]["message"].value("content", "") ==
-                           script.FullText();
+  const bool matches = response.is_object() &&
+                       ContentOf(response, "message") == script.FullText();
   if (matches) {
-    this->result.used_tokens =
-        response["usage"].value("total_tokens", Tokens{0});
+    this->result.used_tokens = TotalTokens(response);
   }
   this->Finish(matches ? ResultKind::kComplete : ResultKind::kWrongContent, "");
 }
 
 auto Caller::OnErrorBody(std::string_view text) -> void {
-  const json response = json::parse(text, nullptr, false);
-  if (!response.is_object() || !response.contains("error")) {
+  const json response = ParseJson(text);
+  if (!response.is_object() || !response.contains("error") ||
+      !response["error"].is_object()) {
     this->Finish(ResultKind::kFailed, "status " + std::to_string(this->status));
     return;
   }
   const json& error = response["error"];
-  const std::string code = error.value("code", "");
+  const std::string code = FindText(error, "code").value_or("");
   if (IsRetryable(code) && this->result.attempts < this->request.max_attempts) {
     if (code == "draining") {
       this->entries.Expire(this->request.team->team);
     }
-    this->Retry(std::chrono::milliseconds(error.value("retry_after_ms", 200)));
+    constexpr std::int64_t kDefaultRetryMs = 200;
+    constexpr std::int64_t kMaxRetryMs = 60'000;
+    this->Retry(std::chrono::milliseconds(
+        FindWhole(error, "retry_after_ms", 0, kMaxRetryMs)
+            .value_or(kDefaultRetryMs)));
     return;
   }
-  const std::string executed = error.value("run", "unknown");
+  const std::string executed = FindText(error, "run").value_or("unknown");
   this->Finish(executed == "no"        ? ResultKind::kRefused
                : executed == "unknown" ? ResultKind::kUnknown
                                        : ResultKind::kFailed,
--- a/programs/load/entry_address_table.cc
+++ b/programs/load/entry_address_table.cc
@@ -5,6 +5,8 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "al_json/json_reading.h"
+
 namespace auburnloft::load {
 
 namespace {
@@ -67,16 +69,23 @@
   auto body = std::make_shared<std::string>();
   const auto finish = [this, team, key, attempt, body] {
     List& list = this->lists[team];
-    const nlohmann::json reply = nlohmann::json::parse(*body, nullptr, false);
-    const bool is_valid = reply.is_object() && reply.contains("entries") &&
-                          !reply["entries"].empty();
-    if (is_valid) {
-      list.addresses.clear();
-      for (const nlohmann::json& entry : reply["entries"]) {
-        list.addresses.push_back(entry.value("address", ""));
+    const nlohmann::json reply = ParseJson(*body);
+    std::vector<std::string> addresses;
+    if (reply.is_object()) {
+      for (const nlohmann::json& entry : FindArray(reply, "entries")) {
+        if (auto address =
+                entry.is_object() ? FindText(entry, "address") : std::nullopt) {
+          addresses.push_back(std::move(*address));
+        }
       }
-      list.until = this->loop.Now() +
-                   std::chrono::seconds(reply.value("hold_seconds", 1));
+    }
+    if (!addresses.empty()) {
+      constexpr std::int64_t kMaxHoldSeconds = 3'600;
+      list.addresses = std::move(addresses);
+      list.until =
+          this->loop.Now() +
+          std::chrono::seconds(
+              FindWhole(reply, "hold_seconds", 0, kMaxHoldSeconds).value_or(1));
     } else if (attempt + 1 < kMaxListRequests) {
       this->loop.ScheduleAfter(kListRetryDelay, [this, team, key, attempt] {
         this->RequestList(team, key, attempt + 1);
--- a/programs/router/request_relay.cc
+++ b/programs/router/request_relay.cc
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "al_json/json_reading.h"
 #include "router/error_body.h"
 
 namespace auburnloft {
@@ -24,6 +25,22 @@
     read until they are sent. */
 constexpr std::size_t kMaxBufferedBytes = 262'144;
 
+/** Returns the text that an event adds to the answer; empty if it has none. */
+auto ContentOf(const SseEvent& event) -> std::string {
+  const json chunk = ParseJson(event.data);
+  if (!chunk.is_object()) {
+    return {};
+  }
+  const std::vector<json>& choices = FindArray(chunk, "choices");
+  if (choices.empty() || !choices.front().is_object()) {
+    return {};
+  }
+  const auto delta = choices.front().find("delta");
+  return delta != choices.front().end() && delta->is_object()
+             ? FindText(*delta, "content").value_or("")
+             : std::string();
+}
+
 }  // namespace
 
 RequestRelay::RequestRelay(HttpClient& http,
@@ -171,10 +188,13 @@
     return;
   }
   if (event.data.find(kUsageKey) != std::string_view::npos) {
-    const json chunk = json::parse(event.data, nullptr, false);
-    if (chunk.is_object() && chunk["usage"].is_object()) {
+    const json chunk = ParseJson(event.data);
+    if (chunk.is_object() && chunk.contains("usage") &&
+        chunk["usage"].is_object()) {
       this->usage = event.data;
-      this->used_tokens = chunk["usage"].value("total_tokens", Tokens{0});
+      this->used_tokens =
+          FindWhole(chunk["usage"], "total_tokens", 0, kMaxWholeNumber)
+              .value_or(0);
     }
     return;
   }
@@ -209,11 +229,7 @@
     this->callbacks.on_first_event();
   }
   if (!this->request.wants_stream) {
-    const json chunk = json::parse(event.data, nullptr, false);
-    if (chunk.is_object() && chunk.contains("choices") &&
-        !chunk["choices"].empty()) {
-      this->content += chunk["choices"][0]["delta"].value("content", "");
-    }
+    this->content += ContentOf(event);
     return;
   }
   this->BeginStream();
@@ -316,7 +332,7 @@
 }
 
 auto RequestRelay::BuildChatCompletion() const -> std::string {
-  const json usage_chunk = json::parse(this->usage, nullptr, false);
+  const json usage_chunk = ParseJson(this->usage);
   json response;
   response["id"] = this->stream;
   response["object"] = "chat.completion";
--- a/programs/router/upstream_poller.cc
+++ b/programs/router/upstream_poller.cc
@@ -1,10 +1,13 @@
 #include "router/upstream_poller.h"
 
 #include <charconv>
+#include <limits>
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "al_json/json_reading.h"
+
 namespace auburnloft {
 
 namespace {
@@ -12,17 +15,22 @@
 using nlohmann::json;
 
 auto ParseLoad(std::string_view body) -> std::optional<LoadReport> {
-  const json report = json::parse(body, nullptr, false);
+  const json report = ParseJson(body);
   if (!report.is_object()) {
     return std::nullopt;
   }
-  return LoadReport{
-      report.value("running", 0U), report.value("patient_running", 0U),
-      report.value("waiting", 0U), report.value("leaving", false)};
+  const auto count = [&report](const char* name) {
+    return static_cast<std::uint32_t>(
+        FindWhole(report, name, 0, std::numeric_limits<std::uint32_t>::max())
+            .value_or(0));
+  };
+  return LoadReport{count("running"), count("patient_running"),
+                    count("waiting"),
+                    FindBoolean(report, "leaving").value_or(false)};
 }
 
 auto ParseDigest(const json& event) -> PrefixDigest {
-  const std::string text = event.value("digest", "");
+  const std::string text = FindText(event, "digest").value_or("");
   PrefixDigest digest = 0;
   std::from_chars(text.data(), text.data() + text.size(), digest);
   return digest;
@@ -50,17 +58,21 @@
     this->Get(
         upstream, "/cache-events?after=" + after,
         [this, id](std::string_view body) {
-          const json response = json::parse(body, nullptr, false);
+          const json response = ParseJson(body);
           if (!response.is_object()) {
             return;
           }
           CacheChange change;
           change.upstream = id;
-          for (const json& event : response.value("events", json::array())) {
-            (event.value("stored", true) ? change.cached : change.evicted)
-                .push_back(ParseDigest(event));
+          for (const json& event : FindArray(response, "events")) {
+            if (event.is_object()) {
+              (FindBoolean(event, "stored").value_or(true) ? change.cached
+                                                           : change.evicted)
+                  .push_back(ParseDigest(event));
+            }
           }
-          this->cache_cursors[id] = response.value("next", std::uint64_t{0});
+          this->cache_cursors[id] = static_cast<std::uint64_t>(
+              FindWhole(response, "next", 0, kMaxWholeNumber).value_or(0));
           this->on_cache(change);
         });
   }
--- a/tests/http/hostile_test.cc
+++ b/tests/http/hostile_test.cc
@@ -105,3 +105,30 @@
   this->ExpectContains(blue, "chat.completion");
   this->ExpectContains(red, "chat.completion");
 }
+
+// Guards against an option of another type than documented, which ended the
+// router with an exception of the JSON library.
+TEST(HostileRequests, AnOptionOfAnotherTypeGetsAClearError) {
+  const std::string response = this->fixture.Exchange(
+      HttpFixture::MakeChatRequest(
+          "blue-key", "",
+          R"({"model":"m","messages":[{"role":"user","content":"hello"}],)"
+          R"("stream_options":{"include_usage":"yes"}})"),
+      "}}");
+  this->ExpectContains(response, " 400 ");
+  this->ExpectContains(response, "include_usage");
+}
+
+// Guards against a body that is nested so deeply that writing it again uses up
+// the stack.
+TEST(HostileRequests, ADeeplyNestedBodyGetsAClearError) {
+  constexpr std::size_t kDepth = 32'000;
+  const std::string response = this->fixture.Exchange(
+      HttpFixture::MakeChatRequest(
+          "blue-key", "",
+          R"({"model":"m","messages":[{"role":"user","content":)" +
+              std::string(kDepth, '[') + std::string(kDepth, ']') + "}]}"),
+      "}}");
+  this->ExpectContains(response, " 400 ");
+  this->ExpectContains(response, "nested");
+}
--- a/tests/http/http_fixture.cc
+++ b/tests/http/http_fixture.cc
@@ -68,10 +68,15 @@
 auto ConfigurationText() -> std::string {
   nlohmann::json json = nlohmann::json::parse(R"({
     "defaults": {"chat_class": "quick"},
-    "classes": {"quick": {"patience": "quick", "queue_limit_ms": 5000}},
+    "classes": {"quick": {"patience": "quick", "queue_limit_ms": 5000},
+                "brief": {"patience": "quick", "queue_limit_ms": 20}},
     "upstreams": {"engine": {"domain": "a", "models": ["m"], "slots": 8}}
   })");
   json["upstreams"]["engine"]["address"] = AddressFor("own engine");
+  json["upstreams"]["raw"] = {{"domain", "a"},
+                              {"models", {"raw"}},
+                              {"slots", 8},
+                              {"address", AddressFor("raw own")}};
   for (const char* const team : {"blue", "red"}) {
     json["teams"][team]["key_sha256"] = Sha256Hex(std::string(team) + "-key");
   }
--- a/tests/http/http_fixture.h
+++ b/tests/http/http_fixture.h
@@ -6,6 +6,7 @@
 
 #include "al_edge/http/http_client.h"
 #include "al_edge/loop/event_loop.h"
+#include "al_net/socket_poller.h"
 #include "engine/engine_server.h"
 #include "platform/platform_server.h"
 #include "router/router_daemon.h"
@@ -14,7 +15,8 @@
 
 /** Runs a router with a stand-in platform and a stand-in engine in this
    process, on one event loop and with real sockets on loopback. All tests share
-   one instance. */
+   one instance. Another engine, of the model `raw`, is a RawUpstream `own`
+   where a test starts it. */
 class HttpFixture {
  public:
   static auto Get() -> HttpFixture&;
@@ -48,11 +50,14 @@
     this->loop.RunUntil([] { return false; }, span);
   }
 
+  [[nodiscard]] auto socket_poller() -> SocketPoller& { return this->poller; }
+
  private:
   HttpFixture();
   auto Append(const std::string& stream, const std::string& bytes) -> void;
 
   EventLoop loop;
+  SocketPoller poller{this->loop};
   HttpClient client;
   std::unique_ptr<standins::PlatformServer> platform;
   std::unique_ptr<standins::EngineServer> engine;
