Give up an answer without end in the own interface, too

An engine whose answer does not end was read until the caller's deadline, and a failure's text, a service's answer or a load report was kept whatever its size.

Change: a call of HttpClient fails beyond 4 MiB; a chat beyond 1 KiB more for each token that it may cost.

Evidence: HostileOwnEngines.AreGivenUpWithABodyWithoutEnd failed before (no answer within 20 s).

--- a/modules/al_edge/http/http_client.cc
+++ b/modules/al_edge/http/http_client.cc
@@ -153,10 +153,7 @@
       return lws_http_client_read(wsi, &at, &capacity) < 0 ? -1 : 0;
     }
     case LWS_CALLBACK_RECEIVE_CLIENT_HTTP_READ:
-      if (handle->call.on_data) {
-        handle->call.on_data({static_cast<const char*>(in), size});
-      }
-      return 0;
+      return OnData(*handle, {static_cast<const char*>(in), size});
     case LWS_CALLBACK_COMPLETED_CLIENT_HTTP:
       Finish(*handle);
       return 0;
@@ -247,6 +244,18 @@
   }
 }
 
+auto HttpClient::OnData(HttpCallHandle& handle, std::string_view data) -> int {
+  handle.received_bytes += data.size();
+  if (handle.received_bytes > handle.call.max_response_bytes) {
+    Fail(handle, "the answer is too long");
+    return -1;  // Closes the connection.
+  }
+  if (handle.call.on_data) {
+    handle.call.on_data(data);
+  }
+  return 0;
+}
+
 auto HttpClient::Fail(HttpCallHandle& handle, std::string_view text) -> void {
   if (std::exchange(handle.finished, true)) {
     return;
--- a/modules/al_edge/http/http_client.h
+++ b/modules/al_edge/http/http_client.h
@@ -24,6 +24,9 @@
   HttpHeaders headers;
   std::string body;
 
+  /** Maximum size of the response body; a longer one fails the call. */
+  std::size_t max_response_bytes = std::size_t{4} << 20;
+
   /** Names, in lower case, of the response headers to pass to `on_head`. */
   std::vector<std::string> response_headers;
 
@@ -54,6 +57,7 @@
   HttpCall call;
   lws* wsi = nullptr;
   std::string host;
+  std::size_t received_bytes = 0;  ///< Of the response body.
   bool sent = false;
   bool finished = false;
   bool paused = false;
@@ -88,6 +92,7 @@
                           std::size_t size) -> int;
   static auto OnWritable(HttpCallHandle& handle, lws* wsi) -> int;
   static auto OnHead(HttpCallHandle& handle, lws* wsi) -> void;
+  static auto OnData(HttpCallHandle& handle, std::string_view data) -> int;
   static auto Fail(HttpCallHandle& handle, std::string_view text) -> void;
   static auto Finish(HttpCallHandle& handle) -> void;
 
--- a/programs/router/request_relay.cc
+++ b/programs/router/request_relay.cc
@@ -1,5 +1,6 @@
 #include "router/request_relay.h"
 
+#include <algorithm>
 #include <charconv>
 #include <nlohmann/json.hpp>
 #include <utility>
@@ -25,6 +26,10 @@
     read until they are sent. */
 constexpr std::size_t kMaxBufferedBytes = 262'144;
 
+/** Maximum size of an event for each token that a chat may produce, beyond the
+   usual limit of a response. */
+constexpr std::size_t kMaxBytesPerToken = 1'024;
+
 /** Returns the text that an event adds to the answer; empty if it has none. */
 auto ContentOf(const SseEvent& event) -> std::string {
   const json chunk = ParseJson(event.data);
@@ -127,6 +132,11 @@
     this->content_event_count = 0;
   }
   next.address = this->upstream_address;
+  if (this->request.is_chat) {
+    next.max_response_bytes +=
+        kMaxBytesPerToken * static_cast<std::size_t>(std::max<Tokens>(
+                                0, this->request.incoming.upper));
+  }
   next.response_headers = {"content-type", "auburnloft-run"};
   next.on_head = [this](int code, const HttpHeaders& headers) {
     this->OnHead(code, headers);
--- a/tests/http/hostile_engine_test.cc
+++ b/tests/http/hostile_engine_test.cc
@@ -92,3 +92,15 @@
   this->fixture.RunFor(std::chrono::milliseconds(1'500));
   CHECK_TRUE(reports > 1);
 }
+
+// Guards against a failure whose text does not end, and is kept.
+TEST(HostileOwnEngines, AreGivenUpWithABodyWithoutEnd) {
+  this->AnswerChats([&](const Arrival& arrival) {
+    this->engine.SendWithoutEnd(
+        arrival, "HTTP/1.1 400 Bad Request\r\nConnection: close\r\n\r\n",
+        "1234567890");
+  });
+  CHECK_TRUE(this->Chat(false).starts_with("HTTP/1.1 50"));
+  CHECK_EQUAL(0, this->engine.open_connections());
+  CHECK_TRUE(this->engine.sent_bytes() < std::size_t{32} << 20);
+}
