Test responses that stop at each byte

Report: a server stopped within its answer's head and closed; clients got a 200 that was framed as whole.

--- a/tests/http/hostile_engine_test.cc
+++ b/tests/http/hostile_engine_test.cc
@@ -104,3 +104,30 @@
   CHECK_EQUAL(0, this->engine.open_connections());
   CHECK_TRUE(this->engine.sent_bytes() < std::size_t{32} << 20);
 }
+
+// Guards against a response that stops at any byte, by a close or a reset: no
+// caller must get it for the whole.
+TEST(HostileOwnEngines, EndNoAnswerBeforeItsLastByte) {
+  const std::string whole =
+      std::string(kEvents) + "Transfer-Encoding: chunked\r\n\r\n" +
+      EncodeChunk(R"(data: {"choices":[{"delta":{"content":"whole"}}]})"
+                  "\n\ndata: [DONE]\n\n") +
+      std::string(kLastChunk);
+  const std::size_t end_of_content = whole.find("[DONE]");
+  for (std::size_t size = 0; size < end_of_content; ++size) {
+    for (const bool resets : {false, true}) {
+      int attempts = 0;
+      this->AnswerChats([&](const Arrival& arrival) {
+        ++attempts;
+        arrival.send(std::string_view(whole).substr(0, size));
+        (resets ? arrival.reset : arrival.close)();
+      });
+      CHECK_FALSE(this->Chat(false).starts_with("HTTP/1.1 2"));
+      CHECK_EQUAL(1, attempts);
+      // A success, so that the engine is not taken for one that always fails.
+      this->AnswerChats([&](const Arrival& arrival) { arrival.send(whole); });
+      CHECK_TRUE(this->Chat(false).find(R"("content":"whole")") !=
+                 std::string::npos);
+    }
+  }
+}
