--- a/modules/al_json/json_reading.cc
+++ b/modules/al_json/json_reading.cc
@@ -8,26 +8,9 @@
 
 using Json = nlohmann::json;
 
-namespace {
-
-/** Parses without exceptions. What is nested too deeply is not built.
-    @param is_too_deep  set if the text is. */
-auto ParseWithinDepth(std::string_view text, bool& is_too_deep) -> Json {
-  const auto accept = [&is_too_deep](int depth, Json::parse_event_t /*event*/,
-                                     Json& /*parsed*/) {
-    is_too_deep = is_too_deep || depth >= kMaxJsonDepth;
-    return !is_too_deep;
-  };
-  Json parsed = Json::parse(text, accept, false);
-  return is_too_deep ? Json(Json::value_t::discarded) : parsed;
-}
-
-}  // namespace
-
 auto ParseJson(std::string_view text) -> Json {
-  bool is_too_deep = false;
-  Json parsed = ParseWithinDepth(text, is_too_deep);
-  if (!parsed.is_discarded() || is_too_deep) {
+  Json parsed = Json::parse(text, nullptr, false);
+  if (!parsed.is_discarded()) {
     return parsed;
   }
   constexpr unsigned char kFirstNonAscii = 0x80;
@@ -35,7 +18,18 @@
   std::ranges::replace_if(
       replaced, [](unsigned char letter) { return letter >= kFirstNonAscii; },
       '?');
-  return ParseWithinDepth(replaced, is_too_deep);
+  return Json::parse(replaced, nullptr, false);
+}
+
+auto ParseStrictJson(std::string_view text) -> Json {
+  bool is_too_deep = false;
+  const auto accept = [&is_too_deep](int depth, Json::parse_event_t /*event*/,
+                                     Json& /*parsed*/) {
+    is_too_deep = is_too_deep || depth >= kMaxJsonDepth;
+    return !is_too_deep;  // Nothing more is built.
+  };
+  Json parsed = Json::parse(text, accept, false);
+  return is_too_deep ? Json(Json::value_t::discarded) : parsed;
 }
 
 auto FindText(const Json& object, const char* name)
--- a/modules/al_json/json_reading.h
+++ b/modules/al_json/json_reading.h
@@ -13,15 +13,19 @@
 /** The largest whole number that a JSON number holds exactly. */
 inline constexpr std::int64_t kMaxWholeNumber = (std::int64_t{1} << 53) - 1;
 
-/** Maximum nesting of arrays and objects: far above that of any document that
-   is read, and far below what copying or writing a document, which recurse,
-   takes of the stack. */
+/** Parses a JSON text to read from it. Bytes that are no UTF-8 are replaced, so
+   that they do not cost the rest of the text. @return a discarded value if it
+   is no JSON. */
+[[nodiscard]] auto ParseJson(std::string_view text) -> nlohmann::json;
+
+/** Maximum nesting of arrays and objects that ParseStrictJson() takes: far
+   above that of any document that is known. */
 inline constexpr int kMaxJsonDepth = 100;
 
-/** Parses a JSON text. Bytes that are no UTF-8 are replaced, so that they do
-   not cost the rest of the text. @return a discarded value if it is no JSON, or
-   nested more deeply than kMaxJsonDepth. */
-[[nodiscard]] auto ParseJson(std::string_view text) -> nlohmann::json;
+/** Parses a JSON text that may be copied or written again, which uses the stack
+   for each level. @return a discarded value if it is no JSON, has bytes that
+   are no UTF-8, or is nested more deeply than kMaxJsonDepth. */
+[[nodiscard]] auto ParseStrictJson(std::string_view text) -> nlohmann::json;
 
 /** The member `name` if it is a string. */
 [[nodiscard]] auto FindText(const nlohmann::json& object, const char* name)
--- a/modules/al_platform/log/log_client.cc
+++ b/modules/al_platform/log/log_client.cc
@@ -24,7 +24,7 @@
 }
 
 auto ParseRecords(std::string_view body) -> std::optional<LogRecords> {
-  const nlohmann::json json = ParseJson(body);
+  const nlohmann::json json = ParseStrictJson(body);
   if (!json.is_object() || !json.contains("records")) {
     return std::nullopt;
   }
@@ -46,7 +46,7 @@
 }
 
 auto ParseOffset(std::string_view body) -> std::optional<LogOffset> {
-  const nlohmann::json json = ParseJson(body);
+  const nlohmann::json json = ParseStrictJson(body);
   return json.is_object() ? FindOffset(json, "offset") : std::nullopt;
 }
 
--- a/modules/al_platform/vms/vm_list_client.cc
+++ b/modules/al_platform/vms/vm_list_client.cc
@@ -28,7 +28,7 @@
 }
 
 auto VmListClient::Parse(std::string_view body) -> std::optional<VmList> {
-  const nlohmann::json json = ParseJson(body);
+  const nlohmann::json json = ParseStrictJson(body);
   if (!json.is_object() || !json.contains("vms") || !json["vms"].is_array()) {
     return std::nullopt;
   }
--- a/modules/al_router/validation/request_validator.cc
+++ b/modules/al_router/validation/request_validator.cc
@@ -54,7 +54,7 @@
   auto Read(std::string_view text, std::int64_t default_max_tokens)
       -> std::optional<ChatBody> {
     ChatBody body;
-    body.json = ParseJson(text);
+    body.json = ParseStrictJson(text);
     if (!body.json.is_object()) {
       return this->Fail("the body is not a JSON object, or is nested deeply");
     }
--- a/programs/load/audit.cc
+++ b/programs/load/audit.cc
@@ -121,7 +121,7 @@
   call.path = std::move(path);
   const std::optional<HttpResponse> answer =
       this->session.Call(std::move(call));
-  return ParseJson(answer ? answer->body : "");
+  return ParseStrictJson(answer ? answer->body : "");
 }
 
 auto Audit::ReadActiveIncarnations() -> std::set<std::string> {
--- a/programs/load/caller.cc
+++ b/programs/load/caller.cc
@@ -181,7 +181,7 @@
     this->has_done_marker = true;
     return;
   }
-  const json chunk = ParseJson(event.data);
+  const json chunk = ParseStrictJson(event.data);
   if (!chunk.is_object()) {
     this->stream_error = "malformed";
     return;
@@ -231,7 +231,7 @@
 
 auto Caller::OnCompleteBody() -> void {
   this->result.first_piece = this->loop.Now() - this->started;
-  const json response = ParseJson(this->body);
+  const json response = ParseStrictJson(this->body);
   if (this->result.is_service) {
     const bool matches =
         response.is_object() && FindText(response, "done") == this->request.key;
@@ -250,7 +250,7 @@
 }
 
 auto Caller::OnErrorBody(std::string_view text) -> void {
-  const json response = ParseJson(text);
+  const json response = ParseStrictJson(text);
   if (!response.is_object() || !response.contains("error") ||
       !response["error"].is_object()) {
     this->Finish(ResultKind::kFailed, "status " + std::to_string(this->status));
--- a/programs/load/entry_address_table.cc
+++ b/programs/load/entry_address_table.cc
@@ -69,7 +69,7 @@
   auto body = std::make_shared<std::string>();
   const auto finish = [this, team, key, attempt, body] {
     List& list = this->lists[team];
-    const nlohmann::json reply = ParseJson(*body);
+    const nlohmann::json reply = ParseStrictJson(*body);
     std::vector<std::string> addresses;
     if (reply.is_object()) {
       for (const nlohmann::json& entry : FindArray(reply, "entries")) {
--- a/programs/router/request_relay.cc
+++ b/programs/router/request_relay.cc
@@ -32,7 +32,7 @@
 
 /** Returns the text that an event adds to the answer; empty if it has none. */
 auto ContentOf(const SseEvent& event) -> std::string {
-  const json chunk = ParseJson(event.data);
+  const json chunk = ParseStrictJson(event.data);
   if (!chunk.is_object()) {
     return {};
   }
@@ -198,7 +198,7 @@
     return;
   }
   if (event.data.find(kUsageKey) != std::string_view::npos) {
-    const json chunk = ParseJson(event.data);
+    const json chunk = ParseStrictJson(event.data);
     if (chunk.is_object() && chunk.contains("usage") &&
         chunk["usage"].is_object()) {
       this->usage = event.data;
@@ -342,7 +342,7 @@
 }
 
 auto RequestRelay::BuildChatCompletion() const -> std::string {
-  const json usage_chunk = ParseJson(this->usage);
+  const json usage_chunk = ParseStrictJson(this->usage);
   json response;
   response["id"] = this->stream;
   response["object"] = "chat.completion";
--- a/programs/router/upstream_poller.cc
+++ b/programs/router/upstream_poller.cc
@@ -15,7 +15,7 @@
 using nlohmann::json;
 
 auto ParseLoad(std::string_view body) -> std::optional<LoadReport> {
-  const json report = ParseJson(body);
+  const json report = ParseStrictJson(body);
   if (!report.is_object()) {
     return std::nullopt;
   }
@@ -58,7 +58,7 @@
     this->Get(
         upstream, "/cache-events?after=" + after,
         [this, id](std::string_view body) {
-          const json response = ParseJson(body);
+          const json response = ParseStrictJson(body);
           if (!response.is_object()) {
             return;
           }
