--- a/modules/al_json/json_reading.cc
+++ b/modules/al_json/json_reading.cc
@@ -49,11 +49,11 @@
 
 auto FindArray(const Json& object, const char* name)
     -> const std::vector<Json>& {
-  static const std::vector<Json> none;
+  static const std::vector<Json> kNone;
   const auto found = object.find(name);
   return found != object.end() && found->is_array()
              ? found->get_ref<const Json::array_t&>()
-             : none;
+             : kNone;
 }
 
 auto FindWhole(const Json& object,
--- a/tests/gateway/http1_test.cc
+++ b/tests/gateway/http1_test.cc
@@ -1,5 +1,8 @@
 // HTTP/1.1 framing of the bytes that callers and faulty upstreams send.
 #include <limits>
+#include <string>
+#include <utility>
+#include <vector>
 
 #include "al_edge/loop/event_loop.h"
 #include "al_http1/al_http1.h"
@@ -141,11 +144,16 @@
 TEST(Http1, RefusesLongTrailersAndExtensions) {
   const std::string large(70'000, 'g');
   const std::string last = "2\r\nok\r\n0\r\n";
-  for (const std::string& rest :
-       {last + "X-A: " + large + "\r\n\r\n", last + large + ": a\r\n\r\n",
-        last + large, "2;x=" + large + "\r\nok\r\n0\r\n\r\n", "2;x=" + large,
-        "2\r\nok\r\n0;x=" + large + "\r\n\r\n"}) {
-    const std::string bytes = "Transfer-Encoding: chunked\r\n\r\n" + rest;
+  const std::vector<std::pair<std::string, std::string>> around_large{
+      {last + "X-A: ", "\r\n\r\n"},
+      {last, ": a\r\n\r\n"},
+      {last, ""},
+      {"2;x=", "\r\nok\r\n0\r\n\r\n"},
+      {"2;x=", ""},
+      {"2\r\nok\r\n0;x=", "\r\n\r\n"}};
+  for (const auto& [before, after] : around_large) {
+    std::string bytes = "Transfer-Encoding: chunked\r\n\r\n";
+    bytes.append(before).append(large).append(after);
     for (const std::size_t part : {bytes.size(), std::size_t{16'384}}) {
       Http1RequestReader request{Http1RequestLimits()};
       Http1ResponseReader response(false);
@@ -159,19 +167,19 @@
 // Guards against trailer fields that are taken for fields of the header, in
 // both directions, whether they come with the header or after it.
 TEST(Http1, KeepsTrailerFieldsOutOfTheHeader) {
-  const std::string header = "Transfer-Encoding: chunked\r\n\r\n";
-  const std::string rest =
+  const std::string bytes =
+      "Transfer-Encoding: chunked\r\n\r\n"
       "2\r\nok\r\n0\r\nAuthorization: Token k\r\nX-More: 1\r\n"
       "Connection: close\r\n\r\n";
   for (const std::size_t part : {std::size_t{1}, std::size_t{4'096}}) {
     Http1RequestReader request{Http1RequestLimits()};
-    CHECK_FALSE(Refuses(request, "POST / HTTP/1.1\r\n" + header + rest, part));
+    CHECK_FALSE(Refuses(request, "POST / HTTP/1.1\r\n" + bytes, part));
     const Http1Request read = request.TakeRequest();
     CHECK_EQUAL(1, read.fields.all().size());
     CHECK_TRUE(read.keeps_alive);
     CHECK_EQUAL(std::string("ok"), read.body);
     Http1ResponseReader response(false);
-    CHECK_FALSE(Refuses(response, "HTTP/1.1 200 OK\r\n" + header + rest, part));
+    CHECK_FALSE(Refuses(response, "HTTP/1.1 200 OK\r\n" + bytes, part));
     CHECK_EQUAL(1, response.Head().fields.all().size());
     CHECK_TRUE(response.Head().keeps_alive);
     CHECK_EQUAL(std::string("ok"), response.TakeBody());
