Refuse a message whose transfer coding is not exactly chunked

Found by trying forms of framing: the gateway took a request with `Transfer-Encoding: xchunked` or `gzip, chunked` for one without a body, or with the length beside it, and a response alike; bytes after it are then read as a further request. Cause: Boost.Beast 1.74 takes any coding but a last `chunked` for none, and reads codings in HTTP/1.0.

MessageParser accepts only `chunked`, in HTTP/1.1 (RFC 9112, 6.1 and 6.3).

--- a/modules/al_http1/http1_request_reader.h
+++ b/modules/al_http1/http1_request_reader.h
@@ -20,8 +20,9 @@
 
     The body has a Content-Length or is chunked. Rejects input that two parsers
    may interpret differently (request smuggling): Content-Length together with
-   chunked encoding, two Content-Length fields, a space before the colon of a
-   field, and a line feed without a carriage return.
+   chunked encoding, two Content-Length fields, a transfer coding other than
+   `chunked`, a space before the colon of a field, and a line feed without a
+   carriage return.
 
     Thread safety: none; use on one thread.
 */
--- a/modules/al_http1/message_parser.h
+++ b/modules/al_http1/message_parser.h
@@ -102,6 +102,10 @@
   /** A colon and a line end, which no field lacks. */
   static constexpr std::size_t kFieldOverhead = 3;
 
+  /** HTTP/1.1 in the notation of the library. RFC 9112, section 6.1: the
+     framing of an older message with Transfer-Encoding is faulty. */
+  static constexpr int kFirstVersionWithCodings = 11;
+
   /** The shortest rest of a chunked body at a chunk's size line: the last chunk
      and an empty trailer section. */
   static constexpr std::size_t kMinChunkedRest = 5;
@@ -128,8 +132,9 @@
   auto on_request_impl(boost::beast::http::verb /*verb*/,
                        StringView method_text,
                        StringView target_text,
-                       int /*version*/,
+                       int version,
                        Error& error) -> void override {
+    this->may_have_coding = version >= kFirstVersionWithCodings;
     this->method = std::string(method_text);
     this->target = std::string(target_text);
     Count(this->header_bytes, method_text.size() + target_text.size(),
@@ -138,15 +143,16 @@
 
   auto on_response_impl(int code,
                         StringView reason_text,
-                        int /*version*/,
+                        int version,
                         Error& error) -> void override {
+    this->may_have_coding = version >= kFirstVersionWithCodings;
     this->status = code;
     this->reason = std::string(reason_text);
     Count(this->header_bytes, reason_text.size(), this->max_header_bytes,
           error);
   }
 
-  auto on_field_impl(boost::beast::http::field /*known*/,
+  auto on_field_impl(boost::beast::http::field known,
                      StringView name,
                      StringView value,
                      Error& error) -> void override {
@@ -158,6 +164,15 @@
             kMaxFramingBytes, error);
       return;
     }
+    // The library takes any other coding for none, so that it would find the
+    // end of the message elsewhere than the sender or a proxy before this one.
+    if (known == boost::beast::http::field::transfer_encoding &&
+        (!this->may_have_coding ||
+         !EqualFieldNames(std::string_view(value.data(), value.size()),
+                          "chunked"))) {
+      error = boost::beast::http::error::bad_transfer_encoding;
+      return;
+    }
     // The limit of the library holds for what one call of put() sees, not for
     // fields that arrive one by one.
     Count(this->header_bytes, name.size() + value.size() + kFieldOverhead,
@@ -201,6 +216,7 @@
   auto on_finish_impl(Error& /*error*/) -> void override {}
 
   std::size_t max_header_bytes;
+  bool may_have_coding = true;
   bool has_whole_header = false;
   std::size_t header_bytes = 0;
   std::size_t trailer_bytes = 0;
--- a/tests/gateway/http1_test.cc
+++ b/tests/gateway/http1_test.cc
@@ -107,6 +107,49 @@
   CHECK_EQUAL(413, body.error_status());
 }
 
+// Guards against a message whose end is found elsewhere than by the peer or a
+// proxy before the router (request smuggling), in both directions.
+TEST(Http1, RefusesAmbiguousFraming) {
+  for (const char* const fields :
+       {"Transfer-Encoding: gzip",
+        "Transfer-Encoding: xchunked",
+        "Transfer-Encoding: gzip, chunked",
+        "Transfer-Encoding: chunked, gzip",
+        "Transfer-Encoding: chunked, chunked",
+        "Transfer-Encoding:",
+        "Transfer-Encoding: gzip\r\nContent-Length: 2",
+        "Transfer-Encoding: identity\r\nContent-Length: 2",
+        "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked",
+        "Transfer-Encoding: chunked\r\nContent-Length: 2",
+        "Content-Length: -2",
+        "Content-Length: +2",
+        "Content-Length: 0x2",
+        "Content-Length: 2 2",
+        "Content-Length: 2, 3",
+        "Content-Length:",
+        "Content-Length: two",
+        "Content-Length: 18446744073709551616",
+        "Content-Length: 2\r\nContent-Length: 3",
+        "Content-Length : 2",
+        "A: b\rContent-Length: 2",
+        "A: b\nContent-Length: 2"}) {
+    const std::string rest = std::string(fields) + "\r\n\r\nab";
+    for (const std::string& line : {std::string("POST / HTTP/1.1\r\n"),
+                                    std::string("GET / HTTP/1.1\r\n")}) {
+      CHECK_EQUAL_TEXT(400, StatusFor(line + rest), fields);
+    }
+    Http1ResponseReader response(false);
+    CHECK_TRUE_TEXT(
+        Refuses(response, "HTTP/1.1 200 OK\r\n" + rest, rest.size()), fields);
+  }
+  const std::string chunks = "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n";
+  CHECK_EQUAL(400, StatusFor("POST / HTTP/1.0\r\n" + chunks));
+  Http1ResponseReader response(false);
+  CHECK_TRUE(Refuses(response, "HTTP/1.0 200 OK\r\n" + chunks, chunks.size()));
+  CHECK_EQUAL(0, StatusFor("POST / HTTP/1.1\r\nTransfer-Encoding: Chunked\r\n"
+                           "\r\n0\r\n\r\n"));
+}
+
 // Guards against a response that is taken for malformed because its head comes
 // in a packet of its own.
 TEST(Http1, ReadsAResponseWhoseHeadComesAlone) {
