Hand a request of the own interface to its handler once

Two pipelined chat requests in one packet ended the router: the first was begun twice, and then an assertion failed (HttpExchange::Begin). After a request with a body that was answered at once, the process spun and served nobody (backtrace: OnBodyEnd called from lws_service_do_ripe_rxflow without end, all user time).

Cause: while bytes of a further request wait, libwebsockets 4.1 repeats LWS_CALLBACK_HTTP_BODY_COMPLETION until the response is complete. Now a repeated report sends a complete response whole and closes; if it is not complete, the connection closes.

HostileRequests.APipelinedRequestEndsOnlyItsConnection (abort before) and APipelinedRequestFollowsAnImmediateResponse (hung before) hold now.

--- a/modules/al_edge/http/http_exchange.cc
+++ b/modules/al_edge/http/http_exchange.cc
@@ -119,6 +119,9 @@
   } else {
     headers.push_back({"content-length", std::to_string(this->content_length)});
   }
+  if (this->closing) {
+    headers.push_back({"connection", "close"});
+  }
   for (const HttpHeader& header : headers) {
     const std::string name = header.name + ":";
     if (lws_add_http_header_by_name(this->wsi, Bytes(name), Bytes(header.value),
@@ -175,7 +178,17 @@
   lws* const connection = this->wsi;
   this->wsi = nullptr;
   lws_set_opaque_user_data(connection, nullptr);
-  return lws_http_transaction_completed(connection) != 0 ? -1 : 0;
+  return this->closing || lws_http_transaction_completed(connection) != 0 ? -1
+                                                                          : 0;
+}
+
+auto HttpExchange::SendRest() -> int {
+  assert(this->ended);
+  int result = 0;
+  while (result == 0 && this->is_open()) {
+    result = this->OnWritable();
+  }
+  return result;
 }
 
 auto HttpExchange::OnClosed() -> void {
--- a/modules/al_edge/http/http_exchange.h
+++ b/modules/al_edge/http/http_exchange.h
@@ -90,6 +90,13 @@
       -> void;
   auto RequestWritable() -> void;
 
+  /** Closes the connection after the response. */
+  auto SetClosing() -> void { this->closing = true; }
+
+  /** Sends the rest of the response at once. @return as OnWritable().
+     @pre End() or Respond() was called. */
+  auto SendRest() -> int;
+
   /** Sends the next part of the response. @return nonzero if the connection
      must close. */
   auto OnWritable() -> int;
@@ -98,11 +105,13 @@
 
   lws* wsi;
   HttpRequest received;
+  bool handled = false;  ///< The server's handler was called.
   bool begun = false;
   bool head_sent = false;
   bool chunked = false;
   bool ended = false;
   bool aborted = false;
+  bool closing = false;
   int status = 0;
   HttpHeaders head;
   std::size_t content_length = 0;
--- a/modules/al_edge/http/http_server.cc
+++ b/modules/al_edge/http/http_server.cc
@@ -168,6 +168,7 @@
       return 0;
     }
   }
+  added.handled = true;
   this->handler(exchange);
   return 0;
 }
@@ -183,11 +184,22 @@
 
 auto HttpServer::OnBodyEnd(lws* wsi) -> int {
   const auto found = this->open.find(ExchangeOf(wsi));
-  if (found != this->open.end() && !found->second->begun) {
-    const std::shared_ptr<HttpExchange> exchange = found->second;
+  if (found == this->open.end()) {
+    return 0;
+  }
+  const std::shared_ptr<HttpExchange> exchange = found->second;
+  if (!exchange->handled && !exchange->begun) {
+    exchange->handled = true;
     this->handler(exchange);
+    return 0;
   }
-  return 0;
+  // Bytes of a further request wait. libwebsockets repeats this event without
+  // end, and serves no other connection, until the response is complete.
+  if (!exchange->ended || exchange->aborted) {
+    return -1;
+  }
+  exchange->SetClosing();
+  return exchange->SendRest();
 }
 
 auto HttpServer::OnWritable(lws* wsi) -> int {
--- a/modules/al_edge/http/http_server.h
+++ b/modules/al_edge/http/http_server.h
@@ -20,7 +20,9 @@
 /** An HTTP/1.1 server on one address.
 
     Rejects a body above the size limit with 413 before reading it, and a POST,
-   PUT or PATCH request without Content-Length with 411.
+   PUT or PATCH request without Content-Length with 411. Closes the connection
+   if a further request follows one with a body before the response to that is
+   sent; it is not read then.
 
     Thread safety: none; use on the loop's thread.
 
--- a/tests/http/hostile_test.cc
+++ b/tests/http/hostile_test.cc
@@ -1,3 +1,6 @@
+#include <string>
+#include <vector>
+
 #include "http/http_fixture.h"
 #include "support/test_harness.h"
 
@@ -66,6 +69,64 @@
   this->ExpectContains(response, " 411 ");
 }
 
+// Guards against a router that ends, spins, or runs a request twice if a
+// further request comes before the response to one with a body is complete.
+TEST(HostileRequests, APipelinedRequestEndsOnlyItsConnection) {
+  const std::string second =
+      HttpFixture::MakeChatRequest("blue-key", "", kValidBody);
+  const std::int64_t arrived = this->fixture.ReadState("/requests/arrived");
+  const std::int64_t gone = this->fixture.ReadState("/requests/callers_gone");
+  for (const char* const body : {kValidBody, kStreamBody}) {
+    const std::string response = this->fixture.Exchange(
+        HttpFixture::MakeChatRequest("blue-key", "", body) + second,
+        "\"usage\"");
+    CHECK_TRUE(response.find("\"usage\"") == std::string::npos);
+  }
+  this->fixture.RunFor(std::chrono::milliseconds(300));
+  CHECK_EQUAL(arrived + 2, this->fixture.ReadState("/requests/arrived"));
+  CHECK_EQUAL(gone + 2, this->fixture.ReadState("/requests/callers_gone"));
+  CHECK_EQUAL(0, this->fixture.ReadState("/requests/open"));
+}
+
+// Guards against a pipelined request that takes the response to the first away,
+// or that is neither served nor announced as unread by `connection: close`.
+TEST(HostileRequests, APipelinedRequestFollowsAnImmediateResponse) {
+  const std::string second = HttpFixture::MakeChatRequest(
+      "blue-key", "connection: close\r\n", kValidBody);
+  const std::string post = "POST /v1/chat/completions HTTP/1.1\r\nhost: r\r\n";
+  const std::string get = "GET /v1/models HTTP/1.1\r\nhost: r\r\n";
+  const std::vector<std::pair<std::string, std::string>> first_requests{
+      {HttpFixture::MakeChatRequest("blue-key", "", "no JSON"), " 400 "},
+      {HttpFixture::MakeChatRequest("nobody", "", kValidBody), " 401 "},
+      {post + "content-length: 0\r\n\r\n", " 401 "},
+      {get + "content-length: 0\r\n\r\n", " 401 "},
+      {get + "content-length: 2\r\n\r\nab", " 401 "},
+      {post + "content-length: 2000000\r\n\r\n" + std::string(2'000'000, 'x'),
+       " 413 "}};
+  for (const auto& [first, status] : first_requests) {
+    std::string bytes = first;
+    bytes.append(second);
+    const std::string response =
+        this->fixture.Exchange(bytes, "\"usage\"", std::chrono::seconds(2));
+    const std::string shown = first.substr(0, 200) + response.substr(0, 600);
+    CHECK_EQUAL_TEXT(response.find(status), response.find(' '), shown.c_str());
+    CHECK_TRUE_TEXT(response.find("\"usage\"") != std::string::npos ||
+                        response.find("connection: close") != std::string::npos,
+                    shown.c_str());
+  }
+}
+
+// Guards against a request whose body is read from the wrong place if it was
+// received together with the request before it.
+TEST(HostileRequests, APipelinedRequestAfterOneWithoutABodyIsServed) {
+  const std::string response = this->fixture.Exchange(
+      "GET /v1/models HTTP/1.1\r\nhost: r\r\n\r\n" +
+          HttpFixture::MakeChatRequest("blue-key", "connection: close\r\n",
+                                       kValidBody),
+      "\"usage\"", std::chrono::seconds(2));
+  this->ExpectContains(response, "\"usage\"");
+}
+
 TEST(HostileRequests, AHugeHeaderEndsOnlyItsConnection) {
   const std::string huge = "x-filler: " + std::string(200'000, 'h') + "\r\n";
   const std::string response = this->fixture.Exchange(
