Reject a request of the own interface whose length is not certain

`Content-Length: abc`, `-5` and `0, 300` were taken for 0, and a coding beside a length was ignored, so that the body was read as a further request. Now 400 or 411, and the connection closes (RFC 9112, 6.3), also after the 411 for a request without a length.

--- a/modules/al_edge/http/http_server.cc
+++ b/modules/al_edge/http/http_server.cc
@@ -4,6 +4,8 @@
 
 #include <array>
 #include <charconv>
+#include <optional>
+#include <system_error>
 #include <utility>
 
 namespace auburnloft {
@@ -151,20 +153,18 @@
   added.received.method = kMethods.at(static_cast<std::size_t>(method));
   added.received.path = path;
   this->ReadHeaders(wsi, added.received);
-  const std::string length = CopyHeader(wsi, WSI_TOKEN_HTTP_CONTENT_LENGTH);
+  const std::optional<std::size_t> length = this->ReadLength(wsi, added);
+  if (!length) {
+    return 0;
+  }
   if (MayHaveBody(added.received.method)) {
-    if (length.empty()) {
-      return this->Fail(added, 411, "the request has no Content-Length");
-    }
-    std::size_t size = 0;
-    std::from_chars(length.data(), length.data() + length.size(), size);
-    if (size > this->options.max_body_bytes) {
+    if (*length > this->options.max_body_bytes) {
       return this->Fail(added, 413,
                         "the body is longer than " +
                             std::to_string(this->options.max_body_bytes) +
                             " bytes");
     }
-    if (size > 0) {
+    if (*length > 0) {
       return 0;
     }
   }
@@ -173,6 +173,32 @@
   return 0;
 }
 
+auto HttpServer::ReadLength(lws* wsi, HttpExchange& exchange)
+    -> std::optional<std::size_t> {
+  const std::string text = CopyHeader(wsi, WSI_TOKEN_HTTP_CONTENT_LENGTH);
+  const bool has_coding =
+      lws_hdr_total_length(wsi, WSI_TOKEN_HTTP_TRANSFER_ENCODING) > 0;
+  if (text.empty() && !has_coding && !MayHaveBody(exchange.received.method)) {
+    return 0;
+  }
+  std::size_t length = 0;
+  const char* const end = text.data() + text.size();
+  const auto [rest, error] = std::from_chars(text.data(), end, length);
+  if (!text.empty() && !has_coding && error == std::errc() && rest == end) {
+    return length;
+  }
+  // Whatever follows may be taken for a further request.
+  exchange.SetClosing();
+  if (text.empty()) {
+    this->Fail(exchange, 411, "the request has no Content-Length");
+  } else {
+    this->Fail(exchange, 400,
+               has_coding ? "Transfer-Encoding is not supported"
+                          : "the Content-Length is not a number");
+  }
+  return std::nullopt;
+}
+
 auto HttpServer::OnBody(lws* wsi, std::string_view data) -> int {
   HttpExchange* const exchange = ExchangeOf(wsi);
   if (exchange == nullptr || exchange->begun) {
--- a/modules/al_edge/http/http_server.h
+++ b/modules/al_edge/http/http_server.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -21,8 +22,8 @@
 
     Rejects a body above the size limit with 413 before reading it, and a POST,
    PUT or PATCH request without Content-Length with 411. Closes the connection
-   if a further request follows one with a body before the response to that is
-   sent; it is not read then.
+   after a request whose end is not certain, and if a further request follows
+   one with a body before the response to that is sent; it is not read then.
 
     Thread safety: none; use on the loop's thread.
 
@@ -63,6 +64,10 @@
   auto OnClosed(lws* wsi) -> void;
   auto Fail(HttpExchange& exchange, int status, std::string_view text) -> int;
   auto ReadHeaders(lws* wsi, HttpRequest& request) const -> void;
+  /** Returns the size of the body, or nothing if the request was rejected,
+     because its end is not certain (RFC 9112, section 6.3). */
+  auto ReadLength(lws* wsi, HttpExchange& exchange)
+      -> std::optional<std::size_t>;
 
   EventLoop& loop;
   Options options;
--- a/tests/http/hostile_test.cc
+++ b/tests/http/hostile_test.cc
@@ -69,6 +69,46 @@
   this->ExpectContains(response, " 411 ");
 }
 
+// Guards against a request whose body is read as a further request, because its
+// end is found elsewhere than by a proxy before the router.
+TEST(HostileRequests, ABodyIsNeverTakenForARequest) {
+  const std::string inner = HttpFixture::MakeChatRequest(
+      "blue-key", "connection: close\r\n", kValidBody);
+  const std::string size = std::to_string(inner.size());
+  const std::string post = "POST /v1/chat/completions HTTP/1.1\r\nhost: r\r\n";
+  const std::string get = "GET /v1/models HTTP/1.1\r\nhost: r\r\n";
+  const std::vector<std::string> fields_of_requests{
+      "content-length: abc",
+      "content-length: -" + size,
+      "content-length: +" + size,
+      "content-length: 0x" + size,
+      "content-length: 0\r\ncontent-length: " + size,
+      "content-length: 0, " + size,
+      "transfer-encoding: chunked",
+      "transfer-encoding: gzip",
+      "content-length: 0\r\ntransfer-encoding: chunked"};
+  for (const std::string& line : {post, get}) {
+    for (const std::string& fields : fields_of_requests) {
+      std::string bytes = line;
+      bytes.append(fields).append("\r\n\r\n").append(inner);
+      const std::string response =
+          this->fixture.Exchange(bytes, "\"usage\"", std::chrono::seconds(2));
+      CHECK_TRUE_TEXT(response.find("chat.completion") == std::string::npos,
+                      bytes.c_str());
+      CHECK_TRUE_TEXT(response.find(" 400 ") != std::string::npos ||
+                          response.find(" 411 ") != std::string::npos,
+                      bytes.c_str());
+      this->ExpectContains(response, "connection: close");
+    }
+  }
+  std::string with_body = get;
+  with_body.append("content-length: ").append(size).append("\r\n\r\n");
+  with_body.append(inner);
+  CHECK_TRUE(
+      this->fixture.Exchange(with_body, "\"usage\"", std::chrono::seconds(2))
+          .find("chat.completion") == std::string::npos);
+}
+
 // Guards against a router that ends, spins, or runs a request twice if a
 // further request comes before the response to one with a body is complete.
 TEST(HostileRequests, APipelinedRequestEndsOnlyItsConnection) {
