--- a/tests/gateway/http1_test.cc
+++ b/tests/gateway/http1_test.cc
@@ -150,6 +150,73 @@
                            "\r\n0\r\n\r\n"));
 }
 
+// Guards against lenient reading of requests by which two readers disagree: the
+// forms of docs/HTTP.md that are refused.
+TEST(Http1, RefusesMalformedRequests) {
+  for (const char* const bytes :
+       {"GET / HTTP/1.1\nHost: h\n\n", "\r\nGET / HTTP/1.1\r\n\r\n",
+        "GET /\r\n\r\n", "GET / HTTP/2.0\r\n\r\n", "GET / HTTP/0.9\r\n\r\n",
+        "GET  / HTTP/1.1\r\n\r\n", "GET /a b HTTP/1.1\r\n\r\n",
+        "GET /\x01 HTTP/1.1\r\n\r\n", "G(T / HTTP/1.1\r\n\r\n",
+        "GET / HTTP/1.1\r\n Host: h\r\n\r\n", "GET / HTTP/1.1\r\nA\r\n\r\n",
+        "GET / HTTP/1.1\r\n: a\r\n\r\n", "GET / HTTP/1.1\r\nA b: c\r\n\r\n",
+        "GET / HTTP/1.1\r\nA: \x01\r\n\r\n"}) {
+    CHECK_EQUAL_TEXT(400, StatusFor(bytes), bytes);
+  }
+  for (const char* const chunks :
+       {"2\nab\n0\n\n\r\n\r\n", "+2\r\nab\r\n0\r\n\r\n",
+        " 2\r\nab\r\n0\r\n\r\n", "2 \r\nab\r\n0\r\n\r\n",
+        "0x2\r\nab\r\n0\r\n\r\n", "2\r\nabc\r\n0\r\n\r\n", "\r\n0\r\n\r\n",
+        "10000000000000002\r\nab\r\n0\r\n\r\n"}) {
+    const std::string head =
+        "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+    CHECK_EQUAL_TEXT(400, StatusFor(head + chunks), chunks);
+  }
+}
+
+// Guards against a request that the standard allows, and another reader
+// accepts, being read otherwise or refused: the forms of docs/HTTP.md that are
+// accepted.
+TEST(Http1, ReadsUnusualButValidFraming) {
+  for (const char* const rest :
+       {"Content-Length:\r\n 2\r\n\r\nab", "Content-Length: 02\r\n\r\nab",
+        "Content-Length: 2\r\nContent-Length: 2\r\n\r\nab",
+        "Content-Length: 2, 2\r\n\r\nab",
+        "Transfer-Encoding: chunked\r\n\r\n2;a=b\r\nab\r\n0\r\n\r\n",
+        "Transfer-Encoding: Chunked\r\n\r\n02\r\nab\r\n00\r\n\r\n"}) {
+    Http1RequestReader request{Http1RequestLimits()};
+    const std::string bytes = std::string("POST / HTTP/1.1\r\n") + rest;
+    CHECK_EQUAL_TEXT(bytes.size(), request.Feed(bytes), rest);
+    CHECK_TRUE_TEXT(request.is_done(), rest);
+    CHECK_EQUAL_TEXT(std::string("ab"), request.TakeRequest().body, rest);
+    Http1ResponseReader response(false);
+    CHECK_FALSE_TEXT(
+        Refuses(response, std::string("HTTP/1.1 200 OK\r\n") + rest,
+                bytes.size()),
+        rest);
+    CHECK_EQUAL_TEXT(std::string("ab"), response.TakeBody(), rest);
+  }
+  Http1RequestReader folded{Http1RequestLimits()};
+  folded.Feed("GET / HTTP/1.1\r\nA: b\r\n Content-Length: 2\r\n\r\n");
+  CHECK_EQUAL(std::string("b Content-Length: 2"),
+              folded.TakeRequest().fields.Find("A").value_or(""));
+}
+
+// Guards against a body that is expected, or read, after a response that has
+// none, whatever its fields say.
+TEST(Http1, ReadsNoBodyWhereTheStatusAllowsNone) {
+  for (const char* const status : {"100", "101", "204", "304"}) {
+    for (const char* const field :
+         {"Content-Length: 2", "Transfer-Encoding: chunked", "A: b"}) {
+      Http1ResponseReader response(false);
+      const std::string head =
+          std::string("HTTP/1.1 ") + status + " A\r\n" + field + "\r\n\r\n";
+      CHECK_EQUAL_TEXT(head.size(), response.Feed(head + "ab"), head.c_str());
+      CHECK_TRUE_TEXT(response.is_done(), head.c_str());
+    }
+  }
+}
+
 // Guards against a response that is taken for malformed because its head comes
 // in a packet of its own.
 TEST(Http1, ReadsAResponseWhoseHeadComesAlone) {
