Bound the memory of all request bodies together

30 callers without a key, each with a body within its limit of 4 MiB that lacks the last byte, took over 80 MiB in 2 s; nothing counted over sessions. A router on a VM of 160 MB ends with all its open requests.

Change: ByteBudget: bodies of over 64 KiB share 32 MiB from their arrival to the response; what is not covered gets 503 with Retry-After, and is not executed. Smaller bodies always find memory.

--- a/modules/al_http1/al_http1.h
+++ b/modules/al_http1/al_http1.h
@@ -10,6 +10,7 @@
     Parts:
     - http1_message.h   requests, response heads, fields and their serialization
     - Http1RequestReader, Http1ResponseReader   incremental parsers
+    - ByteBudget   memory that connections share
     - Http1ServerSession   the server side of one caller's connection
     - Http1Server   a listener and its sessions
     - Http1ClientConnection   one connection to a server, one exchange at a time
@@ -18,6 +19,7 @@
 #ifndef AL_HTTP1_AL_HTTP1_H_
 #define AL_HTTP1_AL_HTTP1_H_
 
+#include "al_http1/byte_budget.h"
 #include "al_http1/http1_client.h"
 #include "al_http1/http1_client_connection.h"
 #include "al_http1/http1_message.h"
--- a/modules/al_http1/http1_request_reader.cc
+++ b/modules/al_http1/http1_request_reader.cc
@@ -62,6 +62,10 @@
   return this->parser->is_header_done();
 }
 
+auto Http1RequestReader::body_bytes() const -> std::size_t {
+  return this->parser->body.size();
+}
+
 auto Http1RequestReader::expects_continue() const -> bool {
   const auto expected = this->parser->fields.Find("Expect");
   return this->has_header() && expected &&
--- a/modules/al_http1/http1_request_reader.h
+++ b/modules/al_http1/http1_request_reader.h
@@ -54,6 +54,9 @@
      `100 Continue` before it sends the body. */
   [[nodiscard]] auto expects_continue() const -> bool;
 
+  /** Size of what has arrived of the body. */
+  [[nodiscard]] auto body_bytes() const -> std::size_t;
+
   /** The HTTP status with which to reject the request, or 0 if it is valid so
      far. */
   [[nodiscard]] auto error_status() const -> int { return this->error; }
--- a/modules/al_http1/http1_server.cc
+++ b/modules/al_http1/http1_server.cc
@@ -7,10 +7,12 @@
 
 Http1Server::Http1Server(SocketPoller& poller,
                          const Http1SessionLimits& limits,
-                         Http1ServerSession::OnRequest on_request)
+                         Http1ServerSession::OnRequest on_request,
+                         std::shared_ptr<ByteBudget> large_bodies)
     : poller(poller),
       limits(limits),
       on_request(std::move(on_request)),
+      large_bodies(std::move(large_bodies)),
       listener(poller,
                [this](int descriptor) { this->OnAccepted(descriptor); }) {}
 
@@ -55,7 +57,8 @@
         std::erase_if(this->sessions, [closed](const auto& item) {
           return item.get() == closed;
         });
-      });
+      },
+      this->large_bodies);
   if (session) {
     this->sessions.insert(std::move(session));
   }
--- a/modules/al_http1/http1_server.h
+++ b/modules/al_http1/http1_server.h
@@ -17,10 +17,12 @@
 */
 class Http1Server {
  public:
-  /** @pre `limits` outlives the server. */
+  /** @param large_bodies  see Http1ServerSession::Open(); servers may share it.
+      @pre `limits` outlives the server. */
   Http1Server(SocketPoller& poller,
               const Http1SessionLimits& limits,
-              Http1ServerSession::OnRequest on_request);
+              Http1ServerSession::OnRequest on_request,
+              std::shared_ptr<ByteBudget> large_bodies = nullptr);
   ~Http1Server();
 
   Http1Server(const Http1Server&) = delete;
@@ -47,6 +49,7 @@
   SocketPoller& poller;
   const Http1SessionLimits& limits;
   Http1ServerSession::OnRequest on_request;
+  std::shared_ptr<ByteBudget> large_bodies;
   TcpListener listener;
   std::set<std::shared_ptr<Http1ServerSession>> sessions;
   std::vector<std::weak_ptr<const TcpConnection>> closing;
--- a/modules/al_http1/http1_server_session.cc
+++ b/modules/al_http1/http1_server_session.cc
@@ -11,6 +11,11 @@
 namespace {
 
 constexpr int kRequestTimeout = 408;
+constexpr int kServiceUnavailable = 503;
+
+/** Smaller bodies always find memory, so that callers with large ones do not
+    keep others from being served. */
+constexpr std::size_t kMinLargeBodyBytes = std::size_t{64} * 1024;
 
 /** How long the caller may take to read the response of a connection that is
    being closed. */
@@ -29,6 +34,8 @@
       return "Content Too Large";
     case 431:
       return "Request Header Fields Too Large";
+    case kServiceUnavailable:
+      return "Service Unavailable";
     default:
       return "Bad Request";
   }
@@ -39,12 +46,14 @@
 Http1ServerSession::Http1ServerSession(SocketPoller& poller,
                                        const Http1SessionLimits& limits,
                                        OnRequest on_request,
-                                       OnClosed on_closed)
+                                       OnClosed on_closed,
+                                       std::shared_ptr<ByteBudget> large_bodies)
     : poller(poller),
       limits(limits),
       on_request(std::move(on_request)),
       on_closed(std::move(on_closed)),
       reader(std::make_unique<Http1RequestReader>(limits.request)),
+      large_body(std::move(large_bodies)),
       timer(std::make_unique<LoopTimer>(poller.loop(),
                                         [this] { this->OnTimeout(); })) {}
 
@@ -61,10 +70,12 @@
                               int descriptor,
                               const Http1SessionLimits& limits,
                               OnRequest on_request,
-                              OnClosed on_closed)
+                              OnClosed on_closed,
+                              std::shared_ptr<ByteBudget> large_bodies)
     -> std::shared_ptr<Http1ServerSession> {
-  std::shared_ptr<Http1ServerSession> session(new Http1ServerSession(
-      poller, limits, std::move(on_request), std::move(on_closed)));
+  std::shared_ptr<Http1ServerSession> session(
+      new Http1ServerSession(poller, limits, std::move(on_request),
+                             std::move(on_closed), std::move(large_bodies)));
   TcpConnection::Callbacks callbacks;
   callbacks.on_input = [self = session.get()] { self->OnInput(); };
   callbacks.on_flushed = [self = session.get()] { self->OnFlushed(); };
@@ -198,6 +209,11 @@
     this->Refuse(this->reader->error_status());
     return;
   }
+  const std::size_t body_bytes = this->reader->body_bytes();
+  if (body_bytes > kMinLargeBodyBytes && !this->large_body.Resize(body_bytes)) {
+    this->Refuse(kServiceUnavailable);
+    return;
+  }
   if (!this->reader->is_done()) {
     if (this->reader->expects_continue() && !this->sent_continue) {
       this->sent_continue = true;
@@ -245,6 +261,9 @@
   Http1ResponseHead head;
   head.status = status;
   head.reason = ReasonPhrase(status);
+  if (status == kServiceUnavailable) {
+    head.fields.Add("Retry-After", "1");
+  }
   this->connection->Write(
       SerializeResponseHead(head, Http1Framing::kLength, 0, true));
   this->connection->CloseGracefully(kLingerTimeout);
@@ -254,6 +273,7 @@
 auto Http1ServerSession::EndExchange() -> void {
   const auto self = this->shared_from_this();
   this->exchange = {};
+  this->large_body.Release();
   if (this->closes) {
     this->connection->CloseGracefully(kLingerTimeout);
     this->MarkClosed();
@@ -277,6 +297,7 @@
   const auto self = this->shared_from_this();
   this->state = State::kClosed;
   this->exchange = {};
+  this->large_body.Release();
   this->timer->Stop();
   if (this->on_closed) {
     this->on_closed(this);
--- a/modules/al_http1/http1_server_session.h
+++ b/modules/al_http1/http1_server_session.h
@@ -7,6 +7,7 @@
 #include <string_view>
 
 #include "al_core/time/instant.h"
+#include "al_http1/byte_budget.h"
 #include "al_http1/http1_message.h"
 #include "al_http1/http1_request_reader.h"
 #include "al_net/tcp_connection.h"
@@ -55,12 +56,16 @@
   };
 
   /** Takes ownership of an accepted socket. @pre `limits` outlives the session.
+      @param large_bodies  memory for request bodies of over 64 KiB, from their
+     arrival to the response; null for no limit. What it does not cover is
+     rejected with 503.
       @return null if the socket cannot be watched. */
   [[nodiscard]] static auto Open(SocketPoller& poller,
                                  int descriptor,
                                  const Http1SessionLimits& limits,
                                  OnRequest on_request,
-                                 OnClosed on_closed)
+                                 OnClosed on_closed,
+                                 std::shared_ptr<ByteBudget> large_bodies)
       -> std::shared_ptr<Http1ServerSession>;
 
   ~Http1ServerSession();
@@ -101,12 +106,12 @@
   //============================================================================
   // Queries
 
-  /** Response bytes that the kernel has not accepted yet. */
   /** The connection, which outlives the session until its bytes are sent. */
   [[nodiscard]] auto tcp_connection() const
       -> std::weak_ptr<const TcpConnection> {
     return this->connection;
   }
+  /** Response bytes that the kernel has not accepted yet. */
   [[nodiscard]] auto unsent_bytes() const -> std::size_t;
   /** True while a request is open. */
   [[nodiscard]] auto is_serving() const -> bool {
@@ -119,7 +124,8 @@
   Http1ServerSession(SocketPoller& poller,
                      const Http1SessionLimits& limits,
                      OnRequest on_request,
-                     OnClosed on_closed);
+                     OnClosed on_closed,
+                     std::shared_ptr<ByteBudget> large_bodies);
 
   auto OnInput() -> void;
   auto OnFlushed() -> void;
@@ -137,6 +143,7 @@
   OnClosed on_closed;
   std::shared_ptr<TcpConnection> connection;
   std::unique_ptr<Http1RequestReader> reader;
+  ByteReservation large_body;
   std::unique_ptr<LoopTimer> timer;
   Instant idle_since{};
   ExchangeCallbacks exchange;
--- a/programs/gateway/gateway_daemon.cc
+++ b/programs/gateway/gateway_daemon.cc
@@ -262,8 +262,8 @@
 
 auto GatewayDaemon::StartServer(const std::string& address,
                                 Http1ServerSession::OnRequest call) -> bool {
-  auto server = std::make_unique<Http1Server>(this->poller, this->limits,
-                                              std::move(call));
+  auto server = std::make_unique<Http1Server>(
+      this->poller, this->limits, std::move(call), this->large_bodies);
   const bool opened = server->Listen(address);
   if (!opened) {
     this->log.WriteLine(DecisionLog::Severity::kNotable, "listen_failed",
--- a/programs/gateway/gateway_daemon.h
+++ b/programs/gateway/gateway_daemon.h
@@ -68,6 +68,10 @@
   [[nodiscard]] auto StateDump() const -> std::string;
 
  private:
+  /** Memory for large request bodies. A body is kept up to three times: as it
+     was received, for a retry, and as it is sent. */
+  static constexpr std::size_t kLargeBodyBytes = std::size_t{32} << 20;
+
   auto StartServer(const std::string& address,
                    Http1ServerSession::OnRequest call) -> bool;
   auto OnRouterAddressRequest(Http1ServerSession& session,
@@ -127,6 +131,8 @@
   ConfigExchange config_exchange;
   std::unique_ptr<TopicFollower> config_follower;
   Http1SessionLimits limits;
+  std::shared_ptr<ByteBudget> large_bodies =
+      std::make_shared<ByteBudget>(kLargeBodyBytes);
   std::vector<std::unique_ptr<Http1Server>>
       servers;  ///< First: the one for callers.
   std::unique_ptr<LoopTimer> tick_timer;
--- a/tests/gateway/hostile_caller_test.cc
+++ b/tests/gateway/hostile_caller_test.cc
@@ -3,6 +3,10 @@
 #include <unistd.h>
 
 #include <fstream>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
 
 #include "support/gateway_fixture.h"
 #include "support/raw_caller.h"
@@ -59,6 +63,40 @@
   CHECK_TRUE(response.starts_with("HTTP/1.1 401 "));
 }
 
+// Guards against many callers whose bodies, each within its limit, together
+// fill the memory.
+TEST(HostileCallers, DoNotFillTheMemoryWithTheirBodies) {
+  constexpr std::size_t kCallers = 30;
+  constexpr std::size_t kBodyBytes = std::size_t{4} << 20;
+  const auto post = [](std::size_t stated, std::size_t sent) {
+    return "POST /once/x HTTP/1.1\r\nHost: h\r\nContent-Length: " +
+           std::to_string(stated) + "\r\n\r\n" + std::string(sent, 'b');
+  };
+  this->fixture.SetMaxBodyBytes(kBodyBytes);
+  this->fixture.Publish(2, 1'000'000);
+  std::vector<RawCaller::Script> scripts(kCallers);
+  for (RawCaller::Script& script : scripts) {
+    script.first = post(kBodyBytes, kBodyBytes - 1);
+  }
+  const std::size_t before = ResidentBytes();
+  std::vector<std::unique_ptr<RawCaller>> callers;
+  callers.reserve(kCallers);
+  for (RawCaller::Script& script : scripts) {
+    callers.push_back(std::make_unique<RawCaller>(
+        GatewayFixture::AddressOf(1, "clients"), std::move(script)));
+  }
+  this->fixture.RunFor(milliseconds(2'000));
+  CHECK_TRUE(ResidentBytes() < before + (std::size_t{80} << 20));
+  const std::string large = post(std::size_t{1} << 20, std::size_t{1} << 20);
+  const std::string refused = this->fixture.SendRaw(large);
+  CHECK_TRUE_TEXT(refused.starts_with("HTTP/1.1 503 "), refused.c_str());
+  CHECK_TRUE(refused.find("Retry-After: 1\r\n") != std::string::npos);
+  CHECK_TRUE(this->fixture.SendRaw(post(2, 2)).starts_with("HTTP/1.1 401 "));
+  callers.clear();
+  this->fixture.RunFor(milliseconds(500));
+  CHECK_TRUE(this->fixture.SendRaw(large).starts_with("HTTP/1.1 401 "));
+}
+
 // Guards against a caller that sends requests without end and reads no
 // response: all responses were kept.
 TEST(HostileCallers, GetNoFurtherResponsesUntilTheyRead) {
--- a/tests/support/gateway_fixture.cc
+++ b/tests/support/gateway_fixture.cc
@@ -101,7 +101,9 @@
       {"Name":"draft","Host":"h","PathPrefix":"/draft/","Type":"streaming","Service":"engines","TimeoutMs":4000,"SloMs":800,"MaxAttempts":1},
       {"Name":"ask","Host":"h","PathPrefix":"/ask/","Type":"streaming","Service":"engines","TimeoutMs":4000,"SloMs":300,"MaxAttempts":2,"Resumable":true,"GapTargetMs":400}],
       "Services":[{"Name":"engines","MaxConns":100,"Engine":{"BatchSlots":8,"Stride":5}},{"Name":"desks","MaxConns":100}],
-      "Limits":{"MaxHeaderBytes":4096,"MaxBodyBytes":1000,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000},
+      "Limits":{"MaxHeaderBytes":4096,"MaxBodyBytes":)" +
+                      std::to_string(this->max_body_bytes) +
+                      R"(,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000},
       "Tenants":[{"Name":"blue","ApiKeys":["blue-key"],"Prepaid":)" +
                       tokens + "}]}");
 }
--- a/tests/support/gateway_fixture.h
+++ b/tests/support/gateway_fixture.h
@@ -51,6 +51,11 @@
   /** Writes a configuration whose team `blue` has `prepaid` tokens. */
   auto PutConfig(std::uint64_t version, std::uint64_t prepaid) -> void;
 
+  /** Sets the limit of request bodies in configurations written from now on. */
+  auto SetMaxBodyBytes(std::size_t bytes) -> void {
+    this->max_body_bytes = bytes;
+  }
+
   /** Writes a configuration and waits until it is in force. */
   auto Publish(std::uint64_t version, std::uint64_t prepaid) -> void;
 
@@ -112,6 +117,7 @@
 
  private:
   Duration grace_period;
+  std::size_t max_body_bytes = 1'000;
 
   auto StartRouter(int number) -> std::unique_ptr<gateway::GatewayDaemon>;
   auto Exchange(const std::string& address, const Http1Request& request)
