Send nothing new to evacuated failure domains

Cause: an operator could not empty a failure domain; its upstreams got new work until each of them drained.

Change: a record evacuate/DOMAIN of the operator's topic evacuates a domain. A router is ready once it has listed the topic, and holds its first configuration until then.

--- a/modules/al_gateway/al_gateway.h
+++ b/modules/al_gateway/al_gateway.h
@@ -8,7 +8,8 @@
     - model/       types of the configuration, request metadata and log records
     - routing/     RouteTable, and Admit(), which forwards or refuses a request
     - upstreams/   UpstreamDirectory, UpstreamSelector and their measurements;
-                   UpstreamLimits: requests a second that upstreams take
+                   UpstreamLimits: requests a second that upstreams take;
+                   EvacuationTable: evacuated failure domains
     - limits/      timeouts, ExecutionCounter, DrainSchedule: planned stops,
                    and FleetRetryBudget: this router's share of the fleet's
                    retries
@@ -35,6 +36,7 @@
 #include "al_gateway/quarantine/crash_quarantine.h"
 #include "al_gateway/quarantine/crash_suspects.h"
 #include "al_gateway/routing/route_table.h"
+#include "al_gateway/upstreams/evacuation_table.h"
 #include "al_gateway/upstreams/pace_meter.h"
 #include "al_gateway/upstreams/upstream_change_log.h"
 #include "al_gateway/upstreams/upstream_directory.h"
--- a/modules/al_gateway/upstreams/upstream_directory.cc
+++ b/modules/al_gateway/upstreams/upstream_directory.cc
@@ -28,6 +28,8 @@
       found->second.state->record().service == record.service) {
     const bool starts_leaving =
         record.leaving && !found->second.state->record().leaving;
+    found->second.state->SetEvacuated(
+        this->evacuated_domains.contains(record.domain));
     found->second.state->Update(std::move(record));
     if (starts_leaving) {
       this->on_unavailable(*found->second.state);
@@ -40,6 +42,7 @@
   const std::string id = record.id;
   const std::string service = record.service;
   auto state = std::make_shared<UpstreamState>(std::move(record));
+  state->SetEvacuated(this->evacuated_domains.contains(state->record().domain));
   const auto notice = this->notices.find(id);
   if (notice != this->notices.end() &&
       notice->second.started_at_ms == state->record().started_at_ms) {
@@ -96,6 +99,20 @@
   }
 }
 
+auto UpstreamDirectory::SetEvacuated(const std::string& domain,
+                                     bool is_evacuated) -> std::vector<State> {
+  if (is_evacuated) {
+    this->evacuated_domains.insert(domain);
+  } else {
+    this->evacuated_domains.erase(domain);
+  }
+  std::vector<State> concerned = this->UpstreamsOfDomain(domain);
+  for (const State& upstream : concerned) {
+    upstream->SetEvacuated(is_evacuated);
+  }
+  return concerned;
+}
+
 auto UpstreamDirectory::RecordLeaving(const UpstreamState& upstream,
                                       Instant now) -> bool {
   const UpstreamProcess process = upstream.record().process();
@@ -226,6 +243,17 @@
 //==============================================================================
 // Queries
 
+auto UpstreamDirectory::UpstreamsOfDomain(std::string_view domain) const
+    -> std::vector<State> {
+  std::vector<State> found;
+  for (const auto& [id, entry] : this->by_id) {
+    if (entry.state->record().domain == domain) {
+      found.push_back(entry.state);
+    }
+  }
+  return found;
+}
+
 auto UpstreamDirectory::Contains(const UpstreamProcess& upstream) const
     -> bool {
   return this->FindProcess(upstream) != nullptr;
@@ -236,7 +264,7 @@
     -> std::optional<Instant> {
   std::optional<Instant> earliest;
   for (const State& upstream : this->UpstreamsOfService(service)) {
-    if (!upstream->is_serving()) {
+    if (!upstream->is_serving() || upstream->is_evacuated()) {
       continue;
     }
     const Instant returns_at = upstream->ReturnsAt(now);
--- a/modules/al_gateway/upstreams/upstream_directory.h
+++ b/modules/al_gateway/upstreams/upstream_directory.h
@@ -58,6 +58,12 @@
   /** Calls Remove() for all upstreams but `ids`, after a full list was read. */
   auto RemoveAllExcept(const std::set<std::string>& ids, Instant now) -> void;
 
+  /** Marks the upstreams of a failure domain, also those that are listed later,
+     as evacuated or no longer so.
+      @return those that are listed now. */
+  auto SetEvacuated(const std::string& domain, bool is_evacuated)
+      -> std::vector<State>;
+
   /** Records that an upstream said that it is leaving.
       @return false if this was known. */
   auto RecordLeaving(const UpstreamState& upstream, Instant now) -> bool;
@@ -92,12 +98,17 @@
   [[nodiscard]] auto UpstreamsOfService(std::string_view service) const
       -> std::span<const State>;
 
+  /** Returns the upstreams of a failure domain. */
+  [[nodiscard]] auto UpstreamsOfDomain(std::string_view domain) const
+      -> std::vector<State>;
+
   /** Returns whether this process of an upstream is listed. */
   [[nodiscard]] auto Contains(const UpstreamProcess& upstream) const -> bool;
 
   /** Returns when the first upstream of a service that is not leaving takes
      requests of this router again, by its back-off and its limit; none if
-     neither keeps one of them from it, or there is none. */
+     neither keeps one of them from it, or there is none outside of evacuated
+     domains. */
   [[nodiscard]] auto EarliestReturn(std::string_view service, Instant now) const
       -> std::optional<Instant>;
 
@@ -139,6 +150,7 @@
    */
   std::unordered_map<std::string, std::int64_t> draining;
   std::deque<std::string> draining_order;  ///< Their ids, oldest first.
+  std::set<std::string> evacuated_domains;
   Instant suspect_until{};
 };
 
--- a/modules/al_gateway/upstreams/upstream_state.h
+++ b/modules/al_gateway/upstreams/upstream_state.h
@@ -63,6 +63,11 @@
      log service; the upstream may still run. */
   auto SetSuspect(bool is_suspect) -> void { this->suspect = is_suspect; }
 
+  /** Sets whether its failure domain is evacuated; it gets no new requests. */
+  auto SetEvacuated(bool is_evacuated) -> void {
+    this->evacuated = is_evacuated;
+  }
+
   /** Records that a request is sent to it.
       @param prefill_tokens  estimated prompt tokens to process before the first
                              event. */
@@ -97,7 +102,7 @@
   }
   /** Returns whether it can get new requests. */
   [[nodiscard]] auto is_usable(Instant now) const -> bool {
-    return this->is_serving() && !this->is_replaced &&
+    return this->is_serving() && !this->is_replaced && !this->evacuated &&
            now >= this->blocked_until && now >= this->back_off_until &&
            (!this->is_limited() || this->limiter->is_open(now)) &&
            this->open < this->OpenLimit(now);
@@ -120,6 +125,7 @@
   }
   [[nodiscard]] auto is_removed() const -> bool { return this->removed; }
   [[nodiscard]] auto is_suspect() const -> bool { return this->suspect; }
+  [[nodiscard]] auto is_evacuated() const -> bool { return this->evacuated; }
 
   /** Returns the number of this router's requests that have not ended. */
   [[nodiscard]] auto open_requests() const -> int { return this->open; }
@@ -150,6 +156,7 @@
   UpstreamRecord newest_record;
   bool removed = false;
   bool suspect = false;
+  bool evacuated = false;
   bool is_replaced = false;   ///< Until a restart or a new address.
   bool said_leaving = false;  ///< As above.
   Instant back_off_until{};
--- a/programs/gateway/gateway_context.h
+++ b/programs/gateway/gateway_context.h
@@ -24,6 +24,7 @@
 
 namespace auburnloft::gateway {
 
+class EvacuationHandler;
 class RequestHandler;
 
 /** State that all requests of one process share.
@@ -35,6 +36,7 @@
   std::shared_ptr<const RouteTable>
       table;  ///< Null before the first configuration.
   UpstreamDirectory& upstreams;
+  EvacuationHandler& evacuations;
   UpstreamLimits& limits;
   UpstreamSelector& chooser;
   UpstreamConnectionPool& connections;
--- a/programs/gateway/gateway_daemon.cc
+++ b/programs/gateway/gateway_daemon.cc
@@ -94,6 +94,11 @@
                              {"gone", upstream.is_removed() ? 1 : 0}},
                             this->loop.Now());
       }),
+      evacuations(loop,
+                  this->upstreams,
+                  this->connections,
+                  this->log,
+                  this->metrics),
       upstream_limits(this->options.self.incarnation, this->upstreams),
       chooser(this->upstreams, this->options.self.domain),
       retry_budget(this->options.retry_bound),
@@ -116,6 +121,7 @@
       context{loop,
               nullptr,
               this->upstreams,
+              this->evacuations,
               this->upstream_limits,
               this->chooser,
               this->connections,
@@ -330,7 +336,8 @@
 }
 
 auto GatewayDaemon::ready() const -> bool {
-  return this->context.table != nullptr && !this->context.drain;
+  return this->context.table != nullptr &&
+         this->evacuations.table().is_known() && !this->context.drain;
 }
 
 //==============================================================================
@@ -342,8 +349,10 @@
 }
 
 auto GatewayDaemon::UpdateConfigSource() -> void {
-  const bool follows_log =
-      this->context.table == nullptr || this->upstream_discovery.reads_log();
+  const bool follows_log = this->context.table == nullptr ||
+                           !this->evacuations.table().is_known() ||
+                           this->upstream_discovery.reads_log() ||
+                           !this->upstream_discovery.learns_evacuations();
   if (!follows_log) {
     this->config_follower.reset();
     return;
@@ -353,12 +362,20 @@
   }
   TopicFollower::Callbacks calls;
   calls.on_record = [this](const KeyedRecord& record) {
-    if (record.key == platform::kConfigKey && record.value) {
-      this->ApplyConfig(*record.value);
+    this->OnOperatorRecord(record);
+  };
+  calls.on_history_lost = [this] { this->evacuations.RestartListing(); };
+  calls.on_listed = [this](const std::set<std::string>& /*keys*/) {
+    this->evacuations.OnListed();
+    if (!this->first_config.empty()) {
+      this->ApplyConfig(std::exchange(this->first_config, {}));
     }
   };
-  calls.on_listed = [](const std::set<std::string>& /*keys*/) {};
-  calls.on_contact = [this](bool answered) { this->OnContact(answered); };
+  calls.on_contact = [this](bool answered) {
+    this->OnContact(answered);
+    this->evacuations.RecordContact(answered);
+  };
+  this->evacuations.StartReading();
   this->config_follower = std::make_unique<TopicFollower>(
       this->poller, this->options.log_address, this->log_era,
       TopicFollower::Settings{std::string(platform::kOperatorTopic),
@@ -367,6 +384,18 @@
   this->config_follower->Start();
 }
 
+auto GatewayDaemon::OnOperatorRecord(const KeyedRecord& record) -> void {
+  if (record.key != platform::kConfigKey) {
+    this->evacuations.OnRecord(record);
+  } else if (record.value && this->evacuations.table().is_known()) {
+    this->ApplyConfig(*record.value);
+  } else if (record.value) {
+    // Without a configuration no request is sent, also not to an upstream whose
+    // evacuation is listed after this record.
+    this->first_config = *record.value;
+  }
+}
+
 auto GatewayDaemon::ApplyConfig(const std::string& text) -> void {
   Findings findings;
   auto config = platform::ReadConfig(text, findings);
@@ -420,6 +449,7 @@
   }
   if (was_away) {
     this->upstreams.RecordLogRecovery(now);
+    this->evacuations.RecordLogRecovery();
   }
 }
 
@@ -432,6 +462,7 @@
                       {{"old", *previous}, {"new", this->log_era.number()}},
                       this->loop.Now());
   this->upstreams.RecordLogRecovery(this->loop.Now());
+  this->evacuations.RecordLogRecovery();
   this->fleet_topic.OnLogRestored();
 }
 
@@ -448,6 +479,7 @@
   this->tick_timer->Start(kTickInterval);
   const Instant now = this->loop.Now();
   this->upstreams.Expire(now);
+  this->evacuations.Update();
   this->upstream_limits.Update(this->fleet_topic.MakeLimitFleet(), now);
   this->context.routers = this->fleet_topic.CountActive();
   this->UpdateLoadShare(now);
--- a/programs/gateway/gateway_daemon.h
+++ b/programs/gateway/gateway_daemon.h
@@ -12,6 +12,7 @@
 #include "al_http1/http1_server.h"
 #include "gateway/allowance_exchange.h"
 #include "gateway/config_exchange.h"
+#include "gateway/evacuation_handler.h"
 #include "gateway/fleet_topic_client.h"
 #include "gateway/gateway_context.h"
 #include "gateway/gateway_metrics.h"
@@ -87,6 +88,7 @@
   /** Starts or ends the reading of configurations from the log, depending on
      whether a reader passes them on. */
   auto UpdateConfigSource() -> void;
+  auto OnOperatorRecord(const KeyedRecord& record) -> void;
   auto ApplyConfig(const std::string& text) -> void;
   auto OnContact(bool answered) -> void;
   /** Handles that the log was restored from an older copy.
@@ -116,6 +118,7 @@
   LogEra log_era;
   UpstreamConnectionPool connections;
   UpstreamDirectory upstreams;
+  EvacuationHandler evacuations;
   UpstreamLimits upstream_limits;
   UpstreamSelector chooser;
   FleetRetryBudget retry_budget;
@@ -130,6 +133,7 @@
   UpstreamDiscovery upstream_discovery;
   ConfigExchange config_exchange;
   std::unique_ptr<TopicFollower> config_follower;
+  std::string first_config;  ///< Held until all evacuations are known.
   Http1SessionLimits limits;
   std::shared_ptr<ByteBudget> large_bodies =
       std::make_shared<ByteBudget>(kLargeBodyBytes);
--- a/programs/gateway/gateway_metrics.h
+++ b/programs/gateway/gateway_metrics.h
@@ -42,6 +42,11 @@
     ++this->quarantine_changes[std::string(change)];
   }
 
+  /** Counts an evacuation of a failure domain that has `begun` or `ended`. */
+  auto CountEvacuation(std::string_view change) -> void {
+    ++this->evacuations[std::string(change)];
+  }
+
   /** Counts a restore of the log from an older copy. */
   auto CountLogRestore() -> void { ++this->log_restores; }
 
@@ -58,6 +63,7 @@
   std::map<std::string, std::uint64_t> sends;
   std::map<std::string, std::uint64_t> quarantine_changes;
   std::map<std::string, std::uint64_t> upstream_notices;
+  std::map<std::string, std::uint64_t> evacuations;
   std::uint64_t log_restores = 0;
   LatencyHistogram first_byte;
 };
--- a/programs/gateway/state_dump.cc
+++ b/programs/gateway/state_dump.cc
@@ -2,6 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "gateway/evacuation_handler.h"
 #include "gateway/fleet_topic_client.h"
 #include "gateway/gateway_context.h"
 
@@ -18,6 +19,17 @@
   state["sockets"] = view.sockets;
   state["upstreams"] = view.upstreams;
   state["log_lines_left_out"] = view.context.log.dropped_lines();
+  state["evacuated_domains"] = nlohmann::json::array();
+  for (const std::string& domain : view.context.evacuations.table().Domains()) {
+    int open = 0;
+    const auto upstreams = view.context.upstreams.UpstreamsOfDomain(domain);
+    for (const UpstreamDirectory::State& upstream : upstreams) {
+      open += upstream->open_requests();
+    }
+    state["evacuated_domains"].push_back({{"domain", domain},
+                                          {"upstreams", upstreams.size()},
+                                          {"open_requests", open}});
+  }
   state["routers"] = nlohmann::json::array();
   view.fleet.registry().VisitAll(
       view.fleet.last_read_at(),
--- a/programs/gateway/upstream_discovery.cc
+++ b/programs/gateway/upstream_discovery.cc
@@ -7,6 +7,7 @@
 #include "al_edge/loop/loop_timer.h"
 #include "al_gateway/membership/discovery_plan.h"
 #include "fleet.pb.h"
+#include "gateway/evacuation_handler.h"
 #include "gateway/peer_message.h"
 #include "platform/upstream_codec.h"
 #include "platform/wire_names.h"
@@ -226,7 +227,8 @@
     SendPeerReply(session, PeerStatus::kBadRequest, {});
     return;
   }
-  if (!this->follower || !this->listed) {
+  if (!this->follower || !this->listed ||
+      !this->context.evacuations.IsCurrent(this->context.is_log_reachable)) {
     SendPeerReply(session, PeerStatus::kUnavailable, {});
     return;
   }
@@ -243,6 +245,7 @@
   for (const UpstreamChange& change : update.changes) {
     ToWire(change, *message.add_changes());
   }
+  this->context.evacuations.Fill(message);
   if (update_request.wants_config() && this->config_text &&
       update_request.config_version() < this->config_version) {
     message.set_config(*this->config_text);
@@ -296,6 +299,8 @@
   if (is_valid_reply && DiscoverySource::IsFresh(age)) {
     this->reader_incarnation = message.life();
     this->last_change = message.newest();
+    // Before the upstreams, of which one may be in a domain evacuated since.
+    this->reader_tells_evacuations = this->context.evacuations.Apply(message);
     this->Apply(FromWire(message));
     if (!message.config().empty()) {
       this->config_received_at = now;
--- a/programs/gateway/upstream_discovery.h
+++ b/programs/gateway/upstream_discovery.h
@@ -77,6 +77,12 @@
      readers do not reply, or it has not started yet. */
   [[nodiscard]] auto reads_log() const -> bool;
 
+  /** Returns whether the reader asked last tells the evacuated domains; one of
+     an older version does not. */
+  [[nodiscard]] auto learns_evacuations() const -> bool {
+    return this->reader_tells_evacuations;
+  }
+
   /** Replies to another router's request for upstream updates. */
   auto OnPeerRequest(Http1ServerSession& session, const Http1Request& request)
       -> void;
@@ -120,6 +126,7 @@
   std::shared_ptr<const std::string>
       config_text;               ///< Null unless other routers may request it.
   Instant config_received_at{};  ///< From a reader.
+  bool reader_tells_evacuations = true;
   bool started = false;
 };
 
