Send cold upstreams few requests until they are warm

Cause: an upstream that has just started, or whose domain returns, got its full load at once.

Change: services may name WarmupS and WarmupPerS. ColdUpstreams decides which upstreams are cold: by their records, after their domain's evacuation has ended, and after this router could not connect to them. UpstreamLimits limits them through its senders, with a limit that ends by itself.

Services without the two settings are served as before.

--- a/modules/al_gateway/al_gateway.h
+++ b/modules/al_gateway/al_gateway.h
@@ -9,7 +9,8 @@
     - routing/     RouteTable, and Admit(), which forwards or refuses a request
     - upstreams/   UpstreamDirectory, UpstreamSelector and their measurements;
                    UpstreamLimits: requests a second that upstreams take;
-                   EvacuationTable: evacuated failure domains
+                   EvacuationTable: evacuated failure domains;
+                   ColdUpstreams: which upstreams are cold, and until when
     - limits/      timeouts, ExecutionCounter, DrainSchedule: planned stops,
                    and FleetRetryBudget: this router's share of the fleet's
                    retries
@@ -36,6 +37,7 @@
 #include "al_gateway/quarantine/crash_quarantine.h"
 #include "al_gateway/quarantine/crash_suspects.h"
 #include "al_gateway/routing/route_table.h"
+#include "al_gateway/upstreams/cold_upstreams.h"
 #include "al_gateway/upstreams/evacuation_table.h"
 #include "al_gateway/upstreams/pace_meter.h"
 #include "al_gateway/upstreams/upstream_change_log.h"
--- a/modules/al_gateway/model/fleet_config.h
+++ b/modules/al_gateway/model/fleet_config.h
@@ -58,6 +58,9 @@
 struct ServiceRule {
   std::string name;
   int max_connections = 0;  ///< To one upstream, from all routers.
+  Duration warm_up{0};  ///< An upstream is cold for so long after its start.
+  double warm_up_per_second = 0.0;  ///< Requests that a cold upstream tolerates
+                                    ///< from all routers; 0: no limit.
   std::optional<EngineRule> engine;
 };
 
--- a/modules/al_gateway/upstreams/send_limiter.h
+++ b/modules/al_gateway/upstreams/send_limiter.h
@@ -27,18 +27,22 @@
       @param retry_interval  when a caller may ask again. */
   auto Forbid(Duration retry_interval) -> void;
 
+  /** Sets when the limiter ends by itself; Instant::max(): never. */
+  auto SetEnd(Instant ends_at) -> void { this->ends_at = ends_at; }
+
   auto RecordSent(Instant now) -> void { this->last_sent_at = now; }
 
   //============================================================================
   // Queries
 
   [[nodiscard]] auto is_open(Instant now) const -> bool {
-    return this->may_send && now >= this->opens_at();
+    return now >= this->ends_at || (this->may_send && now >= this->opens_at());
   }
 
   /** Returns when a request that is not sent now may be tried again. */
   [[nodiscard]] auto RetryAt(Instant now) const -> Instant {
-    return this->may_send ? this->opens_at() : now + this->interval;
+    return std::min(this->ends_at,
+                    this->may_send ? this->opens_at() : now + this->interval);
   }
 
  private:
@@ -50,6 +54,7 @@
   Duration interval{0};
   Instant not_before{};
   Instant last_sent_at{};
+  Instant ends_at = Instant::max();
 };
 
 }  // namespace auburnloft::gateway
--- a/modules/al_gateway/upstreams/upstream_limits.cc
+++ b/modules/al_gateway/upstreams/upstream_limits.cc
@@ -87,13 +87,33 @@
   if (limit == before) {
     return Change::kNone;
   }
-  this->ApplyShare(upstream, known, now);
+  this->ApplyShare(upstream, now + kHandOverDelay, now);
   if (!before) {
     return Change::kNamed;
   }
   return limit ? Change::kChanged : Change::kEnded;
 }
 
+auto UpstreamLimits::SetTemporary(const UpstreamProcess& upstream,
+                                  double per_second,
+                                  Instant ends_at,
+                                  Instant now) -> void {
+  if (per_second <= 0.0 || per_second > kMaxPerSecond || ends_at <= now) {
+    if (this->temporaries.erase(upstream) > 0) {
+      this->ApplyShare(upstream, now + kHandOverDelay, now);
+    }
+    return;
+  }
+  const auto [found, is_new] =
+      this->temporaries.try_emplace(upstream, Temporary());
+  found->second = {per_second, ends_at};
+  // A router that has just started does not know the members yet.
+  const Instant not_before =
+      this->members_known_at ? *this->members_known_at + kHandOverDelay : now;
+  this->ApplyShare(
+      upstream, is_new ? std::max(now, not_before) : now + kHandOverDelay, now);
+}
+
 auto UpstreamLimits::Apply(const UpstreamLimitReport& report, Instant now)
     -> std::vector<UpstreamLimitReport::Limit> {
   std::vector<UpstreamLimitReport::Limit> changed;
@@ -115,7 +135,7 @@
     known.heard_at = told.heard_at;
     known.is_first_hand = false;
     if (known.per_second != before) {
-      this->ApplyShare(told.upstream, known, now);
+      this->ApplyShare(told.upstream, now + kHandOverDelay, now);
       changed.push_back(told);
     }
   }
@@ -124,6 +144,7 @@
 
 auto UpstreamLimits::Update(const Fleet& fleet, Instant now) -> void {
   this->fleet = fleet;
+  this->members_known_at = this->members_known_at.value_or(now);
   std::erase_if(this->limits, [this, now](const auto& item) {
     const Duration age = now - item.second.heard_at;
     const bool is_outdated =
@@ -132,8 +153,17 @@
             : age >= kEndedLifetime;
     return is_outdated;
   });
+  std::vector<UpstreamProcess> limited;
   for (const auto& [upstream, limit] : this->limits) {
-    this->ApplyShare(upstream, limit, now);
+    limited.push_back(upstream);
+  }
+  for (const auto& [upstream, limit] : this->temporaries) {
+    limited.push_back(upstream);
+  }
+  std::erase_if(this->temporaries,
+                [now](const auto& item) { return now >= item.second.ends_at; });
+  for (const UpstreamProcess& upstream : limited) {
+    this->ApplyShare(upstream, now + kHandOverDelay, now);
   }
 }
 
@@ -176,10 +206,21 @@
          now - limit.shared_at >= kRenewInterval;
 }
 
+auto UpstreamLimits::StrictestOf(const UpstreamProcess& upstream) const
+    -> std::optional<double> {
+  const auto named = this->LimitOf(upstream);
+  const auto found = this->temporaries.find(upstream);
+  if (found == this->temporaries.end()) {
+    return named;
+  }
+  return std::min(named.value_or(kMaxPerSecond), found->second.per_second);
+}
+
 auto UpstreamLimits::ApplyShare(const UpstreamProcess& upstream,
-                                const Limit& limit,
+                                Instant not_before,
                                 Instant now) -> void {
-  if (!limit.per_second) {
+  const auto limit = this->StrictestOf(upstream);
+  if (!limit) {
     this->directory.RemoveLimiter(upstream, now);
     return;
   }
@@ -187,7 +228,10 @@
   if (limiter == nullptr) {
     return;  // The process has been replaced.
   }
-  const double rate = std::max(kMinPerSecond, *limit.per_second);
+  limiter->SetEnd(this->LimitOf(upstream)
+                      ? Instant::max()
+                      : this->temporaries.at(upstream).ends_at);
+  const double rate = std::max(kMinPerSecond, *limit);
   if (!this->IsSender(upstream, rate)) {
     limiter->Forbid(
         std::min(kMaxRetryInterval, IntervalOf(rate) * this->fleet.routers));
@@ -197,7 +241,7 @@
       rate * kUsedFraction *
       (this->fleet.is_log_reachable ? 1.0 : kUnreachableLogFraction);
   limiter->Allow(IntervalOf(used / CountSenders(rate, this->fleet.routers)),
-                 now + kHandOverDelay);
+                 not_before);
 }
 
 auto UpstreamLimits::IsSender(const UpstreamProcess& upstream,
--- a/modules/al_gateway/upstreams/upstream_limits.h
+++ b/modules/al_gateway/upstreams/upstream_limits.h
@@ -30,6 +30,11 @@
    router as a sender, so it halves its share. The routers behind a cut and
    those before it then stay within the limit together.
 
+    A cold upstream gets a temporary limit, which ends by itself. Each router
+   sets it by what it knows, and reports nothing. It has no hand-over at its
+   begin: it would take half of a short period, and the senders' share leaves
+   room for a view of the members that is behind.
+
     The routers exchange what they hear, as only the senders get responses: a
    limit, its changes and its end. A limit belongs to a process of the upstream.
 
@@ -69,6 +74,14 @@
               Instant sent_at,
               Instant now) -> Change;
 
+  /** Limits an upstream to requests a second until `ends_at`, in addition to
+     what it names. Replaces its former temporary limit.
+      @param per_second  0, or `ends_at` in the past: it gets none. */
+  auto SetTemporary(const UpstreamProcess& upstream,
+                    double per_second,
+                    Instant ends_at,
+                    Instant now) -> void;
+
   /** Applies another router's report where it is newer than what is known.
       @return the limits that it changed here. */
   auto Apply(const UpstreamLimitReport& report, Instant now)
@@ -110,19 +123,31 @@
     Instant shared_at{};
   };
 
+  struct Temporary {
+    double per_second = 0.0;
+    Instant ends_at{};
+  };
+
   [[nodiscard]] static auto IsReportDue(const Limit& limit, Instant now)
       -> bool;
   [[nodiscard]] auto IsSender(const UpstreamProcess& upstream,
                               double per_second) const -> bool;
-  /** Sets how often this router may send to the upstream. */
+  /** Returns the lower one of the limit in force and the temporary one. */
+  [[nodiscard]] auto StrictestOf(const UpstreamProcess& upstream) const
+      -> std::optional<double>;
+  /** Sets how often this router may send to the upstream.
+      @param not_before  no request is sent earlier, if this router was no
+     sender before. */
   auto ApplyShare(const UpstreamProcess& upstream,
-                  const Limit& limit,
+                  Instant not_before,
                   Instant now) -> void;
 
   std::string self;
   UpstreamDirectory& directory;
   Fleet fleet;
   std::map<UpstreamProcess, Limit> limits;
+  std::map<UpstreamProcess, Temporary> temporaries;
+  std::optional<Instant> members_known_at;  ///< First Update().
 };
 
 }  // namespace auburnloft::gateway
--- a/programs/gateway/evacuation_handler.cc
+++ b/programs/gateway/evacuation_handler.cc
@@ -4,6 +4,7 @@
 
 #include "al_core/text/printable.h"
 #include "al_edge/loop/event_loop.h"
+#include "al_gateway/upstreams/cold_upstreams.h"
 #include "al_gateway/upstreams/upstream_directory.h"
 #include "fleet.pb.h"
 #include "gateway/decision_log.h"
@@ -26,11 +27,13 @@
 EvacuationHandler::EvacuationHandler(EventLoop& loop,
                                      UpstreamDirectory& upstreams,
                                      UpstreamConnectionPool& connections,
+                                     ColdUpstreams& cold_upstreams,
                                      DecisionLog& log,
                                      GatewayMetrics& metrics)
     : loop(loop),
       upstreams(upstreams),
       connections(connections),
+      cold_upstreams(cold_upstreams),
       log(log),
       metrics(metrics),
       evacuations([this](const EvacuationTable::Change& change) {
@@ -109,6 +112,8 @@
     for (const UpstreamDirectory::State& upstream : concerned) {
       this->connections.CloseIdle(upstream->record().id);
     }
+  } else {
+    this->cold_upstreams.RecordEvacuationEnd(concerned, this->loop.Now());
   }
   const std::string_view name = change.has_begun ? "begun" : "ended";
   this->metrics.CountEvacuation(name);
--- a/programs/gateway/evacuation_handler.h
+++ b/programs/gateway/evacuation_handler.h
@@ -18,6 +18,7 @@
 
 namespace auburnloft::gateway {
 
+class ColdUpstreams;
 class DecisionLog;
 class GatewayMetrics;
 class UpstreamConnectionPool;
@@ -35,6 +36,7 @@
   EvacuationHandler(EventLoop& loop,
                     UpstreamDirectory& upstreams,
                     UpstreamConnectionPool& connections,
+                    ColdUpstreams& cold_upstreams,
                     DecisionLog& log,
                     GatewayMetrics& metrics);
 
@@ -92,6 +94,7 @@
   EventLoop& loop;
   UpstreamDirectory& upstreams;
   UpstreamConnectionPool& connections;
+  ColdUpstreams& cold_upstreams;
   DecisionLog& log;
   GatewayMetrics& metrics;
   EvacuationTable evacuations;
--- a/programs/gateway/gateway_context.h
+++ b/programs/gateway/gateway_context.h
@@ -15,6 +15,7 @@
 #include "al_gateway/limits/rate_meter.h"
 #include "al_gateway/quarantine/crash_quarantine.h"
 #include "al_gateway/routing/route_table.h"
+#include "al_gateway/upstreams/cold_upstreams.h"
 #include "al_gateway/upstreams/upstream_limits.h"
 #include "al_gateway/upstreams/upstream_selector.h"
 #include "gateway/decision_log.h"
@@ -38,6 +39,7 @@
   UpstreamDirectory& upstreams;
   EvacuationHandler& evacuations;
   UpstreamLimits& limits;
+  ColdUpstreams& cold_upstreams;
   UpstreamSelector& chooser;
   UpstreamConnectionPool& connections;
   FleetRetryBudget& retry_budget;
--- a/programs/gateway/gateway_daemon.cc
+++ b/programs/gateway/gateway_daemon.cc
@@ -94,12 +94,23 @@
                              {"gone", upstream.is_removed() ? 1 : 0}},
                             this->loop.Now());
       }),
+      upstream_limits(this->options.self.incarnation, this->upstreams),
+      cold_upstreams(
+          this->upstream_limits,
+          [this](std::string_view service) {
+            return this->context.table
+                       ? this->context.table->FindService(service)
+                       : nullptr;
+          },
+          [this](const ColdUpstreams::Change& change) {
+            this->OnUpstreamCold(change);
+          }),
       evacuations(loop,
                   this->upstreams,
                   this->connections,
+                  this->cold_upstreams,
                   this->log,
                   this->metrics),
-      upstream_limits(this->options.self.incarnation, this->upstreams),
       chooser(this->upstreams, this->options.self.domain),
       retry_budget(this->options.retry_bound),
       allowance_manager(this->options.self.incarnation, AllowanceSizing()),
@@ -123,6 +134,7 @@
               this->upstreams,
               this->evacuations,
               this->upstream_limits,
+              this->cold_upstreams,
               this->chooser,
               this->connections,
               this->retry_budget,
@@ -431,6 +443,7 @@
   this->upstream_discovery.SetConfig(config->version, shared_text);
   this->config_exchange.SetConfig(config->version, shared_text);
   this->context.table = std::make_shared<RouteTable>(std::move(*config));
+  this->cold_upstreams.Update(this->loop.Now());
 }
 
 auto GatewayDaemon::OnContact(bool answered) -> void {
@@ -480,6 +493,7 @@
   const Instant now = this->loop.Now();
   this->upstreams.Expire(now);
   this->evacuations.Update();
+  this->cold_upstreams.Update(now);
   this->upstream_limits.Update(this->fleet_topic.MakeLimitFleet(), now);
   this->context.routers = this->fleet_topic.CountActive();
   this->UpdateLoadShare(now);
@@ -526,6 +540,25 @@
   this->context.report_news();
 }
 
+auto GatewayDaemon::OnUpstreamCold(const ColdUpstreams::Change& change)
+    -> void {
+  /** In the order of Reason. */
+  constexpr std::array<std::string_view, 3> kNames = {
+      "record", "evacuation_ended", "unreachable"};
+  const Instant now = this->loop.Now();
+  this->metrics.CountUpstreamNotice("cold");
+  this->log.WriteLine(
+      DecisionLog::Severity::kNotable, "upstream_cold",
+      {{"upstream", change.upstream.id},
+       {"domain", change.domain},
+       {"reason", kNames[static_cast<std::size_t>(change.reason)]},
+       {"ends_in_ms", change.ends_at - now},
+       {"requests_s", change.per_second > 0.0
+                          ? std::to_string(change.per_second)
+                          : std::string("-")}},
+      now);
+}
+
 auto GatewayDaemon::LogQuarantineChange(const CrashQuarantine::Change& change)
     -> void {
   /** In the order of Kind. */
--- a/programs/gateway/gateway_daemon.h
+++ b/programs/gateway/gateway_daemon.h
@@ -100,6 +100,7 @@
   auto UpdateLoadShare(Instant now) -> void;
   /** Records that an upstream has ended under requests of this router. */
   auto OnUpstreamEnded(const UpstreamProcess& upstream) -> void;
+  auto OnUpstreamCold(const ColdUpstreams::Change& change) -> void;
   auto LogQuarantineChange(const CrashQuarantine::Change& change) -> void;
   auto OnDrainTick() -> void;
   /** Returns the allowances that no open request needs, through the log or to
@@ -118,8 +119,9 @@
   LogEra log_era;
   UpstreamConnectionPool connections;
   UpstreamDirectory upstreams;
-  EvacuationHandler evacuations;
   UpstreamLimits upstream_limits;
+  ColdUpstreams cold_upstreams;
+  EvacuationHandler evacuations;
   UpstreamSelector chooser;
   FleetRetryBudget retry_budget;
   AllowanceManager allowance_manager;
--- a/programs/gateway/state_dump.cc
+++ b/programs/gateway/state_dump.cc
@@ -18,6 +18,8 @@
   state["open_requests"] = view.context.open_requests.size();
   state["sockets"] = view.sockets;
   state["upstreams"] = view.upstreams;
+  state["cold_upstreams"] =
+      view.context.cold_upstreams.CountCold(view.context.loop.Now());
   state["log_lines_left_out"] = view.context.log.dropped_lines();
   state["evacuated_domains"] = nlohmann::json::array();
   for (const std::string& domain : view.context.evacuations.table().Domains()) {
--- a/programs/gateway/upstream_attempt.cc
+++ b/programs/gateway/upstream_attempt.cc
@@ -38,6 +38,10 @@
 auto UpstreamAttempt::SetHead(const Http1ResponseHead& head) -> void {
   this->response_head = head;
   this->metadata = platform::ReadResponseMetadata(head);
+  if (!this->metadata.is_replaced) {
+    this->context.cold_upstreams.RecordResponse(
+        this->chosen.upstream->record().process(), this->context.loop.Now());
+  }
 }
 
 auto UpstreamAttempt::AppendBody(std::string_view bytes) -> bool {
@@ -96,6 +100,9 @@
                                  {"after_ms", now - this->started_at}},
                                 now);
   }
+  if (result == UpstreamResult::kUnreachable) {
+    this->context.cold_upstreams.RecordUnreachable(record, now);
+  }
   this->RecordPace(now);
   this->chosen.upstream->RecordEnd(this->pending_prefill, result, now);
   this->context.connections.Release(
--- a/programs/gateway/upstream_discovery.cc
+++ b/programs/gateway/upstream_discovery.cc
@@ -188,7 +188,7 @@
   }
   this->change_log->RecordChange(record.key, upstream);
   if (upstream) {
-    this->context.upstreams.Put(std::move(*upstream));
+    this->PutUpstream(*upstream);
   } else {
     this->context.upstreams.Remove(record.key, this->poller.loop().Now());
   }
@@ -329,7 +329,7 @@
   for (const UpstreamChange& change : update.changes) {
     if (change.record) {
       ids.insert(change.id);
-      this->context.upstreams.Put(*change.record);
+      this->PutUpstream(*change.record);
     } else {
       this->context.upstreams.Remove(change.id, now);
     }
@@ -339,6 +339,11 @@
   }
 }
 
+auto UpstreamDiscovery::PutUpstream(const UpstreamRecord& record) -> void {
+  this->context.upstreams.Put(record);
+  this->context.cold_upstreams.RecordWarmUp(record, this->poller.loop().Now());
+}
+
 auto UpstreamDiscovery::IsLogReachable(Instant now) const -> bool {
   return now - this->context.last_log_reply_at < kLogUnreachableAfter;
 }
--- a/programs/gateway/upstream_discovery.h
+++ b/programs/gateway/upstream_discovery.h
@@ -102,6 +102,7 @@
   auto RequestFromReader() -> void;
   auto OnReaderReply(const std::optional<Http1Client::Reply>& reply) -> void;
   auto Apply(const UpstreamUpdate& update) -> void;
+  auto PutUpstream(const UpstreamRecord& record) -> void;
   [[nodiscard]] auto IsLogReachable(Instant now) const -> bool;
 
   SocketPoller& poller;
