--- a/programs/gateway/gateway_context.h
+++ b/programs/gateway/gateway_context.h
@@ -15,6 +15,7 @@
 #include "al_gateway/limits/rate_meter.h"
 #include "al_gateway/quarantine/crash_quarantine.h"
 #include "al_gateway/routing/route_table.h"
+#include "al_gateway/upstreams/cold_upstreams.h"
 #include "al_gateway/upstreams/upstream_limits.h"
 #include "al_gateway/upstreams/upstream_selector.h"
 #include "gateway/decision_log.h"
@@ -24,6 +25,7 @@
 
 namespace auburnloft::gateway {
 
+class EvacuationHandler;
 class RequestHandler;
 
 /** State that all requests of one process share.
@@ -35,7 +37,9 @@
   std::shared_ptr<const RouteTable>
       table;  ///< Null before the first configuration.
   UpstreamDirectory& upstreams;
+  EvacuationHandler& evacuations;
   UpstreamLimits& limits;
+  ColdUpstreams& cold_upstreams;
   UpstreamSelector& chooser;
   UpstreamConnectionPool& connections;
   FleetRetryBudget& retry_budget;
--- a/programs/gateway/gateway_daemon.cc
+++ b/programs/gateway/gateway_daemon.cc
@@ -95,6 +95,22 @@
                             this->loop.Now());
       }),
       upstream_limits(this->options.self.incarnation, this->upstreams),
+      cold_upstreams(
+          this->upstream_limits,
+          [this](std::string_view service) {
+            return this->context.table
+                       ? this->context.table->FindService(service)
+                       : nullptr;
+          },
+          [this](const ColdUpstreams::Change& change) {
+            this->OnUpstreamCold(change);
+          }),
+      evacuations(loop,
+                  this->upstreams,
+                  this->connections,
+                  this->cold_upstreams,
+                  this->log,
+                  this->metrics),
       chooser(this->upstreams, this->options.self.domain),
       retry_budget(this->options.retry_bound),
       allowance_manager(this->options.self.incarnation, AllowanceSizing()),
@@ -116,7 +132,9 @@
       context{loop,
               nullptr,
               this->upstreams,
+              this->evacuations,
               this->upstream_limits,
+              this->cold_upstreams,
               this->chooser,
               this->connections,
               this->retry_budget,
@@ -330,7 +348,8 @@
 }
 
 auto GatewayDaemon::ready() const -> bool {
-  return this->context.table != nullptr && !this->context.drain;
+  return this->context.table != nullptr &&
+         this->evacuations.table().is_known() && !this->context.drain;
 }
 
 //==============================================================================
@@ -342,8 +361,10 @@
 }
 
 auto GatewayDaemon::UpdateConfigSource() -> void {
-  const bool follows_log =
-      this->context.table == nullptr || this->upstream_discovery.reads_log();
+  const bool follows_log = this->context.table == nullptr ||
+                           !this->evacuations.table().is_known() ||
+                           this->upstream_discovery.reads_log() ||
+                           !this->upstream_discovery.learns_evacuations();
   if (!follows_log) {
     this->config_follower.reset();
     return;
@@ -353,12 +374,20 @@
   }
   TopicFollower::Callbacks calls;
   calls.on_record = [this](const KeyedRecord& record) {
-    if (record.key == platform::kConfigKey && record.value) {
-      this->ApplyConfig(*record.value);
+    this->OnOperatorRecord(record);
+  };
+  calls.on_history_lost = [this] { this->evacuations.RestartListing(); };
+  calls.on_listed = [this](const std::set<std::string>& /*keys*/) {
+    this->evacuations.OnListed();
+    if (!this->first_config.empty()) {
+      this->ApplyConfig(std::exchange(this->first_config, {}));
     }
   };
-  calls.on_listed = [](const std::set<std::string>& /*keys*/) {};
-  calls.on_contact = [this](bool answered) { this->OnContact(answered); };
+  calls.on_contact = [this](bool answered) {
+    this->OnContact(answered);
+    this->evacuations.RecordContact(answered);
+  };
+  this->evacuations.StartReading();
   this->config_follower = std::make_unique<TopicFollower>(
       this->poller, this->options.log_address, this->log_era,
       TopicFollower::Settings{std::string(platform::kOperatorTopic),
@@ -367,6 +396,18 @@
   this->config_follower->Start();
 }
 
+auto GatewayDaemon::OnOperatorRecord(const KeyedRecord& record) -> void {
+  if (record.key != platform::kConfigKey) {
+    this->evacuations.OnRecord(record);
+  } else if (record.value && this->evacuations.table().is_known()) {
+    this->ApplyConfig(*record.value);
+  } else if (record.value) {
+    // Without a configuration no request is sent, also not to an upstream whose
+    // evacuation is listed after this record.
+    this->first_config = *record.value;
+  }
+}
+
 auto GatewayDaemon::ApplyConfig(const std::string& text) -> void {
   Findings findings;
   auto config = platform::ReadConfig(text, findings);
@@ -402,6 +443,7 @@
   this->upstream_discovery.SetConfig(config->version, shared_text);
   this->config_exchange.SetConfig(config->version, shared_text);
   this->context.table = std::make_shared<RouteTable>(std::move(*config));
+  this->cold_upstreams.Update(this->loop.Now());
 }
 
 auto GatewayDaemon::OnContact(bool answered) -> void {
@@ -420,6 +462,7 @@
   }
   if (was_away) {
     this->upstreams.RecordLogRecovery(now);
+    this->evacuations.RecordLogRecovery();
   }
 }
 
@@ -432,6 +475,7 @@
                       {{"old", *previous}, {"new", this->log_era.number()}},
                       this->loop.Now());
   this->upstreams.RecordLogRecovery(this->loop.Now());
+  this->evacuations.RecordLogRecovery();
   this->fleet_topic.OnLogRestored();
 }
 
@@ -448,6 +492,8 @@
   this->tick_timer->Start(kTickInterval);
   const Instant now = this->loop.Now();
   this->upstreams.Expire(now);
+  this->evacuations.Update();
+  this->cold_upstreams.Update(now);
   this->upstream_limits.Update(this->fleet_topic.MakeLimitFleet(), now);
   this->context.routers = this->fleet_topic.CountActive();
   this->UpdateLoadShare(now);
@@ -494,6 +540,25 @@
   this->context.report_news();
 }
 
+auto GatewayDaemon::OnUpstreamCold(const ColdUpstreams::Change& change)
+    -> void {
+  /** In the order of Reason. */
+  constexpr std::array<std::string_view, 3> kNames = {
+      "record", "evacuation_ended", "unreachable"};
+  const Instant now = this->loop.Now();
+  this->metrics.CountUpstreamNotice("cold");
+  this->log.WriteLine(
+      DecisionLog::Severity::kNotable, "upstream_cold",
+      {{"upstream", change.upstream.id},
+       {"domain", change.domain},
+       {"reason", kNames[static_cast<std::size_t>(change.reason)]},
+       {"ends_in_ms", change.ends_at - now},
+       {"requests_s", change.per_second > 0.0
+                          ? std::to_string(change.per_second)
+                          : std::string("-")}},
+      now);
+}
+
 auto GatewayDaemon::LogQuarantineChange(const CrashQuarantine::Change& change)
     -> void {
   /** In the order of Kind. */
--- a/programs/gateway/gateway_daemon.h
+++ b/programs/gateway/gateway_daemon.h
@@ -12,6 +12,7 @@
 #include "al_http1/http1_server.h"
 #include "gateway/allowance_exchange.h"
 #include "gateway/config_exchange.h"
+#include "gateway/evacuation_handler.h"
 #include "gateway/fleet_topic_client.h"
 #include "gateway/gateway_context.h"
 #include "gateway/gateway_metrics.h"
@@ -87,6 +88,7 @@
   /** Starts or ends the reading of configurations from the log, depending on
      whether a reader passes them on. */
   auto UpdateConfigSource() -> void;
+  auto OnOperatorRecord(const KeyedRecord& record) -> void;
   auto ApplyConfig(const std::string& text) -> void;
   auto OnContact(bool answered) -> void;
   /** Handles that the log was restored from an older copy.
@@ -98,6 +100,7 @@
   auto UpdateLoadShare(Instant now) -> void;
   /** Records that an upstream has ended under requests of this router. */
   auto OnUpstreamEnded(const UpstreamProcess& upstream) -> void;
+  auto OnUpstreamCold(const ColdUpstreams::Change& change) -> void;
   auto LogQuarantineChange(const CrashQuarantine::Change& change) -> void;
   auto OnDrainTick() -> void;
   /** Returns the allowances that no open request needs, through the log or to
@@ -117,6 +120,8 @@
   UpstreamConnectionPool connections;
   UpstreamDirectory upstreams;
   UpstreamLimits upstream_limits;
+  ColdUpstreams cold_upstreams;
+  EvacuationHandler evacuations;
   UpstreamSelector chooser;
   FleetRetryBudget retry_budget;
   AllowanceManager allowance_manager;
@@ -130,6 +135,7 @@
   UpstreamDiscovery upstream_discovery;
   ConfigExchange config_exchange;
   std::unique_ptr<TopicFollower> config_follower;
+  std::string first_config;  ///< Held until all evacuations are known.
   Http1SessionLimits limits;
   std::shared_ptr<ByteBudget> large_bodies =
       std::make_shared<ByteBudget>(kLargeBodyBytes);
