Take ends of cold upstreams and lost domains for no evidence

Cause: requests that waited at cold upstreams, or at the upstreams of a domain that lost its power, were convicted of crashing them.

Change: failures at an upstream that is cold are left out, also if its record tells only later that it was. Failures carry the upstream's domain; requests that waited at three or more upstreams of one domain which ended within 1.5 s are no evidence, unless their router had seen an end there before it sent them.

--- a/modules/al_gateway/quarantine/crash_evidence.cc
+++ b/modules/al_gateway/quarantine/crash_evidence.cc
@@ -35,6 +35,13 @@
 /** More upstreams than those of a rack count although they crash together. */
 constexpr int kMinUpstreamsAtSameTime = 5;
 
+/** Upstreams of one failure domain that end within this time, and from how many
+   on it is a loss of the domain. The window is the time of kSameTime, in which
+   a domain loses its power, and the second by which reports of other routers
+   are late. Two upstreams that end together may be chance. */
+constexpr Duration kDomainLossTime = std::chrono::milliseconds(1'500);
+constexpr std::size_t kMinUpstreamsOfDomainLoss = 3;
+
 /** The times of a failure are rounded to milliseconds in reports. */
 constexpr Duration kRounding = std::chrono::milliseconds(2);
 
@@ -207,6 +214,19 @@
   return has_changed;
 }
 
+auto CrashEvidence::DropFailures(std::string_view reporter,
+                                 std::string_view upstream,
+                                 Instant since) -> bool {
+  const auto dropped = std::erase_if(this->failures, [&](const Entry& entry) {
+    return entry.reporter == reporter && entry.failure.at >= since &&
+           entry.failure.upstream.starts_with(upstream);
+  });
+  if (dropped > 0) {
+    this->UpdateWholeRequests();
+  }
+  return dropped > 0;
+}
+
 auto CrashEvidence::ReplaceFailures(
     std::string_view reporter,
     std::span<const CrashReport::Failure> failures) -> void {
@@ -344,9 +364,11 @@
 
 auto CrashEvidence::CountUpstreams(std::string_view suspect) const -> int {
   std::set<std::string_view> upstreams;
-  for (const Entry& entry : this->failures) {
+  const std::vector<bool> is_of_domain_loss = this->FindDomainLosses();
+  for (std::size_t i = 0; i < this->failures.size(); ++i) {
+    const Entry& entry = this->failures[i];
     const auto found = std::ranges::find(entry.failure.suspects, suspect);
-    if (found != entry.failure.suspects.end() &&
+    if (found != entry.failure.suspects.end() && !is_of_domain_loss[i] &&
         entry.certainty != Certainty::kDoubted &&
         this->Counts(*found, entry.failure.at, ClearedBy::kAll)) {
       upstreams.insert(entry.failure.upstream);
@@ -366,10 +388,13 @@
   }
   FirstFailures crashed;
   std::map<std::string_view, Tally> tallies;  // By suspect.
-  for (const Entry& entry : this->failures) {
+  const std::vector<bool> is_of_domain_loss = this->FindDomainLosses();
+  for (std::size_t index = 0; index < this->failures.size(); ++index) {
+    const Entry& entry = this->failures[index];
     const CrashReport::Failure& failure = entry.failure;
     const bool is_in_scope =
-        failure.at <= scope.until && entry.certainty != Certainty::kDoubted &&
+        !is_of_domain_loss[index] && failure.at <= scope.until &&
+        entry.certainty != Certainty::kDoubted &&
         (!scope.only_confirmed || entry.certainty == Certainty::kConfirmed);
     if (!is_in_scope || explained.contains(failure.upstream)) {
       continue;
@@ -400,6 +425,51 @@
   return assessments;
 }
 
+auto CrashEvidence::FindDomainLosses() const -> std::vector<bool> {
+  std::vector<bool> found(this->failures.size(), false);
+  std::map<std::string_view, std::vector<std::size_t>> by_domain;
+  for (std::size_t i = 0; i < this->failures.size(); ++i) {
+    const Entry& entry = this->failures[i];
+    if (!entry.failure.domain.empty() &&
+        entry.certainty != Certainty::kDoubted) {
+      by_domain[entry.failure.domain].push_back(i);
+    }
+  }
+  const auto at = [this](std::size_t i) {
+    return this->failures[i].failure.at;
+  };
+  for (auto& [domain, indices] : by_domain) {
+    std::ranges::sort(indices, {}, at);
+    for (auto first = indices.begin(); first != indices.end();) {
+      const auto last = std::find_if(first, indices.end(), [&](std::size_t i) {
+        return at(i) - at(*first) > kDomainLossTime;
+      });
+      std::set<std::string_view> upstreams;
+      std::map<std::string_view, Instant> first_end_of;  // By reporter.
+      const auto waited_at_end = [&first_end_of](const Entry& entry) {
+        return entry.failure.sent_at <=
+               first_end_of.at(entry.reporter) + kRounding;
+      };
+      for (auto item = first; item != last; ++item) {
+        const Entry& entry = this->failures[*item];
+        first_end_of.try_emplace(entry.reporter, entry.failure.at);
+        if (waited_at_end(entry)) {
+          upstreams.insert(entry.failure.upstream);
+        }
+      }
+      if (upstreams.size() < kMinUpstreamsOfDomainLoss) {
+        ++first;
+        continue;
+      }
+      for (auto item = first; item != last; ++item) {
+        found[*item] = waited_at_end(this->failures[*item]);
+      }
+      first = last;
+    }
+  }
+  return found;
+}
+
 auto CrashEvidence::Counts(const std::string& suspect,
                            Instant at,
                            ClearedBy cleared_by) const -> bool {
--- a/modules/al_gateway/quarantine/crash_evidence.h
+++ b/modules/al_gateway/quarantine/crash_evidence.h
@@ -20,6 +20,12 @@
    requests), of this router and of others, and which suspect explains the
    failures best. Used by CrashQuarantine.
 
+    Failures at three or more upstreams of one failure domain at about the same
+   time are those of a loss of the domain, such as its power: they are no
+   evidence. Requests that were sent after their router had seen the first end
+   there are no part of it: a request that crashes one upstream after the other
+   is sent to each but the first after an end.
+
     A suspect that crashes each upstream which begins to answer it never
    succeeds. So a success clears a suspect of all failures before it, and of
    those shortly after it, which may have happened before it.
@@ -79,6 +85,14 @@
                     std::string_view upstream,
                     Certainty certainty) -> bool;
 
+  /** Drops the reporter's failures at an upstream that happened at `since` or
+     later.
+      @param upstream  how the name of the upstream begins.
+      @return whether there were any. */
+  auto DropFailures(std::string_view reporter,
+                    std::string_view upstream,
+                    Instant since) -> bool;
+
   /** Replaces all failures of a reporter. */
   auto ReplaceFailures(std::string_view reporter,
                        std::span<const CrashReport::Failure> failures) -> void;
@@ -189,6 +203,8 @@
   [[nodiscard]] auto Counts(const std::string& suspect,
                             Instant at,
                             ClearedBy cleared_by) const -> bool;
+  /** Returns the failures, in their order, that are of a loss of a domain. */
+  [[nodiscard]] auto FindDomainLosses() const -> std::vector<bool>;
   auto DropOne(std::string_view reporter) -> void;
   /** Collects the whole requests that failed anew, after failures were dropped.
    */
--- a/modules/al_gateway/quarantine/crash_quarantine.cc
+++ b/modules/al_gateway/quarantine/crash_quarantine.cc
@@ -125,7 +125,8 @@
 auto CrashQuarantine::RecordFailure(const UpstreamProcess& upstream,
                                     std::span<const std::string> suspects,
                                     Instant sent_at,
-                                    Instant now) -> void {
+                                    Instant now,
+                                    std::string_view domain) -> void {
   if (suspects.empty()) {
     return;
   }
@@ -133,11 +134,21 @@
                             {this->NameAt(upstream, sent_at),
                              {suspects.begin(), suspects.end()},
                              now,
-                             sent_at},
+                             sent_at,
+                             std::string(domain)},
                             CrashEvidence::Certainty::kPossible);
   this->Evaluate(now);
 }
 
+auto CrashQuarantine::DismissFailures(const UpstreamProcess& upstream,
+                                      Instant since,
+                                      Instant now) -> void {
+  if (this->evidence.DropFailures(this->self, NameOf(upstream), since)) {
+    this->has_news = true;
+    this->Evaluate(now);
+  }
+}
+
 auto CrashQuarantine::ConfirmEnd(const UpstreamProcess& upstream, Instant now)
     -> void {
   std::erase_if(this->ends, [now](const auto& item) {
--- a/modules/al_gateway/quarantine/crash_quarantine.h
+++ b/modules/al_gateway/quarantine/crash_quarantine.h
@@ -87,11 +87,19 @@
       -> void;
 
   /** Records that a request got no answer from an upstream, which may have
-     crashed. It counts for others once ConfirmEnd() tells so. */
+     crashed. It counts for others once ConfirmEnd() tells so.
+      @param domain  failure domain of the upstream; empty if it is unknown. */
   auto RecordFailure(const UpstreamProcess& upstream,
                      std::span<const std::string> suspects,
                      Instant sent_at,
-                     Instant now) -> void;
+                     Instant now,
+                     std::string_view domain = {}) -> void;
+
+  /** Drops this router's failures at an upstream since `since`: it was cold, so
+     that its end is no evidence against the requests that it held. */
+  auto DismissFailures(const UpstreamProcess& upstream,
+                       Instant since,
+                       Instant now) -> void;
 
   /** Records that an upstream has ended, after a failure there. */
   auto ConfirmEnd(const UpstreamProcess& upstream, Instant now) -> void;
--- a/modules/al_gateway/quarantine/crash_report.h
+++ b/modules/al_gateway/quarantine/crash_report.h
@@ -19,7 +19,8 @@
     std::vector<std::string>
         suspects;  ///< From the most shared one to the least.
     Instant at{};
-    Instant sent_at{};  ///< When the request was sent.
+    Instant sent_at{};   ///< When the request was sent.
+    std::string domain;  ///< Failure domain of the upstream; empty: unknown.
 
     auto operator==(const Failure&) const -> bool = default;
   };
--- a/programs/gateway/crash_guard.cc
+++ b/programs/gateway/crash_guard.cc
@@ -87,6 +87,8 @@
                                         attempt.sent_at())) {
     return;
   }
+  const bool was_cold =
+      this->context.cold_upstreams.WasColdAt(upstream.process(), now);
   const std::vector<std::string> suspects =
       has_begun ? std::vector<std::string>{this->WholeRequest()}
                 : this->Suspects(true);
@@ -96,10 +98,16 @@
                                {"upstream", upstream.id},
                                {"after_ms", now - attempt.sent_at()},
                                {"open", attempt.upstream().open_requests()},
+                               {"cold", was_cold ? 1 : 0},
                                {"suspects", Join(suspects)}},
                               now);
-  this->context.quarantine.RecordFailure(upstream.process(), suspects,
-                                         attempt.sent_at(), now);
+  if (was_cold) {
+    // A cold upstream ends under requests that it would serve warm.
+    this->context.observe_end(upstream);
+    return;
+  }
+  this->context.quarantine.RecordFailure(
+      upstream.process(), suspects, attempt.sent_at(), now, upstream.domain);
   this->context.observe_end(upstream);
 }
 
--- a/programs/gateway/fleet_records.cc
+++ b/programs/gateway/fleet_records.cc
@@ -132,6 +132,7 @@
     }
     item.set_age_ms(AgeInMillis(failure.at, now));
     item.set_sent_age_ms(AgeInMillis(failure.sent_at, now));
+    item.set_domain(failure.domain);
   }
   for (const CrashReport::Success& success : report.successes) {
     wire::CrashSuccessRecord& item = *message.add_successes();
@@ -216,7 +217,8 @@
     report.failures.push_back({item.upstream(),
                                {item.suspects().begin(), item.suspects().end()},
                                before(item.age_ms()),
-                               before(item.sent_age_ms())});
+                               before(item.sent_age_ms()),
+                               item.domain()});
   }
   for (const wire::CrashSuccessRecord& item : message->successes()) {
     report.successes.push_back({item.suspect(), before(item.age_ms())});
--- a/programs/gateway/gateway_daemon.cc
+++ b/programs/gateway/gateway_daemon.cc
@@ -546,6 +546,7 @@
   constexpr std::array<std::string_view, 3> kNames = {
       "record", "evacuation_ended", "unreachable"};
   const Instant now = this->loop.Now();
+  this->quarantine.DismissFailures(change.upstream, change.since, now);
   this->metrics.CountUpstreamNotice("cold");
   this->log.WriteLine(
       DecisionLog::Severity::kNotable, "upstream_cold",
