Keep requests to their allowed regions, and name routers of the region

Cause: a route or team could not be limited to regions, and an entry address named all routers where the caller's domain had fewer than two.

An entry address answers with the routers of the caller's domain, then of its region, then all, at least two of each. AddressesFor() takes the region, so that the existing test in decisions_test.cc passes an empty one; what it checks is unchanged.

--- a/modules/al_gateway/membership/router_registry.cc
+++ b/modules/al_gateway/membership/router_registry.cc
@@ -19,8 +19,9 @@
    late or lost. */
 constexpr double kTimeoutIntervals = 3.2;
 
-/** A caller gets the addresses of all routers if its own domain has fewer than
-   this. */
+/** A caller gets the addresses of the routers of its region if its own domain
+   has fewer than this, and of all if its region has fewer: it could go to no
+   other router if a single one fails. */
 constexpr std::size_t kMinRoutersInDomain = 2;
 
 /** Maximum routers that report per second, with several entries each. Reading
@@ -67,9 +68,12 @@
 //==============================================================================
 // Queries
 
-auto RouterRegistry::AddressesFor(std::string_view domain, Instant now) const
+auto RouterRegistry::AddressesFor(std::string_view domain,
+                                  std::string_view region,
+                                  Instant now) const
     -> std::vector<std::string> {
   std::vector<std::string> in_domain;
+  std::vector<std::string> in_region;
   std::vector<std::string> all;
   for (const auto& [name, member] : this->members) {
     if (!this->IsActive(member, now) || member.announcement.leaving) {
@@ -79,8 +83,14 @@
     if (member.announcement.domain == domain) {
       in_domain.push_back(member.announcement.client_address);
     }
+    if (!region.empty() && member.announcement.region == region) {
+      in_region.push_back(member.announcement.client_address);
+    }
+  }
+  if (in_domain.size() >= kMinRoutersInDomain) {
+    return in_domain;
   }
-  return in_domain.size() >= kMinRoutersInDomain ? in_domain : all;
+  return in_region.size() >= kMinRoutersInDomain ? in_region : all;
 }
 
 auto RouterRegistry::CountActive(Instant now) const -> int {
--- a/modules/al_gateway/membership/router_registry.h
+++ b/modules/al_gateway/membership/router_registry.h
@@ -62,10 +62,13 @@
   //============================================================================
   // Queries
 
-  /** Returns the client addresses for a caller in `domain`: those of the active
-     routers in the domain, or of all active routers if the domain has fewer
-     than two. Leaving routers are left out. */
-  [[nodiscard]] auto AddressesFor(std::string_view domain, Instant now) const
+  /** Returns the client addresses for a caller in `domain` of `region`: those
+     of the active routers in the domain; if these are fewer than two, in the
+     region; if these are fewer than two, all. Leaving routers are left out.
+      @param region  empty: unknown. */
+  [[nodiscard]] auto AddressesFor(std::string_view domain,
+                                  std::string_view region,
+                                  Instant now) const
       -> std::vector<std::string>;
 
   /** Returns the number of active routers, including this one. */
--- a/modules/al_gateway/model/fleet_config.h
+++ b/modules/al_gateway/model/fleet_config.h
@@ -39,6 +39,7 @@
   bool needs_key = true;            ///< Whether callers must send a team's key.
   bool resumable = false;  ///< Whether another upstream may resume a stream.
   bool carries_prompt = false;  ///< Whether requests list prompt parts.
+  std::vector<std::string> allowed_regions;  ///< Of upstreams; empty: all.
 
   /** Returns whether a request may be executed more than once. */
   [[nodiscard]] auto is_repeatable() const -> bool {
@@ -70,6 +71,7 @@
   std::vector<std::string> keys;
   std::optional<std::uint64_t> prepaid_tokens;  ///< None: unlimited.
   std::optional<int> priority;                  ///< Overrides the route's.
+  std::vector<std::string> allowed_regions;     ///< In addition to the route's.
 };
 
 /** One version of the configuration of the fleet. */
--- a/modules/al_gateway/upstreams/upstream_directory.cc
+++ b/modules/al_gateway/upstreams/upstream_directory.cc
@@ -28,9 +28,8 @@
       found->second.state->record().service == record.service) {
     const bool starts_leaving =
         record.leaving && !found->second.state->record().leaving;
-    found->second.state->SetEvacuated(
-        this->evacuated_domains.contains(record.domain));
     found->second.state->Update(std::move(record));
+    this->ApplyDomain(*found->second.state);
     if (starts_leaving) {
       this->on_unavailable(*found->second.state);
     }
@@ -42,7 +41,7 @@
   const std::string id = record.id;
   const std::string service = record.service;
   auto state = std::make_shared<UpstreamState>(std::move(record));
-  state->SetEvacuated(this->evacuated_domains.contains(state->record().domain));
+  this->ApplyDomain(*state);
   const auto notice = this->notices.find(id);
   if (notice != this->notices.end() &&
       notice->second.started_at_ms == state->record().started_at_ms) {
@@ -52,6 +51,14 @@
   this->by_id[id] = {std::move(state), Instant()};
 }
 
+auto UpstreamDirectory::ApplyDomain(UpstreamState& upstream) -> void {
+  const std::string& domain = upstream.record().domain;
+  upstream.SetEvacuated(this->evacuated_domains.contains(domain));
+  const auto region = this->region_of_domain.find(domain);
+  upstream.SetRegion(region == this->region_of_domain.end() ? std::string()
+                                                            : region->second);
+}
+
 auto UpstreamDirectory::KeepDrain(UpstreamRecord& record) -> void {
   const auto known = this->draining.find(record.id);
   const bool was_draining =
--- a/modules/al_gateway/upstreams/upstream_directory.h
+++ b/modules/al_gateway/upstreams/upstream_directory.h
@@ -3,6 +3,7 @@
 
 #include <deque>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -58,6 +59,11 @@
   /** Calls Remove() for all upstreams but `ids`, after a full list was read. */
   auto RemoveAllExcept(const std::set<std::string>& ids, Instant now) -> void;
 
+  /** Sets the regions of failure domains. @pre no upstream is listed yet. */
+  auto SetRegions(std::map<std::string, std::string> region_of_domain) -> void {
+    this->region_of_domain = std::move(region_of_domain);
+  }
+
   /** Marks the upstreams of a failure domain, also those that are listed later,
      as evacuated or no longer so.
       @return those that are listed now. */
@@ -132,6 +138,8 @@
   /** Marks a record as leaving if an earlier one of its process was, and
      remembers one that is. */
   auto KeepDrain(UpstreamRecord& record) -> void;
+  /** Sets what follows from the failure domain of an upstream. */
+  auto ApplyDomain(UpstreamState& upstream) -> void;
   auto Erase(const std::string& id) -> void;
   /** Returns the notice of a process, a new one if there is none. */
   auto NoticeOf(const UpstreamProcess& upstream, Instant now) -> Notice&;
@@ -151,6 +159,7 @@
   std::unordered_map<std::string, std::int64_t> draining;
   std::deque<std::string> draining_order;  ///< Their ids, oldest first.
   std::set<std::string> evacuated_domains;
+  std::map<std::string, std::string> region_of_domain;
   Instant suspect_until{};
 };
 
--- a/modules/al_gateway/upstreams/upstream_selector.cc
+++ b/modules/al_gateway/upstreams/upstream_selector.cc
@@ -40,6 +40,16 @@
   return std::find(excluded.begin(), excluded.end(), id) != excluded.end();
 }
 
+/** Returns whether the request may be sent to a region. One that is unknown is
+   not allowed if the regions are limited. */
+auto IsAllowedIn(const std::string& region, const ChoiceQuery& query) -> bool {
+  const auto allows = [&region](std::span<const std::string> regions) {
+    return regions.empty() ||
+           std::find(regions.begin(), regions.end(), region) != regions.end();
+  };
+  return allows(query.route_regions) && allows(query.team_regions);
+}
+
 /** Returns the prompt part that determines the home engine: the second to last
    part, because the last one is unique to the request or its session. A single
    part counts as shared. Null if the prompt has no parts. */
@@ -56,11 +66,13 @@
    it could not take most of the requests that share the part. */
 auto HomeEngine(std::span<const UpstreamDirectory::State> upstreams,
                 std::string_view part,
+                const ChoiceQuery& query,
                 Instant now) -> const UpstreamState* {
   const UpstreamState* home = nullptr;
   std::uint64_t highest = 0;
   for (const UpstreamDirectory::State& upstream : upstreams) {
-    if (!upstream->is_usable(now) || upstream->is_limited()) {
+    if (!upstream->is_usable(now) || upstream->is_limited() ||
+        !IsAllowedIn(upstream->region(), query)) {
       continue;
     }
     const std::uint64_t weight = StableHash(part, upstream->record().id);
@@ -98,18 +110,19 @@
   const UpstreamState* home = nullptr;
   if (query.generation != nullptr) {
     if (const PromptPart* const part = LastSharedPart(*query.generation)) {
-      home = HomeEngine(upstreams, part->id, now);
+      home = HomeEngine(upstreams, part->id, query, now);
     }
   }
   const bool has_non_suspect =
       std::any_of(upstreams.begin(), upstreams.end(), [&](const auto& item) {
         return item->is_usable(now) && !item->is_suspect() &&
+               IsAllowedIn(item->region(), query) &&
                !IsExcluded(query.excluded, item->record().id);
       });
   std::optional<UpstreamChoice> best;
   double best_score = 0.0;
   for (const UpstreamDirectory::State& upstream : upstreams) {
-    if (!upstream->is_usable(now) ||
+    if (!upstream->is_usable(now) || !IsAllowedIn(upstream->region(), query) ||
         (has_non_suspect && upstream->is_suspect()) ||
         IsExcluded(query.excluded, upstream->record().id)) {
       continue;
--- a/modules/al_gateway/upstreams/upstream_selector.h
+++ b/modules/al_gateway/upstreams/upstream_selector.h
@@ -17,6 +17,9 @@
   std::string_view service;
   const GenerationMetadata* generation = nullptr;  ///< Null for plain services.
   std::span<const std::string> excluded;  ///< Ids of upstreams already tried.
+  /** Regions of upstreams that may be chosen; both apply. Empty: all. */
+  std::span<const std::string> route_regions;
+  std::span<const std::string> team_regions;
 };
 
 /** The upstream selected for a request, with its estimates. */
--- a/modules/al_gateway/upstreams/upstream_state.h
+++ b/modules/al_gateway/upstreams/upstream_state.h
@@ -68,6 +68,10 @@
     this->evacuated = is_evacuated;
   }
 
+  auto SetRegion(std::string region) -> void {
+    this->region_name = std::move(region);
+  }
+
   /** Records that a request is sent to it.
       @param prefill_tokens  estimated prompt tokens to process before the first
                              event. */
@@ -125,6 +129,10 @@
   }
   [[nodiscard]] auto is_removed() const -> bool { return this->removed; }
   [[nodiscard]] auto is_suspect() const -> bool { return this->suspect; }
+  /** Returns the region of its failure domain; empty if it is unknown. */
+  [[nodiscard]] auto region() const -> const std::string& {
+    return this->region_name;
+  }
   [[nodiscard]] auto is_evacuated() const -> bool { return this->evacuated; }
 
   /** Returns the number of this router's requests that have not ended. */
@@ -157,6 +165,7 @@
   bool removed = false;
   bool suspect = false;
   bool evacuated = false;
+  std::string region_name;
   bool is_replaced = false;   ///< Until a restart or a new address.
   bool said_leaving = false;  ///< As above.
   Instant back_off_until{};
--- a/programs/gateway/gateway_daemon.cc
+++ b/programs/gateway/gateway_daemon.cc
@@ -209,6 +209,7 @@
         this->StopWhenResponsesAreSent();
       })) {
   this->log.SetQuiet(this->options.quiet);
+  this->upstreams.SetRegions(this->options.domain_regions);
   this->context.runs_trials = [this](std::string_view suspect) {
     return this->fleet_topic.RunsTrials(suspect);
   };
@@ -304,7 +305,8 @@
   }
   const std::vector<std::string> addresses =
       this->fleet_topic.registry().AddressesFor(
-          question->domain, this->fleet_topic.last_read_at());
+          question->domain, this->RegionOf(*question),
+          this->fleet_topic.last_read_at());
   if (addresses.empty()) {
     Respond(session, kUnavailable, "", "");
     return;
@@ -313,6 +315,14 @@
           platform::MakeRouterAddressResponse(addresses, kAddressLifetime));
 }
 
+auto GatewayDaemon::RegionOf(const platform::RouterAddressQuery& question) const
+    -> std::string {
+  const auto known = this->options.domain_regions.find(question.domain);
+  return question.region.empty() && known != this->options.domain_regions.end()
+             ? known->second
+             : question.region;
+}
+
 auto GatewayDaemon::OnReadinessRequest(Http1ServerSession& session,
                                        const Http1Request& request) -> void {
   if (request.target != platform::kReadinessPath) {
--- a/programs/gateway/gateway_daemon.h
+++ b/programs/gateway/gateway_daemon.h
@@ -2,6 +2,7 @@
 #define GATEWAY_GATEWAY_DAEMON_H_
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -19,6 +20,7 @@
 #include "gateway/increase_notifier.h"
 #include "gateway/upstream_discovery.h"
 #include "gateway/upstream_end_detector.h"
+#include "platform/router_address_codec.h"
 
 namespace auburnloft::gateway {
 
@@ -39,6 +41,8 @@
     FleetRetryLimit retry_bound;
     Duration grace_period =
         std::chrono::seconds(8);  ///< From SIGTERM to the exit.
+    /** Regions of failure domains; those of others are unknown. */
+    std::map<std::string, std::string> domain_regions;
     std::uint64_t seed = 1;
     std::function<void()> on_stopped;  ///< Called after a drain; if empty, the
                                        ///< loop is stopped instead.
@@ -77,6 +81,9 @@
                    Http1ServerSession::OnRequest call) -> bool;
   auto OnRouterAddressRequest(Http1ServerSession& session,
                               const Http1Request& request) -> void;
+  /** Returns the region of a caller; empty if it is unknown. */
+  [[nodiscard]] auto RegionOf(
+      const platform::RouterAddressQuery& question) const -> std::string;
   auto OnReadinessRequest(Http1ServerSession& session,
                           const Http1Request& request) -> void;
   auto OnPeerRequest(Http1ServerSession& session, const Http1Request& request)
--- a/programs/gateway/main.cc
+++ b/programs/gateway/main.cc
@@ -4,6 +4,7 @@
 #include "al_edge/loop/event_loop.h"
 #include "al_edge/settings/settings_reader.h"
 #include "gateway/gateway_daemon.h"
+#include "platform/router_address_codec.h"
 
 namespace {
 
@@ -16,6 +17,8 @@
   settings.DeclareRequiredText("name", "name of this router's VM");
   settings.DeclareRequiredText("domain", "failure domain of this VM");
   settings.DeclareText("region", "region of this VM", "");
+  settings.DeclareText("domain-regions",
+                       "regions of failure domains, as a JSON object", "{}");
   settings.DeclareAddress("client-address",
                           "where callers connect, as ip:port");
   settings.DeclareAddress("entry-address",
@@ -62,6 +65,13 @@
   options.self.incarnation = options.self.name + "#" + mark;
   options.self.domain = settings.Text("domain");
   options.self.region = settings.Text("region");
+  auto regions = platform::ReadDomainRegions(settings.Text("domain-regions"));
+  if (!regions) {
+    findings.Add("--domain-regions",
+                 "must be a JSON object of domain to region");
+  }
+  options.domain_regions =
+      std::move(regions).value_or(std::map<std::string, std::string>());
   options.self.link_mbps =
       static_cast<std::uint64_t>(NumberOf(settings, "link-mbps", findings));
   options.self.client_address = settings.Text("client-address");
--- a/programs/gateway/upstream_dispatch.cc
+++ b/programs/gateway/upstream_dispatch.cc
@@ -42,6 +42,10 @@
   query.generation = parameters.metadata.generation
                          ? &*parameters.metadata.generation
                          : nullptr;
+  query.route_regions = parameters.route.allowed_regions;
+  if (parameters.team != nullptr) {
+    query.team_regions = parameters.team->allowed_regions;
+  }
   return query;
 }
 
--- a/tests/gateway/decisions_test.cc
+++ b/tests/gateway/decisions_test.cc
@@ -272,9 +272,9 @@
     router.client_address = name;
     registry.Apply(router, this->now);
   }
-  CHECK_EQUAL(2, registry.AddressesFor("a", this->now).size());
-  CHECK_EQUAL(3, registry.AddressesFor("b", this->now).size());
-  CHECK_EQUAL(1, registry.AddressesFor("a", this->now + seconds(5)).size());
+  CHECK_EQUAL(2, registry.AddressesFor("a", "", this->now).size());
+  CHECK_EQUAL(3, registry.AddressesFor("b", "", this->now).size());
+  CHECK_EQUAL(1, registry.AddressesFor("a", "", this->now + seconds(5)).size());
   CHECK_TRUE(registry.IsActiveIncarnation("r2#1", this->now));
   CHECK_FALSE(registry.IsActiveIncarnation("r2#0", this->now));
 }
