Check that ends of cold engines quarantine nothing in a session

A session test lists engines as cold and lets them crash under a part of prompts eight times; the part is served afterwards.

--- a/tests/gateway/cold_upstreams_test.cc
+++ b/tests/gateway/cold_upstreams_test.cc
@@ -208,7 +208,7 @@
     bool is_reached = false;
   };
 
-  auto MakeRecord(int number) const -> UpstreamRecord {
+  [[nodiscard]] auto MakeRecord(int number) const -> UpstreamRecord {
     UpstreamRecord record;
     record.id = "u" + std::to_string(number);
     record.service = "s";
--- a/tests/gateway/crash_quarantine_session_test.cc
+++ b/tests/gateway/crash_quarantine_session_test.cc
@@ -38,6 +38,7 @@
   std::vector<std::unique_ptr<LoopTimer>> timers;
   int bad_arrivals = 0;
   std::int64_t last_start = 1;
+  int warm_up_left_ms = 0;  ///< In the records that are written from now on.
 
   TEST_SETUP() {
     for (const auto* const upstream :
@@ -83,8 +84,11 @@
   /** Writes the record of an engine that started at `start_unix_ms`. */
   auto List(int number, std::int64_t start_unix_ms)->void {
     const auto& engine = this->engines[static_cast<std::size_t>(number)];
+    std::string entry = engine->Entry("engines", start_unix_ms);
+    entry.insert(entry.size() - 1,
+                 ",\"WarmupLeftMs\":" + std::to_string(this->warm_up_left_ms));
     this->fixture.store.Put("keyed.servers", "raw-" + std::to_string(number),
-                            engine->Entry("engines", start_unix_ms));
+                            entry);
   }
 
   /** Sends a request whose prompt is the shared part `base`, then `middle`, and
@@ -132,3 +136,21 @@
   CHECK_EQUAL(502, this->Call(1, "bad2", "dead", "/ask/").status);
   CHECK_EQUAL(3, this->bad_arrivals);
 }
+
+// Guards against a part that is quarantined although the engines that ended
+// under it were cold, and so ended under requests that they serve warm.
+TEST(CrashQuarantineSessions, SpareAPartUnderWhichColdEnginesEnd) {
+  this->warm_up_left_ms = 60'000;
+  for (int number = 0; number < 6; ++number) {
+    this->List(number, ++this->last_start);
+  }
+  this->fixture.RunFor(kRestart);
+  for (int number = 1; number <= 8; ++number) {
+    const std::string text = std::to_string(number);
+    CHECK_EQUAL(502, this->Call(1 + number % 2, "bad" + text, "hot").status);
+    this->fixture.RunFor(kRestart);
+  }
+  this->fixture.RunFor(kSpreading);
+  CHECK_EQUAL(8, this->bad_arrivals);
+  CHECK_EQUAL(200, this->Call(1, "good", "hot").status);
+}
--- a/tests/gateway/evacuation_test.cc
+++ b/tests/gateway/evacuation_test.cc
@@ -99,7 +99,7 @@
         std::make_unique<Router>();
   }
 
-  auto IsKnownAt(int number) const -> bool {
+  [[nodiscard]] auto IsKnownAt(int number) const -> bool {
     return this->routers[static_cast<std::size_t>(number)]
         ->evacuations->is_known();
   }
--- a/tests/gateway/innocent_end_test.cc
+++ b/tests/gateway/innocent_end_test.cc
@@ -91,7 +91,7 @@
   /** Returns a random number from `min` to `max`. */
   auto PickFrom(int min, int max) -> int {
     return min + static_cast<int>(this->random.UniformBelow(
-                     static_cast<std::uint64_t>(max - min + 1)));
+                     static_cast<std::uint64_t>(max - min) + 1));
   }
 
   Instant now = FromUnixMillis(1'000'000'000);
