--- a/programs/gateway/gateway_daemon.cc
+++ b/programs/gateway/gateway_daemon.cc
@@ -209,6 +209,7 @@
         this->StopWhenResponsesAreSent();
       })) {
   this->log.SetQuiet(this->options.quiet);
+  this->upstreams.SetRegions(this->options.domain_regions);
   this->context.runs_trials = [this](std::string_view suspect) {
     return this->fleet_topic.RunsTrials(suspect);
   };
@@ -304,7 +305,8 @@
   }
   const std::vector<std::string> addresses =
       this->fleet_topic.registry().AddressesFor(
-          question->domain, this->fleet_topic.last_read_at());
+          question->domain, this->RegionOf(*question),
+          this->fleet_topic.last_read_at());
   if (addresses.empty()) {
     Respond(session, kUnavailable, "", "");
     return;
@@ -313,6 +315,14 @@
           platform::MakeRouterAddressResponse(addresses, kAddressLifetime));
 }
 
+auto GatewayDaemon::RegionOf(const platform::RouterAddressQuery& question) const
+    -> std::string {
+  const auto known = this->options.domain_regions.find(question.domain);
+  return question.region.empty() && known != this->options.domain_regions.end()
+             ? known->second
+             : question.region;
+}
+
 auto GatewayDaemon::OnReadinessRequest(Http1ServerSession& session,
                                        const Http1Request& request) -> void {
   if (request.target != platform::kReadinessPath) {
@@ -546,6 +556,7 @@
   constexpr std::array<std::string_view, 3> kNames = {
       "record", "evacuation_ended", "unreachable"};
   const Instant now = this->loop.Now();
+  this->quarantine.DismissFailures(change.upstream, change.since, now);
   this->metrics.CountUpstreamNotice("cold");
   this->log.WriteLine(
       DecisionLog::Severity::kNotable, "upstream_cold",
