Move notices of upstreams and the end of requests out of RequestHandler

Change: UpstreamNotices records what upstreams say about themselves in responses, and names the Retry-After time that follows from it. ReportEnd() settles the tokens of a request, counts it and writes its report. Behaviour is unchanged.

The groups GatewaySessions (25 tests), UpstreamNotices (9), UpstreamLimits (10), HostileUpstreams (27), CutResponses (5), Decisions (22), DeadlyRequests and its sessions (17) and PlannedStopsInCalm (1) pass.

--- a/programs/gateway/request_handler.cc
+++ b/programs/gateway/request_handler.cc
@@ -1,13 +1,12 @@
 #include "gateway/request_handler.h"
 
 #include <algorithm>
-#include <array>
 #include <utility>
 
 #include "al_edge/loop/loop_timer.h"
 #include "al_gateway/limits/attempt_timeouts.h"
 #include "al_gateway/routing/admission.h"
-#include "al_gateway/upstreams/back_off.h"
+#include "gateway/request_end.h"
 #include "platform/request_codec.h"
 
 namespace auburnloft::gateway {
@@ -39,6 +38,7 @@
       table(context.table),
       arrived_at(context.loop.Now()),
       budget(context),
+      upstream_notices(context),
       crash_guard(context, this->request, this->metadata) {}
 
 RequestHandler::~RequestHandler() = default;
@@ -200,7 +200,8 @@
     if (this->context.drain) {
       this->Refuse(kUnavailable, kShuttingDown, kShutdownRetryAfter);
     } else {
-      this->Refuse(kUnavailable, "no upstream", this->UpstreamRetryAfter());
+      this->Refuse(kUnavailable, "no upstream",
+                   this->upstream_notices.RetryAfter(this->service));
     }
   } else if (this->response->has_started()) {
     this->AbortStream("no upstream to go on");
@@ -224,7 +225,7 @@
       };
   callbacks.on_head = [this](const Http1ResponseHead& head) {
     this->attempt->SetHead(head);
-    this->RecordUpstreamNotices();
+    this->upstream_notices.Record(*this->attempt, this->metadata.attempt_id);
     if (this->route->kind != RouteKind::kStream &&
         !this->attempt->response_metadata().not_executed) {
       this->RecordFirstByte();
@@ -237,72 +238,6 @@
   return callbacks;
 }
 
-auto RequestHandler::RecordUpstreamNotices() -> void {
-  const ResponseMetadata& head = this->attempt->response_metadata();
-  if (head.is_replaced) {
-    return;  // Another process speaks.
-  }
-  const UpstreamState& upstream = this->attempt->upstream();
-  const Instant now = this->context.loop.Now();
-  if (head.is_leaving && this->context.upstreams.RecordLeaving(upstream, now)) {
-    this->context.log.WriteLine(DecisionLog::Severity::kNotable,
-                                "upstream_leaving",
-                                {{"upstream", upstream.record().id},
-                                 {"id", this->metadata.attempt_id},
-                                 {"status", head.status}},
-                                now);
-    this->context.metrics.CountUpstreamNotice("leaving");
-  }
-  const auto until = BackOffEnd(head, now);
-  if (until && this->context.upstreams.RecordBackOff(upstream, *until, now)) {
-    this->context.log.WriteLine(DecisionLog::Severity::kNotable,
-                                "upstream_back_off",
-                                {{"upstream", upstream.record().id},
-                                 {"id", this->metadata.attempt_id},
-                                 {"status", head.status},
-                                 {"ends_in_ms", *until - now}},
-                                now);
-    this->context.metrics.CountUpstreamNotice("back_off");
-  }
-  this->RecordUpstreamLimit();
-}
-
-auto RequestHandler::RecordUpstreamLimit() -> void {
-  const ResponseMetadata& head = this->attempt->response_metadata();
-  if (!head.request_limit && !head.is_sealed && !head.not_executed) {
-    return;  // Not evidently a response of the upstream itself.
-  }
-  const UpstreamRecord& upstream = this->attempt->upstream().record();
-  const Instant now = this->context.loop.Now();
-  const auto change = this->context.limits.Record(
-      upstream.process(), head.request_limit, this->attempt->sent_at(), now);
-  if (change == UpstreamLimits::Change::kNone) {
-    return;
-  }
-  /** In the order of Change. */
-  constexpr std::array<std::string_view, 4> kNames = {"none", "named",
-                                                      "changed", "ended"};
-  this->context.log.WriteLine(
-      DecisionLog::Severity::kNotable, "upstream_limit",
-      {{"upstream", upstream.id},
-       {"id", this->metadata.attempt_id},
-       {"change", kNames[static_cast<std::size_t>(change)]},
-       {"requests_s", head.request_limit ? std::to_string(*head.request_limit)
-                                         : std::string("-")}},
-      now);
-  this->context.metrics.CountUpstreamNotice("limit");
-  this->context.report_news();
-}
-
-auto RequestHandler::UpstreamRetryAfter() const -> Duration {
-  const Instant now = this->context.loop.Now();
-  const auto earliest =
-      this->context.upstreams.EarliestReturn(this->service, now);
-  return earliest ? BackOffRetryAfter(*earliest - now,
-                                      this->context.random.UniformDouble())
-                  : kUnavailableRetryAfter;
-}
-
 //==============================================================================
 // Events of the current attempt
 
@@ -326,7 +261,7 @@
   if (this->event_splitter.event_count() > events_before) {
     this->attempt->RecordTokens(
         (this->event_splitter.event_count() - events_before) *
-        this->TokensPerEvent());
+        TokensPerEvent(*this->table, this->service));
     this->ForwardEvents(std::exchange(this->pending_events, {}));
   }
   if (this->event_splitter.is_too_long() ||
@@ -461,7 +396,8 @@
   if (this->response->has_started()) {
     this->AbortStream("no upstream resumes the stream");
   } else if (this->execution_counter.never_executed()) {
-    this->Refuse(kUnavailable, "upstream is full", this->UpstreamRetryAfter());
+    this->Refuse(kUnavailable, "upstream is full",
+                 this->upstream_notices.RetryAfter(this->service));
   } else {
     this->Refuse(kBadGateway, "upstream is full after a failure", Duration(0));
   }
@@ -651,17 +587,11 @@
   if (std::exchange(this->ended, true)) {
     return;
   }
-  RequestReport report = this->MakeReport();
-  report.outcome = outcome;
-  report.status = status;
-  report.why = why;
-  this->budget.Settle(report.used_tokens);
-  if (this->team != nullptr) {
-    report.available_tokens =
-        this->context.allowance_manager.Available(this->team->name);
-  }
-  this->context.metrics.CountRequest(outcome);
-  LogRequest(this->context.log, report, this->context.loop.Now());
+  ReportEnd(this->context,
+            {this->metadata, this->table.get(), this->route, this->team,
+             this->service, this->execution_counter, this->event_splitter,
+             this->response_end, this->time_to_first_event, this->arrived_at},
+            this->budget, outcome, status, why);
   this->deadline_timer.reset();
   this->attempt_timer.reset();
   this->context.open_requests.erase(this);
@@ -673,43 +603,4 @@
   this->context.loop.Post([ended_handlers] { ended_handlers->clear(); });
 }
 
-auto RequestHandler::MakeReport() const -> RequestReport {
-  RequestReport report;
-  report.id = this->metadata.attempt_id;
-  report.attempts = this->execution_counter.attempts();
-  report.executions = this->execution_counter.executions();
-  report.events = this->event_splitter.event_count();
-  report.end = this->response_end;
-  report.reserved_tokens = this->budget.reserved();
-  report.used_tokens = this->UsedTokens();
-  report.time_to_first_event = this->time_to_first_event;
-  report.duration = this->context.loop.Now() - this->arrived_at;
-  if (this->table) {
-    report.config_version = this->table->config().version;
-  }
-  if (this->route != nullptr) {
-    report.route = this->route->name;
-  }
-  if (this->team != nullptr) {
-    report.team = this->team->name;
-  }
-  return report;
-}
-
-auto RequestHandler::UsedTokens() const -> std::uint64_t {
-  if (this->budget.reserved() == 0 ||
-      this->execution_counter.never_executed()) {
-    return 0;
-  }
-  const std::uint64_t output =
-      std::min(this->metadata.generation->max_output_tokens,
-               this->event_splitter.event_count() * this->TokensPerEvent());
-  return this->metadata.generation->prompt_tokens + output;
-}
-
-auto RequestHandler::TokensPerEvent() const -> std::uint64_t {
-  const ServiceRule* const rule = this->table->FindService(this->service);
-  return rule != nullptr && rule->engine ? rule->engine->tokens_per_event : 1;
-}
-
 }  // namespace auburnloft::gateway
--- a/programs/gateway/request_handler.h
+++ b/programs/gateway/request_handler.h
@@ -17,9 +17,9 @@
 #include "gateway/crash_guard.h"
 #include "gateway/gateway_context.h"
 #include "gateway/request_budget.h"
-#include "gateway/request_report.h"
 #include "gateway/upstream_attempt.h"
 #include "gateway/upstream_dispatch.h"
+#include "gateway/upstream_notices.h"
 
 namespace auburnloft::gateway {
 
@@ -68,13 +68,6 @@
   [[nodiscard]] auto MakeCallbacks()
       -> Http1ClientConnection::ExchangeCallbacks;
 
-  /** Records what the upstream says about itself in the head of a response. */
-  auto RecordUpstreamNotices() -> void;
-  /** Records the limit that the head of a response names, or its end. */
-  auto RecordUpstreamLimit() -> void;
-  /** Returns when a request that no upstream takes may come back. */
-  [[nodiscard]] auto UpstreamRetryAfter() const -> Duration;
-
   // Events of the current attempt.
   auto OnBody(const std::string& bytes) -> void;
   /** Returns whether the body of the current response is passed on event by
@@ -117,10 +110,6 @@
   auto EndAttempt(UpstreamResult result) -> std::unique_ptr<UpstreamAttempt>;
   auto Finish(std::string_view outcome, int status, std::string_view why)
       -> void;
-  [[nodiscard]] auto MakeReport() const -> RequestReport;
-  [[nodiscard]] auto UsedTokens() const -> std::uint64_t;
-  /** Returns the number of output tokens in each event of a stream. */
-  [[nodiscard]] auto TokensPerEvent() const -> std::uint64_t;
 
   GatewayContext& context;
   Http1Request request;
@@ -135,6 +124,7 @@
   std::unique_ptr<LoopTimer> deadline_timer;
   std::unique_ptr<LoopTimer> attempt_timer;
   RequestBudget budget;
+  UpstreamNotices upstream_notices;
   CrashGuard crash_guard;
   std::unique_ptr<UpstreamAttempt> attempt;
   std::vector<std::string> tried_upstreams;  ///< By id.
