Add the decisions of admission under pressure

Change: PressureAdmission decides by request whether it begins, waits or is refused with a time; TeamShares divides a scarce service between teams; MinimumShares keeps kinds, teams and large requests from being starved; PlaceQueue queues requests of plain services for a free place; and ConnectionShare bounds connections by demand. Nothing calls them yet.

--- a/modules/al_gateway/al_gateway.h
+++ b/modules/al_gateway/al_gateway.h
@@ -7,6 +7,8 @@
     Parts:
     - model/       types of the configuration, request metadata and log records
     - routing/     RouteTable, and Admit(), which forwards or refuses a request
+    - admission/   PressureAdmission, TeamShares, MinimumShares and PlaceQueue:
+                   which requests begin while capacity is insufficient
     - upstreams/   UpstreamDirectory, UpstreamSelector and their measurements;
                    UpstreamLimits: requests a second that upstreams take
     - limits/      timeouts, ExecutionCounter, DrainSchedule: planned stops,
@@ -22,6 +24,9 @@
 #ifndef AL_GATEWAY_AL_GATEWAY_H_
 #define AL_GATEWAY_AL_GATEWAY_H_
 
+#include "al_gateway/admission/connection_share.h"
+#include "al_gateway/admission/place_queue.h"
+#include "al_gateway/admission/pressure_admission.h"
 #include "al_gateway/limits/drain_schedule.h"
 #include "al_gateway/limits/fleet_retry_budget.h"
 #include "al_gateway/membership/discovery_plan.h"
