Put requests through admission under pressure where the setting is on

A plain request that all upstreams refused as full waits for a later attempt within its objective, within the limits of attempts and of the fleet's retries. Connections of plain services follow the router's demand. Log line admission, counter auburnloft_admissions_total. Off by default: RequestHandler then has no gate to ask.

--- a/programs/gateway/gateway_context.h
+++ b/programs/gateway/gateway_context.h
@@ -24,6 +24,7 @@
 
 namespace auburnloft::gateway {
 
+class AdmissionGate;
 class RequestHandler;
 
 /** State that all requests of one process share.
@@ -62,6 +63,9 @@
   bool returns_allowances = false;     ///< Late in a drain: none are reserved.
   bool is_stopping = false;  ///< Set at the end of a drain: no request starts.
   std::unordered_set<RequestHandler*> open_requests;  ///< In this process.
+  AdmissionGate* admission = nullptr;  ///< Null: all requests are admitted.
+  double load_ratio = 1.0;  ///< Requests per second of this router by the mean
+                            ///< of the fleet's routers.
   bool is_log_reachable = false;  ///< Whether the log service replies.
   Instant last_log_reply_at{};    ///< Of the log service.
 };
--- a/programs/gateway/gateway_daemon.cc
+++ b/programs/gateway/gateway_daemon.cc
@@ -197,6 +197,9 @@
   this->context.observe_end = [this](const UpstreamRecord& upstream) {
     this->end_detector.Observe(upstream);
   };
+  if (this->options.admission) {
+    this->context.admission = &this->admission.emplace(this->context);
+  }
   this->context.report_news = [this] { this->fleet_topic.ScheduleWrite(); };
   this->reservations.SetIsBudgetExhausted(
       [this](const std::string& team, std::uint64_t tokens) {
@@ -473,6 +476,7 @@
   this->fleet_topic.SetRequestRate(own_rate);
   const double mean_rate = this->fleet_topic.registry().MeanRequestRate(
       this->fleet_topic.last_read_at());
+  this->context.load_ratio = mean_rate > 0.0 ? own_rate / mean_rate : 1.0;
   const double before =
       std::exchange(this->context.close_fraction,
                     ConnectionCloseFraction(own_rate, mean_rate));
--- a/programs/gateway/gateway_daemon.h
+++ b/programs/gateway/gateway_daemon.h
@@ -10,6 +10,7 @@
 #include "al_core/time/instant.h"
 #include "al_gateway/membership/router_registry.h"
 #include "al_http1/http1_server.h"
+#include "gateway/admission_gate.h"
 #include "gateway/allowance_exchange.h"
 #include "gateway/config_exchange.h"
 #include "gateway/fleet_topic_client.h"
@@ -42,6 +43,7 @@
     std::function<void()> on_stopped;  ///< Called after a drain; if empty, the
                                        ///< loop is stopped instead.
     int log_descriptor = 1;  ///< Output of the decision log; -1: none.
+    bool admission = false;  ///< Whether requests pass admission control.
     bool quiet = false;      ///< Whether routine log lines are discarded.
   };
 
@@ -124,6 +126,7 @@
   CrashQuarantine quarantine;
   UpstreamEndDetector end_detector;
   GatewayContext context;
+  std::optional<AdmissionGate> admission;  ///< None if it is off.
   FleetTopicClient fleet_topic;
   IncreaseNotifier increase_notifier;
   AllowanceExchange allowance_exchange;
--- a/programs/gateway/gateway_metrics.cc
+++ b/programs/gateway/gateway_metrics.cc
@@ -27,6 +27,10 @@
                  this->quarantine_changes);
   AppendCounters(text, "auburnloft_upstream_notices_total", "notice",
                  this->upstream_notices);
+  if (!this->admissions.empty()) {
+    AppendCounters(text, "auburnloft_admissions_total", "decision",
+                   this->admissions);
+  }
   text.append("# TYPE auburnloft_log_restores_total counter\n")
       .append("auburnloft_log_restores_total ")
       .append(std::to_string(this->log_restores))
--- a/programs/gateway/gateway_metrics.h
+++ b/programs/gateway/gateway_metrics.h
@@ -37,6 +37,11 @@
     ++this->upstream_notices[std::string(notice)];
   }
 
+  /** Counts a decision of the admission, such as `refuse`. */
+  auto CountAdmission(std::string_view decision) -> void {
+    ++this->admissions[std::string(decision)];
+  }
+
   /** Counts a change of a quarantine. */
   auto CountQuarantineChange(std::string_view change) -> void {
     ++this->quarantine_changes[std::string(change)];
@@ -58,6 +63,7 @@
   std::map<std::string, std::uint64_t> sends;
   std::map<std::string, std::uint64_t> quarantine_changes;
   std::map<std::string, std::uint64_t> upstream_notices;
+  std::map<std::string, std::uint64_t> admissions;
   std::uint64_t log_restores = 0;
   LatencyHistogram first_byte;
 };
--- a/programs/gateway/main.cc
+++ b/programs/gateway/main.cc
@@ -4,6 +4,7 @@
 #include "al_edge/loop/event_loop.h"
 #include "al_edge/settings/settings_reader.h"
 #include "gateway/gateway_daemon.h"
+#include "platform/contract_codec.h"
 
 namespace {
 
@@ -37,6 +38,12 @@
                           "window of the retry bounds, in seconds", 10, 1, 60);
   settings.DeclareText(
       "link-mbps", "bandwidth of this VM's link in Mbit/s; 0: unknown", "0");
+  settings.DeclareText("admission",
+                       "admission control of requests: off or pressure", "off");
+  settings.DeclareText("contracts",
+                       "the deployment's contracts, separated by commas; some "
+                       "turn settings on",
+                       "");
   settings.DeclareText("grace-s", "seconds from SIGTERM to the exit", "8");
   settings.DeclareSwitch("quiet", "do not log requests that succeed");
 }
@@ -53,6 +60,16 @@
   return value;
 }
 
+/** Returns whether admission control is on, by either setting. */
+auto AdmissionOf(const SettingsReader& settings, Findings& findings) -> bool {
+  const std::string mode = settings.Text("admission");
+  if (mode != "off" && mode != "pressure") {
+    findings.Add("--admission", "must be off or pressure");
+  }
+  return mode == "pressure" ||
+         platform::RequiresAdmission(settings.Text("contracts"));
+}
+
 auto OptionsOf(const SettingsReader& settings, Findings& findings)
     -> gateway::GatewayDaemon::Options {
   constexpr double kMicrosPerSecond = 1e6;
@@ -77,6 +94,7 @@
       static_cast<int>(settings.Integer("retry-window-s"));
   options.grace_period = Duration(static_cast<std::int64_t>(
       NumberOf(settings, "grace-s", findings) * kMicrosPerSecond));
+  options.admission = AdmissionOf(settings, findings);
   options.seed = StableHash(mark);
   options.quiet = settings.Switch("quiet");
   return options;
--- a/programs/gateway/request_handler.cc
+++ b/programs/gateway/request_handler.cc
@@ -6,6 +6,7 @@
 #include "al_edge/loop/loop_timer.h"
 #include "al_gateway/limits/attempt_timeouts.h"
 #include "al_gateway/routing/admission.h"
+#include "gateway/admission_gate.h"
 #include "gateway/request_end.h"
 #include "platform/request_codec.h"
 
@@ -119,7 +120,7 @@
 
 auto RequestHandler::ReserveBudget() -> void {
   if (!this->NeedsTokens()) {
-    this->Dispatch();
+    this->AwaitAdmission();
     return;
   }
   this->budget.Reserve(
@@ -131,7 +132,7 @@
 auto RequestHandler::OnReservation(ReservationResult result) -> void {
   switch (result) {
     case ReservationResult::kReserved:
-      this->Dispatch();
+      this->AwaitAdmission();
       return;
     case ReservationResult::kBudgetExhausted:
       this->Refuse(kPaymentRequired, "budget spent", Duration(0));
@@ -145,6 +146,22 @@
   }
 }
 
+auto RequestHandler::AwaitAdmission() -> void {
+  if (this->context.admission == nullptr) {
+    this->Dispatch();
+    return;
+  }
+  this->context.admission->Ask(
+      this, this->MakeAttemptParameters(), this->arrived_at,
+      [this](const AdmissionDecision& decision) {
+        if (decision.action == AdmissionDecision::Action::kBegin) {
+          this->Dispatch();
+        } else {
+          this->Refuse(kUnavailable, decision.reason, decision.retry_after);
+        }
+      });
+}
+
 //==============================================================================
 // Attempts
 
@@ -199,7 +216,7 @@
   if (this->execution_counter.never_executed()) {
     if (this->context.drain) {
       this->Refuse(kUnavailable, kShuttingDown, kShutdownRetryAfter);
-    } else {
+    } else if (!this->TryWaitAgain()) {
       this->Refuse(kUnavailable, "no upstream",
                    this->upstream_notices.RetryAfter(this->service));
     }
@@ -210,6 +227,22 @@
   }
 }
 
+auto RequestHandler::TryWaitAgain() -> bool {
+  if (this->context.admission == nullptr ||
+      !this->execution_counter.CanRetryElsewhere(this->RemainingTime()) ||
+      !this->context.admission->AskAgain(this)) {
+    return false;
+  }
+  if (this->execution_counter.attempts() > 0 &&
+      !this->context.retry_budget.TryTake(this->service, this->context.routers,
+                                          this->context.loop.Now())) {
+    this->context.admission->End(this);
+    return false;
+  }
+  this->tried_upstreams.clear();
+  return true;
+}
+
 auto RequestHandler::MakeCallbacks()
     -> Http1ClientConnection::ExchangeCallbacks {
   Http1ClientConnection::ExchangeCallbacks callbacks;
@@ -312,6 +345,9 @@
   if (this->attempt->RecordFirstByte() &&
       this->attempt->head().status < kFirstRedirect) {
     this->crash_guard.RecordBegin();
+    if (this->context.admission != nullptr) {
+      this->context.admission->RecordFirstByte(this);
+    }
   }
 }
 
@@ -384,6 +420,10 @@
 auto RequestHandler::OnNotExecuted() -> void {
   this->execution_counter.RecordNotExecuted();
   this->crash_guard.RecordNotExecuted();
+  if (this->context.admission != nullptr &&
+      !this->attempt->response_metadata().is_replaced) {
+    this->context.admission->RecordFull(this);
+  }
   this->EndAttempt(this->attempt->response_metadata().is_replaced
                        ? UpstreamResult::kReplaced
                        : UpstreamResult::kNotExecuted);
@@ -594,6 +634,9 @@
             this->budget, outcome, status, why);
   this->deadline_timer.reset();
   this->attempt_timer.reset();
+  if (this->context.admission != nullptr) {
+    this->context.admission->End(this);
+  }
   this->context.open_requests.erase(this);
   this->response->Release();
   // Callers up the stack may still use this object, so the event loop releases
--- a/programs/gateway/request_handler.h
+++ b/programs/gateway/request_handler.h
@@ -61,10 +61,16 @@
   auto ReserveBudget() -> void;
   auto OnReservation(ReservationResult result) -> void;
 
+  /** Begins the request when it is admitted to its service. */
+  auto AwaitAdmission() -> void;
+
   // Attempts.
   auto Dispatch() -> void;
   [[nodiscard]] auto MakeAttemptParameters() const -> AttemptParameters;
   auto OnNoUpstream() -> void;
+  /** Lets a request that no upstream took now wait for another place.
+      @return whether it waits. */
+  auto TryWaitAgain() -> bool;
   [[nodiscard]] auto MakeCallbacks()
       -> Http1ClientConnection::ExchangeCallbacks;
 
--- a/programs/gateway/upstream_dispatch.cc
+++ b/programs/gateway/upstream_dispatch.cc
@@ -4,6 +4,7 @@
 #include <utility>
 #include <vector>
 
+#include "al_gateway/admission/connection_share.h"
 #include "al_gateway/limits/attempt_timeouts.h"
 #include "platform/request_codec.h"
 
@@ -21,21 +22,6 @@
 /** An upstream does not execute a request that has no time left. */
 constexpr Duration kMinTimeLeft = std::chrono::milliseconds(1);
 
-/** Maximum connections of this router to one upstream: its share of the
-   service's limit, but at least kMinConnections. @param routers  active routers
-   in the fleet. */
-auto ConnectionBound(const AttemptParameters& parameters, int routers) -> int {
-  const ServiceRule* const rule =
-      parameters.table.FindService(parameters.service);
-  if (rule == nullptr || rule->max_connections <= 0) {
-    return kMinConnections;
-  }
-  const int share =
-      static_cast<int>(rule->max_connections * kUsableConnectionFraction) /
-      std::max(1, routers);
-  return std::max(kMinConnections, share);
-}
-
 auto MakeQuery(const AttemptParameters& parameters) -> ChoiceQuery {
   ChoiceQuery query;
   query.service = parameters.service;
@@ -104,12 +90,29 @@
 
 }  // namespace
 
+auto ConnectionBound(const GatewayContext& context,
+                     const AttemptParameters& parameters) -> int {
+  const ServiceRule* const rule =
+      parameters.table.FindService(parameters.service);
+  if (rule == nullptr || rule->max_connections <= 0) {
+    return kMinConnections;
+  }
+  if (context.admission != nullptr && !parameters.metadata.generation) {
+    return ConnectionShare(rule->max_connections, context.routers,
+                           context.load_ratio);
+  }
+  const int share =
+      static_cast<int>(rule->max_connections * kUsableConnectionFraction) /
+      std::max(1, context.routers);
+  return std::max(kMinConnections, share);
+}
+
 auto OpenAttempt(GatewayContext& context, const AttemptParameters& parameters)
     -> std::unique_ptr<UpstreamAttempt> {
   std::vector<std::string> excluded(parameters.tried_upstreams.begin(),
                                     parameters.tried_upstreams.end());
   ChoiceQuery wanted = MakeQuery(parameters);
-  const int bound = ConnectionBound(parameters, context.routers);
+  const int bound = ConnectionBound(context, parameters);
   const Instant now = context.loop.Now();
   while (true) {
     wanted.excluded = excluded;
@@ -131,11 +134,16 @@
   }
 }
 
-auto HasUpstream(GatewayContext& context, const AttemptParameters& parameters)
-    -> bool {
+auto FindUpstream(GatewayContext& context, const AttemptParameters& parameters)
+    -> std::optional<UpstreamChoice> {
   ChoiceQuery wanted = MakeQuery(parameters);
   wanted.excluded = parameters.tried_upstreams;
-  return context.chooser.Choose(wanted, context.loop.Now()).has_value();
+  return context.chooser.Choose(wanted, context.loop.Now());
+}
+
+auto HasUpstream(GatewayContext& context, const AttemptParameters& parameters)
+    -> bool {
+  return FindUpstream(context, parameters).has_value();
 }
 
 auto SerializeForAttempt(GatewayContext& context,
--- a/programs/gateway/upstream_dispatch.h
+++ b/programs/gateway/upstream_dispatch.h
@@ -37,6 +37,18 @@
                                const AttemptParameters& parameters)
     -> std::unique_ptr<UpstreamAttempt>;
 
+/** Returns the most connections of this router to one upstream of the service:
+    its equal share of the service's limit, or for plain services, if admission
+   is on, a share that follows its demand. */
+[[nodiscard]] auto ConnectionBound(const GatewayContext& context,
+                                   const AttemptParameters& parameters) -> int;
+
+/** Returns the upstream that OpenAttempt() would choose, if connections are
+   available, with its estimates. @return none if there is none. */
+[[nodiscard]] auto FindUpstream(GatewayContext& context,
+                                const AttemptParameters& parameters)
+    -> std::optional<UpstreamChoice>;
+
 /** Returns whether there is an upstream that OpenAttempt() could choose. A slow
    attempt is given up only if there is another one. */
 [[nodiscard]] auto HasUpstream(GatewayContext& context,
--- a/tests/support/gateway_fixture.h
+++ b/tests/support/gateway_fixture.h
@@ -41,8 +41,10 @@
     std::string deadline_ms = "4000";
   };
 
-  /** @param grace_period  of a planned stop. */
-  explicit GatewayFixture(Duration grace_period = std::chrono::seconds(8));
+  /** @param grace_period  of a planned stop.
+      @param admission     whether the routers have admission control. */
+  explicit GatewayFixture(Duration grace_period = std::chrono::seconds(8),
+                          bool admission = false);
   ~GatewayFixture();
 
   GatewayFixture(const GatewayFixture&) = delete;
@@ -117,6 +119,7 @@
 
  private:
   Duration grace_period;
+  bool admission = false;
   std::size_t max_body_bytes = 1'000;
 
   auto StartRouter(int number) -> std::unique_ptr<gateway::GatewayDaemon>;
