Explain refusals of admission, and follow the linter

Change: auburnloft-ctl explain knows the five reasons of admission. MinimumShares looks for classes to forget at most once a second. Parameters, arrays and declarations follow clang-tidy.

--- a/bench/admission_main.cc
+++ b/bench/admission_main.cc
@@ -1,5 +1,6 @@
 // Prints what becomes of requests in a crowd, by policy and number of routers:
 // see docs/design/admission.md.
+#include <array>
 #include <cstdio>
 #include <string_view>
 
@@ -17,12 +18,13 @@
               tally.late / all, tally.refused / all, tally.refused_again / all);
 }
 
-auto Play(AdmissionPlay::Settings settings) -> void {
-  constexpr const char* kNames[] = {"all", "random", "equal", "pressure"};
+auto Play(const AdmissionPlay::Settings& settings) -> void {
+  constexpr std::array<const char*, 4> kNames = {"all", "random", "equal",
+                                                 "pressure"};
   AdmissionPlay play(settings);
   play.Run();
   std::printf("%3d %-8s", settings.routers,
-              kNames[static_cast<int>(settings.policy)]);
+              kNames[static_cast<std::size_t>(settings.policy)]);
   Print("sum", play.All());
   for (const AdmissionPlay::Kind& kind : settings.kinds) {
     Print(kind.name.c_str(), play.OfKind(kind.name));
@@ -77,12 +79,12 @@
     double first_team;
     int repeating_team;
   };
-  constexpr Load kLoads[] = {
-      {"usual load", 1.0, 1.0, -1},
-      {"crowd: the least urgent kind at 2.5 times its usual load", 2.5, 1.0,
-       -1},
-      {"team 0 at 7.5 times its usual load", 1.0, 7.5, -1},
-      {"the crowd, and callers of team 0 repeat at once", 2.5, 1.0, 0}};
+  constexpr std::array<Load, 4> kLoads = {
+      {{"usual load", 1.0, 1.0, -1},
+       {"crowd: the least urgent kind at 2.5 times its usual load", 2.5, 1.0,
+        -1},
+       {"team 0 at 7.5 times its usual load", 1.0, 7.5, -1},
+       {"the crowd, and callers of team 0 repeat at once", 2.5, 1.0, 0}}};
   std::printf("in time / late / refused / refused again, per request\n");
   for (const Load& load : kLoads) {
     if (argc > 1 &&
--- a/modules/al_gateway/admission/minimum_shares.cc
+++ b/modules/al_gateway/admission/minimum_shares.cc
@@ -27,6 +27,9 @@
 /** Classes are forgotten after so long without a request. */
 constexpr Duration kForgetAfter = std::chrono::seconds(40);
 
+/** Looking through all teams costs microseconds. */
+constexpr Duration kExpireInterval = std::chrono::seconds(1);
+
 template <typename Map>
 auto RemoveOld(Map& map, Instant now, const auto& last_seen_at) -> void {
   std::erase_if(map, [&](const auto& item) {
@@ -68,6 +71,10 @@
 }
 
 auto MinimumShares::Expire(Instant now) -> void {
+  if (now - this->expired_at < kExpireInterval) {
+    return;
+  }
+  this->expired_at = now;
   RemoveOld(this->teams, now,
             [](const Counts& counts) { return counts.last_seen_at; });
   RemoveOld(this->kinds, now,
--- a/modules/al_gateway/admission/minimum_shares.h
+++ b/modules/al_gateway/admission/minimum_shares.h
@@ -34,7 +34,7 @@
   /** Records that a request was begun. */
   auto RecordBegun(const Classes& request, Instant now) -> void;
 
-  /** Removes classes that were not seen lately. */
+  /** Removes classes that were not seen lately; at most once a second. */
   auto Expire(Instant now) -> void;
 
   //============================================================================
@@ -72,6 +72,7 @@
                                      Instant now) -> bool;
 
   Counts total;
+  Instant expired_at{};
   std::map<std::string, Kind, std::less<>> kinds;
   std::map<std::string, Counts, std::less<>> teams;
 };
--- a/programs/ctl/explanation.cc
+++ b/programs/ctl/explanation.cc
@@ -32,7 +32,7 @@
   std::string_view text;
 };
 
-constexpr std::array<Cause, 21> kCauses = {{
+constexpr std::array<Cause, 26> kCauses = {{
     {"a part of the prompt crashes upstreams",
      "requests with the part crashed several upstreams, and none with it was "
      "answered since; with status 503 the request was not executed"},
@@ -48,6 +48,21 @@
     {"upstream is full",
      "upstreams rejected the request without executing it, and no further "
      "attempt was allowed"},
+    {"too late",
+     "admission: the first event was expected too late to be of use; the "
+     "request was not executed"},
+    {"more urgent first",
+     "admission: too many first events of the service were late, and other "
+     "requests were more urgent; the request was not executed"},
+    {"team share",
+     "admission: the service was short of capacity, and the team asked for "
+     "more than its share; the request was not executed"},
+    {"back early",
+     "admission: the request had been refused, and came back before the time "
+     "of its Retry-After; it was not executed"},
+    {"no place in time",
+     "admission: no place of the plain service became free within the "
+     "objective; the request was not executed"},
     {"timeout before it was sent",
      "the timeout of the route or caller expired while the request was in the "
      "router; it was not executed"},
--- a/programs/gateway/admission_gate.cc
+++ b/programs/gateway/admission_gate.cc
@@ -61,9 +61,9 @@
     this->Apply(entry, {.action = AdmissionDecision::Action::kBegin,
                         .reason = "no objective"});
   } else if (IsGeneration(entry)) {
-    this->DecideGeneration(owner, entry, false);
+    this->DecideGeneration(entry, false);
   } else {
-    this->AskForPlace(owner, entry);
+    this->AskForPlace(entry);
   }
   this->StartTimer();
 }
@@ -155,9 +155,7 @@
   return queue;
 }
 
-auto AdmissionGate::DecideGeneration(const void* owner,
-                                     Entry& entry,
-                                     bool again) -> void {
+auto AdmissionGate::DecideGeneration(Entry& entry, bool again) -> void {
   const Instant now = this->context.loop.Now();
   const auto choice = FindUpstream(this->context, entry.parameters);
   if (!choice) {
@@ -189,7 +187,7 @@
                            : this->admission.Decide(entry.query, now));
 }
 
-auto AdmissionGate::AskForPlace(const void* owner, Entry& entry) -> void {
+auto AdmissionGate::AskForPlace(Entry& entry) -> void {
   const AttemptParameters& parameters = entry.parameters;
   entry.item = {
       parameters.team != nullptr ? parameters.team->name : std::string(),
@@ -318,7 +316,7 @@
   for (const void* const owner : waiting) {
     const auto found = this->entries.find(owner);
     if (found != this->entries.end()) {
-      this->DecideGeneration(owner, found->second, true);
+      this->DecideGeneration(found->second, true);
     }
   }
   for (auto& [service, queue] : this->queues) {
--- a/programs/gateway/admission_gate.h
+++ b/programs/gateway/admission_gate.h
@@ -95,8 +95,8 @@
 
   [[nodiscard]] static auto IsGeneration(const Entry& entry) -> bool;
   [[nodiscard]] auto QueueOf(const Entry& entry) -> PlaceQueue&;
-  auto DecideGeneration(const void* owner, Entry& entry, bool again) -> void;
-  auto AskForPlace(const void* owner, Entry& entry) -> void;
+  auto DecideGeneration(Entry& entry, bool again) -> void;
+  auto AskForPlace(Entry& entry) -> void;
   auto ReleasePlace(Entry& entry) -> void;
   /** Lets plain requests that wait begin, or refuses them. */
   auto ServeQueue(const std::string& service, PlaceQueue& queue) -> void;
--- a/tests/support/admission_play.h
+++ b/tests/support/admission_play.h
@@ -112,7 +112,7 @@
   auto Send(const std::shared_ptr<Request>& request) -> void;
   auto Refuse(const std::shared_ptr<Request>& request, Duration retry_after)
       -> void;
-  auto StartNext(std::size_t engine) -> void;
+  auto StartNext(std::size_t number) -> void;
   auto OnFirstEvent(const std::shared_ptr<Request>& request) -> void;
   auto OnEnd(const std::shared_ptr<Request>& request) -> void;
   [[nodiscard]] auto QueryFor(const Request& request,
--- a/tests/support/place_play.cc
+++ b/tests/support/place_play.cc
@@ -72,8 +72,8 @@
   return *this;
 }
 
-PlacePlay::PlacePlay(Settings settings)
-    : settings(std::move(settings)),
+PlacePlay::PlacePlay(const Settings& settings)
+    : settings(settings),
       queue(Instant(seconds(1'000))),
       begin(this->queue.Now()),
       random(this->settings.seed) {
--- a/tests/support/place_play.h
+++ b/tests/support/place_play.h
@@ -56,7 +56,7 @@
     auto operator+=(const Tally& other) -> Tally&;
   };
 
-  explicit PlacePlay(Settings settings);
+  explicit PlacePlay(const Settings& settings);
   ~PlacePlay();
 
   PlacePlay(const PlacePlay&) = delete;
@@ -80,9 +80,9 @@
   auto OnAnswer(const RequestPtr& request) -> void;
   auto OnFull(const RequestPtr& request) -> void;
   auto WaitAgain(const RequestPtr& request) -> void;
-  auto ServeQueue(std::size_t router) -> void;
+  auto ServeQueue(std::size_t number) -> void;
   auto Refuse(const RequestPtr& request) -> void;
-  auto StartNext(std::size_t upstream) -> void;
+  auto StartNext(std::size_t number) -> void;
 
   Settings settings;
   EventQueue queue;
