--- a/programs/gateway/gateway_daemon.h
+++ b/programs/gateway/gateway_daemon.h
@@ -11,6 +11,7 @@
 #include "al_core/time/instant.h"
 #include "al_gateway/membership/router_registry.h"
 #include "al_http1/http1_server.h"
+#include "gateway/admission_gate.h"
 #include "gateway/allowance_exchange.h"
 #include "gateway/config_exchange.h"
 #include "gateway/evacuation_handler.h"
@@ -47,6 +48,7 @@
     std::function<void()> on_stopped;  ///< Called after a drain; if empty, the
                                        ///< loop is stopped instead.
     int log_descriptor = 1;  ///< Output of the decision log; -1: none.
+    bool admission = false;  ///< Whether requests pass admission control.
     bool quiet = false;      ///< Whether routine log lines are discarded.
   };
 
@@ -136,6 +138,7 @@
   CrashQuarantine quarantine;
   UpstreamEndDetector end_detector;
   GatewayContext context;
+  std::optional<AdmissionGate> admission;  ///< None if it is off.
   FleetTopicClient fleet_topic;
   IncreaseNotifier increase_notifier;
   AllowanceExchange allowance_exchange;
--- a/programs/gateway/gateway_metrics.cc
+++ b/programs/gateway/gateway_metrics.cc
@@ -29,6 +29,10 @@
                  this->upstream_notices);
   AppendCounters(text, "auburnloft_evacuations_total", "change",
                  this->evacuations);
+  if (!this->admissions.empty()) {
+    AppendCounters(text, "auburnloft_admissions_total", "decision",
+                   this->admissions);
+  }
   text.append("# TYPE auburnloft_log_restores_total counter\n")
       .append("auburnloft_log_restores_total ")
       .append(std::to_string(this->log_restores))
--- a/programs/gateway/request_handler.cc
+++ b/programs/gateway/request_handler.cc
@@ -1,13 +1,13 @@
 #include "gateway/request_handler.h"
 
 #include <algorithm>
-#include <array>
 #include <utility>
 
 #include "al_edge/loop/loop_timer.h"
 #include "al_gateway/limits/attempt_timeouts.h"
 #include "al_gateway/routing/admission.h"
-#include "al_gateway/upstreams/back_off.h"
+#include "gateway/admission_gate.h"
+#include "gateway/request_end.h"
 #include "platform/request_codec.h"
 
 namespace auburnloft::gateway {
@@ -23,6 +23,11 @@
 constexpr int kFirstServerError = 500;
 constexpr int kFirstRedirect = 300;
 
+/** With admission, a request that so many upstreams refused waits before its
+   last attempt (see ExecutionCounter), in place of one refusal after another.
+ */
+constexpr int kAttemptsBeforeWait = 2;
+
 /** Reason of what a planned stop refuses or ends. */
 constexpr std::string_view kShuttingDown = "shutting down";
 
@@ -39,6 +44,7 @@
       table(context.table),
       arrived_at(context.loop.Now()),
       budget(context),
+      upstream_notices(context),
       crash_guard(context, this->request, this->metadata) {}
 
 RequestHandler::~RequestHandler() = default;
@@ -119,7 +125,7 @@
 
 auto RequestHandler::ReserveBudget() -> void {
   if (!this->NeedsTokens()) {
-    this->Dispatch();
+    this->AwaitAdmission();
     return;
   }
   this->budget.Reserve(
@@ -131,7 +137,7 @@
 auto RequestHandler::OnReservation(ReservationResult result) -> void {
   switch (result) {
     case ReservationResult::kReserved:
-      this->Dispatch();
+      this->AwaitAdmission();
       return;
     case ReservationResult::kBudgetExhausted:
       this->Refuse(kPaymentRequired, "budget spent", Duration(0));
@@ -145,6 +151,22 @@
   }
 }
 
+auto RequestHandler::AwaitAdmission() -> void {
+  if (this->context.admission == nullptr) {
+    this->Dispatch();
+    return;
+  }
+  this->context.admission->Ask(
+      this, this->MakeAttemptParameters(), this->arrived_at,
+      [this](const AdmissionDecision& decision) {
+        if (decision.action == AdmissionDecision::Action::kBegin) {
+          this->Dispatch();
+        } else {
+          this->Refuse(kUnavailable, decision.reason, decision.retry_after);
+        }
+      });
+}
+
 //==============================================================================
 // Attempts
 
@@ -199,8 +221,9 @@
   if (this->execution_counter.never_executed()) {
     if (this->context.drain) {
       this->Refuse(kUnavailable, kShuttingDown, kShutdownRetryAfter);
-    } else {
-      this->Refuse(kUnavailable, "no upstream", this->UpstreamRetryAfter());
+    } else if (!this->TryWaitAgain()) {
+      this->Refuse(kUnavailable, "no upstream",
+                   this->upstream_notices.RetryAfter(this->service));
     }
   } else if (this->response->has_started()) {
     this->AbortStream("no upstream to go on");
@@ -209,6 +232,23 @@
   }
 }
 
+auto RequestHandler::TryWaitAgain() -> bool {
+  if (this->context.admission == nullptr ||
+      !this->execution_counter.never_executed() ||
+      !this->execution_counter.CanRetryElsewhere(this->RemainingTime()) ||
+      !this->context.admission->AskAgain(this)) {
+    return false;
+  }
+  if (this->execution_counter.attempts() > 0 &&
+      !this->context.retry_budget.TryTake(this->service, this->context.routers,
+                                          this->context.loop.Now())) {
+    this->context.admission->End(this);
+    return false;
+  }
+  this->tried_upstreams.clear();
+  return true;
+}
+
 auto RequestHandler::MakeCallbacks()
     -> Http1ClientConnection::ExchangeCallbacks {
   Http1ClientConnection::ExchangeCallbacks callbacks;
@@ -224,7 +264,7 @@
       };
   callbacks.on_head = [this](const Http1ResponseHead& head) {
     this->attempt->SetHead(head);
-    this->RecordUpstreamNotices();
+    this->upstream_notices.Record(*this->attempt, this->metadata.attempt_id);
     if (this->route->kind != RouteKind::kStream &&
         !this->attempt->response_metadata().not_executed) {
       this->RecordFirstByte();
@@ -237,72 +277,6 @@
   return callbacks;
 }
 
-auto RequestHandler::RecordUpstreamNotices() -> void {
-  const ResponseMetadata& head = this->attempt->response_metadata();
-  if (head.is_replaced) {
-    return;  // Another process speaks.
-  }
-  const UpstreamState& upstream = this->attempt->upstream();
-  const Instant now = this->context.loop.Now();
-  if (head.is_leaving && this->context.upstreams.RecordLeaving(upstream, now)) {
-    this->context.log.WriteLine(DecisionLog::Severity::kNotable,
-                                "upstream_leaving",
-                                {{"upstream", upstream.record().id},
-                                 {"id", this->metadata.attempt_id},
-                                 {"status", head.status}},
-                                now);
-    this->context.metrics.CountUpstreamNotice("leaving");
-  }
-  const auto until = BackOffEnd(head, now);
-  if (until && this->context.upstreams.RecordBackOff(upstream, *until, now)) {
-    this->context.log.WriteLine(DecisionLog::Severity::kNotable,
-                                "upstream_back_off",
-                                {{"upstream", upstream.record().id},
-                                 {"id", this->metadata.attempt_id},
-                                 {"status", head.status},
-                                 {"ends_in_ms", *until - now}},
-                                now);
-    this->context.metrics.CountUpstreamNotice("back_off");
-  }
-  this->RecordUpstreamLimit();
-}
-
-auto RequestHandler::RecordUpstreamLimit() -> void {
-  const ResponseMetadata& head = this->attempt->response_metadata();
-  if (!head.request_limit && !head.is_sealed && !head.not_executed) {
-    return;  // Not evidently a response of the upstream itself.
-  }
-  const UpstreamRecord& upstream = this->attempt->upstream().record();
-  const Instant now = this->context.loop.Now();
-  const auto change = this->context.limits.Record(
-      upstream.process(), head.request_limit, this->attempt->sent_at(), now);
-  if (change == UpstreamLimits::Change::kNone) {
-    return;
-  }
-  /** In the order of Change. */
-  constexpr std::array<std::string_view, 4> kNames = {"none", "named",
-                                                      "changed", "ended"};
-  this->context.log.WriteLine(
-      DecisionLog::Severity::kNotable, "upstream_limit",
-      {{"upstream", upstream.id},
-       {"id", this->metadata.attempt_id},
-       {"change", kNames[static_cast<std::size_t>(change)]},
-       {"requests_s", head.request_limit ? std::to_string(*head.request_limit)
-                                         : std::string("-")}},
-      now);
-  this->context.metrics.CountUpstreamNotice("limit");
-  this->context.report_news();
-}
-
-auto RequestHandler::UpstreamRetryAfter() const -> Duration {
-  const Instant now = this->context.loop.Now();
-  const auto earliest =
-      this->context.upstreams.EarliestReturn(this->service, now);
-  return earliest ? BackOffRetryAfter(*earliest - now,
-                                      this->context.random.UniformDouble())
-                  : kUnavailableRetryAfter;
-}
-
 //==============================================================================
 // Events of the current attempt
 
@@ -326,7 +300,7 @@
   if (this->event_splitter.event_count() > events_before) {
     this->attempt->RecordTokens(
         (this->event_splitter.event_count() - events_before) *
-        this->TokensPerEvent());
+        TokensPerEvent(*this->table, this->service));
     this->ForwardEvents(std::exchange(this->pending_events, {}));
   }
   if (this->event_splitter.is_too_long() ||
@@ -377,6 +351,9 @@
   if (this->attempt->RecordFirstByte() &&
       this->attempt->head().status < kFirstRedirect) {
     this->crash_guard.RecordBegin();
+    if (this->context.admission != nullptr) {
+      this->context.admission->RecordFirstByte(this);
+    }
   }
 }
 
@@ -449,9 +426,17 @@
 auto RequestHandler::OnNotExecuted() -> void {
   this->execution_counter.RecordNotExecuted();
   this->crash_guard.RecordNotExecuted();
+  if (this->context.admission != nullptr &&
+      !this->attempt->response_metadata().is_replaced) {
+    this->context.admission->RecordFull(this);
+  }
   this->EndAttempt(this->attempt->response_metadata().is_replaced
                        ? UpstreamResult::kReplaced
                        : UpstreamResult::kNotExecuted);
+  if (this->execution_counter.attempts() >= kAttemptsBeforeWait &&
+      this->TryWaitAgain()) {
+    return;
+  }
   if (this->execution_counter.CanRetryElsewhere(this->RemainingTime()) &&
       this->context.retry_budget.TryTake(this->service, this->context.routers,
                                          this->context.loop.Now())) {
@@ -461,7 +446,8 @@
   if (this->response->has_started()) {
     this->AbortStream("no upstream resumes the stream");
   } else if (this->execution_counter.never_executed()) {
-    this->Refuse(kUnavailable, "upstream is full", this->UpstreamRetryAfter());
+    this->Refuse(kUnavailable, "upstream is full",
+                 this->upstream_notices.RetryAfter(this->service));
   } else {
     this->Refuse(kBadGateway, "upstream is full after a failure", Duration(0));
   }
@@ -651,19 +637,16 @@
   if (std::exchange(this->ended, true)) {
     return;
   }
-  RequestReport report = this->MakeReport();
-  report.outcome = outcome;
-  report.status = status;
-  report.why = why;
-  this->budget.Settle(report.used_tokens);
-  if (this->team != nullptr) {
-    report.available_tokens =
-        this->context.allowance_manager.Available(this->team->name);
-  }
-  this->context.metrics.CountRequest(outcome);
-  LogRequest(this->context.log, report, this->context.loop.Now());
+  ReportEnd(this->context,
+            {this->metadata, this->table.get(), this->route, this->team,
+             this->service, this->execution_counter, this->event_splitter,
+             this->response_end, this->time_to_first_event, this->arrived_at},
+            this->budget, outcome, status, why);
   this->deadline_timer.reset();
   this->attempt_timer.reset();
+  if (this->context.admission != nullptr) {
+    this->context.admission->End(this);
+  }
   this->context.open_requests.erase(this);
   this->response->Release();
   // Callers up the stack may still use this object, so the event loop releases
@@ -673,43 +656,4 @@
   this->context.loop.Post([ended_handlers] { ended_handlers->clear(); });
 }
 
-auto RequestHandler::MakeReport() const -> RequestReport {
-  RequestReport report;
-  report.id = this->metadata.attempt_id;
-  report.attempts = this->execution_counter.attempts();
-  report.executions = this->execution_counter.executions();
-  report.events = this->event_splitter.event_count();
-  report.end = this->response_end;
-  report.reserved_tokens = this->budget.reserved();
-  report.used_tokens = this->UsedTokens();
-  report.time_to_first_event = this->time_to_first_event;
-  report.duration = this->context.loop.Now() - this->arrived_at;
-  if (this->table) {
-    report.config_version = this->table->config().version;
-  }
-  if (this->route != nullptr) {
-    report.route = this->route->name;
-  }
-  if (this->team != nullptr) {
-    report.team = this->team->name;
-  }
-  return report;
-}
-
-auto RequestHandler::UsedTokens() const -> std::uint64_t {
-  if (this->budget.reserved() == 0 ||
-      this->execution_counter.never_executed()) {
-    return 0;
-  }
-  const std::uint64_t output =
-      std::min(this->metadata.generation->max_output_tokens,
-               this->event_splitter.event_count() * this->TokensPerEvent());
-  return this->metadata.generation->prompt_tokens + output;
-}
-
-auto RequestHandler::TokensPerEvent() const -> std::uint64_t {
-  const ServiceRule* const rule = this->table->FindService(this->service);
-  return rule != nullptr && rule->engine ? rule->engine->tokens_per_event : 1;
-}
-
 }  // namespace auburnloft::gateway
