Learn the pace of engines and place prompts by it

Cause: engines of one service need 0.7 to 1.7 times the nominal time, and noise multiplies it by 2.5 in 15 of 100 intervals of 600 ms. UpstreamSelector estimated the same time for all of them, and each was the home of as many prompts.

Change: EnginePace keeps robust windows of times to first events and times per token of a process; RankPaces() compares them with the median of the service, in steps of 32%, of which the one within 15% is the factor 1. The estimated time is scaled by the factor, and homes are chosen by weighted rendezvous hashing. A generation is not sent to an engine whose memory (KvCapacity) the known load leaves no room in.

With equal engines, the choices of a selector that knows paces are those of one that does not (EnginePace.ChangesNothingWithEqualEngines).

--- a/modules/al_gateway/al_gateway.h
+++ b/modules/al_gateway/al_gateway.h
@@ -8,6 +8,9 @@
     - model/       types of the configuration, request metadata and log records
     - routing/     RouteTable, and Admit(), which forwards or refuses a request
     - upstreams/   UpstreamDirectory, UpstreamSelector and their measurements;
+                   EnginePace and RankPaces(): how fast engines are;
+                   EngineLoadReporter and EngineLoadTable: paces and loads that
+                   routers tell each other;
                    UpstreamLimits: requests a second that upstreams take
     - limits/      timeouts, ExecutionCounter, DrainSchedule: planned stops,
                    and FleetRetryBudget: this router's share of the fleet's
@@ -35,7 +38,11 @@
 #include "al_gateway/quarantine/crash_quarantine.h"
 #include "al_gateway/quarantine/crash_suspects.h"
 #include "al_gateway/routing/route_table.h"
+#include "al_gateway/upstreams/engine_load_reporter.h"
+#include "al_gateway/upstreams/engine_load_table.h"
+#include "al_gateway/upstreams/engine_pace.h"
 #include "al_gateway/upstreams/pace_meter.h"
+#include "al_gateway/upstreams/pace_ranking.h"
 #include "al_gateway/upstreams/upstream_change_log.h"
 #include "al_gateway/upstreams/upstream_directory.h"
 #include "al_gateway/upstreams/upstream_selector.h"
--- a/modules/al_gateway/upstreams/upstream_directory.h
+++ b/modules/al_gateway/upstreams/upstream_directory.h
@@ -1,6 +1,7 @@
 #ifndef AL_GATEWAY_UPSTREAMS_UPSTREAM_DIRECTORY_H_
 #define AL_GATEWAY_UPSTREAMS_UPSTREAM_DIRECTORY_H_
 
+#include <concepts>
 #include <deque>
 #include <functional>
 #include <memory>
@@ -92,6 +93,15 @@
   [[nodiscard]] auto UpstreamsOfService(std::string_view service) const
       -> std::span<const State>;
 
+  /** Calls `visit` with the upstreams of each service, as
+     UpstreamsOfService(). */
+  template <std::invocable<std::span<const State>> Visit>
+  auto VisitServices(const Visit& visit) const -> void {
+    for (const auto& [service, upstreams] : this->by_service) {
+      visit(std::span<const State>(upstreams));
+    }
+  }
+
   /** Returns whether this process of an upstream is listed. */
   [[nodiscard]] auto Contains(const UpstreamProcess& upstream) const -> bool;
 
--- a/modules/al_gateway/upstreams/upstream_state.cc
+++ b/modules/al_gateway/upstreams/upstream_state.cc
@@ -3,8 +3,11 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
+#include <string>
 #include <utility>
 
+#include "al_core/text/digest.h"
+
 namespace auburnloft::gateway {
 
 namespace {
@@ -31,6 +34,30 @@
 constexpr Duration kReturnStep = std::chrono::milliseconds(100);
 constexpr int kReturnSteps = 20;
 
+/** Paces that differ by less than 15% count as equal (docs/design); a step of
+   the believed pace is as wide as that band: a factor of 1.32. */
+const double kPaceStep = 2.0 * std::log(1.15);
+
+/** A pace leaves its step beyond this part of it, and counts as equal within
+   half of one. Above a half, so that it does not alternate at a boundary: each
+   change moves homes of prompts. */
+constexpr double kLeaveStep = 0.7;
+
+/** Bounds of the believed pace: 0.43 to 4 times the median. Beyond these, an
+   engine is broken rather than slow, and its failures and lateness count. */
+constexpr int kMinPaceLevel = -3;
+constexpr int kMaxPaceLevel = 5;
+
+/** Returns the step of a pace, given the step that it had before. */
+auto PaceLevelOf(double log_pace, int before) -> int {
+  const double steps = log_pace / kPaceStep;
+  const int nearest = static_cast<int>(std::lround(steps));
+  if (nearest != 0 && std::abs(steps - before) <= kLeaveStep) {
+    return before;
+  }
+  return std::clamp(nearest, kMinPaceLevel, kMaxPaceLevel);
+}
+
 auto Decayed(double value, Instant since, Instant now) -> double {
   return value * std::exp(-ToSeconds(now - since) / kDecaySeconds);
 }
@@ -41,6 +68,12 @@
   if (record.started_at_ms != this->newest_record.started_at_ms ||
       record.address != this->newest_record.address) {
     this->pace = PaceMeter();
+    this->learned_pace = EnginePace();
+    this->belief = PaceBelief();
+    this->own_log_pace = 0.0;
+    this->pace_level = 0;
+    this->reported_at = Instant();
+    this->others_load = OthersLoad();
     this->excess_seconds = 0.0;
     this->failure_rate = 0.0;
     this->failures_in_row = 0;
@@ -51,6 +84,7 @@
     this->limiter = nullptr;
   }
   this->newest_record = std::move(record);
+  this->process_key = KeyOf(this->newest_record);
   this->removed = false;
   this->suspect = false;
 }
@@ -105,6 +139,45 @@
   }
 }
 
+auto UpstreamState::UpdatePace(std::optional<double> relative, Instant now)
+    -> void {
+  if (relative) {
+    this->own_log_pace = *relative;
+    this->belief.source = PaceBelief::Source::kOwn;
+    this->belief.learned_at = this->learned_pace.newest_at();
+  } else {
+    this->own_log_pace =
+        Decayed(this->own_log_pace, this->pace_updated_at, now);
+  }
+  this->pace_updated_at = now;
+  const double weight = ReportWeight(this->reported_at, now);
+  if (weight > 0.0) {
+    this->belief.source = PaceBelief::Source::kReader;
+    this->belief.learned_at = this->reported_at;
+  } else if (this->belief.source == PaceBelief::Source::kReader) {
+    this->belief.learned_at = this->learned_pace.newest_at();
+    this->belief.source = this->belief.learned_at == Instant()
+                              ? PaceBelief::Source::kNone
+                              : PaceBelief::Source::kOwn;
+  }
+  this->pace_level = PaceLevelOf(
+      weight * this->reported_log_pace + (1.0 - weight) * this->own_log_pace,
+      this->pace_level);
+  this->belief.factor = std::exp(this->pace_level * kPaceStep);
+}
+
+auto UpstreamState::SetReportedPace(std::uint32_t percent, Instant now)
+    -> void {
+  constexpr double kPercent = 100.0;
+  this->reported_log_pace = std::log(percent / kPercent);
+  this->reported_at = now;
+}
+
+auto UpstreamState::KeyOf(const UpstreamRecord& record) -> std::uint32_t {
+  return static_cast<std::uint32_t>(
+      StableHash(record.id, std::to_string(record.started_at_ms)));
+}
+
 auto UpstreamState::OpenLimit(Instant now) const -> int {
   const auto steps = (now - this->back_off_until) / kReturnStep;
   return steps >= kReturnSteps ? std::numeric_limits<int>::max()
--- a/modules/al_gateway/upstreams/upstream_state.h
+++ b/modules/al_gateway/upstreams/upstream_state.h
@@ -1,6 +1,7 @@
 #ifndef AL_GATEWAY_UPSTREAMS_UPSTREAM_STATE_H_
 #define AL_GATEWAY_UPSTREAMS_UPSTREAM_STATE_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -8,7 +9,11 @@
 
 #include "al_core/time/instant.h"
 #include "al_gateway/model/upstream_record.h"
+#include "al_gateway/upstreams/engine_load.h"
+#include "al_gateway/upstreams/engine_pace.h"
+#include "al_gateway/upstreams/pace_belief.h"
 #include "al_gateway/upstreams/pace_meter.h"
+#include "al_gateway/upstreams/report_age.h"
 #include "al_gateway/upstreams/send_limiter.h"
 
 namespace auburnloft::gateway {
@@ -30,7 +35,8 @@
 class UpstreamState {
  public:
   explicit UpstreamState(UpstreamRecord record)
-      : newest_record(std::move(record)) {}
+      : newest_record(std::move(record)),
+        process_key(KeyOf(this->newest_record)) {}
 
   UpstreamState(const UpstreamState&) = delete;
   auto operator=(const UpstreamState&) -> UpstreamState& = delete;
@@ -82,6 +88,57 @@
     this->pace.Record(per_token, now);
   }
 
+  /** Records the time to the first event of a generation, for the pace.
+      @param nominal  UpstreamChoice::nominal; 0: nothing is learned. */
+  auto RecordFirstEvent(Duration latency, Duration nominal, Instant now)
+      -> void {
+    this->learned_pace.RecordFirstEvent(latency, nominal, now);
+  }
+
+  /** As RecordPace(), for the pace compared with other engines.
+      @pre `per_token` is of a part of a stream that is not short. */
+  auto RecordTokens(Duration per_token, Instant now) -> void {
+    this->learned_pace.RecordTokens(per_token, this->Generations(now), now);
+  }
+
+  /** Sets the pace from own observations; the pace that is believed follows in
+     steps. @param relative  logarithm of the ratio to the median of its
+     service; none if too little was observed lately. @see RankPaces() */
+  auto UpdatePace(std::optional<double> relative, Instant now) -> void;
+
+  /** Records a pace that another router observed. */
+  auto RecordSample(const EnginePace::Sample& sample, Instant now) -> void {
+    this->learned_pace.RecordSample(sample, this->Generations(now), now);
+  }
+
+  /** Returns this router's observations of the pace since the last call. */
+  [[nodiscard]] auto TakePaceSample() -> EnginePace::Sample {
+    return this->learned_pace.TakeSample();
+  }
+
+  /** Sets the pace that a reader told, for the next UpdatePace(). */
+  auto SetReportedPace(std::uint32_t percent, Instant now) -> void;
+
+  /** Sets what those other routers have open there that report to the same
+     reader. @see EstimateOthers() */
+  auto SetOthersObserved(const EngineLoad& load, Instant now) -> void {
+    this->others_load.observed = load;
+    this->others_load.at = now;
+  }
+  auto SetOthersEstimate(const EngineLoad& load) -> void {
+    this->others_load.estimate = load;
+  }
+
+  /** Sets this router's preference among nearly equal engines, 0 to 1; the
+     lowest comes first. */
+  auto SetTieBreak(double value) -> void { this->tie_break_value = value; }
+
+  /** Counts the memory of a generation that begins, ends or is not sent. */
+  auto ReserveMemory(std::uint64_t tokens) -> void { this->memory += tokens; }
+  auto ReleaseMemory(std::uint64_t tokens) -> void {
+    this->memory -= std::min(this->memory, tokens);
+  }
+
   /** Records the end of a request.
       @param prefill_tokens  those of RecordSent(); 0 after RecordFirstByte().
    */
@@ -139,6 +196,39 @@
     return this->pace.SlowestPerToken(now);
   }
 
+  /** Returns the observations of its pace. */
+  [[nodiscard]] auto engine_pace() const -> const EnginePace& {
+    return this->learned_pace;
+  }
+
+  /** Returns the pace that is believed, as of the last UpdatePace(). */
+  [[nodiscard]] auto pace_belief() const -> const PaceBelief& {
+    return this->belief;
+  }
+
+  /** Returns the open generations at the engine, as far as known. */
+  [[nodiscard]] auto Generations(Instant now) const -> double {
+    return this->open + ReportWeight(this->others_load.at, now) *
+                            this->others_load.estimate.generations;
+  }
+
+  /** Returns what this router has open there. */
+  [[nodiscard]] auto own_load() const -> EngineLoad {
+    return {static_cast<double>(this->open), static_cast<double>(this->prefill),
+            static_cast<double>(this->memory)};
+  }
+  [[nodiscard]] auto others() const -> const OthersLoad& {
+    return this->others_load;
+  }
+
+  /** Identifies its process in messages between routers. Among 600 upstreams,
+     two have the same key in 4 of 100,000 cases; their loads are then added. */
+  [[nodiscard]] auto key() const -> std::uint32_t { return this->process_key; }
+
+  [[nodiscard]] auto tie_break() const -> double {
+    return this->tie_break_value;
+  }
+
   /** Returns the share of recent requests that failed, 0 to 1; it decays. */
   [[nodiscard]] auto FailureRate(Instant now) const -> double;
 
@@ -146,8 +236,11 @@
   /** Returns the limit of this router's open requests, which grows after a
      back-off. */
   [[nodiscard]] auto OpenLimit(Instant now) const -> int;
+  [[nodiscard]] static auto KeyOf(const UpstreamRecord& record)
+      -> std::uint32_t;
 
   UpstreamRecord newest_record;
+  std::uint32_t process_key;
   bool removed = false;
   bool suspect = false;
   bool is_replaced = false;   ///< Until a restart or a new address.
@@ -156,7 +249,17 @@
   std::shared_ptr<SendLimiter> limiter;  ///< Null: no limit.
   int open = 0;
   std::uint64_t prefill = 0;
+  std::uint64_t memory = 0;  ///< Tokens of this router's generations.
+  OthersLoad others_load;
+  double tie_break_value = 0.0;
+  double reported_log_pace = 0.0;
+  Instant reported_at{};  ///< The pace; the epoch: never.
   PaceMeter pace;
+  EnginePace learned_pace;
+  PaceBelief belief;
+  double own_log_pace = 0.0;  ///< Of the median, as last observed; decays.
+  int pace_level = 0;         ///< Step of the belief's factor; 0: equal.
+  Instant pace_updated_at{};
   double excess_seconds = 0.0;
   Instant excess_at{};
   double failure_rate = 0.0;
--- a/programs/gateway/gateway_daemon.cc
+++ b/programs/gateway/gateway_daemon.cc
@@ -95,7 +95,9 @@
                             this->loop.Now());
       }),
       upstream_limits(this->options.self.incarnation, this->upstreams),
-      chooser(this->upstreams, this->options.self.domain),
+      chooser(this->upstreams,
+              this->options.self.domain,
+              this->options.self.name),
       retry_budget(this->options.retry_bound),
       allowance_manager(this->options.self.incarnation, AllowanceSizing()),
       reservations(loop,
@@ -448,6 +450,7 @@
   this->tick_timer->Start(kTickInterval);
   const Instant now = this->loop.Now();
   this->upstreams.Expire(now);
+  this->chooser.UpdatePaces(now);
   this->upstream_limits.Update(this->fleet_topic.MakeLimitFleet(), now);
   this->context.routers = this->fleet_topic.CountActive();
   this->UpdateLoadShare(now);
--- a/programs/gateway/state_dump.cc
+++ b/programs/gateway/state_dump.cc
@@ -52,6 +52,23 @@
                                         {"requests_per_second", per_second},
                                         {"is_sender", is_sender}});
   });
+  state["engine_paces"] = nlohmann::json::array();
+  view.context.upstreams.VisitServices(
+      [&state, &view](std::span<const UpstreamDirectory::State> upstreams) {
+        constexpr std::int64_t kMicrosPerMilli = 1'000;
+        for (const UpstreamDirectory::State& upstream : upstreams) {
+          const PaceBelief& pace = upstream->pace_belief();
+          if (pace.source != PaceBelief::Source::kNone) {
+            state["engine_paces"].push_back(
+                {{"upstream", upstream->record().id},
+                 {"pace_percent", pace.percent()},
+                 {"source", pace.source_name()},
+                 {"age_ms",
+                  (view.context.loop.Now() - pace.learned_at).count() /
+                      kMicrosPerMilli}});
+          }
+        }
+      });
   return state.dump();
 }
 
--- a/programs/gateway/upstream_attempt.cc
+++ b/programs/gateway/upstream_attempt.cc
@@ -33,6 +33,7 @@
       started_at(context.loop.Now()),
       pending_prefill(this->chosen.prefill_tokens) {
   this->chosen.upstream->RecordSent(this->pending_prefill, this->started_at);
+  this->chosen.upstream->ReserveMemory(this->chosen.memory_tokens);
 }
 
 auto UpstreamAttempt::SetHead(const Http1ResponseHead& head) -> void {
@@ -63,6 +64,8 @@
   const Instant now = this->context.loop.Now();
   if (this->pace_since == Instant()) {
     this->pace_since = now;  // The first event's time is no part of the pace.
+    this->chosen.upstream->RecordFirstEvent(now - this->started_at,
+                                            this->chosen.nominal, now);
     return;
   }
   this->pace_tokens += tokens;
@@ -73,9 +76,12 @@
 
 auto UpstreamAttempt::RecordPace(Instant now) -> void {
   if (this->pace_tokens > 0) {
-    this->chosen.upstream->RecordPace(
-        (now - this->pace_since) / static_cast<std::int64_t>(this->pace_tokens),
-        now);
+    const Duration per_token =
+        (now - this->pace_since) / static_cast<std::int64_t>(this->pace_tokens);
+    this->chosen.upstream->RecordPace(per_token, now);
+    if (now - this->pace_since >= kPacePart) {
+      this->chosen.upstream->RecordTokens(per_token, now);
+    }
   }
   this->pace_since = now;
   this->pace_tokens = 0;
@@ -97,6 +103,7 @@
                                 now);
   }
   this->RecordPace(now);
+  this->chosen.upstream->ReleaseMemory(this->chosen.memory_tokens);
   this->chosen.upstream->RecordEnd(this->pending_prefill, result, now);
   this->context.connections.Release(
       record.id, this->http_connection,
--- a/programs/gateway/upstream_dispatch.cc
+++ b/programs/gateway/upstream_dispatch.cc
@@ -42,6 +42,11 @@
   query.generation = parameters.metadata.generation
                          ? &*parameters.metadata.generation
                          : nullptr;
+  const ServiceRule* const rule =
+      parameters.table.FindService(parameters.service);
+  if (rule != nullptr && rule->engine) {
+    query.memory_capacity = rule->engine->kv_capacity_tokens;
+  }
   return query;
 }
 
@@ -142,6 +147,7 @@
                          const AttemptParameters& parameters,
                          const UpstreamAttempt& attempt) -> std::string {
   const UpstreamState& upstream = attempt.upstream();
+  const PaceBelief& pace = upstream.pace_belief();
   context.log.WriteLine(DecisionLog::Severity::kRoutine, "send",
                         {{"id", parameters.metadata.attempt_id},
                          {"upstream", upstream.record().id},
@@ -150,7 +156,9 @@
                          {"open", upstream.open_requests()},
                          {"late_ms", upstream.ExcessLatency(attempt.sent_at())},
                          {"send", parameters.attempt_number},
-                         {"limited", upstream.is_limited() ? 1 : 0}},
+                         {"limited", upstream.is_limited() ? 1 : 0},
+                         {"pace_percent", pace.percent()},
+                         {"pace_source", pace.source_name()}},
                         attempt.sent_at());
   return SerializeRequest(platform::MakeUpstreamRequest(
       parameters.request, MakeUpstreamOrders(parameters, upstream),
