Tell readers engine loads and paces, and reply with the sums

Cause: a router of a large fleet observes an engine twice in 5 s, and knows nothing of the prompts that others sent there.

Change: engine_samples in UpstreamFeedAsk and engine_states in UpstreamFeedNews. A reader merges the samples into its paces and sums up the open generations, waiting tokens and memory of its routers; the reply holds what changed.

Not measured on sites.

--- a/programs/gateway/gateway_metrics.cc
+++ b/programs/gateway/gateway_metrics.cc
@@ -31,6 +31,10 @@
       .append("auburnloft_log_restores_total ")
       .append(std::to_string(this->log_restores))
       .append("\n");
+  text.append("# TYPE auburnloft_engine_reports_dropped_total counter\n")
+      .append("auburnloft_engine_reports_dropped_total ")
+      .append(std::to_string(this->engine_reports_dropped))
+      .append("\n");
   text += this->first_byte.ToPrometheus("auburnloft_first_byte_seconds", "");
   return text;
 }
--- a/programs/gateway/gateway_metrics.h
+++ b/programs/gateway/gateway_metrics.h
@@ -1,6 +1,7 @@
 #ifndef GATEWAY_GATEWAY_METRICS_H_
 #define GATEWAY_GATEWAY_METRICS_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -42,6 +43,11 @@
     ++this->quarantine_changes[std::string(change)];
   }
 
+  /** Counts reports about engines that were out of range. */
+  auto CountEngineReportsDropped(std::size_t reports) -> void {
+    this->engine_reports_dropped += reports;
+  }
+
   /** Counts a restore of the log from an older copy. */
   auto CountLogRestore() -> void { ++this->log_restores; }
 
@@ -59,6 +65,7 @@
   std::map<std::string, std::uint64_t> quarantine_changes;
   std::map<std::string, std::uint64_t> upstream_notices;
   std::uint64_t log_restores = 0;
+  std::uint64_t engine_reports_dropped = 0;
   LatencyHistogram first_byte;
 };
 
--- a/programs/gateway/upstream_discovery.cc
+++ b/programs/gateway/upstream_discovery.cc
@@ -2,11 +2,13 @@
 
 #include <utility>
 
+#include "al_core/text/digest.h"
 #include "al_core/text/printable.h"
 #include "al_edge/loop/event_loop.h"
 #include "al_edge/loop/loop_timer.h"
 #include "al_gateway/membership/discovery_plan.h"
 #include "fleet.pb.h"
+#include "gateway/engine_feed.h"
 #include "gateway/peer_message.h"
 #include "platform/upstream_codec.h"
 #include "platform/wire_names.h"
@@ -103,8 +105,11 @@
       fleet(fleet),
       context(context),
       callbacks(std::move(callbacks)),
-      timer(std::make_unique<LoopTimer>(poller.loop(),
-                                        [this] { this->Poll(); })) {}
+      timer(
+          std::make_unique<LoopTimer>(poller.loop(), [this] { this->Poll(); })),
+      engine_reporter(context.upstreams,
+                      StableHash(this->settings.incarnation)),
+      engine_loads(context.upstreams) {}
 
 UpstreamDiscovery::~UpstreamDiscovery() = default;
 
@@ -247,9 +252,33 @@
       update_request.config_version() < this->config_version) {
     message.set_config(*this->config_text);
   }
+  if (const auto report = ReadEngineReport(update_request)) {
+    const Instant now = this->poller.loop().Now();
+    this->LogDropped("router", this->engine_loads.Apply(*report, now));
+    this->engine_loads.Update(this->context.routers, now);
+    ToWire(
+        this->engine_loads.NewsSince(update_request.life() == change_log_id
+                                         ? update_request.engine_states_after()
+                                         : 0),
+        *message.mutable_engine_states());
+  }
   SendPeerReply(session, PeerStatus::kOk, message.SerializeAsString());
 }
 
+auto UpstreamDiscovery::LogDropped(std::string_view source, std::size_t dropped)
+    -> void {
+  if (dropped == 0) {
+    return;
+  }
+  this->context.metrics.CountEngineReportsDropped(dropped);
+  this->context.log.WriteLine(DecisionLog::Severity::kNotable,
+                              "engine_report_dropped",
+                              {{"source", source},
+                               {"reader", this->reader_address},
+                               {"engines", dropped}},
+                              this->poller.loop().Now());
+}
+
 //==============================================================================
 // From a reader
 
@@ -266,6 +295,7 @@
     this->reader_address = peer;
     this->reader_incarnation.clear();
     this->last_change = 0;
+    this->engine_reporter.Reset();
     this->reader_connection.reset();
   }
   wire::UpstreamFeedAsk update_request;
@@ -275,6 +305,9 @@
   update_request.set_wants_config(this->poller.loop().Now() -
                                       this->config_received_at >=
                                   kMinConfigInterval);
+  update_request.set_engine_states_after(this->engine_reporter.newest());
+  AddToAsk(this->engine_reporter.MakeReport(this->poller.loop().Now()),
+           update_request);
   if (!this->reader_connection) {
     this->reader_connection = std::make_unique<Http1Client>(this->poller, peer);
   }
@@ -294,9 +327,11 @@
   const UpdateAge age{Duration(static_cast<std::int64_t>(message.age_us())),
                       now - this->context.last_log_reply_at};
   if (is_valid_reply && DiscoverySource::IsFresh(age)) {
+    const bool is_new_life = this->reader_incarnation != message.life();
     this->reader_incarnation = message.life();
     this->last_change = message.newest();
     this->Apply(FromWire(message));
+    this->ApplyEngineStates(message.engine_states(), is_new_life);
     if (!message.config().empty()) {
       this->config_received_at = now;
       this->callbacks.on_config(message.config());
@@ -334,6 +369,22 @@
   }
 }
 
+auto UpstreamDiscovery::ApplyEngineStates(const wire::EngineStates& message,
+                                          bool is_new_life) -> void {
+  const Instant now = this->poller.loop().Now();
+  if (is_new_life && this->engine_reporter.is_known()) {
+    // The reader has started over, and this request told it only changes.
+    this->engine_reporter.Reset();
+    return;
+  }
+  this->engine_reporter.Confirm(now);
+  const auto news = gateway::FromWire(message);
+  this->LogDropped(
+      "reader",
+      news ? this->engine_reporter.Apply(*news, this->context.routers, now)
+           : static_cast<std::size_t>(message.engines_size()));
+}
+
 auto UpstreamDiscovery::IsLogReachable(Instant now) const -> bool {
   return now - this->context.last_log_reply_at < kLogUnreachableAfter;
 }
--- a/programs/gateway/upstream_discovery.h
+++ b/programs/gateway/upstream_discovery.h
@@ -11,6 +11,8 @@
 
 #include "al_core/time/instant.h"
 #include "al_gateway/membership/discovery_source.h"
+#include "al_gateway/upstreams/engine_load_reporter.h"
+#include "al_gateway/upstreams/engine_load_table.h"
 #include "al_gateway/upstreams/upstream_change_log.h"
 #include "al_http1/http1_client.h"
 #include "al_http1/http1_server_session.h"
@@ -18,6 +20,10 @@
 #include "gateway/fleet_topic_client.h"
 #include "gateway/gateway_context.h"
 
+namespace auburnloft::wire {
+class EngineStates;
+}  // namespace auburnloft::wire
+
 namespace auburnloft::gateway {
 
 /** Keeps the directory of upstreams up to date: from the log service, or in a
@@ -25,6 +31,10 @@
    log and serves them to other routers. If this router is a reader, it serves
    them.
 
+    Routers tell their reader with each request what they have open at engines
+   and how fast these are, and the reader replies with the sums over its
+   routers.
+
     Readers pass new configurations on, too. The log's bandwidth for reads is
    shared by all routers, and a configuration with thousands of routes takes
    hundreds of kilobytes.
@@ -96,6 +106,13 @@
   auto RequestFromReader() -> void;
   auto OnReaderReply(const std::optional<Http1Client::Reply>& reply) -> void;
   auto Apply(const UpstreamUpdate& update) -> void;
+  /** @param is_new_life  whether this is the first reply of the reader, or of
+                          its life. */
+  auto ApplyEngineStates(const wire::EngineStates& message, bool is_new_life)
+      -> void;
+  /** Logs and counts what was left out of a router's or a reader's report about
+     engines, if it was anything. */
+  auto LogDropped(std::string_view source, std::size_t dropped) -> void;
   [[nodiscard]] auto IsLogReachable(Instant now) const -> bool;
 
   SocketPoller& poller;
@@ -115,7 +132,9 @@
   std::unique_ptr<Http1Client> reader_connection;  ///< To `reader_address`.
   std::string reader_address;                      ///< The reader asked last.
   std::string reader_incarnation;
-  std::uint64_t last_change = 0;  ///< Number of the last change received.
+  std::uint64_t last_change = 0;       ///< Number of the last change received.
+  EngineLoadReporter engine_reporter;  ///< To the reader.
+  EngineLoadTable engine_loads;        ///< Of the routers that request updates.
   std::uint64_t config_version = 0;
   std::shared_ptr<const std::string>
       config_text;               ///< Null unless other routers may request it.
