--- a/modules/al_gateway/upstreams/engine_load_reporter.cc
+++ b/modules/al_gateway/upstreams/engine_load_reporter.cc
@@ -52,13 +52,19 @@
     const bool is_changed = before == this->reported.end()
                                 ? load != EngineLoad()
                                 : load != before->second;
-    if (is_changed || pace.first_event || pace.per_token) {
-      report.samples.push_back(
-          {key, static_cast<std::uint32_t>(load.generations),
-           static_cast<std::uint32_t>(load.prefill_tokens),
-           static_cast<std::uint32_t>(load.memory_tokens), pace});
+    // What was observed before the reader was known may be old.
+    const bool is_observed =
+        this->has_whole && (pace.first_event || pace.per_token);
+    if (is_changed || is_observed) {
+      report.samples.push_back({key,
+                                static_cast<std::uint32_t>(load.generations),
+                                static_cast<std::uint32_t>(load.prefill_tokens),
+                                static_cast<std::uint32_t>(load.memory_tokens),
+                                this->has_whole ? pace : EnginePace::Sample()});
+    }
+    if (load != EngineLoad() || before != this->reported.end()) {
+      this->sent[key] = load;
     }
-    this->sent[key] = load;
   };
   this->directory.VisitServices(
       [&add](std::span<const UpstreamDirectory::State> upstreams) {
--- a/modules/al_gateway/upstreams/upstream_state.h
+++ b/modules/al_gateway/upstreams/upstream_state.h
@@ -209,8 +209,12 @@
                             this->others_load.estimate.generations;
   }
 
-  /** Returns what this router has open there. */
+  /** Returns what this router has open there; nothing if none of it is a
+     generation. */
   [[nodiscard]] auto own_load() const -> EngineLoad {
+    if (this->memory == 0) {
+      return {};
+    }
     return {static_cast<double>(this->open), static_cast<double>(this->prefill),
             static_cast<double>(this->memory)};
   }
--- a/tests/gateway/engine_load_test.cc
+++ b/tests/gateway/engine_load_test.cc
@@ -72,6 +72,12 @@
     }
   }
 
+  /** Begins a generation. */
+  auto Open(UpstreamState & engine, std::uint64_t tokens)->void {
+    engine.RecordSent(tokens, this->now);
+    engine.ReserveMemory(tokens);
+  }
+
   /** All routers but the first, the reader, tell it what they know and apply
       its reply. */
   auto Exchange(int fleet)->void {
@@ -119,8 +125,8 @@
   this->Start(4);
   for (int i = 0; i < kEngines; ++i) {
     if (i != 4) {
-      this->routers[1]->Engine(i).RecordSent(20'000, this->now);
-      this->routers[2]->Engine(i).RecordSent(20'000, this->now);
+      this->Open(this->routers[1]->Engine(i), 20'000);
+      this->Open(this->routers[2]->Engine(i), 20'000);
     }
   }
   for (int i = 0; i < 20; ++i) {
@@ -143,9 +149,9 @@
 TEST(EngineLoad, IsEstimatedForTheRoutersThatReportElsewhere) {
   this->Start(5);
   for (int i = 0; i < kEngines; ++i) {
-    this->routers[1]->Engine(i).RecordSent(4'000, this->now);
+    this->Open(this->routers[1]->Engine(i), 4'000);
   }
-  this->routers[2]->Engine(0).RecordSent(4'000, this->now);
+  this->Open(this->routers[2]->Engine(0), 4'000);
   for (int i = 0; i < 20; ++i) {
     this->Exchange(40);
   }
@@ -162,7 +168,7 @@
 // Guards against engines that are avoided for requests that ended long ago.
 TEST(EngineLoad, OfASilentRouterFadesWithinFiveSeconds) {
   this->Start(3);
-  this->routers[1]->Engine(0).RecordSent(20'000, this->now);
+  this->Open(this->routers[1]->Engine(0), 20'000);
   this->Exchange(3);
   const auto reported = [this] {
     this->Ask(*this->routers[2], 3);
@@ -184,7 +190,7 @@
 TEST(EngineLoad, OfAReaderThatIsGoneLeavesOwnSamples) {
   this->Start(3);
   Router& router = *this->routers[2];
-  this->routers[1]->Engine(1).RecordSent(50'000, this->now);
+  this->Open(this->routers[1]->Engine(1), 50'000);
   for (int step = 0; step < 20; ++step) {
     for (int i = 0; i < kEngines; ++i) {
       // The engine is slow for the reader's routers, not for this one.
@@ -267,7 +273,7 @@
 // Guards against the old process's load being counted for the new one.
 TEST(EngineLoad, IsOfOneProcess) {
   this->Start(3);
-  this->routers[1]->Engine(0).RecordSent(20'000, this->now);
+  this->Open(this->routers[1]->Engine(0), 20'000);
   this->Exchange(3);
   CHECK_TRUE(this->routers[0]->Engine(0).others().observed.prefill_tokens > 0);
   UpstreamRecord restarted = MakeRecord("e0");
--- a/tests/gateway/upstream_discovery_test.cc
+++ b/tests/gateway/upstream_discovery_test.cc
@@ -1,6 +1,7 @@
 // Upstream discovery in a large fleet: which routers, the readers, read the
 // upstreams' records from the log service, and which updates they serve to the
 // other routers.
+#include <algorithm>
 #include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
@@ -334,3 +335,49 @@
     CHECK_EQUAL(kVersions, version_of(*router));
   }
 }
+
+/** Load pattern: long streams of one router of a large fleet. Guards against
+   requests and replies without the load of engines: a router of the same reader
+   must know of the streams, and not after they have ended. */
+TEST(UpstreamDiscovery, RoutersLearnOfEachOthersOpenGenerations) {
+  GatewayFixture fixture;
+  fixture.Publish(1, 1'000'000);
+  constexpr int kRouters = 14;
+  for (int number = 2; number <= kRouters; ++number) {
+    fixture.AddRouter(number);
+  }
+  for (auto* const engine : {fixture.engine_1.get(), fixture.engine_2.get()}) {
+    engine->SetPace(milliseconds(2), milliseconds(100));
+    engine->SetTokensPerEvent(1);
+  }
+  fixture.RunFor(seconds(3));
+  const auto known = [&fixture] {
+    double most = 0.0;
+    for (const auto& router : fixture.more_routers) {
+      double sum = 0.0;
+      const auto state = nlohmann::json::parse(router->StateDump());
+      for (const auto& engine : state["engine_paces"]) {
+        sum += engine.value("reported_generations", 0.0);
+      }
+      most = std::max(most, sum);
+    }
+    return most;
+  };
+  DOUBLES_EQUAL(0.0, known(), 0.0);
+  GatewayFixture::Call call;
+  call.path = "/draft/";
+  call.tokens = "100,30";
+  std::vector<std::shared_ptr<GatewayFixture::Response>> streams;
+  for (const std::string_view id : {"a1", "a2", "a3"}) {
+    call.id = id;
+    streams.push_back(fixture.StartSending(call));
+  }
+  fixture.RunFor(milliseconds(1'500));
+  DOUBLES_EQUAL(3.0, known(), 0.0);
+  for (const auto& stream : streams) {
+    fixture.loop.RunUntil([&stream] { return stream->ended; }, seconds(6));
+    CHECK_EQUAL(200, stream->status);
+  }
+  fixture.RunFor(milliseconds(1'500));
+  DOUBLES_EQUAL(0.0, known(), 0.0);
+}
--- a/tests/support/paced_fleet.cc
+++ b/tests/support/paced_fleet.cc
@@ -214,7 +214,9 @@
     -> void {
   const Instant now = this->queue.Now();
   UpstreamChoice choice = this->Choose(router, prompt);
+  choice.memory_tokens = prompt.max_total_tokens();
   choice.upstream->RecordSent(choice.prefill_tokens, now);
+  choice.upstream->ReserveMemory(choice.memory_tokens);
   router.selector.RecordPrompt(prompt, *choice.upstream, now);
   const std::size_t number = this->EngineOf(*choice.upstream);
   ++this->result.requests_by_engine[number];
@@ -251,6 +253,7 @@
           return;
         }
         engine.End();
+        choice.upstream->ReleaseMemory(choice.memory_tokens);
         choice.upstream->RecordEnd(0, gateway::UpstreamResult::kSucceeded,
                                    this->queue.Now());
       });
