--- a/bench/pace_main.cc
+++ b/bench/pace_main.cc
@@ -2,6 +2,7 @@
    of docs/design/engine-pace.md. */
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <cstdio>
 #include <iostream>
 #include <numeric>
@@ -34,8 +35,7 @@
   const PacedFleet::Result result = PacedFleet(settings).Run();
   std::vector<double> all = result.long_ms;
   all.insert(all.end(), result.short_ms.begin(), result.short_ms.end());
-  const auto slow = static_cast<std::ptrdiff_t>(
-      static_cast<double>(settings.engines) * settings.slow_share + 0.5);
+  const auto slow = std::lround(settings.engines * settings.slow_share);
   const auto& counts = result.requests_by_engine;
   const int slow_count =
       std::accumulate(counts.begin(), counts.begin() + slow, 0);
--- a/programs/gateway/state_dump.cc
+++ b/programs/gateway/state_dump.cc
@@ -7,6 +7,43 @@
 
 namespace auburnloft::gateway {
 
+namespace {
+
+/** Adds the paces that are believed of engines and the loads of others there.
+ */
+auto AddEnginePaces(const GatewayContext& context, nlohmann::json& state)
+    -> void {
+  state["engine_paces"] = nlohmann::json::array();
+  const Instant now = context.loop.Now();
+  context.upstreams.VisitServices(
+      [&state, now](std::span<const UpstreamDirectory::State> upstreams) {
+        constexpr std::int64_t kMicrosPerMilli = 1'000;
+        for (const UpstreamDirectory::State& upstream : upstreams) {
+          const PaceBelief& pace = upstream->pace_belief();
+          const OthersLoad& others = upstream->others();
+          const bool has_pace = pace.source != PaceBelief::Source::kNone;
+          const bool has_load = ReportWeight(others.at, now) > 0.0;
+          if (!has_pace && !has_load) {
+            continue;
+          }
+          nlohmann::json& item = state["engine_paces"].emplace_back();
+          item["upstream"] = upstream->record().id;
+          item["pace_percent"] = pace.percent();
+          item["source"] = pace.source_name();
+          if (has_pace) {
+            item["age_ms"] = (now - pace.learned_at).count() / kMicrosPerMilli;
+          }
+          if (has_load) {
+            item["reported_generations"] = others.observed.generations;
+            item["reported_prefill_tokens"] = others.observed.prefill_tokens;
+            item["load_age_ms"] = (now - others.at).count() / kMicrosPerMilli;
+          }
+        }
+      });
+}
+
+}  // namespace
+
 auto DumpState(const StateDumpInput& view) -> std::string {
   nlohmann::json state;
   state["router"] = view.self.name;
@@ -52,33 +89,7 @@
                                         {"requests_per_second", per_second},
                                         {"is_sender", is_sender}});
   });
-  state["engine_paces"] = nlohmann::json::array();
-  const Instant now = view.context.loop.Now();
-  view.context.upstreams.VisitServices(
-      [&state, now](std::span<const UpstreamDirectory::State> upstreams) {
-        constexpr std::int64_t kMicrosPerMilli = 1'000;
-        for (const UpstreamDirectory::State& upstream : upstreams) {
-          const PaceBelief& pace = upstream->pace_belief();
-          const OthersLoad& others = upstream->others();
-          const bool has_pace = pace.source != PaceBelief::Source::kNone;
-          const bool has_load = ReportWeight(others.at, now) > 0.0;
-          if (!has_pace && !has_load) {
-            continue;
-          }
-          nlohmann::json& item = state["engine_paces"].emplace_back();
-          item["upstream"] = upstream->record().id;
-          item["pace_percent"] = pace.percent();
-          item["source"] = pace.source_name();
-          if (has_pace) {
-            item["age_ms"] = (now - pace.learned_at).count() / kMicrosPerMilli;
-          }
-          if (has_load) {
-            item["reported_generations"] = others.observed.generations;
-            item["reported_prefill_tokens"] = others.observed.prefill_tokens;
-            item["load_age_ms"] = (now - others.at).count() / kMicrosPerMilli;
-          }
-        }
-      });
+  AddEnginePaces(view.context, state);
   return state.dump();
 }
 
--- a/tests/support/paced_fleet.cc
+++ b/tests/support/paced_fleet.cc
@@ -238,7 +238,7 @@
 }
 
 auto PacedFleet::Generate(Router& router,
-                          UpstreamChoice choice,
+                          const UpstreamChoice& choice,
                           std::uint64_t tokens) -> void {
   EngineModel& engine = this->engines[this->EngineOf(*choice.upstream)];
   const Duration per_token = engine.PerToken(this->queue.Now());
--- a/tests/support/paced_fleet.h
+++ b/tests/support/paced_fleet.h
@@ -76,7 +76,7 @@
       -> gateway::UpstreamChoice;
   auto Send(Router& router, const gateway::GenerationMetadata& prompt) -> void;
   auto Generate(Router& router,
-                gateway::UpstreamChoice choice,
+                const gateway::UpstreamChoice& choice,
                 std::uint64_t tokens) -> void;
   auto Exchange(std::size_t router) -> void;
   auto UpdatePaces(std::size_t router) -> void;
