--- a/modules/al_gateway/al_gateway.h
+++ b/modules/al_gateway/al_gateway.h
@@ -10,6 +10,9 @@
     - admission/   PressureAdmission, TeamShares, MinimumShares and PlaceQueue:
                    which requests begin while capacity is insufficient
     - upstreams/   UpstreamDirectory, UpstreamSelector and their measurements;
+                   EnginePace and RankPaces(): how fast engines are;
+                   EngineLoadReporter and EngineLoadTable: paces and loads that
+                   routers tell each other;
                    UpstreamLimits: requests a second that upstreams take;
                    EvacuationTable: evacuated failure domains;
                    ColdUpstreams: which upstreams are cold, and until when
@@ -43,8 +46,12 @@
 #include "al_gateway/quarantine/crash_suspects.h"
 #include "al_gateway/routing/route_table.h"
 #include "al_gateway/upstreams/cold_upstreams.h"
+#include "al_gateway/upstreams/engine_load_reporter.h"
+#include "al_gateway/upstreams/engine_load_table.h"
+#include "al_gateway/upstreams/engine_pace.h"
 #include "al_gateway/upstreams/evacuation_table.h"
 #include "al_gateway/upstreams/pace_meter.h"
+#include "al_gateway/upstreams/pace_ranking.h"
 #include "al_gateway/upstreams/upstream_change_log.h"
 #include "al_gateway/upstreams/upstream_directory.h"
 #include "al_gateway/upstreams/upstream_selector.h"
--- a/programs/gateway/gateway_daemon.cc
+++ b/programs/gateway/gateway_daemon.cc
@@ -111,7 +111,9 @@
                   this->cold_upstreams,
                   this->log,
                   this->metrics),
-      chooser(this->upstreams, this->options.self.domain),
+      chooser(this->upstreams,
+              this->options.self.domain,
+              this->options.self.name),
       retry_budget(this->options.retry_bound),
       allowance_manager(this->options.self.incarnation, AllowanceSizing()),
       reservations(loop,
@@ -507,6 +509,7 @@
   this->upstreams.Expire(now);
   this->evacuations.Update();
   this->cold_upstreams.Update(now);
+  this->chooser.UpdatePaces(now);
   this->upstream_limits.Update(this->fleet_topic.MakeLimitFleet(), now);
   this->context.routers = this->fleet_topic.CountActive();
   this->UpdateLoadShare(now);
