Decide when a late request gets a second attempt

Cause: a request waits for a slow or silent upstream until its attempt is replaced after one and a half times the route's objective.

Change: module al_gateway/hedging. UpstreamResult::kCancelled leaves an upstream's health as it is. Nothing uses the policy yet.

--- a/modules/al_gateway/al_gateway.h
+++ b/modules/al_gateway/al_gateway.h
@@ -12,6 +12,7 @@
     - limits/      timeouts, ExecutionCounter, DrainSchedule: planned stops,
                    and FleetRetryBudget: this router's share of the fleet's
                    retries
+    - hedging/     HedgePolicy and HedgeDelay: second attempts of late requests
     - prepaid/     AllowanceLedger and AllowanceManager: budgets without
                    keepers (leaders of ledger partitions)
     - membership/  RouterRegistry: the active routers; DiscoveryPlan and
@@ -22,6 +23,8 @@
 #ifndef AL_GATEWAY_AL_GATEWAY_H_
 #define AL_GATEWAY_AL_GATEWAY_H_
 
+#include "al_gateway/hedging/hedge_delay.h"
+#include "al_gateway/hedging/hedge_policy.h"
 #include "al_gateway/limits/drain_schedule.h"
 #include "al_gateway/limits/fleet_retry_budget.h"
 #include "al_gateway/membership/discovery_plan.h"
--- a/modules/al_gateway/upstreams/upstream_state.cc
+++ b/modules/al_gateway/upstreams/upstream_state.cc
@@ -80,7 +80,8 @@
                               Instant now) -> void {
   this->open = std::max(0, this->open - 1);
   this->prefill -= std::min(this->prefill, prefill_tokens);
-  if (result == UpstreamResult::kNotExecuted) {
+  if (result == UpstreamResult::kNotExecuted ||
+      result == UpstreamResult::kCancelled) {
     return;
   }
   if (result == UpstreamResult::kReplaced) {
--- a/modules/al_gateway/upstreams/upstream_state.h
+++ b/modules/al_gateway/upstreams/upstream_state.h
@@ -20,6 +20,7 @@
   kNotExecuted,  ///< The upstream did not execute the request.
   kUnreachable,  ///< No connection could be made.
   kReplaced,     ///< Another upstream uses its address now.
+  kCancelled,    ///< This router ended it, as another attempt had answered.
 };
 
 /** One upstream: its newest record, and the load, latency and failures that
