Send a second attempt of late requests

Cause: HedgePolicy decided, and nothing sent a second attempt.

Change: HedgedAttempts in programs/gateway runs one second attempt beside the current one. The first whole response or first event wins; the other attempt is cancelled by closing its connection, and counts as executed. If the current attempt fails, the second one goes on as the current one. A response that states that nothing was executed is not passed on once a second attempt may have run. Log lines hedge, hedge_won, hedge_lost; counter auburnloft_hedges_total.

--- a/programs/gateway/gateway_context.h
+++ b/programs/gateway/gateway_context.h
@@ -24,6 +24,7 @@
 
 namespace auburnloft::gateway {
 
+class HedgePolicy;
 class RequestHandler;
 
 /** State that all requests of one process share.
@@ -64,6 +65,7 @@
   std::unordered_set<RequestHandler*> open_requests;  ///< In this process.
   bool is_log_reachable = false;  ///< Whether the log service replies.
   Instant last_log_reply_at{};    ///< Of the log service.
+  std::shared_ptr<HedgePolicy> hedge_policy;  ///< Null: no request is hedged.
 };
 
 }  // namespace auburnloft::gateway
--- a/programs/gateway/gateway_daemon.cc
+++ b/programs/gateway/gateway_daemon.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "al_edge/loop/loop_timer.h"
+#include "al_gateway/hedging/hedge_policy.h"
 #include "al_gateway/limits/connection_shedding.h"
 #include "gateway/request_handler.h"
 #include "gateway/state_dump.h"
@@ -191,6 +192,10 @@
         this->StopWhenResponsesAreSent();
       })) {
   this->log.SetQuiet(this->options.quiet);
+  if (this->options.hedge_share > 0.0) {
+    this->context.hedge_policy = std::make_shared<HedgePolicy>(
+        this->options.hedge_share, this->retry_budget);
+  }
   this->context.runs_trials = [this](std::string_view suspect) {
     return this->fleet_topic.RunsTrials(suspect);
   };
--- a/programs/gateway/gateway_daemon.h
+++ b/programs/gateway/gateway_daemon.h
@@ -36,6 +36,7 @@
     std::string metrics_address;    ///< Empty: no metrics.
     std::string log_address;        ///< Of the platform's log service.
     FleetRetryLimit retry_bound;
+    double hedge_share = 0.0;  ///< Second attempts per request; 0: none.
     Duration grace_period =
         std::chrono::seconds(8);  ///< From SIGTERM to the exit.
     std::uint64_t seed = 1;
--- a/programs/gateway/gateway_metrics.cc
+++ b/programs/gateway/gateway_metrics.cc
@@ -27,6 +27,7 @@
                  this->quarantine_changes);
   AppendCounters(text, "auburnloft_upstream_notices_total", "notice",
                  this->upstream_notices);
+  AppendCounters(text, "auburnloft_hedges_total", "result", this->hedges);
   text.append("# TYPE auburnloft_log_restores_total counter\n")
       .append("auburnloft_log_restores_total ")
       .append(std::to_string(this->log_restores))
--- a/programs/gateway/gateway_metrics.h
+++ b/programs/gateway/gateway_metrics.h
@@ -42,6 +42,12 @@
     ++this->quarantine_changes[std::string(change)];
   }
 
+  /** Counts a decision on a second attempt, as NameOf(HedgeDecision), or its
+     end: `won`, `lost` or `failed`. */
+  auto CountHedge(std::string_view result) -> void {
+    ++this->hedges[std::string(result)];
+  }
+
   /** Counts a restore of the log from an older copy. */
   auto CountLogRestore() -> void { ++this->log_restores; }
 
@@ -58,6 +64,7 @@
   std::map<std::string, std::uint64_t> sends;
   std::map<std::string, std::uint64_t> quarantine_changes;
   std::map<std::string, std::uint64_t> upstream_notices;
+  std::map<std::string, std::uint64_t> hedges;
   std::uint64_t log_restores = 0;
   LatencyHistogram first_byte;
 };
--- a/programs/gateway/main.cc
+++ b/programs/gateway/main.cc
@@ -35,6 +35,10 @@
       "retry-slack", "retries of the fleet in a window beyond the ratio", "50");
   settings.DeclareInteger("retry-window-s",
                           "window of the retry bounds, in seconds", 10, 1, 60);
+  settings.DeclareText("hedge-share",
+                       "second attempts of late requests per request that may "
+                       "have one, 0 to 1; 0: none",
+                       "0");
   settings.DeclareText(
       "link-mbps", "bandwidth of this VM's link in Mbit/s; 0: unknown", "0");
   settings.DeclareText("grace-s", "seconds from SIGTERM to the exit", "8");
@@ -75,6 +79,10 @@
       NumberOf(settings, "retry-slack", findings);
   options.retry_bound.window_seconds =
       static_cast<int>(settings.Integer("retry-window-s"));
+  options.hedge_share = NumberOf(settings, "hedge-share", findings);
+  if (options.hedge_share > 1.0) {
+    findings.Add("--hedge-share", "must be a number from 0 to 1");
+  }
   options.grace_period = Duration(static_cast<std::int64_t>(
       NumberOf(settings, "grace-s", findings) * kMicrosPerSecond));
   options.seed = StableHash(mark);
--- a/programs/gateway/request_handler.cc
+++ b/programs/gateway/request_handler.cc
@@ -7,6 +7,7 @@
 #include "al_gateway/limits/attempt_timeouts.h"
 #include "al_gateway/routing/admission.h"
 #include "gateway/request_end.h"
+#include "gateway/response_faults.h"
 #include "platform/request_codec.h"
 
 namespace auburnloft::gateway {
@@ -22,8 +23,9 @@
 constexpr int kFirstServerError = 500;
 constexpr int kFirstRedirect = 300;
 
-/** Reason of what a planned stop refuses or ends. */
+/** Reasons of refusals. */
 constexpr std::string_view kShuttingDown = "shutting down";
+constexpr std::string_view kCrashesUpstreams = "the request crashes upstreams";
 
 }  // namespace
 
@@ -39,7 +41,16 @@
       arrived_at(context.loop.Now()),
       budget(context),
       upstream_notices(context),
-      crash_guard(context, this->request, this->metadata) {}
+      crash_guard(context, this->request, this->metadata),
+      hedge(context,
+            this->execution_counter,
+            this->crash_guard,
+            this->upstream_notices,
+            this->tried_upstreams,
+            {[this] { return this->MakeAttemptParameters(); },
+             [this] { return this->MakeCallbacks(); },
+             [this] { return this->attempt.get(); },
+             [this] { this->EndOrSwitch(UpstreamResult::kCancelled); }}) {}
 
 RequestHandler::~RequestHandler() = default;
 
@@ -151,7 +162,7 @@
 auto RequestHandler::Dispatch() -> void {
   const CrashQuarantine::Decision decision = this->crash_guard.Check();
   if (!decision.is_allowed) {
-    this->RefuseQuarantined(decision);
+    this->GiveUp(kBadGateway, kCrashesUpstreams, decision.retry_after);
     return;
   }
   AttemptParameters parameters = this->MakeAttemptParameters();
@@ -178,6 +189,7 @@
   if (this->route->is_repeatable()) {
     this->attempt_timer->Start(FirstByteTimeout(*this->route));
   }
+  this->hedge.OnSent();
   this->attempt->connection().Start(bytes, this->request.method == "HEAD",
                                     this->MakeCallbacks());
 }
@@ -213,16 +225,7 @@
 auto RequestHandler::MakeCallbacks()
     -> Http1ClientConnection::ExchangeCallbacks {
   Http1ClientConnection::ExchangeCallbacks callbacks;
-  callbacks.owner_of_response =
-      [id = this->metadata.attempt_id](const Http1ResponseHead& head) {
-        const std::string answered =
-            platform::ReadResponseMetadata(head).attempt_id;
-        if (answered.empty()) {
-          return ResponseOwner::kUnknown;
-        }
-        return answered == id ? ResponseOwner::kThisRequest
-                              : ResponseOwner::kOtherRequest;
-      };
+  callbacks.owner_of_response = MakeOwnerCheck(this->metadata.attempt_id);
   callbacks.on_head = [this](const Http1ResponseHead& head) {
     this->attempt->SetHead(head);
     this->upstream_notices.Record(*this->attempt, this->metadata.attempt_id);
@@ -264,38 +267,21 @@
         TokensPerEvent(*this->table, this->service));
     this->ForwardEvents(std::exchange(this->pending_events, {}));
   }
-  if (this->event_splitter.is_too_long() ||
-      this->pending_events.size() > EventSplitter::kMaxEventBytes) {
-    this->RejectResponse("no event within the maximum size");
-  } else if (this->event_splitter.has_only_repeats()) {
-    this->RejectResponse("the same events without end");
+  if (const std::string_view fault =
+          FaultOfEvents(this->event_splitter, this->pending_events.size());
+      !fault.empty()) {
+    this->RejectResponse(fault);
   }
 }
 
 auto RequestHandler::PassesEvents() const -> bool {
-  const ResponseMetadata& metadata = this->attempt->response_metadata();
-  return this->route->kind == RouteKind::kStream &&
-         this->attempt->head().status < kFirstRedirect &&
-         metadata.is_event_stream && !metadata.not_executed &&
-         !metadata.is_encoded;
-}
-
-auto RequestHandler::IsStreamBrokenOff() const -> bool {
-  if (!this->PassesEvents()) {
-    return false;
-  }
-  // A text without events is no continuation of a stream, though it may be the
-  // whole answer to a request whose stream has not begun.
-  const bool is_text =
-      !this->event_splitter.has_event() && !this->event_splitter.rest().empty();
-  return this->event_splitter.IsBrokenOff(
-             !this->attempt->head().ends_with_connection) ||
-         (this->response->has_started() && is_text);
+  return this->route->kind == RouteKind::kStream && this->attempt->HasEvents();
 }
 
 auto RequestHandler::ForwardEvents(std::string_view whole_events) -> void {
   this->RecordFirstByte();
   if (!this->response->has_started()) {
+    this->hedge.OnAnswered();
     this->time_to_first_event = this->context.loop.Now() - this->arrived_at;
     this->context.metrics.RecordTimeToFirstByte(this->time_to_first_event);
   }
@@ -316,12 +302,7 @@
 }
 
 auto RequestHandler::RejectResponse(std::string_view why) -> void {
-  this->context.log.WriteLine(
-      DecisionLog::Severity::kNotable, "response_rejected",
-      {{"id", this->metadata.attempt_id},
-       {"upstream", this->attempt->upstream().record().id},
-       {"why", why}},
-      this->context.loop.Now());
+  this->attempt->LogRejected(this->metadata.attempt_id, why);
   this->attempt_timer->Stop();
   this->attempt->Cancel();
   this->OnFailedAttempt(Http1Outcome::kBroken);
@@ -351,7 +332,9 @@
     this->RejectResponse("the seal is missing");
     return;
   }
-  if (this->IsStreamBrokenOff()) {
+  if (this->PassesEvents() &&
+      IsStreamBrokenOff(head, this->event_splitter,
+                        this->response->has_started())) {
     this->RecordCrashEvidence();
     this->RejectResponse("the stream ends early");
     return;
@@ -364,6 +347,11 @@
   const int status = this->attempt->head().status;
   const bool failed = status >= kFirstServerError;
   const bool is_stream = this->PassesEvents() && status != kNoContent;
+  if (this->hedge.ReplacesAnswer(status)) {
+    this->EndOrSwitch(UpstreamResult::kFailed);
+    return;
+  }
+  this->hedge.OnAnswered();
   const std::unique_ptr<UpstreamAttempt> finished = this->EndAttempt(
       failed ? UpstreamResult::kFailed : UpstreamResult::kSucceeded);
   if (this->response->has_started() && is_stream) {
@@ -378,15 +366,22 @@
     this->AbortStream("the stream was not resumed");
     return;
   }
+  if (!this->hedge.MayForward(status)) {
+    this->Refuse(kBadGateway, "refused after another attempt", Duration(0));
+    return;
+  }
   this->ForwardResponse(*finished);
 }
 
 auto RequestHandler::OnNotExecuted() -> void {
   this->execution_counter.RecordNotExecuted();
   this->crash_guard.RecordNotExecuted();
-  this->EndAttempt(this->attempt->response_metadata().is_replaced
-                       ? UpstreamResult::kReplaced
-                       : UpstreamResult::kNotExecuted);
+  this->hedge.RecordRefusal();
+  if (this->EndOrSwitch(this->attempt->response_metadata().is_replaced
+                            ? UpstreamResult::kReplaced
+                            : UpstreamResult::kNotExecuted)) {
+    return;
+  }
   if (this->execution_counter.CanRetryElsewhere(this->RemainingTime()) &&
       this->context.retry_budget.TryTake(this->service, this->context.routers,
                                          this->context.loop.Now())) {
@@ -407,22 +402,18 @@
   if (outcome == Http1Outcome::kNotSent) {
     this->execution_counter.RecordNotSent();
     this->crash_guard.RecordNotExecuted();
-    this->EndAttempt(UpstreamResult::kUnreachable);
-    this->Dispatch();
+    if (!this->EndOrSwitch(UpstreamResult::kUnreachable)) {
+      this->Dispatch();
+    }
     return;
   }
   const std::string_view why = outcome == Http1Outcome::kNoResponse
                                    ? "no answer"
                                    : "the answer was broken off";
-  this->EndAttempt(UpstreamResult::kFailed);
-  if (this->TryRetry(why)) {
+  if (this->EndOrSwitch(UpstreamResult::kFailed) || this->TryRetry(why)) {
     return;
   }
-  if (this->response->has_started()) {
-    this->AbortStream(why);
-  } else {
-    this->Refuse(kBadGateway, why, Duration(0));
-  }
+  this->GiveUp(kBadGateway, why, Duration(0));
 }
 
 auto RequestHandler::RecordCrashEvidence() -> void {
@@ -435,10 +426,11 @@
   if (!this->attempt) {
     return;
   }
-  if (this->TryTakeRetry()) {
+  if (this->hedge.is_running() || this->TryTakeRetry()) {
     this->attempt->Cancel();
-    this->EndAttempt(UpstreamResult::kFailed);
-    this->Dispatch();
+    if (!this->EndOrSwitch(UpstreamResult::kFailed)) {
+      this->Dispatch();
+    }
     return;
   }
   if (this->response->has_started() ||
@@ -458,29 +450,30 @@
   this->Refuse(kTimedOut, "upstreams stay silent", Duration(0));
 }
 
+auto RequestHandler::EndOrSwitch(UpstreamResult result) -> bool {
+  this->EndAttempt(result);
+  if (!this->hedge.is_running()) {
+    return false;
+  }
+  this->attempt = this->hedge.Take();
+  this->event_splitter.Resume();
+  this->pending_events.clear();
+  this->attempt_timer->Start(FirstByteTimeout(*this->route));
+  this->hedge.Replay();
+  return true;
+}
+
 //==============================================================================
 // Decisions
 
 auto RequestHandler::RefuseIfQuarantined() -> bool {
   const CrashQuarantine::Decision decision = this->crash_guard.Check();
   if (!decision.is_allowed) {
-    this->RefuseQuarantined(decision);
+    this->GiveUp(kBadGateway, kCrashesUpstreams, decision.retry_after);
   }
   return !decision.is_allowed;
 }
 
-auto RequestHandler::RefuseQuarantined(
-    const CrashQuarantine::Decision& decision) -> void {
-  constexpr std::string_view kWhy = "the request crashes upstreams";
-  if (this->execution_counter.never_executed()) {
-    this->Refuse(kUnavailable, kWhy, decision.retry_after);
-  } else if (this->response->has_started()) {
-    this->AbortStream(kWhy);
-  } else {
-    this->Refuse(kBadGateway, kWhy, Duration(0));
-  }
-}
-
 auto RequestHandler::TryTakeRetry() -> bool {
   return this->execution_counter.CanExecuteAgain(*this->route,
                                                  this->RemainingTime()) &&
@@ -525,12 +518,18 @@
     this->attempt->Cancel();
     this->EndAttempt(UpstreamResult::kFailed);
   }
+  this->GiveUp(kTimedOut, why, retry_after);
+}
+
+auto RequestHandler::GiveUp(int status,
+                            std::string_view why,
+                            Duration retry_after) -> void {
   if (this->response->has_started()) {
     this->AbortStream(why);
   } else if (this->execution_counter.never_executed()) {
     this->Refuse(kUnavailable, why, retry_after);
   } else {
-    this->Refuse(kTimedOut, why, Duration(0));
+    this->Refuse(status, why, Duration(0));
   }
 }
 
@@ -587,6 +586,7 @@
   if (std::exchange(this->ended, true)) {
     return;
   }
+  this->hedge.Cancel();
   ReportEnd(this->context,
             {this->metadata, this->table.get(), this->route, this->team,
              this->service, this->execution_counter, this->event_splitter,
--- a/programs/gateway/request_handler.h
+++ b/programs/gateway/request_handler.h
@@ -16,6 +16,7 @@
 #include "gateway/caller_response.h"
 #include "gateway/crash_guard.h"
 #include "gateway/gateway_context.h"
+#include "gateway/hedged_attempts.h"
 #include "gateway/request_budget.h"
 #include "gateway/upstream_attempt.h"
 #include "gateway/upstream_dispatch.h"
@@ -73,8 +74,6 @@
   /** Returns whether the body of the current response is passed on event by
      event: other bodies are collected. */
   [[nodiscard]] auto PassesEvents() const -> bool;
-  /** Returns whether the response that has ended is no complete stream. */
-  [[nodiscard]] auto IsStreamBrokenOff() const -> bool;
   auto ForwardEvents(std::string_view whole_events) -> void;
   /** Records that the upstream has begun to answer. */
   auto RecordFirstByte() -> void;
@@ -88,12 +87,14 @@
   /** Records that the attempt's connection ended before its answer was
      complete, as evidence that the request crashes upstreams. */
   auto RecordCrashEvidence() -> void;
+  /** Ends the current attempt with `result`, and goes on with the second one if
+     it runs beside it. @return whether it does. */
+  auto EndOrSwitch(UpstreamResult result) -> bool;
 
   // Decisions.
   /** Refuses the request if it is quarantined, as a whole or by a part.
       @return whether it is refused. */
   auto RefuseIfQuarantined() -> bool;
-  auto RefuseQuarantined(const CrashQuarantine::Decision& decision) -> void;
   [[nodiscard]] auto TryTakeRetry() -> bool;
   auto TryRetry(std::string_view why) -> bool;
   [[nodiscard]] auto RemainingTime() const -> Duration;
@@ -102,6 +103,8 @@
   auto OnDeadline() -> void;
   /** Ends the request without an answer of an upstream. */
   auto EndUnanswered(std::string_view why, Duration retry_after) -> void;
+  /** As above, with `status` unless the request was not executed. */
+  auto GiveUp(int status, std::string_view why, Duration retry_after) -> void;
   auto OnCallerDisconnected() -> void;
   auto ForwardResponse(const UpstreamAttempt& finished) -> void;
   auto FinishStream() -> void;
@@ -129,6 +132,7 @@
   std::unique_ptr<UpstreamAttempt> attempt;
   std::vector<std::string> tried_upstreams;  ///< By id.
   ExecutionCounter execution_counter;
+  HedgedAttempts hedge;
   EventSplitter event_splitter;
   std::string pending_events;           ///< Comments before the next event.
   std::string_view response_end = "-";  ///< As RequestReport::end.
--- a/programs/gateway/upstream_attempt.cc
+++ b/programs/gateway/upstream_attempt.cc
@@ -11,17 +11,15 @@
 namespace {
 
 /** Names of UpstreamResult in the decision log, in the order of its values. */
-constexpr std::array<std::string_view, 5> kResultNames = {
-    "answered", "failed", "shed", "unreachable", "replaced"};
-
-/** Maximum body that is buffered before it is forwarded. Responses of plain
-   services are a few kilobytes; a VM with 160 MB bears a dozen of this size. */
-constexpr std::size_t kMaxBufferedBody = std::size_t{4} << 20;
+constexpr std::array<std::string_view, 6> kResultNames = {
+    "answered", "failed", "shed", "unreachable", "replaced", "cancelled"};
 
 /** Length of the parts of a stream whose pace is measured: several events, and
    short against a stream, so that the pace is that of now. */
 constexpr Duration kPacePart = std::chrono::milliseconds(250);
 
+constexpr int kFirstRedirect = 300;
+
 }  // namespace
 
 UpstreamAttempt::UpstreamAttempt(GatewayContext& context,
@@ -87,7 +85,8 @@
   const UpstreamRecord& record = this->chosen.upstream->record();
   const std::string_view name = kResultNames[static_cast<std::size_t>(result)];
   this->context.metrics.CountAttempt(name);
-  if (result != UpstreamResult::kSucceeded) {
+  if (result != UpstreamResult::kSucceeded &&
+      result != UpstreamResult::kCancelled) {
     this->context.log.WriteLine(DecisionLog::Severity::kNotable, "send_failed",
                                 {{"id", id},
                                  {"upstream", record.id},
@@ -104,4 +103,31 @@
       this->metadata.idle_timeout);
 }
 
+auto UpstreamAttempt::LogRejected(std::string_view id,
+                                  std::string_view why) const -> void {
+  this->context.log.WriteLine(
+      DecisionLog::Severity::kNotable, "response_rejected",
+      {{"id", id}, {"upstream", this->upstream().record().id}, {"why", why}},
+      this->context.loop.Now());
+}
+
+auto UpstreamAttempt::HasEvents() const -> bool {
+  return this->response_head.status < kFirstRedirect &&
+         this->metadata.is_event_stream && !this->metadata.not_executed &&
+         !this->metadata.is_encoded;
+}
+
+auto MakeOwnerCheck(std::string id)
+    -> std::function<ResponseOwner(const Http1ResponseHead&)> {
+  return [id = std::move(id)](const Http1ResponseHead& head) {
+    const std::string answered =
+        platform::ReadResponseMetadata(head).attempt_id;
+    if (answered.empty()) {
+      return ResponseOwner::kUnknown;
+    }
+    return answered == id ? ResponseOwner::kThisRequest
+                          : ResponseOwner::kOtherRequest;
+  };
+}
+
 }  // namespace auburnloft::gateway
--- a/programs/gateway/upstream_attempt.h
+++ b/programs/gateway/upstream_attempt.h
@@ -2,6 +2,7 @@
 #define GATEWAY_UPSTREAM_ATTEMPT_H_
 
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -26,6 +27,11 @@
 */
 class UpstreamAttempt {
  public:
+  /** Maximum body that is buffered before it is forwarded. Responses of plain
+     services are a few kilobytes; a VM with 160 MB bears a dozen of this size.
+   */
+  static constexpr std::size_t kMaxBufferedBody = std::size_t{4} << 20;
+
   UpstreamAttempt(GatewayContext& context,
                   UpstreamChoice choice,
                   UpstreamConnectionPool::Connection connection);
@@ -82,6 +88,13 @@
   }
   [[nodiscard]] auto sent_at() const -> Instant { return this->started_at; }
 
+  /** Logs that its response is not valid. @param id  as for Finish(). */
+  auto LogRejected(std::string_view id, std::string_view why) const -> void;
+
+  /** Returns whether the body of the response is a stream of events: other
+     bodies are collected. @pre the route is one of streams. */
+  [[nodiscard]] auto HasEvents() const -> bool;
+
   /** Returns whether RecordFirstByte() was called. */
   [[nodiscard]] auto has_begun() const -> bool { return this->has_first_byte; }
 
@@ -104,6 +117,11 @@
   std::string content;
 };
 
+/** Returns a check whether a response belongs to the request with the attempt
+   id `id`. */
+[[nodiscard]] auto MakeOwnerCheck(std::string id)
+    -> std::function<ResponseOwner(const Http1ResponseHead&)>;
+
 }  // namespace auburnloft::gateway
 
 #endif  // GATEWAY_UPSTREAM_ATTEMPT_H_
--- a/tests/support/gateway_fixture.cc
+++ b/tests/support/gateway_fixture.cc
@@ -34,8 +34,8 @@
 
 }  // namespace
 
-GatewayFixture::GatewayFixture(Duration grace_period)
-    : grace_period(grace_period) {
+GatewayFixture::GatewayFixture(Duration grace_period, double hedge_share)
+    : grace_period(grace_period), hedge_share(hedge_share) {
   if (!this->store.Listen(AddressFor("store"))) {
     throw std::runtime_error("the stand-in store cannot listen on its port");
   }
@@ -74,6 +74,7 @@
   options.metrics_address = AddressOf(number, "metrics");
   options.log_address = AddressFor("store");
   options.grace_period = this->grace_period;
+  options.hedge_share = this->hedge_share;
   options.on_stopped = [this] { ++this->stopped_routers; };
   options.log_descriptor = -1;
   auto started =
--- a/tests/support/gateway_fixture.h
+++ b/tests/support/gateway_fixture.h
@@ -41,8 +41,10 @@
     std::string deadline_ms = "4000";
   };
 
-  /** @param grace_period  of a planned stop. */
-  explicit GatewayFixture(Duration grace_period = std::chrono::seconds(8));
+  /** @param grace_period  of a planned stop.
+      @param hedge_share   second attempts per request. */
+  explicit GatewayFixture(Duration grace_period = std::chrono::seconds(8),
+                          double hedge_share = 0.0);
   ~GatewayFixture();
 
   GatewayFixture(const GatewayFixture&) = delete;
@@ -117,6 +119,7 @@
 
  private:
   Duration grace_period;
+  double hedge_share;
   std::size_t max_body_bytes = 1'000;
 
   auto StartRouter(int number) -> std::unique_ptr<gateway::GatewayDaemon>;
