--- a/modules/al_gateway/hedging/hedge_policy.cc
+++ b/modules/al_gateway/hedging/hedge_policy.cc
@@ -1,6 +1,5 @@
 #include "al_gateway/hedging/hedge_policy.h"
 
-#include <algorithm>
 #include <array>
 
 #include "al_gateway/limits/attempt_timeouts.h"
@@ -11,10 +10,11 @@
 
 namespace {
 
-/** Bounds of the quantile: below the lower one, second attempts help requests
-   that are hardly late; above the higher one, it rests on too few samples. */
-constexpr double kMinQuantile = 0.90;
-constexpr double kMaxQuantile = 0.99;
+/** Attempts above this quantile of their route are late. In virtual time, 0.99
+   left a longer tail at a share of 0.01 (p99.9 of one slow engine in sixty 236
+   ms for 190 ms), 0.80 spent the share on requests that were hardly late (312
+   ms), and 0.90 sent more for the same times. */
+constexpr double kQuantile = 0.95;
 
 /** In the order of HedgeDecision. */
 constexpr std::array<std::string_view, 11> kNames = {
@@ -30,9 +30,7 @@
 }
 
 HedgePolicy::HedgePolicy(double share, FleetRetryBudget& budget)
-    : share(share),
-      budget(budget),
-      delay(std::clamp(1.0 - share, kMinQuantile, kMaxQuantile)) {}
+    : share(share), budget(budget), delay(kQuantile) {}
 
 //==============================================================================
 // Commands
--- a/modules/al_gateway/hedging/hedge_policy.h
+++ b/modules/al_gateway/hedging/hedge_policy.h
@@ -37,9 +37,8 @@
 /** Decides when a request is late, and whether a second attempt is sent to
    another upstream while the first one runs ("hedge").
 
-    Only attempts that are later than the quantile `1 - share` of their route
-   are late, at most a tenth: the share is spent on the latest ones, and not on
-   the first that come.
+    An attempt is late above a high quantile of its route's times, so that the
+   share is spent on requests that wait for a slow upstream.
 
     Thread safety: none; used on one thread.
 */
--- a/modules/al_gateway/hedging/service_pressure.cc
+++ b/modules/al_gateway/hedging/service_pressure.cc
@@ -11,9 +11,9 @@
    requests, and short against a burst of demand. */
 constexpr double kDecaySeconds = 2.0;
 
-/** Fraction of late attempts from which the service counts as short. Up to a
-   tenth is late by the definition of the delay; over a few seconds of a router
-   with few requests, up to twice that. */
+/** Fraction of late attempts from which the service counts as short. A
+   twentieth is late by the definition of the delay; over a few seconds of a
+   router with few requests, several times that. */
 constexpr double kMaxLateFraction = 0.2;
 
 /** Fewer late attempts than this (decayed) are no sign of a queue. */
