--- a/programs/gateway/hedged_attempts.cc
+++ b/programs/gateway/hedged_attempts.cc
@@ -124,6 +124,12 @@
 
 auto HedgedAttempts::Take() -> std::unique_ptr<UpstreamAttempt> {
   this->callbacks = this->host.callbacks();
+  const AttemptParameters parameters = this->host.parameters();
+  if (parameters.metadata.generation) {
+    this->context.chooser.RecordPrompt(*parameters.metadata.generation,
+                                       this->attempt->upstream(),
+                                       this->attempt->sent_at());
+  }
   return std::move(this->attempt);
 }
 
