Add auburnloft-ctl check FILE [--against FILE] [--json]

Cause: entries of a configuration that never match, and limits that contradict each other, were noticed after publication, if at all.

Change: ConfigCheck (modules/al_gateway/config_check) reports routes hidden by others, prefixes that match no path, teams without a key or with another team's, services without a route and routes without a service, timeouts below the objective, attempts that may not be repeated or exceed the retry ratio, body limits above memory; and names the differences from the version in force, without keys. Errors come from platform::ReadConfig. Exit status 0 clean, 1 findings, 2 usage or an unreadable file.

--- a/modules/al_gateway/al_gateway.h
+++ b/modules/al_gateway/al_gateway.h
@@ -12,6 +12,7 @@
     - limits/      timeouts, ExecutionCounter, DrainSchedule: planned stops,
                    and FleetRetryBudget: this router's share of the fleet's
                    retries
+    - config_check/ ConfigCheck: contradictions in a configuration
     - hedging/     HedgePolicy and HedgeDelay: second attempts of late requests
     - prepaid/     AllowanceLedger and AllowanceManager: budgets without
                    keepers (leaders of ledger partitions)
@@ -23,6 +24,7 @@
 #ifndef AL_GATEWAY_AL_GATEWAY_H_
 #define AL_GATEWAY_AL_GATEWAY_H_
 
+#include "al_gateway/config_check/config_check.h"
 #include "al_gateway/hedging/hedge_delay.h"
 #include "al_gateway/hedging/hedge_policy.h"
 #include "al_gateway/limits/drain_schedule.h"
--- a/programs/ctl/commands.cc
+++ b/programs/ctl/commands.cc
@@ -337,7 +337,7 @@
          "state ADDRESS | drain ADDRESS --admin-key KEY; "
          "for gateway fleets, with --log-address: fleet balances | "
          "fleet routers | fleet release-part PART; from decision logs: explain "
-         "ID FILE...";
+         "ID FILE...; without a fleet: check FILE [--against FILE] [--json]";
 }
 
 auto RunCommand(Words words, const SettingsReader& settings) -> CtlExit {
--- a/programs/ctl/fleet_commands.cc
+++ b/programs/ctl/fleet_commands.cc
@@ -4,6 +4,7 @@
 #include <iostream>
 #include <nlohmann/json.hpp>
 
+#include "ctl/config_check_command.h"
 #include "ctl/decision_log_line.h"
 #include "ctl/explanation.h"
 #include "ctl/fleet_reader.h"
@@ -89,6 +90,11 @@
   if (words.size() == 3 && words[0] == "fleet" && words[1] == "release-part") {
     return ReleasePart(words[2], settings);
   }
+  if (words.size() == 2 && words[0] == "check") {
+    return CheckFleetConfig(
+        {words[1], settings.Text("against"), settings.Switch("json")},
+        std::cout, std::cerr);
+  }
   if (words.size() >= 3 && words[0] == "explain") {
     return Explain(words[1], words.subspan(2));
   }
--- a/programs/ctl/fleet_commands.h
+++ b/programs/ctl/fleet_commands.h
@@ -11,8 +11,8 @@
 namespace auburnloft {
 
 /** Runs a command for a gateway fleet: `fleet balances`, `fleet routers`,
-    `fleet release-part PART` or `explain ID FILE...`. Prints its result on
-   standard output and the reason of a failure on standard error.
+    `fleet release-part PART`, `check FILE` or `explain ID FILE...`. Prints its
+   result on standard output and the reason of a failure on standard error.
     @return none if `words` are none of these commands. */
 [[nodiscard]] auto RunFleetCommand(std::span<const std::string> words,
                                    const SettingsReader& settings)
--- a/programs/ctl/main.cc
+++ b/programs/ctl/main.cc
@@ -32,6 +32,11 @@
                           "configuration version that a published file is "
                           "based on; -1: the newest",
                           -1, -1, 1'000'000'000);
+  settings.DeclareText("against",
+                       "configuration file in force, with which check compares "
+                       "another",
+                       "");
+  settings.DeclareSwitch("json", "print the result of check as JSON");
   settings.DeclareArguments("command", auburnloft::CommandHelp());
   if (!settings.Read(argc, argv)) {
     std::cerr << settings.findings().ToText();
--- a/tests/gateway/hedging_session_test.cc
+++ b/tests/gateway/hedging_session_test.cc
@@ -95,7 +95,7 @@
       ->std::shared_ptr<GatewayFixture::Response> {
     this->arrivals.clear();
     this->upstreams.clear();
-    const auto response = this->fixture.StartSending(this->MakeCall(path));
+    auto response = this->fixture.StartSending(this->MakeCall(path));
     this->fixture.RunFor(kUntilHedged);
     return response;
   }
--- a/tests/gateway/hedging_test.cc
+++ b/tests/gateway/hedging_test.cc
@@ -273,7 +273,7 @@
 
   auto Run(double share)->HedgePlay::Result {
     this->settings.share = share;
-    const HedgePlay::Result result = HedgePlay(this->settings).Run();
+    HedgePlay::Result result = HedgePlay(this->settings).Run();
     CHECK_TRUE(static_cast<double>(result.hedges) <=
                share * static_cast<double>(result.requests));
     CHECK_EQUAL(0, result.double_answers);
--- a/tests/support/hedge_play.cc
+++ b/tests/support/hedge_play.cc
@@ -161,7 +161,7 @@
     return nullptr;
   }
   const Instant now = this->events.Now();
-  const auto attempt = std::make_shared<Attempt>();
+  auto attempt = std::make_shared<Attempt>();
   attempt->request = request;
   attempt->engine = std::stoul(choice->upstream->record().id);
   attempt->choice = std::move(*choice);
--- a/tests/support/hedge_play.h
+++ b/tests/support/hedge_play.h
@@ -115,7 +115,7 @@
   auto Arrive() -> void;
   auto Send(const std::shared_ptr<Request>& request)
       -> std::shared_ptr<Attempt>;
-  auto Choose(const Request& request) const
+  [[nodiscard]] auto Choose(const Request& request) const
       -> std::optional<gateway::UpstreamChoice>;
   auto Begin(std::size_t engine) -> void;
   auto Answer(const std::shared_ptr<Attempt>& attempt) -> void;
