--- a/modules/al_gateway/al_gateway.h
+++ b/modules/al_gateway/al_gateway.h
@@ -19,6 +19,8 @@
     - limits/      timeouts, ExecutionCounter, DrainSchedule: planned stops,
                    and FleetRetryBudget: this router's share of the fleet's
                    retries
+    - config_check/ ConfigCheck: contradictions in a configuration
+    - hedging/     HedgePolicy and HedgeDelay: second attempts of late requests
     - prepaid/     AllowanceLedger and AllowanceManager: budgets without
                    keepers (leaders of ledger partitions)
     - membership/  RouterRegistry: the active routers; DiscoveryPlan and
@@ -32,6 +34,9 @@
 #include "al_gateway/admission/connection_share.h"
 #include "al_gateway/admission/place_queue.h"
 #include "al_gateway/admission/pressure_admission.h"
+#include "al_gateway/config_check/config_check.h"
+#include "al_gateway/hedging/hedge_delay.h"
+#include "al_gateway/hedging/hedge_policy.h"
 #include "al_gateway/limits/drain_schedule.h"
 #include "al_gateway/limits/fleet_retry_budget.h"
 #include "al_gateway/membership/discovery_plan.h"
--- a/modules/al_gateway/upstreams/upstream_selector.h
+++ b/modules/al_gateway/upstreams/upstream_selector.h
@@ -20,7 +20,7 @@
   /** Regions of upstreams that may be chosen; both apply. Empty: all. */
   std::span<const std::string> route_regions;
   std::span<const std::string> team_regions;
-  std::uint64_t memory_capacity = 0;      ///< Tokens of the generations that an
+  std::uint64_t memory_capacity = 0;  ///< Tokens of the generations that an
                                       ///< engine runs; 0: no limit is known.
 };
 
--- a/programs/gateway/gateway_context.h
+++ b/programs/gateway/gateway_context.h
@@ -27,6 +27,7 @@
 
 class EvacuationHandler;
 class AdmissionGate;
+class HedgePolicy;
 class RequestHandler;
 
 /** State that all requests of one process share.
@@ -72,6 +73,7 @@
                             ///< of the fleet's routers.
   bool is_log_reachable = false;  ///< Whether the log service replies.
   Instant last_log_reply_at{};    ///< Of the log service.
+  std::shared_ptr<HedgePolicy> hedge_policy;  ///< Null: no request is hedged.
 };
 
 }  // namespace auburnloft::gateway
--- a/programs/gateway/gateway_metrics.cc
+++ b/programs/gateway/gateway_metrics.cc
@@ -33,6 +33,7 @@
     AppendCounters(text, "auburnloft_admissions_total", "decision",
                    this->admissions);
   }
+  AppendCounters(text, "auburnloft_hedges_total", "result", this->hedges);
   text.append("# TYPE auburnloft_log_restores_total counter\n")
       .append("auburnloft_log_restores_total ")
       .append(std::to_string(this->log_restores))
--- a/programs/gateway/gateway_metrics.h
+++ b/programs/gateway/gateway_metrics.h
@@ -58,6 +58,12 @@
     this->engine_reports_dropped += reports;
   }
 
+  /** Counts a decision on a second attempt, as NameOf(HedgeDecision), or its
+     end: `won`, `lost` or `failed`. */
+  auto CountHedge(std::string_view result) -> void {
+    ++this->hedges[std::string(result)];
+  }
+
   /** Counts a restore of the log from an older copy. */
   auto CountLogRestore() -> void { ++this->log_restores; }
 
@@ -76,6 +82,7 @@
   std::map<std::string, std::uint64_t> upstream_notices;
   std::map<std::string, std::uint64_t> evacuations;
   std::map<std::string, std::uint64_t> admissions;
+  std::map<std::string, std::uint64_t> hedges;
   std::uint64_t log_restores = 0;
   std::uint64_t engine_reports_dropped = 0;
   LatencyHistogram first_byte;
--- a/programs/gateway/main.cc
+++ b/programs/gateway/main.cc
@@ -4,8 +4,8 @@
 #include "al_edge/loop/event_loop.h"
 #include "al_edge/settings/settings_reader.h"
 #include "gateway/gateway_daemon.h"
-#include "platform/router_address_codec.h"
 #include "platform/contract_codec.h"
+#include "platform/router_address_codec.h"
 
 namespace {
 
@@ -39,6 +39,10 @@
       "retry-slack", "retries of the fleet in a window beyond the ratio", "50");
   settings.DeclareInteger("retry-window-s",
                           "window of the retry bounds, in seconds", 10, 1, 60);
+  settings.DeclareText("hedge-share",
+                       "second attempts of late requests per request that may "
+                       "have one, 0 to 1; 0: none",
+                       "0");
   settings.DeclareText(
       "link-mbps", "bandwidth of this VM's link in Mbit/s; 0: unknown", "0");
   settings.DeclareText("admission",
@@ -102,6 +106,10 @@
       NumberOf(settings, "retry-slack", findings);
   options.retry_bound.window_seconds =
       static_cast<int>(settings.Integer("retry-window-s"));
+  options.hedge_share = NumberOf(settings, "hedge-share", findings);
+  if (options.hedge_share > 1.0) {
+    findings.Add("--hedge-share", "must be a number from 0 to 1");
+  }
   options.grace_period = Duration(static_cast<std::int64_t>(
       NumberOf(settings, "grace-s", findings) * kMicrosPerSecond));
   options.admission = AdmissionOf(settings, findings);
--- a/programs/gateway/upstream_attempt.h
+++ b/programs/gateway/upstream_attempt.h
@@ -2,6 +2,7 @@
 #define GATEWAY_UPSTREAM_ATTEMPT_H_
 
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -26,6 +27,11 @@
 */
 class UpstreamAttempt {
  public:
+  /** Maximum body that is buffered before it is forwarded. Responses of plain
+     services are a few kilobytes; a VM with 160 MB bears a dozen of this size.
+   */
+  static constexpr std::size_t kMaxBufferedBody = std::size_t{4} << 20;
+
   UpstreamAttempt(GatewayContext& context,
                   UpstreamChoice choice,
                   UpstreamConnectionPool::Connection connection);
@@ -43,6 +49,12 @@
       @return whether this was the first call. */
   auto RecordFirstByte() -> bool;
 
+  /** Records that another attempt, which was sent later, has answered first:
+     this one would have taken about twice the time so far. With that time
+     itself, a slow upstream whose attempts all lose would count as half as
+     slow, and get twice as many. Does nothing after RecordFirstByte(). */
+  auto RecordLoss() -> void;
+
   /** Records that `tokens` more have arrived in a stream, for the pace of the
      upstream. */
   auto RecordTokens(std::uint64_t tokens) -> void;
@@ -82,10 +94,20 @@
   }
   [[nodiscard]] auto sent_at() const -> Instant { return this->started_at; }
 
+  /** Logs that its response is not valid. @param id  as for Finish(). */
+  auto LogRejected(std::string_view id, std::string_view why) const -> void;
+
+  /** Returns whether the body of the response is a stream of events: other
+     bodies are collected. @pre the route is one of streams. */
+  [[nodiscard]] auto HasEvents() const -> bool;
+
   /** Returns whether RecordFirstByte() was called. */
   [[nodiscard]] auto has_begun() const -> bool { return this->has_first_byte; }
 
  private:
+  /** Records the latency of the first byte, unless it has been recorded. */
+  auto RecordLatency(Duration latency) -> bool;
+
   /** Records the pace of the part of the stream that is measured, and begins
      the next part. */
   auto RecordPace(Instant now) -> void;
@@ -104,6 +126,11 @@
   std::string content;
 };
 
+/** Returns a check whether a response belongs to the request with the attempt
+   id `id`. */
+[[nodiscard]] auto MakeOwnerCheck(std::string id)
+    -> std::function<ResponseOwner(const Http1ResponseHead&)>;
+
 }  // namespace auburnloft::gateway
 
 #endif  // GATEWAY_UPSTREAM_ATTEMPT_H_
--- a/tests/support/gateway_fixture.cc
+++ b/tests/support/gateway_fixture.cc
@@ -34,8 +34,12 @@
 
 }  // namespace
 
-GatewayFixture::GatewayFixture(Duration grace_period, bool admission)
-    : grace_period(grace_period), admission(admission) {
+GatewayFixture::GatewayFixture(Duration grace_period,
+                               bool admission,
+                               double hedge_share)
+    : grace_period(grace_period),
+      admission(admission),
+      hedge_share(hedge_share) {
   if (!this->store.Listen(AddressFor("store"))) {
     throw std::runtime_error("the stand-in store cannot listen on its port");
   }
@@ -75,6 +79,7 @@
   options.log_address = AddressFor("store");
   options.grace_period = this->grace_period;
   options.admission = this->admission;
+  options.hedge_share = this->hedge_share;
   options.on_stopped = [this] { ++this->stopped_routers; };
   options.log_descriptor = -1;
   auto started =
--- a/tests/support/gateway_fixture.h
+++ b/tests/support/gateway_fixture.h
@@ -42,9 +42,11 @@
   };
 
   /** @param grace_period  of a planned stop.
-      @param admission     whether the routers have admission control. */
+      @param admission     whether the routers have admission control.
+      @param hedge_share   second attempts per request. */
   explicit GatewayFixture(Duration grace_period = std::chrono::seconds(8),
-                          bool admission = false);
+                          bool admission = false,
+                          double hedge_share = 0.0);
   ~GatewayFixture();
 
   GatewayFixture(const GatewayFixture&) = delete;
@@ -120,6 +122,7 @@
  private:
   Duration grace_period;
   bool admission = false;
+  double hedge_share;
   std::size_t max_body_bytes = 1'000;
 
   auto StartRouter(int number) -> std::unique_ptr<gateway::GatewayDaemon>;
