Count other routers' requests against a second attempt

Each router compared its own open requests with all slots of an upstream that six routers use.

Change: an upstream gets no second attempt if its slots are occupied where each router has as many requests there as this one.

HedgePlays and HedgePolicies have a test each, which fail without the rule.

--- a/modules/al_gateway/hedging/hedge_policy.cc
+++ b/modules/al_gateway/hedging/hedge_policy.cc
@@ -107,9 +107,10 @@
                                   Instant now) -> bool {
   const Candidate& candidate = *query.candidate;
   // The rest of a late attempt is about as long as it has lasted: the times of
-  // late attempts spread over more than a factor of two.
+  // late attempts spread over more than a factor of two. The other routers have
+  // about as many requests open there as this one.
   return pressure.IsShort(now) || candidate.expected >= query.waited ||
-         candidate.open_requests >= candidate.slots;
+         candidate.open_requests * query.routers >= candidate.slots;
 }
 
 auto HedgePolicy::ServiceOf(std::string_view name) -> Service& {
--- a/tests/gateway/hedging_test.cc
+++ b/tests/gateway/hedging_test.cc
@@ -196,6 +196,10 @@
   this->CheckDecision(HedgeDecision::kPressure);
   this->query.candidate = HedgePolicy::Candidate{milliseconds(30), 6, 6};
   this->CheckDecision(HedgeDecision::kPressure);
+  // Two each of three routers.
+  this->query.candidate = HedgePolicy::Candidate{milliseconds(30), 2, 6};
+  this->query.routers = 3;
+  this->CheckDecision(HedgeDecision::kPressure);
 }
 
 // An upstream has refused a request. Guards against second attempts that take
@@ -320,6 +324,21 @@
   CHECK_TRUE(with.unanswered <= without.unanswered + 10);
 }
 
+// Six times the usual load at plain upstreams with few slots. Guards against
+// second attempts for upstreams whose slots other routers occupy.
+TEST(HedgePlays, ABurstAtPlainUpstreamsIsNotHedged) {
+  this->settings.is_stream = false;
+  this->settings.upstreams = 6;
+  this->settings.slots = 6;
+  this->settings.burst_at = seconds(20);
+  this->settings.burst_span = seconds(10);
+  this->settings.burst_factor = 6.0;
+  this->settings.span = seconds(40);
+  const auto with = this->Run(0.10);
+  CHECK_TRUE(with.requests_in_burst > 8'000);
+  CHECK_TRUE(with.hedges_in_burst < with.requests_in_burst / 500);
+}
+
 // One engine never answers. Guards against callers that wait until the attempt
 // is replaced after one and a half times the objective.
 TEST(HedgePlays, AnUpstreamThatDoesNotAnswer) {
