--- a/standins/wire/main.cc
+++ b/standins/wire/main.cc
@@ -53,6 +53,8 @@
                           10'000);
   settings.DeclareInteger("between-us", "microseconds between two events",
                           10'000, 0, 10'000'000);
+  settings.DeclareInteger(
+      "event-padding", "bytes added to the data of each event", 0, 0, 65'536);
 }
 
 }  // namespace
@@ -75,6 +77,8 @@
   upstream_settings.first_event_delay = upstream_settings.event_interval;
   upstream_settings.events =
       static_cast<std::uint64_t>(settings.Integer("events"));
+  upstream_settings.event_padding =
+      static_cast<std::size_t>(settings.Integer("event-padding"));
   standins::WireUpstream upstream(poller, upstream_settings);
   if (!upstream.Listen()) {
     std::cerr << "--address: cannot listen on this address\n";
--- a/standins/wire/wire_upstream.cc
+++ b/standins/wire/wire_upstream.cc
@@ -236,7 +236,8 @@
     return;
   }
   stream.session->Send("id: " + std::to_string(stream.next) + "\ndata: event " +
-                       std::to_string(stream.next) + "\n\n");
+                       std::to_string(stream.next) +
+                       std::string(this->settings.event_padding, '.') + "\n\n");
   if (stream.next++ >= stream.last) {
     const Session session = stream.session;
     this->RemoveStream(&stream);
--- a/standins/wire/wire_upstream.h
+++ b/standins/wire/wire_upstream.h
@@ -39,7 +39,8 @@
     Duration event_interval{0};          ///< Between the events of a stream.
     std::uint64_t events = 4;            ///< Number of events of a stream.
     std::uint64_t tokens_per_event = 0;  ///< 0: streams have `events` events.
-    Duration plain_delay{0};             ///< Before a plain response.
+    std::size_t event_padding = 0;  ///< Bytes added to the data of an event.
+    Duration plain_delay{0};        ///< Before a plain response.
   };
 
   /** The injected fault. */
