--- a/programs/gateway/gateway_metrics.cc
+++ b/programs/gateway/gateway_metrics.cc
@@ -34,6 +34,8 @@
                    this->admissions);
   }
   AppendCounters(text, "auburnloft_hedges_total", "result", this->hedges);
+  AppendCounters(text, "auburnloft_connection_limits_total", "limit",
+                 this->connection_limits);
   text.append("# TYPE auburnloft_log_restores_total counter\n")
       .append("auburnloft_log_restores_total ")
       .append(std::to_string(this->log_restores))
--- a/programs/gateway/gateway_metrics.h
+++ b/programs/gateway/gateway_metrics.h
@@ -64,6 +64,11 @@
     ++this->hedges[std::string(result)];
   }
 
+  /** Counts a connection that met a limit, as named by Http1LimitEvent. */
+  auto CountConnectionLimit(std::string_view limit) -> void {
+    ++this->connection_limits[std::string(limit)];
+  }
+
   /** Counts a restore of the log from an older copy. */
   auto CountLogRestore() -> void { ++this->log_restores; }
 
@@ -83,6 +88,7 @@
   std::map<std::string, std::uint64_t> evacuations;
   std::map<std::string, std::uint64_t> admissions;
   std::map<std::string, std::uint64_t> hedges;
+  std::map<std::string, std::uint64_t> connection_limits;
   std::uint64_t log_restores = 0;
   std::uint64_t engine_reports_dropped = 0;
   LatencyHistogram first_byte;
--- a/programs/gateway/main.cc
+++ b/programs/gateway/main.cc
@@ -51,6 +51,11 @@
                        "the deployment's contracts, separated by commas; some "
                        "turn settings on",
                        "");
+  settings.DeclareText("memory-mb",
+                       "memory of this VM in MiB; 0: 160, as most have", "0");
+  settings.DeclareText("max-descriptors",
+                       "file descriptors of this VM; 0: the process's limit",
+                       "0");
   settings.DeclareText("grace-s", "seconds from SIGTERM to the exit", "8");
   settings.DeclareSwitch("quiet", "do not log requests that succeed");
 }
@@ -115,6 +120,10 @@
   options.admission = AdmissionOf(settings, findings);
   options.seed = StableHash(mark);
   options.quiet = settings.Switch("quiet");
+  options.memory_mb =
+      static_cast<std::size_t>(NumberOf(settings, "memory-mb", findings));
+  options.max_descriptors =
+      static_cast<std::size_t>(NumberOf(settings, "max-descriptors", findings));
   return options;
 }
 
--- a/standins/wire/wire_upstream.h
+++ b/standins/wire/wire_upstream.h
@@ -39,7 +39,8 @@
     Duration event_interval{0};          ///< Between the events of a stream.
     std::uint64_t events = 4;            ///< Number of events of a stream.
     std::uint64_t tokens_per_event = 0;  ///< 0: streams have `events` events.
-    Duration plain_delay{0};             ///< Before a plain response.
+    std::size_t event_padding = 0;  ///< Bytes added to the data of an event.
+    Duration plain_delay{0};        ///< Before a plain response.
   };
 
   /** The injected fault. */
@@ -82,6 +83,11 @@
     this->settings.tokens_per_event = tokens_per_event;
   }
 
+  /** Sets the bytes that are added to the data of each event. */
+  auto SetEventPadding(std::size_t bytes) -> void {
+    this->settings.event_padding = bytes;
+  }
+
   /** Sets how long plain requests take from now on. */
   auto SetPlainDelay(Duration delay) -> void {
     this->settings.plain_delay = delay;
