Hold a router's steady demand for up to 8 s, out of the reserve

Cause: a router with steady demand of a team held one second of it. In a cut from the log and the other routers, its requests were refused after that, while the reserve was out of reach at six holders.

Change: PlanHoldings() divides what the routers hold of a budget. A router with two requests a second of a team holds up to 8 s of its demand, and the reserve shrinks by the same amount, to a quarter at least. AllowanceFleet models uneven demand, cuts between routers, asks ahead and late replies; the eighth peer's tokens are no longer lost in the model.

The new tests failed with the plan's most seconds set to 1 (HoldsTheDemandOfTwoBusyRouters, PlansTheSameSum, ReportsItsSteadyDemand) and with a reserve that does not shrink (HoldsNoMoreThanTheReserve, PlansTheSameSum).

--- a/bench/allowance_main.cc
+++ b/bench/allowance_main.cc
@@ -208,6 +208,93 @@
       static_cast<unsigned long long>(spent.unknown));
 }
 
+/** How a team's requests are spread over the routers. */
+struct Spread {
+  std::string_view name;
+  int busy_routers = 0;
+  double busy_share = 0.0;
+};
+
+constexpr std::array<Spread, 3> kSpreads = {{
+    {"even", 0, 0.0},
+    {"one router has 40%", 1, 0.4},
+    {"two routers share all", 2, 1.0},
+}};
+
+/** A budget for the whole run, and one of which most is spent at the cut. */
+constexpr std::array<std::uint64_t, 2> kSpreadBudgets = {3'000'000, 600'000};
+
+/** Steady demand, then a cut of 8 s, then a loss of all routers.
+    @param cuts_peers  whether the routers are cut off from each other, too.
+    @param loses_late_replies  as without AllowanceFleet::keeps_late_replies. */
+auto RunSpread(const Spread& spread,
+               int routers,
+               std::uint64_t budget,
+               bool cuts_peers,
+               bool loses_late_replies) -> void {
+  constexpr Duration kCut = std::chrono::seconds(8);
+  constexpr int kSeeds = 10;
+  std::uint64_t requests = 0;
+  std::uint64_t refused = 0;
+  std::uint64_t refused_early = 0;
+  std::uint64_t held = 0;
+  std::uint64_t lost = 0;
+  double asks = 0.0;
+  bool overspent = false;
+  for (int seed = 1; seed <= kSeeds; ++seed) {
+    AllowanceFleet::Settings settings;
+    settings.routers = routers;
+    settings.budget = budget;
+    settings.keeps_late_replies = !loses_late_replies;
+    settings.busy_routers = spread.busy_routers;
+    settings.busy_share = spread.busy_share;
+    settings.seed = static_cast<std::uint64_t>(seed);
+    AllowanceFleet fleet(settings);
+    fleet.Run(kTimeBeforeCut);
+    const AllowanceFleet::Report before = fleet.report();
+    held += fleet.HeldTokens();
+    asks +=
+        static_cast<double>(before.asks) / static_cast<double>(before.requests);
+    fleet.SetLogCut(-1, true);
+    fleet.SetPeersCut(cuts_peers);
+    fleet.Run(kCut);
+    const AllowanceFleet::Report after = fleet.report();
+    fleet.SetLogCut(-1, false);
+    fleet.SetPeersCut(false);
+    fleet.Run(kTimeAfterCut);
+    fleet.Kill(-1);
+    requests += after.requests - before.requests;
+    refused += after.refused_despite_budget - before.refused_despite_budget;
+    refused_early += before.refused_despite_budget;
+    lost += fleet.report().stranded;
+    overspent = overspent || fleet.report().overspent;
+  }
+  std::printf(
+      "| %d | %s | %llu | %s | %.1f%% | %.1f | %.1f%% | %.1f%% | %.2f | %s |\n",
+      routers, std::string(spread.name).c_str(),
+      static_cast<unsigned long long>(budget),
+      cuts_peers ? "log and peers" : "log", Percent(refused, requests),
+      static_cast<double>(refused_early) / kSeeds,
+      Percent(held / kSeeds, budget), Percent(lost / kSeeds, budget),
+      asks / kSeeds, overspent ? "OVERSPENT" : "held");
+}
+
+auto PrintSpreadTable(bool loses_late_replies) -> void {
+  std::printf(
+      "| routers | demand | budget | cut off from | false refusals in the cut "
+      "| "
+      "false refusals before | held before | lost with all routers | asks per "
+      "request | budget |\n|---|---|---|---|---|---|---|---|---|---|\n");
+  for (const std::uint64_t budget : kSpreadBudgets) {
+    for (const int routers : {8, 78, 195}) {
+      for (const Spread& spread : kSpreads) {
+        RunSpread(spread, routers, budget, false, loses_late_replies);
+        RunSpread(spread, routers, budget, true, loses_late_replies);
+      }
+    }
+  }
+}
+
 auto PrintRestoreTable() -> void {
   constexpr int kKilledOneIn = 4;
   std::printf(
@@ -332,6 +419,23 @@
   TCLAP::SwitchArg compares_restores(
       "", "compare-restores",
       "compare ways to keep a budget when the log is restored", command);
+  TCLAP::SwitchArg compares_spreads(
+      "", "spreads",
+      "even and uneven demand, a cut of 8 s, then a loss of all routers",
+      command);
+  TCLAP::ValueArg<int> routers("", "routers", "the seeds' routers", false,
+                               AllowanceFleet::Settings().routers, "count",
+                               command);
+  TCLAP::ValueArg<double> late_replies(
+      "", "late-replies",
+      "part of the seeds' transfers of which the reply arrives after the "
+      "time-out",
+      false, 0.0, "share", command);
+  TCLAP::SwitchArg loses_late_replies(
+      "", "lose-late-replies",
+      "tokens of replies after the time-out, or handed over into a cut, are "
+      "lost",
+      command);
   std::vector<std::string> names;
   names.reserve(kInjectedFaults.size());
   for (const InjectedFault& fault : kInjectedFaults) {
@@ -346,6 +450,9 @@
     AllowanceFleet::Settings settings;
     settings.restores_log = restores.getValue();
     settings.budget = budget.getValue();
+    settings.routers = routers.getValue();
+    settings.late_reply_probability = late_replies.getValue();
+    settings.keeps_late_replies = !loses_late_replies.getValue();
     std::find_if(kInjectedFaults.begin(), kInjectedFaults.end(),
                  [&](const InjectedFault& item) {
                    return item.name == fault.getValue();
@@ -353,6 +460,10 @@
         ->inject(settings);
     return RunSeeds(seeds.getValue(), settings) ? 0 : 1;
   }
+  if (compares_spreads.getValue()) {
+    PrintSpreadTable(loses_late_replies.getValue());
+    return 0;
+  }
   if (compares_restores.getValue()) {
     PrintRestoreTable();
     return 0;
--- a/modules/al_gateway/al_gateway.h
+++ b/modules/al_gateway/al_gateway.h
@@ -13,7 +13,8 @@
                    and FleetRetryBudget: this router's share of the fleet's
                    retries
     - prepaid/     AllowanceLedger and AllowanceManager: budgets without
-                   keepers (leaders of ledger partitions)
+                   keepers (leaders of ledger partitions); PlanHoldings(): what
+                   routers with steady demand and reserve holders hold
     - membership/  RouterRegistry: the active routers; DiscoveryPlan and
                    DiscoverySource: which routers read upstream records
     - quarantine/  CrashQuarantine: requests that crash upstreams
@@ -32,6 +33,7 @@
 #include "al_gateway/model/upstream_record.h"
 #include "al_gateway/prepaid/allowance_ledger.h"
 #include "al_gateway/prepaid/allowance_manager.h"
+#include "al_gateway/prepaid/holding_plan.h"
 #include "al_gateway/quarantine/crash_quarantine.h"
 #include "al_gateway/quarantine/crash_suspects.h"
 #include "al_gateway/routing/route_table.h"
--- a/modules/al_gateway/prepaid/allowance_ledger.h
+++ b/modules/al_gateway/prepaid/allowance_ledger.h
@@ -33,8 +33,10 @@
         this->taken_tokens - this->settled_tokens - this->reserved_tokens;
     return rest > 0 ? static_cast<std::uint64_t>(rest) : 0;
   }
-  double demand_per_second = 0.0;  ///< Decayed rate of requested tokens.
-  std::uint64_t revision = 0;      ///< Increases with each entry of a holder.
+  double demand_per_second = 0.0;         ///< Decayed rate of requested tokens.
+  double steady_demand_per_second = 0.0;  ///< The part of it for which the
+                                          ///< holder holds tokens itself.
+  std::uint64_t revision = 0;  ///< Increases with each entry of a holder.
 };
 
 /** Holds the newest entry of each holder (router incarnation) of each team,
@@ -75,6 +77,7 @@
                                           ///< unsettled part is unknown.
     std::int64_t settled_by_expired = 0;  ///< The part that was reported spent.
     double demand_of_active = 0.0;        ///< Tokens per second.
+    double steady_demand_of_active = 0.0;  ///< Tokens per second.
   };
 
   //============================================================================
--- a/modules/al_gateway/prepaid/allowance_manager.cc
+++ b/modules/al_gateway/prepaid/allowance_manager.cc
@@ -13,28 +13,22 @@
    steady demand. */
 constexpr double kMaxWorkingShare = 0.6;
 
-/** Maximum share of a team's remaining budget that the routers hold as its
-   reserve, which is lost if all of them lose power. A team that would spend the
-   rest of its budget within a few outages gains nothing from a larger reserve:
-   what an outage delays is spent after it. */
-constexpr double kMaxReserveShare = 0.3;
-
 /** The part of the reserved tokens that requests use, at least. Prompts are
    used as a whole; of the output, callers allow about twice what is generated.
  */
 constexpr double kMinUsedShare = 0.9;
 
-/** Seconds of its own steady demand that a router plans to hold, and keeps when
-   it transfers tokens to others. */
+/** Seconds of its own steady demand that a router keeps when it transfers
+   tokens to others, whose requests wait. */
 constexpr double kWorkingSeconds = 1.0;
 
 /** Seconds of steady demand below which the available tokens are a shortage. */
 constexpr double kShortageSeconds = 1.5;
 
-/** Seconds of steady demand that a router without a share of the reserve keeps
-   when it hands its surplus to a reserve holder. Above kShortageSeconds, so
-   that it does not request the same tokens again. */
-constexpr double kSurplusSeconds = 2.5;
+/** Minimum seconds of steady demand that a router without a share of the
+   reserve keeps when it hands its surplus to a reserve holder. Above
+   kShortageSeconds, so that it does not request the same tokens again. */
+constexpr double kMinSurplusSeconds = 2.5;
 
 /** Minimum increase relative to the target; smaller ones wait, to append fewer
    entries to the log. Requests that wait override it. */
@@ -129,23 +123,24 @@
   for (auto& [team, account] : this->accounts) {
     const AllowanceLedger::Totals totals =
         ledger.TotalsOf(team, fleet.is_active);
+    const bool holds_reserve = fleet.holds_reserve(team);
     const std::uint64_t target =
-        this->TargetTokens(team, account, totals, fleet, now);
-    const std::int64_t taken = std::min(
-        UpdateTakenTokens(account, totals, target, fleet.reserve_holders,
-                          fleet.holds_reserve(team), scope),
-        fleet.may_increase ? std::numeric_limits<std::int64_t>::max()
-                           : account.granted);
+        this->TargetTokens(account, totals, fleet, holds_reserve, now);
+    const std::int64_t taken =
+        std::min(UpdateTakenTokens(account, totals, target,
+                                   fleet.reserve_holders, holds_reserve, scope),
+                 fleet.may_increase ? std::numeric_limits<std::int64_t>::max()
+                                    : account.granted);
     const bool withdraws = account.written > account.granted;
     const bool is_short = RemainingOf(account.prepaid, totals.taken) <
                           static_cast<std::int64_t>(target);
     const bool may_report = scope == EntryScope::kReports ||
                             (scope == EntryScope::kReturns && is_short);
+    const double demand = ReportedDemandOf(account, holds_reserve, now);
     if (taken != account.written || withdraws ||
-        (may_report && IsReportOutdated(account, now))) {
-      const double demand =
-          fleet.holds_reserve(team) ? DemandOf(account, now) : 0.0;
-      entries.push_back(this->MakeEntry(team, account, taken, demand));
+        (may_report && IsReportOutdated(account, demand))) {
+      entries.push_back(this->MakeEntry(team, account, taken, demand,
+                                        SteadyDemandOf(account, now)));
     }
   }
   this->pending_entries = static_cast<int>(entries.size());
@@ -157,7 +152,8 @@
   for (auto& [team, account] : this->accounts) {
     if (account.written != 0 || account.granted != 0) {
       entries.push_back(this->MakeEntry(team, account, account.granted,
-                                        account.demand_written));
+                                        account.demand_written,
+                                        account.steady_demand_written));
     }
   }
   this->pending_entries = static_cast<int>(entries.size());
@@ -169,7 +165,8 @@
   for (auto& [team, account] : this->accounts) {
     account.LowerTo(account.net_committed());
     if (account.written != account.granted) {
-      entries.push_back(this->MakeEntry(team, account, account.granted, 0.0));
+      entries.push_back(
+          this->MakeEntry(team, account, account.granted, 0.0, 0.0));
     }
   }
   this->pending_entries = static_cast<int>(entries.size());
@@ -248,8 +245,10 @@
     Instant now) -> std::vector<TeamTokens> {
   std::vector<TeamTokens> taken;
   for (auto& [team, account] : this->accounts) {
-    const auto kept = static_cast<std::uint64_t>(kSurplusSeconds *
-                                                 SteadyDemandOf(account, now));
+    const double kept_seconds =
+        std::max(kMinSurplusSeconds, kSurplusRatio * account.own_seconds);
+    const auto kept =
+        static_cast<std::uint64_t>(kept_seconds * SteadyDemandOf(account, now));
     const std::uint64_t surplus =
         SaturatingSubtract(account.available(), kept + account.waiting);
     if (surplus > 0 && !holds_reserve(team)) {
@@ -340,6 +339,11 @@
   return found == this->accounts.end() ? 0 : found->second.spendable;
 }
 
+auto AllowanceManager::ReportsDemand(std::string_view team) const -> bool {
+  const auto found = this->accounts.find(team);
+  return found != this->accounts.end() && found->second.demand_written > 0.0;
+}
+
 auto AllowanceManager::Shortage(std::string_view team, Instant now) const
     -> std::uint64_t {
   const auto found = this->accounts.find(team);
@@ -359,7 +363,15 @@
          account.requested_demand.PerSecond(now);
 }
 
-auto AllowanceManager::IsReportOutdated(const Account& account, Instant now)
+auto AllowanceManager::ReportedDemandOf(const Account& account,
+                                        bool holds_reserve,
+                                        Instant now) -> double {
+  // A router without a share of the reserve reports only the demand for which
+  // it holds tokens: the holders measure the rest as requested transfers.
+  return holds_reserve ? DemandOf(account, now) : SteadyDemandOf(account, now);
+}
+
+auto AllowanceManager::IsReportOutdated(const Account& account, double demand)
     -> bool {
   if (account.written == 0 && account.granted == 0) {
     return false;  // This router spends only what the entries of others cover.
@@ -369,7 +381,7 @@
   }
   // Report the end of a demand once: otherwise the reserve would continue to
   // cover it.
-  return DemandOf(account, now) < account.demand_written * kDemandDropRatio &&
+  return demand < account.demand_written * kDemandDropRatio &&
          account.demand_written >
              account.mean_request_tokens * kDemandDropRatio;
 }
@@ -382,28 +394,28 @@
              : 0.0;
 }
 
-auto AllowanceManager::TargetTokens(std::string_view team,
-                                    const Account& account,
+auto AllowanceManager::TargetTokens(Account& account,
                                     const AllowanceLedger::Totals& totals,
                                     const FleetStatus& fleet,
+                                    bool holds_reserve,
                                     Instant now) const -> std::uint64_t {
-  const double demand = DemandOf(account, now);
-  const auto remaining = static_cast<double>(RemainingOf(
+  const double steady = SteadyDemandOf(account, now);
+  TeamDemand demand;
+  demand.remaining_tokens = static_cast<double>(RemainingOf(
       account.prepaid, totals.taken_by_expired + totals.settled_by_active));
-  const double working =
-      std::min(SteadyDemandOf(account, now) * kWorkingSeconds,
-               remaining * kMaxWorkingShare);
-  if (!fleet.holds_reserve(team)) {
-    return static_cast<std::uint64_t>(working);
-  }
-  const double all = std::max(totals.demand_of_active, demand);
-  const double outage_demand =
-      std::min(all * ToSeconds(this->settings.outage_coverage),
-               remaining * kMaxReserveShare);
+  demand.all = std::max(totals.demand_of_active, DemandOf(account, now));
+  // Its own part as it is now: the ledger has that of its last entry.
+  demand.steady = std::max(0.0, totals.steady_demand_of_active -
+                                    account.steady_demand_written) +
+                  steady;
+  const HoldingPlan plan = PlanHoldings(this->settings, demand);
+  account.own_seconds = plan.own_seconds;
+  const double working = std::min(steady * plan.own_seconds,
+                                  demand.remaining_tokens * kMaxWorkingShare);
   const double reserve =
-      std::max(outage_demand, remaining * this->settings.min_reserve_share);
-  return static_cast<std::uint64_t>(
-      working + reserve / std::max(1, fleet.reserve_holders));
+      holds_reserve ? plan.reserve_tokens / std::max(1, fleet.reserve_holders)
+                    : 0.0;
+  return static_cast<std::uint64_t>(working + reserve);
 }
 
 auto AllowanceManager::UpdateTakenTokens(Account& account,
@@ -450,19 +462,22 @@
 auto AllowanceManager::MakeEntry(const std::string& team,
                                  Account& account,
                                  std::int64_t taken,
-                                 double demand) -> AllowanceEntry {
+                                 double demand,
+                                 double steady_demand) -> AllowanceEntry {
   AllowanceEntry entry;
   entry.team = team;
   entry.holder = this->holder;
   entry.taken_tokens = taken;
   entry.settled_tokens = account.net_settled();
   entry.demand_per_second = demand;
+  entry.steady_demand_per_second = steady_demand;
   entry.reserved_tokens =
       static_cast<std::int64_t>(account.reserved + account.waiting);
   entry.revision = ++this->last_revision;
   account.written = taken;
   account.settled_written = entry.settled_tokens;
   account.demand_written = entry.demand_per_second;
+  account.steady_demand_written = entry.steady_demand_per_second;
   account.pending_revision = entry.revision;
   return entry;
 }
--- a/modules/al_gateway/prepaid/allowance_manager.h
+++ b/modules/al_gateway/prepaid/allowance_manager.h
@@ -12,20 +12,10 @@
 #include "al_core/time/instant.h"
 #include "al_gateway/limits/rate_meter.h"
 #include "al_gateway/prepaid/allowance_ledger.h"
+#include "al_gateway/prepaid/holding_plan.h"
 
 namespace auburnloft::gateway {
 
-/** How large a router's allowances are planned. */
-struct AllowanceSizing {
-  /** Length of an outage of the log service for which the allowances cover
-     the demand. */
-  Duration outage_coverage = std::chrono::seconds(5);
-
-  /** Minimum reserve as a share of a team's remaining budget, 0 to 1. It covers
-     demand that is not reported yet or that moves to other routers. */
-  double min_reserve_share = 0.2;
-};
-
 /** Which changes of the ledger PlanEntries() may plan. */
 enum class EntryScope {
   kIncreases,  ///< Tokens that are needed now.
@@ -63,12 +53,12 @@
 /** Manages one router's allowances: the part of each team's budget that this
    router may spend without another ledger entry.
 
-    Each router holds an allowance for one second of its own demand. In
-   addition, a few routers hold the reserve that carries a team through an
-   outage of the log service; the others request transfers from them, and hand
-   what a request did not use back to them: with many routers, small remainders
-   on each would add up to most of a small team's budget. If a large fleet
-   shared the reserve evenly, no share would cover a request.
+    Each router with steady demand holds an allowance for some seconds of it
+   (PlanHoldings()). In addition, a few routers hold the reserve that carries a
+   team through an outage of the log service; the others request transfers from
+   them, and hand what a request did not use back to them: with many routers,
+   small remainders on each would add up to most of a small team's budget. If a
+   large fleet shared the reserve evenly, no share would cover a request.
 
     A request reserves its maximum with TryReserve() before it is sent, and
    Settle() records its use when it ends. PlanEntries() returns the
@@ -208,6 +198,10 @@
   [[nodiscard]] auto Shortage(std::string_view team, Instant now) const
       -> std::uint64_t;
 
+  /** Returns whether the newest entry reports this router's demand, so that
+     those who transfer tokens to it must not count it as theirs. */
+  [[nodiscard]] auto ReportsDemand(std::string_view team) const -> bool;
+
   /** Returns whether planned entries were not read back from the log yet. */
   [[nodiscard]] auto has_unrecorded_entries() const -> bool {
     return this->pending_entries > 0;
@@ -235,6 +229,8 @@
     RateMeter requested_demand;        ///< Of transfers that others requested.
     std::int64_t settled_written = 0;  ///< Settled tokens of the newest entry.
     double demand_written = 0.0;       ///< Demand in the newest entry.
+    double steady_demand_written = 0.0;  ///< Steady demand in that entry.
+    double own_seconds = 0.0;  ///< HoldingPlan::own_seconds of the last plan.
     double mean_request_tokens =
         0.0;  ///< Running mean of the requests' maximum.
     std::uint64_t pending_revision = 0;  ///< 0: no unrecorded entry.
@@ -268,19 +264,25 @@
      router and of transfers that others requested. */
   [[nodiscard]] static auto DemandOf(const Account& account, Instant now)
       -> double;
+  /** Returns the demand that this router reports in its entries: a holder of
+     the reserve that of the transfers, too. */
+  [[nodiscard]] static auto ReportedDemandOf(const Account& account,
+                                             bool holds_reserve,
+                                             Instant now) -> double;
   /** Returns whether the use or demand in the newest entry is outdated. */
   [[nodiscard]] static auto IsReportOutdated(const Account& account,
-                                             Instant now) -> bool;
+                                             double demand) -> bool;
 
   /** Returns the demand of requests to this router if they arrive often enough
      to hold tokens for them, else 0. */
   [[nodiscard]] static auto SteadyDemandOf(const Account& account, Instant now)
       -> double;
-  /** Returns the uncommitted tokens that this router should hold for a team. */
-  [[nodiscard]] auto TargetTokens(std::string_view team,
-                                  const Account& account,
+  /** Returns the uncommitted tokens that this router should hold for a team,
+     and keeps the plan's seconds in the account. */
+  [[nodiscard]] auto TargetTokens(Account& account,
                                   const AllowanceLedger::Totals& totals,
                                   const FleetStatus& fleet,
+                                  bool holds_reserve,
                                   Instant now) const -> std::uint64_t;
   /** Returns the taken tokens for the next entry. Lowers the account if tokens
      are to be returned. */
@@ -294,7 +296,8 @@
   auto MakeEntry(const std::string& team,
                  Account& account,
                  std::int64_t taken,
-                 double demand) -> AllowanceEntry;
+                 double demand,
+                 double steady_demand) -> AllowanceEntry;
 
   std::string holder;
   AllowanceSizing settings;
--- /dev/null
+++ b/modules/al_gateway/prepaid/holding_plan.cc
@@ -0,0 +1,50 @@
+#include "al_gateway/prepaid/holding_plan.h"
+
+#include <algorithm>
+
+namespace auburnloft::gateway {
+
+namespace {
+
+/** Maximum share of a team's remaining budget that the routers hold as its
+   reserve, which is lost if all of them lose power. A team that would spend the
+   rest of its budget within a few outages gains nothing from a larger reserve:
+   what an outage delays is spent after it. */
+constexpr double kMaxReserveShare = 0.3;
+
+/** Seconds of its own steady demand that a router holds in any case: the time
+   in which an increase becomes spendable. */
+constexpr double kMinOwnSeconds = 1.0;
+
+/** Seconds of its own steady demand that a router holds at most: the longest
+   cut that the measured days have. */
+constexpr double kMaxOwnSeconds = 8.0;
+
+/** Share of the reserve that stays with its holders, for demand that is not
+   steady anywhere or that moves. */
+constexpr double kMinPooledShare = 0.25;
+
+/** What a router holds for its steady demand in the mean, relative to its plan:
+   it returns nothing below 1.25 times the plan. */
+constexpr double kMeanHoldRatio = 1.05;
+
+}  // namespace
+
+auto PlanHoldings(const AllowanceSizing& sizing, const TeamDemand& demand)
+    -> HoldingPlan {
+  const double outage_demand =
+      std::min(demand.all * ToSeconds(sizing.outage_coverage),
+               demand.remaining_tokens * kMaxReserveShare);
+  const double reserve = std::max(
+      outage_demand, demand.remaining_tokens * sizing.min_reserve_share);
+  if (demand.steady <= 0.0) {
+    return {kMinOwnSeconds, reserve};
+  }
+  const double extra_seconds = std::min(
+      kMaxOwnSeconds - kMinOwnSeconds,
+      (1.0 - kMinPooledShare) * reserve / (kMeanHoldRatio * demand.steady));
+  return {kMinOwnSeconds + extra_seconds,
+          reserve - kMeanHoldRatio * extra_seconds * demand.steady};
+}
+
+}  // namespace auburnloft::gateway
--- a/programs/gateway/allowance_exchange.cc
+++ b/programs/gateway/allowance_exchange.cc
@@ -311,7 +311,9 @@
   allowance_request.set_team(round.team);
   allowance_request.set_tokens(tokens);
   allowance_request.set_asker(this->own_incarnation);
-  allowance_request.set_repeated(std::exchange(round.has_asked, true));
+  allowance_request.set_repeated(
+      std::exchange(round.has_asked, true) ||
+      this->allowance_manager.ReportsDemand(round.team));
   ++round.pending_replies;
   connection->Call(
       MakePeerRequest(kPath, allowance_request.SerializeAsString()),
--- a/tests/gateway/allowance_test.cc
+++ b/tests/gateway/allowance_test.cc
@@ -272,6 +272,84 @@
   CHECK_TRUE(keeping.report().spent < fleet.report().spent);
 }
 
+// Load: one team sends all of its requests to two of 78 routers, which hold no
+// share of its reserve. Guards against refusals in a cut of all routers from
+// the log and from each other, while the reserve is out of their reach.
+TEST(Allowance, HoldsTheDemandOfTwoBusyRoutersThroughATotalCut) {
+  this->settings.routers = 78;
+  this->settings.budget = 3'000'000;
+  this->settings.busy_routers = 2;
+  this->settings.busy_share = 1.0;
+  AllowanceFleet fleet(this->settings);
+  fleet.Run(seconds(12));
+  const auto before = fleet.report();
+  fleet.SetLogCut(-1, true);
+  fleet.SetPeersCut(true);
+  fleet.Run(seconds(8));
+  const auto after = fleet.report();
+  CHECK_TRUE((after.refused - before.refused) * 20 <
+             after.requests - before.requests);
+  CHECK_FALSE(after.overspent);
+}
+
+// Load: one of eight routers has 40% of a team's requests. Guards against a
+// router that holds tokens for its own demand on top of an unchanged reserve:
+// what all hold is lost to the team if all are killed.
+TEST(Allowance, HoldsNoMoreThanTheReserveAndASecondOfSteadyDemand) {
+  this->settings.routers = 8;
+  this->settings.budget = 3'000'000;
+  this->settings.busy_routers = 1;
+  this->settings.busy_share = 0.4;
+  AllowanceFleet fleet(this->settings);
+  fleet.Run(seconds(12));
+  const auto rest = this->settings.budget - fleet.report().spent;
+  // A fifth of the rest, and a second of 20 requests of 2,000 tokens; a tenth
+  // more as demand varies.
+  CHECK_TRUE(fleet.HeldTokens() * 10 < (rest / 5 + 40'000) * 11);
+}
+
+// Load: a demand that is steady at its routers. Guards against a plan in which
+// the sum of what is held depends on where it is held, and against a reserve
+// that vanishes when steady demand exceeds it.
+TEST(Allowance, PlansTheSameSumWhereverTheDemandIs) {
+  const AllowanceSizing sizing;
+  const HoldingPlan pooled = PlanHoldings(sizing, {1'000'000.0, 40'000.0, 0.0});
+  DOUBLES_EQUAL(200'000.0, pooled.reserve_tokens, 1.0);
+  const HoldingPlan held =
+      PlanHoldings(sizing, {1'000'000.0, 40'000.0, 10'000.0});
+  CHECK_TRUE(held.own_seconds > 5.0);
+  CHECK_TRUE(held.reserve_tokens + (held.own_seconds - 1.0) * 10'000.0 <=
+             200'000.0);
+  const HoldingPlan scarce =
+      PlanHoldings(sizing, {1'000'000.0, 400'000.0, 400'000.0});
+  CHECK_TRUE(scarce.own_seconds >= 1.0);
+  CHECK_TRUE(scarce.reserve_tokens >= 70'000.0);
+}
+
+// Load: a router with steady demand, which its entries report, also requests
+// transfers. Guards against a reserve that covers the same demand twice.
+TEST(Allowance, ReportsItsSteadyDemandWithoutAShareOfTheReserve) {
+  AllowanceManager manager("a", AllowanceSizing());
+  AllowanceLedger ledger;
+  manager.SetBudget("team", 1'000'000);
+  manager.ReceiveTransfer("team", 40'000);
+  const Instant now = FromUnixMillis(10'000);
+  for (int i = 0; i < 40; ++i) {
+    CHECK_TRUE(manager.TryReserve("team", 500, true,
+                                  now - milliseconds(100 * (40 - i))));
+  }
+  CHECK_FALSE(manager.ReportsDemand("team"));
+  FleetStatus fleet = SingleRouterView();
+  fleet.holds_reserve = [](std::string_view /*team*/) { return false; };
+  const auto entries =
+      manager.PlanEntries(ledger, fleet, EntryScope::kReports, now);
+  CHECK_EQUAL(1, entries.size());
+  CHECK_TRUE(entries.front().demand_per_second > 4'000.0);
+  DOUBLES_EQUAL(entries.front().demand_per_second,
+                entries.front().steady_demand_per_second, 1.0);
+  CHECK_TRUE(manager.ReportsDemand("team"));
+}
+
 // Load pattern: planned restarts of all routers, one after the other, overlap
 // with a cut of all routers from the log. Those that stop can't return their
 // tokens to the log, and must hand them to others.
@@ -479,16 +557,16 @@
   };
   CHECK_FALSE(play(3, forget_others).overspent);
   CHECK_TRUE(play(3, keep_offsets).overspent);
-  CHECK_TRUE(play(9, keep_offsets).overspent);
+  CHECK_TRUE(play(7, keep_offsets).overspent);
   CHECK_TRUE(play(9'946, forget_others).overspent);
   CHECK_TRUE(play(9'970, forget_others).overspent);
   CHECK_TRUE(play(9'991, write_nothing).overspent);
-  CHECK_TRUE(play(9'921, believe_late).overspent);
-  CHECK_TRUE(play(9'933, believe_late).overspent);
+  CHECK_TRUE(play(9'847, believe_late).overspent);
+  CHECK_TRUE(play(9'902, believe_late).overspent);
   CHECK_TRUE(play(8'179, hold_nothing).overspent);
-  CHECK_TRUE(play(299, hold_no_newcomers).overspent);
+  CHECK_TRUE(play(15'448, hold_no_newcomers).overspent);
   for (const std::uint64_t seed :
-       {3, 9, 299, 8'179, 9'921, 9'933, 9'946, 9'970, 9'991}) {
+       {3, 7, 8'179, 9'847, 9'902, 9'946, 9'970, 9'991, 15'448}) {
     CHECK_FALSE(play(seed, put_in_none).overspent);
   }
 }
--- a/tests/support/allowance_fleet.cc
+++ b/tests/support/allowance_fleet.cc
@@ -18,6 +18,10 @@
 constexpr Duration kMaxAppendDelay = std::chrono::milliseconds(3'000);
 constexpr Duration kRequestDuration = std::chrono::milliseconds(1'500);
 constexpr double kUsedFraction = 0.55;
+
+/** How late a reply arrives over a busy link, as measured on a link of 10
+   Mbit/s under four times its usual load. */
+constexpr Duration kLateReply = std::chrono::milliseconds(500);
 constexpr std::uint64_t kBytesPerEntry = 60;
 
 /** Routers of a fleet in which each one confirms the increases of the others.
@@ -128,6 +132,10 @@
   }
 }
 
+auto AllowanceFleet::SetPeersCut(bool cut) -> void {
+  this->peers_cut = cut;
+}
+
 auto AllowanceFleet::SetPaused(int router, bool paused) -> void {
   this->processes[static_cast<std::size_t>(router)]->paused = paused;
 }
@@ -222,11 +230,20 @@
   return result;
 }
 
+auto AllowanceFleet::HeldTokens() const -> std::uint64_t {
+  std::uint64_t tokens = 0;
+  for (const RouterProcess* const process : this->RunningProcesses()) {
+    tokens += process->manager.Available(kTeam);
+  }
+  return tokens;
+}
+
 //==============================================================================
 
 auto AllowanceFleet::Step() -> void {
   this->ExecuteDueAppends();
   this->SettleFinishedRequests();
+  this->DeliverTokens();
   this->EndReplacedProcesses();
   for (RouterProcess* const process : this->RunningProcesses()) {
     if (process->paused) {
@@ -296,10 +313,8 @@
                           this->demand_factor * ToSeconds(kStep);
   int count = static_cast<int>(expected);
   count += this->random.Bernoulli(expected - count) ? 1 : 0;
-  const std::vector<RouterProcess*> running = this->RunningProcesses();
   for (int i = 0; i < count; ++i) {
-    RouterProcess& process =
-        *running[this->random.UniformBelow(running.size())];
+    RouterProcess& process = this->PickRouter();
     if (process.paused) {
       continue;
     }
@@ -314,6 +329,9 @@
       process.manager.SetWaitingTokens(kTeam, 0);
     }
     if (reserved) {
+      if (this->settings.transfers_enabled && this->settings.asks_ahead) {
+        this->RequestTransfers(process);
+      }
       this->open.push_back(
           {process.holder, tokens, this->now + kRequestDuration});
       continue;
@@ -325,6 +343,39 @@
   }
 }
 
+auto AllowanceFleet::PickRouter() -> RouterProcess& {
+  if (this->settings.busy_routers > 0 &&
+      this->random.Bernoulli(this->settings.busy_share)) {
+    const int first =
+        std::clamp(this->settings.routers - this->settings.busy_routers, 0,
+                   this->settings.reserve_holders);
+    const auto chosen = this->random.UniformBelow(
+        static_cast<std::uint64_t>(this->settings.busy_routers));
+    return *this->processes[static_cast<std::size_t>(first) + chosen];
+  }
+  const std::vector<RouterProcess*> running = this->RunningProcesses();
+  return *running[this->random.UniformBelow(running.size())];
+}
+
+auto AllowanceFleet::DeliverTokens() -> void {
+  if (this->peers_cut) {
+    return;
+  }
+  for (const TokensInFlight& sent : this->in_flight) {
+    if (this->now < sent.at) {
+      continue;
+    }
+    for (RouterProcess* const process : this->RunningProcesses()) {
+      if (process->holder == sent.receiver) {
+        process->manager.ReceiveTransfer(kTeam, sent.tokens);
+      }
+    }
+  }
+  std::erase_if(this->in_flight, [this](const TokensInFlight& sent) {
+    return this->now >= sent.at;
+  });
+}
+
 auto AllowanceFleet::SettleFinishedRequests() -> void {
   for (const OpenRequest& request : this->open) {
     if (this->now < request.ends_at) {
@@ -468,7 +519,7 @@
 auto AllowanceFleet::Confirm(RouterProcess& process,
                              const AllowanceEntry& entry) -> void {
   const bool all_reply =
-      this->processes.size() <= kMaxConfirmingRouters &&
+      this->processes.size() <= kMaxConfirmingRouters && !this->peers_cut &&
       std::all_of(this->processes.begin(), this->processes.end(),
                   [&](const auto& other) {
                     return !other->paused && other->era == process.era;
@@ -556,6 +607,16 @@
       this->totals.lost_in_handovers += amount.tokens;
       continue;
     }
+    if (this->peers_cut) {
+      if (this->settings.keeps_late_replies) {
+        // The sender's connection is held up; it hands over nothing more on it,
+        // and what is on its way arrives after the cut.
+        sender.manager.ReceiveTransfer(amount.team, amount.tokens);
+      } else {
+        this->totals.lost_in_handovers += amount.tokens;
+      }
+      continue;
+    }
     (*receiver)->manager.ReceiveTransfer(amount.team, amount.tokens);
     if (!this->settings.debits_handover) {
       sender.manager.ReceiveTransfer(amount.team, amount.tokens);
@@ -570,11 +631,14 @@
 }
 
 auto AllowanceFleet::RequestTransfers(RouterProcess& process) -> void {
-  bool first_try = true;
+  if (this->peers_cut) {
+    return;
+  }
+  bool first_try = !process.manager.ReportsDemand(kTeam);
   int asked = 0;
   for (const auto& other : this->processes) {
     const std::uint64_t shortage = process.manager.Shortage(kTeam, this->now);
-    if (shortage == 0) {
+    if (shortage == 0 || asked == kMaxPeersPerRound) {
       return;
     }
     if (other.get() == &process || other->paused) {
@@ -585,11 +649,17 @@
             ? other->manager.TransferOut(kTeam, shortage, first_try, this->now)
             : shortage;
     first_try = false;
-    if (++asked == kMaxPeersPerRound) {
-      return;
-    }
-    process.manager.ReceiveTransfer(kTeam, transferred);
+    ++asked;
+    ++this->totals.asks;
     this->totals.transfers += transferred > 0 ? 1 : 0;
+    if (!this->random.Bernoulli(this->settings.late_reply_probability)) {
+      process.manager.ReceiveTransfer(kTeam, transferred);
+    } else if (this->settings.keeps_late_replies) {
+      this->in_flight.push_back(
+          {process.holder, transferred, this->now + kLateReply});
+    } else {
+      this->totals.lost_in_transfers += transferred;
+    }
   }
 }
 
--- a/tests/support/allowance_fleet.h
+++ b/tests/support/allowance_fleet.h
@@ -30,6 +30,15 @@
     std::uint64_t budget = 1'000'000;
     double requests_per_second = 20.0;  ///< Sent to the whole fleet.
     std::uint64_t max_tokens = 4'000;   ///< Reserved by the largest request.
+    int busy_routers = 0;     ///< Routers that share `busy_share` evenly; the
+                              ///< first ones that hold no reserve, if any.
+    double busy_share = 0.0;  ///< Their part of all requests, 0 to 1.
+    bool asks_ahead = true;   ///< Whether a router that could reserve requests
+                              ///< tokens for its future requests.
+    bool keeps_late_replies = true;  ///< False: tokens of a reply that arrives
+                                     ///< after the time-out are lost.
+    double late_reply_probability = 0.0;  ///< Per transfer; it then arrives
+                                          ///< after kLateReply.
     bool transfers_enabled =
         true;  ///< Whether routers request tokens from each other.
     bool debits_sender = true;    ///< False injects a fault: transferred tokens
@@ -69,6 +78,8 @@
     std::uint64_t stranded =
         0;  ///< Tokens held by exited processes and not spent.
     std::uint64_t lost_in_handovers = 0;  ///< Tokens.
+    std::uint64_t lost_in_transfers = 0;  ///< Tokens of late replies.
+    std::uint64_t asks = 0;               ///< Requests for transfers.
     std::uint64_t appends = 0;
     std::uint64_t append_bytes = 0;
     std::uint64_t transfers = 0;
@@ -100,6 +111,10 @@
      reconnects. */
   auto SetLogCut(int router, bool cut) -> void;
 
+  /** Cuts all routers off from each other; false reconnects them. Messages that
+     were on their way then arrive. */
+  auto SetPeersCut(bool cut) -> void;
+
   /** Pauses or resumes a router's event loop. An append that is already sent
      may still be executed. */
   auto SetPaused(int router, bool paused) -> void;
@@ -129,14 +144,27 @@
 
   [[nodiscard]] auto report() const -> Report;
 
+  /** Returns the tokens that all running routers could still reserve: what is
+     lost to the team if all of them are killed now. */
+  [[nodiscard]] auto HeldTokens() const -> std::uint64_t;
+
  private:
   struct RouterProcess;
+  /** Tokens on their way from one router to another. */
+  struct TokensInFlight {
+    std::string receiver;
+    std::uint64_t tokens = 0;
+    Instant at{};
+  };
   struct OpenRequest;
   struct PendingAppend;
 
   auto Step() -> void;
   auto SubmitRequests() -> void;
+  /** Returns the router that receives the next request. */
+  auto PickRouter() -> RouterProcess&;
   auto SettleFinishedRequests() -> void;
+  auto DeliverTokens() -> void;
   auto ExecuteDueAppends() -> void;
   auto ReadLog(RouterProcess& process) -> void;
   /** Updates Report::unknown; call it when the log or a process is gone. */
@@ -186,6 +214,8 @@
   std::map<std::string, std::int64_t> covered_at_exit;   ///< By holder.
   std::vector<PendingAppend> pending;
   std::vector<OpenRequest> open;
+  std::vector<TokensInFlight> in_flight;
+  bool peers_cut = false;
   std::uint64_t settled_tokens = 0;
   std::uint64_t held_by_exited_processes = 0;
   int last_incarnation_number = 0;
