Ask holders in parallel and ahead of demand; keep tokens of late replies

Cause: a request for a transfer was repeated to up to eight holders while the first reply was on its way, each request of a caller caused one, and tokens of a reply after 250 ms were lost. Where requests of a team are rare, a router held nothing, so nearly all of them were refused in a cut from the other routers.

Change: TransferRound decides whom to ask for how much: tokens that were asked for are not asked for again, several holders are asked at once if the first cannot cover, and late replies are replaced by other holders' at most three times. Replies are waited for 16 s. A router that does not reply is called once a second and gets no surplus. Requests are sized by the demand of the last second if it grows.

--- a/modules/al_gateway/al_gateway.h
+++ b/modules/al_gateway/al_gateway.h
@@ -14,7 +14,8 @@
                    retries
     - prepaid/     AllowanceLedger and AllowanceManager: budgets without
                    keepers (leaders of ledger partitions); PlanHoldings(): what
-                   routers with steady demand and reserve holders hold
+                   routers with steady demand and reserve holders hold;
+                   TransferRound: which routers to ask for tokens
     - membership/  RouterRegistry: the active routers; DiscoveryPlan and
                    DiscoverySource: which routers read upstream records
     - quarantine/  CrashQuarantine: requests that crash upstreams
@@ -34,6 +35,7 @@
 #include "al_gateway/prepaid/allowance_ledger.h"
 #include "al_gateway/prepaid/allowance_manager.h"
 #include "al_gateway/prepaid/holding_plan.h"
+#include "al_gateway/prepaid/transfer_round.h"
 #include "al_gateway/quarantine/crash_quarantine.h"
 #include "al_gateway/quarantine/crash_suspects.h"
 #include "al_gateway/routing/route_table.h"
--- a/modules/al_gateway/limits/rate_meter.cc
+++ b/modules/al_gateway/limits/rate_meter.cc
@@ -7,12 +7,9 @@
 
 namespace {
 
-/** Time constant of the decay: long enough to average several bursts of
-   callers. */
-constexpr double kDecaySeconds = 4.0;
-
-/** Minimum measuring time of a rate. */
-constexpr double kMinMeasuredSeconds = 2.0;
+/** Minimum measuring time of a rate, relative to its decay: a first amount does
+   not count for more than twice what it is over one decay. */
+constexpr double kMinMeasuredRatio = 0.5;
 
 }  // namespace
 
@@ -20,7 +17,8 @@
   if (this->since == Instant()) {
     this->since = now;
   }
-  this->rate = this->Decayed(now) + static_cast<double>(amount) / kDecaySeconds;
+  this->rate =
+      this->Decayed(now) + static_cast<double>(amount) / this->decay_seconds;
   this->updated_at = now;
 }
 
@@ -30,14 +28,14 @@
   }
   // A sum that started recently is too low: scale it by the part of the decay
   // window that has passed.
-  const double measured =
-      std::max(kMinMeasuredSeconds, ToSeconds(now - this->since));
-  return this->Decayed(now) / (1.0 - std::exp(-measured / kDecaySeconds));
+  const double measured = std::max(kMinMeasuredRatio * this->decay_seconds,
+                                   ToSeconds(now - this->since));
+  return this->Decayed(now) / (1.0 - std::exp(-measured / this->decay_seconds));
 }
 
 auto RateMeter::Decayed(Instant now) const -> double {
   return this->rate *
-         std::exp(-ToSeconds(now - this->updated_at) / kDecaySeconds);
+         std::exp(-ToSeconds(now - this->updated_at) / this->decay_seconds);
 }
 
 }  // namespace auburnloft::gateway
--- a/modules/al_gateway/prepaid/allowance_ledger.cc
+++ b/modules/al_gateway/prepaid/allowance_ledger.cc
@@ -77,6 +77,7 @@
       totals.reserved_by_active += newest.reserved_tokens;
       totals.demand_of_active += newest.demand_per_second;
       totals.steady_demand_of_active += newest.steady_demand_per_second;
+      totals.ahead_demand_of_active += newest.ahead_demand_per_second;
     } else {
       totals.taken_by_expired += newest.taken_tokens;
       totals.settled_by_expired += newest.settled_tokens;
--- a/modules/al_gateway/prepaid/allowance_ledger.h
+++ b/modules/al_gateway/prepaid/allowance_ledger.h
@@ -35,7 +35,9 @@
   }
   double demand_per_second = 0.0;         ///< Decayed rate of requested tokens.
   double steady_demand_per_second = 0.0;  ///< The part of it for which the
-                                          ///< holder holds tokens itself.
+                                          ///< holder takes tokens itself.
+  double ahead_demand_per_second = 0.0;   ///< The part for which other routers
+                                          ///< get tokens ahead from it.
   std::uint64_t revision = 0;  ///< Increases with each entry of a holder.
 };
 
@@ -78,6 +80,7 @@
     std::int64_t settled_by_expired = 0;  ///< The part that was reported spent.
     double demand_of_active = 0.0;        ///< Tokens per second.
     double steady_demand_of_active = 0.0;  ///< Tokens per second.
+    double ahead_demand_of_active = 0.0;   ///< Tokens per second.
   };
 
   //============================================================================
--- a/modules/al_gateway/prepaid/allowance_manager.cc
+++ b/modules/al_gateway/prepaid/allowance_manager.cc
@@ -25,6 +25,17 @@
 /** Seconds of steady demand below which the available tokens are a shortage. */
 constexpr double kShortageSeconds = 1.5;
 
+/** Seconds of steady demand that a router requests transfers for if it has a
+   shortage, so that one request for transfers covers several requests. */
+constexpr double kAskSeconds = 2.5;
+
+/** A router whose requests are rare gets tokens ahead if they are enough for so
+   many of its mean requests: what does not cover a request is of no use. */
+constexpr double kMinAheadRequests = 2.0;
+
+/** It requests more when less than this share of its tokens ahead is left. */
+constexpr double kLeastAheadShare = 0.5;
+
 /** Minimum seconds of steady demand that a router without a share of the
    reserve keeps when it hands its surplus to a reserve holder. Above
    kShortageSeconds, so that it does not request the same tokens again. */
@@ -90,6 +101,9 @@
         (account.mean_request_tokens > 0.0 ? kMeanWeight : 1.0) *
         (size - account.mean_request_tokens);
     account.own_demand.Add(tokens, now);
+    account.recent_demand.Add(tokens, now);
+    account.rare_demand.Add(tokens, now);
+    account.unreported_demand += account.demand_written > 0.0 ? 0 : tokens;
   }
   if (account.available() < tokens) {
     return false;
@@ -136,11 +150,10 @@
                           static_cast<std::int64_t>(target);
     const bool may_report = scope == EntryScope::kReports ||
                             (scope == EntryScope::kReturns && is_short);
-    const double demand = ReportedDemandOf(account, holds_reserve, now);
+    const ReportedDemand demand = ReportedDemandOf(account, holds_reserve, now);
     if (taken != account.written || withdraws ||
-        (may_report && IsReportOutdated(account, demand))) {
-      entries.push_back(this->MakeEntry(team, account, taken, demand,
-                                        SteadyDemandOf(account, now)));
+        (may_report && IsReportOutdated(account, demand.all))) {
+      entries.push_back(this->MakeEntry(team, account, taken, demand));
     }
   }
   this->pending_entries = static_cast<int>(entries.size());
@@ -151,9 +164,10 @@
   std::vector<AllowanceEntry> entries;
   for (auto& [team, account] : this->accounts) {
     if (account.written != 0 || account.granted != 0) {
-      entries.push_back(this->MakeEntry(team, account, account.granted,
-                                        account.demand_written,
-                                        account.steady_demand_written));
+      entries.push_back(this->MakeEntry(
+          team, account, account.granted,
+          {account.demand_written, account.steady_demand_written,
+           account.ahead_demand_written}));
     }
   }
   this->pending_entries = static_cast<int>(entries.size());
@@ -165,8 +179,7 @@
   for (auto& [team, account] : this->accounts) {
     account.LowerTo(account.net_committed());
     if (account.written != account.granted) {
-      entries.push_back(
-          this->MakeEntry(team, account, account.granted, 0.0, 0.0));
+      entries.push_back(this->MakeEntry(team, account, account.granted, {}));
     }
   }
   this->pending_entries = static_cast<int>(entries.size());
@@ -235,6 +248,28 @@
   return transferred;
 }
 
+auto AllowanceManager::RecordRequestedDemand(std::string_view team,
+                                             std::uint64_t tokens,
+                                             bool gets_ahead,
+                                             Instant now) -> void {
+  const auto found = this->accounts.find(team);
+  if (found == this->accounts.end()) {
+    return;
+  }
+  found->second.requested_demand.Add(tokens, now);
+  if (gets_ahead) {
+    found->second.ahead_demand.Add(tokens, now);
+  }
+}
+
+auto AllowanceManager::TakeUnreportedDemand(std::string_view team)
+    -> std::uint64_t {
+  const auto found = this->accounts.find(team);
+  return found == this->accounts.end()
+             ? 0
+             : std::exchange(found->second.unreported_demand, 0);
+}
+
 auto AllowanceManager::ReceiveTransfer(std::string_view team,
                                        std::uint64_t tokens) -> void {
   this->accounts[std::string(team)].received += tokens;
@@ -247,8 +282,9 @@
   for (auto& [team, account] : this->accounts) {
     const double kept_seconds =
         std::max(kMinSurplusSeconds, kSurplusRatio * account.own_seconds);
-    const auto kept =
-        static_cast<std::uint64_t>(kept_seconds * SteadyDemandOf(account, now));
+    const auto kept = static_cast<std::uint64_t>(
+        kept_seconds * SteadyDemandOf(account, now) +
+        kSurplusRatio * account.ahead_seconds * RareDemandOf(account, now));
     const std::uint64_t surplus =
         SaturatingSubtract(account.available(), kept + account.waiting);
     if (surplus > 0 && !holds_reserve(team)) {
@@ -351,9 +387,30 @@
     return 0;
   }
   const Account& account = found->second;
-  const double soon = kShortageSeconds * SteadyDemandOf(account, now);
-  return SaturatingSubtract(account.waiting + static_cast<std::uint64_t>(soon),
-                            account.available());
+  const std::uint64_t available = account.available();
+  double least = 0.0;
+  double planned = 0.0;
+  if (const double steady = SteadyDemandOf(account, now); steady > 0.0) {
+    const double demand =
+        std::max(steady, account.recent_demand.PerSecond(now));
+    least = kShortageSeconds * demand;
+    planned = kAskSeconds * demand;
+  } else {
+    planned = account.ahead_seconds * RareDemandOf(account, now);
+    least = kLeastAheadShare * planned;
+  }
+  if (available >= account.waiting + static_cast<std::uint64_t>(least)) {
+    return 0;
+  }
+  return account.waiting + static_cast<std::uint64_t>(planned) - available;
+}
+
+auto AllowanceManager::GetsAhead(std::string_view team, Instant now) const
+    -> bool {
+  const auto found = this->accounts.find(team);
+  return found != this->accounts.end() &&
+         SteadyDemandOf(found->second, now) <= 0.0 &&
+         RareDemandOf(found->second, now) > 0.0;
 }
 
 //==============================================================================
@@ -365,10 +422,13 @@
 
 auto AllowanceManager::ReportedDemandOf(const Account& account,
                                         bool holds_reserve,
-                                        Instant now) -> double {
+                                        Instant now) -> ReportedDemand {
+  const double steady = SteadyDemandOf(account, now);
   // A router without a share of the reserve reports only the demand for which
-  // it holds tokens: the holders measure the rest as requested transfers.
-  return holds_reserve ? DemandOf(account, now) : SteadyDemandOf(account, now);
+  // it takes tokens: the holders measure the rest as requested transfers.
+  return holds_reserve ? ReportedDemand{DemandOf(account, now), steady,
+                                        account.ahead_demand.PerSecond(now)}
+                       : ReportedDemand{steady, steady, 0.0};
 }
 
 auto AllowanceManager::IsReportOutdated(const Account& account, double demand)
@@ -394,6 +454,18 @@
              : 0.0;
 }
 
+auto AllowanceManager::RareDemandOf(const Account& account, Instant now)
+    -> double {
+  if (SteadyDemandOf(account, now) > 0.0) {
+    return 0.0;
+  }
+  const double demand = account.rare_demand.PerSecond(now);
+  return demand * account.ahead_seconds >=
+                 kMinAheadRequests * account.mean_request_tokens
+             ? demand
+             : 0.0;
+}
+
 auto AllowanceManager::TargetTokens(Account& account,
                                     const AllowanceLedger::Totals& totals,
                                     const FleetStatus& fleet,
@@ -408,8 +480,11 @@
   demand.steady = std::max(0.0, totals.steady_demand_of_active -
                                     account.steady_demand_written) +
                   steady;
+  demand.ahead = std::max(totals.ahead_demand_of_active,
+                          account.ahead_demand.PerSecond(now));
   const HoldingPlan plan = PlanHoldings(this->settings, demand);
   account.own_seconds = plan.own_seconds;
+  account.ahead_seconds = plan.ahead_seconds;
   const double working = std::min(steady * plan.own_seconds,
                                   demand.remaining_tokens * kMaxWorkingShare);
   const double reserve =
@@ -462,22 +537,24 @@
 auto AllowanceManager::MakeEntry(const std::string& team,
                                  Account& account,
                                  std::int64_t taken,
-                                 double demand,
-                                 double steady_demand) -> AllowanceEntry {
+                                 const ReportedDemand& demand)
+    -> AllowanceEntry {
   AllowanceEntry entry;
   entry.team = team;
   entry.holder = this->holder;
   entry.taken_tokens = taken;
   entry.settled_tokens = account.net_settled();
-  entry.demand_per_second = demand;
-  entry.steady_demand_per_second = steady_demand;
+  entry.demand_per_second = demand.all;
+  entry.steady_demand_per_second = demand.steady;
+  entry.ahead_demand_per_second = demand.ahead;
   entry.reserved_tokens =
       static_cast<std::int64_t>(account.reserved + account.waiting);
   entry.revision = ++this->last_revision;
   account.written = taken;
   account.settled_written = entry.settled_tokens;
-  account.demand_written = entry.demand_per_second;
-  account.steady_demand_written = entry.steady_demand_per_second;
+  account.demand_written = demand.all;
+  account.steady_demand_written = demand.steady;
+  account.ahead_demand_written = demand.ahead;
   account.pending_revision = entry.revision;
   return entry;
 }
--- a/modules/al_gateway/prepaid/allowance_manager.h
+++ b/modules/al_gateway/prepaid/allowance_manager.h
@@ -148,6 +148,20 @@
                                  bool first_try,
                                  Instant now) -> std::uint64_t;
 
+  /** Adds the demand behind another router's request for tokens to the measured
+     one. TransferOut() with `first_try` false follows.
+      @param gets_ahead  whether the router also requests tokens for its future
+                         requests, and holds them. */
+  auto RecordRequestedDemand(std::string_view team,
+                             std::uint64_t tokens,
+                             bool gets_ahead,
+                             Instant now) -> void;
+
+  /** Returns the tokens of requests since the last call, which this router's
+     entries do not report: the demand to tell with a request for a transfer. */
+  [[nodiscard]] auto TakeUnreportedDemand(std::string_view team)
+      -> std::uint64_t;
+
   /** Removes the tokens that this router needs neither for requests nor for
      its steady demand, to hand them to a reserve holder, and counts them as
      spent. Skips the teams whose reserve this router holds. */
@@ -193,8 +207,14 @@
      entries must never be below. */
   [[nodiscard]] auto Covered(std::string_view team) const -> std::int64_t;
 
-  /** Returns the tokens that are missing for the queued requests and for the
-     steady demand of the near future. */
+  /** Returns whether this router gets tokens of a team ahead by transfers: it
+     has enough requests to use them, and too few to take them by entries. */
+  [[nodiscard]] auto GetsAhead(std::string_view team, Instant now) const
+      -> bool;
+
+  /** Returns the tokens that are missing for the queued requests and, once less
+     is left than the near future needs, for the demand of some seconds: a
+     request for transfers then covers several requests. */
   [[nodiscard]] auto Shortage(std::string_view team, Instant now) const
       -> std::uint64_t;
 
@@ -208,6 +228,19 @@
   }
 
  private:
+  /** Decay of the rate that shows a jump of the demand within a second. */
+  static constexpr Duration kRecentDecay = std::chrono::seconds(1);
+
+  /** Decay of the rate of requests that come once in some seconds. */
+  static constexpr Duration kRareDecay = std::chrono::seconds(16);
+
+  /** As in AllowanceEntry. */
+  struct ReportedDemand {
+    double all = 0.0;
+    double steady = 0.0;
+    double ahead = 0.0;
+  };
+
   /** A valid increase that other routers may not have read. */
   struct UnwitnessedIncrease {
     std::int64_t taken = 0;  ///< The net total with it.
@@ -220,17 +253,23 @@
     std::int64_t granted = 0;    ///< Net total of valid entries.
     std::int64_t spendable = 0;  ///< The part that others know, too.
     std::vector<UnwitnessedIncrease> unwitnessed;  ///< In order.
-    std::int64_t written = 0;          ///< Taken tokens of the newest entry.
-    std::uint64_t settled = 0;         ///< Spent or transferred to others.
-    std::uint64_t received = 0;        ///< Transferred from other routers.
-    std::uint64_t reserved = 0;        ///< For requests that have not ended.
-    std::uint64_t waiting = 0;         ///< Needed by queued requests.
-    RateMeter own_demand;              ///< Of requests to this router.
-    RateMeter requested_demand;        ///< Of transfers that others requested.
+    std::int64_t written = 0;    ///< Taken tokens of the newest entry.
+    std::uint64_t settled = 0;   ///< Spent or transferred to others.
+    std::uint64_t received = 0;  ///< Transferred from other routers.
+    std::uint64_t reserved = 0;  ///< For requests that have not ended.
+    std::uint64_t waiting = 0;   ///< Needed by queued requests.
+    RateMeter own_demand;        ///< Of requests to this router.
+    RateMeter recent_demand{kRecentDecay};  ///< The same, of the last second.
+    RateMeter rare_demand{kRareDecay};  ///< The same, where requests are rare.
+    std::uint64_t unreported_demand = 0;  ///< See TakeUnreportedDemand().
+    RateMeter requested_demand;  ///< Of transfers that others requested.
+    RateMeter ahead_demand;      ///< The part of routers that get tokens ahead.
     std::int64_t settled_written = 0;  ///< Settled tokens of the newest entry.
     double demand_written = 0.0;       ///< Demand in the newest entry.
     double steady_demand_written = 0.0;  ///< Steady demand in that entry.
-    double own_seconds = 0.0;  ///< HoldingPlan::own_seconds of the last plan.
+    double ahead_demand_written = 0.0;   ///< Ahead demand in that entry.
+    double own_seconds = 0.0;            ///< Of the last HoldingPlan.
+    double ahead_seconds = 0.0;          ///< Of the last HoldingPlan.
     double mean_request_tokens =
         0.0;  ///< Running mean of the requests' maximum.
     std::uint64_t pending_revision = 0;  ///< 0: no unrecorded entry.
@@ -268,7 +307,11 @@
      the reserve that of the transfers, too. */
   [[nodiscard]] static auto ReportedDemandOf(const Account& account,
                                              bool holds_reserve,
-                                             Instant now) -> double;
+                                             Instant now) -> ReportedDemand;
+  /** Returns the demand of requests to this router for which it gets tokens
+     ahead by transfers, else 0. */
+  [[nodiscard]] static auto RareDemandOf(const Account& account, Instant now)
+      -> double;
   /** Returns whether the use or demand in the newest entry is outdated. */
   [[nodiscard]] static auto IsReportOutdated(const Account& account,
                                              double demand) -> bool;
@@ -296,8 +339,7 @@
   auto MakeEntry(const std::string& team,
                  Account& account,
                  std::int64_t taken,
-                 double demand,
-                 double steady_demand) -> AllowanceEntry;
+                 const ReportedDemand& demand) -> AllowanceEntry;
 
   std::string holder;
   AllowanceSizing settings;
--- a/modules/al_gateway/prepaid/holding_plan.cc
+++ b/modules/al_gateway/prepaid/holding_plan.cc
@@ -37,14 +37,18 @@
                demand.remaining_tokens * kMaxReserveShare);
   const double reserve = std::max(
       outage_demand, demand.remaining_tokens * sizing.min_reserve_share);
-  if (demand.steady <= 0.0) {
-    return {kMinOwnSeconds, reserve};
-  }
-  const double extra_seconds = std::min(
-      kMaxOwnSeconds - kMinOwnSeconds,
-      (1.0 - kMinPooledShare) * reserve / (kMeanHoldRatio * demand.steady));
-  return {kMinOwnSeconds + extra_seconds,
-          reserve - kMeanHoldRatio * extra_seconds * demand.steady};
+  const double movable = (1.0 - kMinPooledShare) * reserve / kMeanHoldRatio;
+  // Whether a router gets tokens ahead depends on the seconds, so these must
+  // not depend on how many do.
+  const double ahead_seconds =
+      std::min(kMaxOwnSeconds, movable / std::max(1.0, demand.all));
+  const double for_ahead = std::min(movable, ahead_seconds * demand.ahead);
+  const double extra_seconds =
+      std::min(kMaxOwnSeconds - kMinOwnSeconds,
+               (movable - for_ahead) / std::max(1.0, demand.steady));
+  return {
+      kMinOwnSeconds + extra_seconds, ahead_seconds,
+      reserve - kMeanHoldRatio * (extra_seconds * demand.steady + for_ahead)};
 }
 
 }  // namespace auburnloft::gateway
--- a/modules/al_gateway/prepaid/holding_plan.h
+++ b/modules/al_gateway/prepaid/holding_plan.h
@@ -20,13 +20,17 @@
 struct TeamDemand {
   double remaining_tokens = 0.0;  ///< Of the budget.
   double all = 0.0;               ///< Of all routers.
-  double steady = 0.0;  ///< The part of the routers that hold tokens for it
-                        ///< themselves.
+  double steady = 0.0;  ///< The part of routers that take tokens for it by
+                        ///< their own entries.
+  double ahead = 0.0;  ///< The part of routers that get tokens for it ahead, by
+                       ///< transfers.
 };
 
 /** What the routers together plan to hold of a team's budget. */
 struct HoldingPlan {
   double own_seconds = 0.0;  ///< Of its own steady demand that a router holds.
+  double ahead_seconds = 0.0;   ///< Of its own demand that a router with rare
+                                ///< requests gets ahead.
   double reserve_tokens = 0.0;  ///< That the reserve holders share.
 };
 
--- a/programs/gateway/allowance_exchange.cc
+++ b/programs/gateway/allowance_exchange.cc
@@ -17,12 +17,15 @@
 constexpr std::string_view kPath = "/allowance";
 constexpr std::string_view kHandoverPath = "/allowance-handover";
 
-/** Timeout for the reply of another router. */
+/** After this time without a reply, a router is not asked again for a while. */
 constexpr Duration kReplyTimeout = std::chrono::milliseconds(250);
 
-/** Without a reply for this long, the next router is asked as well: a few round
-   trips between failure domains. */
-constexpr Duration kNextPeerDelay = std::chrono::milliseconds(15);
+/** How long a reply is waited for, so that its tokens are not lost: a cut of 8
+   s and the repetition of lost packets after it. */
+constexpr Duration kLateReplyTimeout = std::chrono::milliseconds(16'000);
+
+/** Weight of the newest reply in the running mean of reply times. */
+constexpr int kReplyTimeDivisor = 4;
 
 /** Maximum number of routers asked in one round. */
 constexpr int kMaxPeersPerRound = 8;
@@ -31,9 +34,14 @@
    or did not reply. */
 constexpr Duration kSkipDuration = std::chrono::milliseconds(1'000);
 
-/** Maximum connections to one router, for requests for several teams at once.
- */
-constexpr std::size_t kMaxConnectionsPerPeer = 2;
+/** Maximum connections to one router with calls that are not overdue, for
+   requests for several teams at once. */
+constexpr std::ptrdiff_t kMaxConnectionsPerPeer = 2;
+
+/** Maximum connections to one router. Those with overdue calls are kept for
+   their replies; a router that does not reply is called once a second, through
+   a cut of 8 s. */
+constexpr std::size_t kMaxOpenConnections = 10;
 
 auto SkipKey(const std::string& team, const std::string& peer) -> std::string {
   return team + "/" + peer;
@@ -41,14 +49,10 @@
 
 }  // namespace
 
-/** Requests tokens of one team from one router after another. */
 struct AllowanceExchange::Round {
   std::string team;
-  std::vector<Peer>
-      peers;  ///< Not asked yet, in the order to allowance_request.
-  bool has_asked = false;   ///< Whether a router was asked.
-  int pending_replies = 0;  ///< Requests without a reply.
-  std::unique_ptr<LoopTimer> next_peer_timer;
+  TransferRound decision;
+  std::unique_ptr<LoopTimer> late_timer;  ///< For the next late reply.
 };
 
 AllowanceExchange::AllowanceExchange(SocketPoller& poller,
@@ -68,17 +72,17 @@
 
 auto AllowanceExchange::RequestTokens(const std::string& team) -> void {
   std::unique_ptr<Round>& round = this->rounds[team];
-  if (round &&
-      (round->pending_replies > 0 || round->next_peer_timer->running())) {
-    return;
+  if (!round) {
+    round = std::make_unique<Round>();
+    round->team = team;
+    round->late_timer = std::make_unique<LoopTimer>(
+        this->poller.loop(),
+        [this, started = round.get()] { this->Continue(*started); });
+  }
+  if (round->decision.expected_tokens() == 0) {
+    round->decision.SetPeers(this->SelectPeers(team));
   }
-  round = std::make_unique<Round>();
-  round->team = team;
-  round->peers = this->SelectPeers(team);
-  round->next_peer_timer = std::make_unique<LoopTimer>(
-      this->poller.loop(),
-      [this, started = round.get()] { this->RequestFromNextPeer(*started); });
-  this->RequestFromNextPeer(*round);
+  this->Continue(*round);
 }
 
 auto AllowanceExchange::ReturnSurplus() -> void {
@@ -87,13 +91,14 @@
                        return this->fleet.IsReserveHolder(team);
                      },
                      this->poller.loop().Now()),
-                 [] {});
+                 kLateReplyTimeout, [] {});
 }
 
 auto AllowanceExchange::HandOverAll(const std::function<void()>& on_done)
     -> void {
   this->accepts_handovers = false;
-  this->HandOver(this->allowance_manager.TakeUncommitted(), on_done);
+  this->HandOver(this->allowance_manager.TakeUncommitted(), kReplyTimeout,
+                 on_done);
 }
 
 auto AllowanceExchange::OnPeerRequest(Http1ServerSession& session,
@@ -134,6 +139,7 @@
 }
 
 auto AllowanceExchange::HandOver(const std::vector<TeamTokens>& amounts,
+                                 Duration timeout,
                                  const std::function<void()>& on_done) -> void {
   std::map<std::string, std::vector<TeamTokens>> by_address;
   for (const TeamTokens& amount : amounts) {
@@ -151,7 +157,11 @@
     }
   };
   for (const auto& [address, sent] : by_address) {
-    Http1Client* const connection = this->FindIdleConnection(address);
+    // What is sent to a router that does not reply may be lost.
+    PeerConnection* const connection =
+        this->IsUnresponsive(this->links[address])
+            ? nullptr
+            : this->FindIdleConnection(address);
     if (connection == nullptr) {
       for (const TeamTokens& amount : sent) {  // Sent with the next surplus.
         this->allowance_manager.ReceiveTransfer(amount.team, amount.tokens);
@@ -166,9 +176,8 @@
       gift.set_tokens(amount.tokens);
     }
     ++*pending_calls;
-    connection->Call(
-        MakePeerRequest(kHandoverPath, handover.SerializeAsString()),
-        kReplyTimeout,
+    connection->client->Call(
+        MakePeerRequest(kHandoverPath, handover.SerializeAsString()), timeout,
         [this, address = address, sent = sent,
          end_call](const std::optional<Http1Client::Reply>& reply) {
           this->OnHandoverReply(address, sent, reply);
@@ -182,6 +191,9 @@
     const std::string& address,
     const std::vector<TeamTokens>& amounts,
     const std::optional<Http1Client::Reply>& reply) -> void {
+  if (reply) {
+    this->links[address].replied_at = this->poller.loop().Now();
+  }
   if (reply && reply->status == kOk) {
     return;
   }
@@ -227,11 +239,17 @@
     return;
   }
   const Instant now = this->poller.loop().Now();
+  if (allowance_request.has_demand_tokens()) {
+    this->allowance_manager.RecordRequestedDemand(
+        allowance_request.team(), allowance_request.demand_tokens(),
+        allowance_request.gets_ahead(), now);
+  }
   wire::AllowanceGift transfer;
   transfer.set_team(allowance_request.team());
   transfer.set_tokens(this->allowance_manager.TransferOut(
       allowance_request.team(), allowance_request.tokens(),
-      !allowance_request.repeated(), now));
+      !allowance_request.has_demand_tokens() && !allowance_request.repeated(),
+      now));
   this->log.WriteLine(DecisionLog::Severity::kRoutine, "allowance_given",
                       {{"team", allowance_request.team()},
                        {"asker", allowance_request.asker()},
@@ -249,12 +267,17 @@
 //==============================================================================
 
 auto AllowanceExchange::SelectPeers(const std::string& team) const
-    -> std::vector<Peer> {
+    -> std::vector<TransferRound::Peer> {
+  using Peer = TransferRound::Peer;
   const Instant now = this->poller.loop().Now();
+  const auto round = this->rounds.find(team);
   std::vector<Peer> peers;
   this->fleet.ledger().VisitTeam(team, [&](const AllowanceEntry& entry) {
     const auto skipped = this->skipped_since.find(SkipKey(team, entry.holder));
     if (entry.holder == this->own_incarnation || entry.unspent_tokens() == 0 ||
+        (round != this->rounds.end() && round->second &&
+         round->second->decision.IsPending(entry.holder,
+                                           now - kSkipDuration)) ||
         (skipped != this->skipped_since.end() &&
          now - skipped->second < kSkipDuration)) {
       return;
@@ -281,101 +304,152 @@
   return peers;
 }
 
-auto AllowanceExchange::RequestFromNextPeer(Round& round) -> void {
-  const std::uint64_t tokens =
-      this->allowance_manager.Shortage(round.team, this->poller.loop().Now());
-  if (tokens == 0) {
-    return;
-  }
-  while (!round.peers.empty()) {
-    const Peer peer = round.peers.front();
-    round.peers.erase(round.peers.begin());
-    if (this->RequestFrom(peer, round, tokens)) {
-      round.next_peer_timer->Start(kNextPeerDelay);
-      return;
+auto AllowanceExchange::Continue(Round& round) -> void {
+  const Instant now = this->poller.loop().Now();
+  const std::uint64_t needed =
+      this->allowance_manager.Shortage(round.team, now);
+  bool has_failed = false;
+  do {
+    has_failed = false;
+    for (const TransferRound::Ask& ask :
+         round.decision.Plan(needed, this->usual_reply_time, now)) {
+      if (!this->Send(ask, round)) {
+        round.decision.OnEnd(ask.number, now);
+        has_failed = true;
+      }
     }
+  } while (has_failed);
+  if (const auto check_at = round.decision.NextCheckAt()) {
+    round.late_timer->Start(
+        std::max(Duration(std::chrono::milliseconds(1)), *check_at - now));
+  } else {
+    round.late_timer->Stop();
   }
-  if (round.pending_replies == 0) {
+  if (needed > round.decision.expected_tokens() &&
+      !round.decision.has_peers()) {
     this->callbacks.on_peers_exhausted(round.team);
   }
 }
 
-auto AllowanceExchange::RequestFrom(const Peer& peer,
-                                    Round& round,
-                                    std::uint64_t tokens) -> bool {
-  Http1Client* const connection = this->FindIdleConnection(peer.address);
+auto AllowanceExchange::Send(const TransferRound::Ask& ask, Round& round)
+    -> bool {
+  PeerConnection* const connection = this->FindIdleConnection(ask.peer.address);
   if (connection == nullptr) {
     return false;
   }
+  const std::uint64_t demand =
+      this->allowance_manager.TakeUnreportedDemand(round.team);
   wire::AllowanceAsk allowance_request;
   allowance_request.set_team(round.team);
-  allowance_request.set_tokens(tokens);
+  allowance_request.set_tokens(ask.tokens);
   allowance_request.set_asker(this->own_incarnation);
-  allowance_request.set_repeated(
-      std::exchange(round.has_asked, true) ||
-      this->allowance_manager.ReportsDemand(round.team));
-  ++round.pending_replies;
-  connection->Call(
+  allowance_request.set_repeated(demand == 0);  // For older routers.
+  allowance_request.set_demand_tokens(demand);
+  allowance_request.set_gets_ahead(
+      this->allowance_manager.GetsAhead(round.team, this->poller.loop().Now()));
+  connection->client->Call(
       MakePeerRequest(kPath, allowance_request.SerializeAsString()),
-      kReplyTimeout,
-      [this, peer, team = round.team,
-       tokens](const std::optional<Http1Client::Reply>& reply) {
-        this->OnTransfer(peer, team, tokens, reply);
+      kLateReplyTimeout,
+      [this, ask,
+       team = round.team](const std::optional<Http1Client::Reply>& reply) {
+        this->OnTransfer(ask, team, reply);
       });
   return true;
 }
 
 auto AllowanceExchange::OnTransfer(
-    const Peer& peer,
+    const TransferRound::Ask& ask,
     const std::string& team,
-    std::uint64_t requested_tokens,
     const std::optional<Http1Client::Reply>& reply) -> void {
   const Instant now = this->poller.loop().Now();
   Round& round = *this->rounds[team];
+  const Duration taken =
+      round.decision.OnEnd(ask.number, now).value_or(Duration(0));
   wire::AllowanceGift transfer;
   const bool is_valid_reply = reply && reply->status == kOk &&
                               transfer.ParseFromString(reply->body) &&
                               transfer.team() == team;
-  if (!is_valid_reply || transfer.tokens() < requested_tokens) {
-    std::erase_if(this->skipped_since, [now](const auto& item) {
-      return now - item.second >= kSkipDuration;
-    });
-    this->skipped_since[SkipKey(team, peer.incarnation)] = now;
+  if (reply) {
+    this->links[ask.peer.address].replied_at = now;
+  }
+  if (is_valid_reply) {
+    this->usual_reply_time +=
+        (std::min(taken, kReplyTimeout) - this->usual_reply_time) /
+        kReplyTimeDivisor;
+  }
+  if (!is_valid_reply || transfer.tokens() < ask.tokens ||
+      taken >= kReplyTimeout) {
+    this->Skip(team, ask.peer.incarnation);
   }
   this->log.WriteLine(
       is_valid_reply ? DecisionLog::Severity::kRoutine
                      : DecisionLog::Severity::kNotable,
       is_valid_reply ? "allowance_received" : "allowance_ask_failed",
       {{"team", team},
-       {"peer", peer.incarnation},
-       {"asked", requested_tokens},
+       {"peer", ask.peer.incarnation},
+       {"asked", ask.tokens},
        {"tokens", transfer.tokens()},
-       {"seemed", peer.unspent}},
+       {"seemed", ask.peer.unspent},
+       {"after_ms", taken}},
       now);
-  round.next_peer_timer->Stop();
   if (is_valid_reply && transfer.tokens() > 0) {
-    this->last_sender[team] = peer.incarnation;
+    this->last_sender[team] = ask.peer.incarnation;
     this->allowance_manager.ReceiveTransfer(team, transfer.tokens());
-    this->callbacks.on_tokens_received(
-        team);  // May call RequestTokens(): the round is open.
+    this->callbacks.on_tokens_received(team);  // May call RequestTokens().
   }
-  --round.pending_replies;
-  this->RequestFromNextPeer(round);
+  this->Continue(round);
+}
+
+auto AllowanceExchange::Skip(const std::string& team,
+                             const std::string& incarnation) -> void {
+  const Instant now = this->poller.loop().Now();
+  std::erase_if(this->skipped_since, [now](const auto& item) {
+    return now - item.second >= kSkipDuration;
+  });
+  this->skipped_since[SkipKey(team, incarnation)] = now;
 }
 
 auto AllowanceExchange::FindIdleConnection(const std::string& address)
-    -> Http1Client* {
-  auto& kept = this->connections[address];
-  for (const auto& connection : kept) {
-    if (!connection->is_busy()) {
-      return connection.get();
-    }
+    -> PeerConnection* {
+  PeerLink& link = this->links[address];
+  const Instant now = this->poller.loop().Now();
+  if (address.empty() ||
+      (this->IsUnresponsive(link) && now - link.called_at < kSkipDuration)) {
+    return nullptr;
+  }
+  const auto idle =
+      std::find_if(link.connections.begin(), link.connections.end(),
+                   [](const PeerConnection& connection) {
+                     return !connection.client->is_busy();
+                   });
+  if (idle != link.connections.end()) {
+    link.called_at = now;
+    idle->called_at = now;
+    return &*idle;
   }
-  if (kept.size() >= kMaxConnectionsPerPeer || address.empty()) {
+  const auto in_time =
+      std::count_if(link.connections.begin(), link.connections.end(),
+                    [now](const PeerConnection& connection) {
+                      return now - connection.called_at < kReplyTimeout;
+                    });
+  if (in_time >= kMaxConnectionsPerPeer ||
+      link.connections.size() >= kMaxOpenConnections) {
     return nullptr;
   }
-  kept.push_back(std::make_unique<Http1Client>(this->poller, address));
-  return kept.back().get();
+  link.called_at = now;
+  link.connections.push_back(
+      {std::make_unique<Http1Client>(this->poller, address), now});
+  return &link.connections.back();
+}
+
+auto AllowanceExchange::IsUnresponsive(const PeerLink& link) const -> bool {
+  const Instant now = this->poller.loop().Now();
+  return std::any_of(link.connections.begin(), link.connections.end(),
+                     [&](const PeerConnection& connection) {
+                       return connection.client->is_busy() &&
+                              now - connection.called_at >= kReplyTimeout &&
+                              link.replied_at <= connection.called_at;
+                     });
 }
 
 }  // namespace auburnloft::gateway
--- a/programs/gateway/allowance_exchange.h
+++ b/programs/gateway/allowance_exchange.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "al_gateway/prepaid/allowance_manager.h"
+#include "al_gateway/prepaid/transfer_round.h"
 #include "al_http1/http1_client.h"
 #include "al_http1/http1_server_session.h"
 #include "gateway/decision_log.h"
@@ -21,11 +22,12 @@
 /** Transfers allowances between routers without the log: from the routers that
     hold a team's reserve to those that need tokens, and unused ones back.
 
-    The requester asks one router after another until it has enough tokens. If a
-    router does not reply soon, the next one is asked as well. The sender of a
+    TransferRound decides which routers are asked for how much. The sender of a
     transfer counts the tokens as spent before it replies: a lost reply makes
-   the tokens unusable, but never duplicates them. The same holds for tokens
-   that are handed back.
+   the tokens unusable, but never duplicates them. A reply is waited for long
+   after requests have given up on it: over a busy link, or after a cut, it
+   arrives late, and its tokens are used then. The same holds for tokens that
+   are handed back.
 
     Thread safety: none; used on the loop's thread.
 */
@@ -51,8 +53,8 @@
   AllowanceExchange(const AllowanceExchange&) = delete;
   auto operator=(const AllowanceExchange&) -> AllowanceExchange& = delete;
 
-  /** Requests the tokens of a team that this router needs. Does nothing while a
-      round for the team is in progress. */
+  /** Requests the tokens of a team that this router needs, less those that
+      were requested and have not arrived yet. */
   auto RequestTokens(const std::string& team) -> void;
 
   /** Hands the tokens that this router does not need to reserve holders. */
@@ -69,18 +71,26 @@
       -> void;
 
  private:
-  struct Peer {
-    std::string incarnation;
-    std::string address;
-    std::uint64_t unspent = 0;  ///< By its last entry in the log.
-  };
+  /** Requests tokens of one team. */
   struct Round;
+  /** A connection to another router, and the last call on it. */
+  struct PeerConnection {
+    std::unique_ptr<Http1Client> client;
+    Instant called_at{};
+  };
+  /** What is known about reaching another router. */
+  struct PeerLink {
+    std::vector<PeerConnection> connections;
+    Instant called_at{};   ///< Last call.
+    Instant replied_at{};  ///< Last reply.
+  };
 
   auto OnTransferRequest(Http1ServerSession& session,
                          const Http1Request& request) -> void;
   auto OnHandover(Http1ServerSession& session, const Http1Request& request)
       -> void;
   auto HandOver(const std::vector<TeamTokens>& amounts,
+                Duration timeout,
                 const std::function<void()>& on_done) -> void;
   auto OnHandoverReply(const std::string& address,
                        const std::vector<TeamTokens>& amounts,
@@ -88,15 +98,21 @@
   [[nodiscard]] auto ReceiverFor(const std::string& team) const
       -> const RouterAnnouncement*;
   [[nodiscard]] auto SelectPeers(const std::string& team) const
-      -> std::vector<Peer>;
-  auto RequestFromNextPeer(Round& round) -> void;
-  auto RequestFrom(const Peer& peer, Round& round, std::uint64_t tokens)
-      -> bool;
-  auto OnTransfer(const Peer& peer,
+      -> std::vector<TransferRound::Peer>;
+  auto Continue(Round& round) -> void;
+  /** Sends a request. If there is no connection for it, it has failed. */
+  auto Send(const TransferRound::Ask& ask, Round& round) -> bool;
+  auto OnTransfer(const TransferRound::Ask& ask,
                   const std::string& team,
-                  std::uint64_t requested_tokens,
                   const std::optional<Http1Client::Reply>& reply) -> void;
-  auto FindIdleConnection(const std::string& address) -> Http1Client*;
+  auto Skip(const std::string& team, const std::string& incarnation) -> void;
+  /** Returns a connection for a call now; null if there is none, or if the
+     router does not reply and was called a moment ago. */
+  [[nodiscard]] auto FindIdleConnection(const std::string& address)
+      -> PeerConnection*;
+  /** Returns whether a router owes a reply for longer than usual, and has not
+     replied to a later call. */
+  [[nodiscard]] auto IsUnresponsive(const PeerLink& link) const -> bool;
 
   SocketPoller& poller;
   std::string own_incarnation;
@@ -104,7 +120,8 @@
   const FleetTopicClient& fleet;
   DecisionLog& log;
   Callbacks callbacks;
-  std::map<std::string, std::vector<std::unique_ptr<Http1Client>>> connections;
+  std::map<std::string, PeerLink> links;  ///< By address.
+  Duration usual_reply_time{0};           ///< Running mean, of other routers.
   std::map<std::string, std::unique_ptr<Round>> rounds;  ///< By team.
   std::map<std::string, Instant> skipped_since;          ///< By team and peer.
   std::map<std::string, std::string> last_sender;  ///< Incarnation, by team.
--- a/programs/gateway/fleet_records.cc
+++ b/programs/gateway/fleet_records.cc
@@ -98,6 +98,7 @@
   message.set_settled_tokens(entry.settled_tokens);
   message.set_demand_per_second(entry.demand_per_second);
   message.set_steady_demand_per_second(entry.steady_demand_per_second);
+  message.set_ahead_demand_per_second(entry.ahead_demand_per_second);
   message.set_revision(entry.revision);
   message.set_reserved_tokens(entry.reserved_tokens);
   return message;
@@ -111,6 +112,7 @@
   entry.settled_tokens = message.settled_tokens();
   entry.demand_per_second = message.demand_per_second();
   entry.steady_demand_per_second = message.steady_demand_per_second();
+  entry.ahead_demand_per_second = message.ahead_demand_per_second();
   entry.revision = message.revision();
   entry.reserved_tokens = message.reserved_tokens();
   return entry;
