--- a/tests/gateway/allowance_test.cc
+++ b/tests/gateway/allowance_test.cc
@@ -652,8 +652,8 @@
   // These show in one of some thousand seeds.
   CHECK_TRUE(play(4'495, hold_nothing).overspent);
   CHECK_FALSE(play(4'495, put_in_none).overspent);
-  CHECK_TRUE(play(NEWC, hold_no_newcomers).overspent);
-  CHECK_FALSE(play(NEWC, put_in_none).overspent);
+  CHECK_TRUE(play(1'527, hold_no_newcomers).overspent);
+  CHECK_FALSE(play(1'527, put_in_none).overspent);
 }
 
 // Guards against an entry that an older record, read later, replaces.
