--- a/modules/al_gateway/al_gateway.h
+++ b/modules/al_gateway/al_gateway.h
@@ -22,7 +22,9 @@
     - config_check/ ConfigCheck: contradictions in a configuration
     - hedging/     HedgePolicy and HedgeDelay: second attempts of late requests
     - prepaid/     AllowanceLedger and AllowanceManager: budgets without
-                   keepers (leaders of ledger partitions)
+                   keepers (leaders of ledger partitions); PlanHoldings(): what
+                   routers with steady demand and reserve holders hold;
+                   TransferRound: which routers to ask for tokens
     - membership/  RouterRegistry: the active routers; DiscoveryPlan and
                    DiscoverySource: which routers read upstream records
     - quarantine/  CrashQuarantine: requests that crash upstreams
@@ -47,6 +49,8 @@
 #include "al_gateway/model/upstream_record.h"
 #include "al_gateway/prepaid/allowance_ledger.h"
 #include "al_gateway/prepaid/allowance_manager.h"
+#include "al_gateway/prepaid/holding_plan.h"
+#include "al_gateway/prepaid/transfer_round.h"
 #include "al_gateway/quarantine/crash_quarantine.h"
 #include "al_gateway/quarantine/crash_suspects.h"
 #include "al_gateway/routing/route_table.h"
--- a/modules/al_gateway/prepaid/allowance_manager.cc
+++ b/modules/al_gateway/prepaid/allowance_manager.cc
@@ -13,28 +13,33 @@
    steady demand. */
 constexpr double kMaxWorkingShare = 0.6;
 
-/** Maximum share of a team's remaining budget that the routers hold as its
-   reserve, which is lost if all of them lose power. A team that would spend the
-   rest of its budget within a few outages gains nothing from a larger reserve:
-   what an outage delays is spent after it. */
-constexpr double kMaxReserveShare = 0.3;
-
 /** The part of the reserved tokens that requests use, at least. Prompts are
    used as a whole; of the output, callers allow about twice what is generated.
  */
 constexpr double kMinUsedShare = 0.9;
 
-/** Seconds of its own steady demand that a router plans to hold, and keeps when
-   it transfers tokens to others. */
+/** Seconds of its own steady demand that a router keeps when it transfers
+   tokens to others, whose requests wait. */
 constexpr double kWorkingSeconds = 1.0;
 
 /** Seconds of steady demand below which the available tokens are a shortage. */
 constexpr double kShortageSeconds = 1.5;
 
-/** Seconds of steady demand that a router without a share of the reserve keeps
-   when it hands its surplus to a reserve holder. Above kShortageSeconds, so
-   that it does not request the same tokens again. */
-constexpr double kSurplusSeconds = 2.5;
+/** Seconds of steady demand that a router requests transfers for if it has a
+   shortage, so that one request for transfers covers several requests. */
+constexpr double kAskSeconds = 2.5;
+
+/** A router whose requests are rare gets tokens ahead if they are enough for so
+   many of its mean requests: what does not cover a request is of no use. */
+constexpr double kMinAheadRequests = 2.0;
+
+/** It requests more when less than this share of its tokens ahead is left. */
+constexpr double kLeastAheadShare = 0.5;
+
+/** Minimum seconds of steady demand that a router without a share of the
+   reserve keeps when it hands its surplus to a reserve holder. Above
+   kShortageSeconds, so that it does not request the same tokens again. */
+constexpr double kMinSurplusSeconds = 2.5;
 
 /** Minimum increase relative to the target; smaller ones wait, to append fewer
    entries to the log. Requests that wait override it. */
@@ -96,6 +101,9 @@
         (account.mean_request_tokens > 0.0 ? kMeanWeight : 1.0) *
         (size - account.mean_request_tokens);
     account.own_demand.Add(tokens, now);
+    account.recent_demand.Add(tokens, now);
+    account.rare_demand.Add(tokens, now);
+    account.unreported_demand += account.demand_written > 0.0 ? 0 : tokens;
   }
   if (account.available() < tokens) {
     return false;
@@ -129,22 +137,22 @@
   for (auto& [team, account] : this->accounts) {
     const AllowanceLedger::Totals totals =
         ledger.TotalsOf(team, fleet.is_active);
+    const bool holds_reserve = fleet.holds_reserve(team);
     const std::uint64_t target =
-        this->TargetTokens(team, account, totals, fleet, now);
-    const std::int64_t taken = std::min(
-        UpdateTakenTokens(account, totals, target, fleet.reserve_holders,
-                          fleet.holds_reserve(team), scope),
-        fleet.may_increase ? std::numeric_limits<std::int64_t>::max()
-                           : account.granted);
+        this->TargetTokens(account, totals, fleet, holds_reserve, now);
+    const std::int64_t taken =
+        std::min(UpdateTakenTokens(account, totals, target,
+                                   fleet.reserve_holders, holds_reserve, scope),
+                 fleet.may_increase ? std::numeric_limits<std::int64_t>::max()
+                                    : account.granted);
     const bool withdraws = account.written > account.granted;
     const bool is_short = RemainingOf(account.prepaid, totals.taken) <
                           static_cast<std::int64_t>(target);
     const bool may_report = scope == EntryScope::kReports ||
                             (scope == EntryScope::kReturns && is_short);
+    const ReportedDemand demand = ReportedDemandOf(account, holds_reserve, now);
     if (taken != account.written || withdraws ||
-        (may_report && IsReportOutdated(account, now))) {
-      const double demand =
-          fleet.holds_reserve(team) ? DemandOf(account, now) : 0.0;
+        (may_report && IsReportOutdated(account, demand.all))) {
       entries.push_back(this->MakeEntry(team, account, taken, demand));
     }
   }
@@ -156,8 +164,10 @@
   std::vector<AllowanceEntry> entries;
   for (auto& [team, account] : this->accounts) {
     if (account.written != 0 || account.granted != 0) {
-      entries.push_back(this->MakeEntry(team, account, account.granted,
-                                        account.demand_written));
+      entries.push_back(this->MakeEntry(
+          team, account, account.granted,
+          {account.demand_written, account.steady_demand_written,
+           account.ahead_demand_written}));
     }
   }
   this->pending_entries = static_cast<int>(entries.size());
@@ -169,7 +179,7 @@
   for (auto& [team, account] : this->accounts) {
     account.LowerTo(account.net_committed());
     if (account.written != account.granted) {
-      entries.push_back(this->MakeEntry(team, account, account.granted, 0.0));
+      entries.push_back(this->MakeEntry(team, account, account.granted, {}));
     }
   }
   this->pending_entries = static_cast<int>(entries.size());
@@ -238,6 +248,28 @@
   return transferred;
 }
 
+auto AllowanceManager::RecordRequestedDemand(std::string_view team,
+                                             std::uint64_t tokens,
+                                             bool gets_ahead,
+                                             Instant now) -> void {
+  const auto found = this->accounts.find(team);
+  if (found == this->accounts.end()) {
+    return;
+  }
+  found->second.requested_demand.Add(tokens, now);
+  if (gets_ahead) {
+    found->second.ahead_demand.Add(tokens, now);
+  }
+}
+
+auto AllowanceManager::TakeUnreportedDemand(std::string_view team)
+    -> std::uint64_t {
+  const auto found = this->accounts.find(team);
+  return found == this->accounts.end()
+             ? 0
+             : std::exchange(found->second.unreported_demand, 0);
+}
+
 auto AllowanceManager::ReceiveTransfer(std::string_view team,
                                        std::uint64_t tokens) -> void {
   this->accounts[std::string(team)].received += tokens;
@@ -248,8 +280,11 @@
     Instant now) -> std::vector<TeamTokens> {
   std::vector<TeamTokens> taken;
   for (auto& [team, account] : this->accounts) {
-    const auto kept = static_cast<std::uint64_t>(kSurplusSeconds *
-                                                 SteadyDemandOf(account, now));
+    const double kept_seconds =
+        std::max(kMinSurplusSeconds, kSurplusRatio * account.own_seconds);
+    const auto kept = static_cast<std::uint64_t>(
+        kept_seconds * SteadyDemandOf(account, now) +
+        kSurplusRatio * account.ahead_seconds * RareDemandOf(account, now));
     const std::uint64_t surplus =
         SaturatingSubtract(account.available(), kept + account.waiting);
     if (surplus > 0 && !holds_reserve(team)) {
@@ -340,6 +375,11 @@
   return found == this->accounts.end() ? 0 : found->second.spendable;
 }
 
+auto AllowanceManager::ReportsDemand(std::string_view team) const -> bool {
+  const auto found = this->accounts.find(team);
+  return found != this->accounts.end() && found->second.demand_written > 0.0;
+}
+
 auto AllowanceManager::Shortage(std::string_view team, Instant now) const
     -> std::uint64_t {
   const auto found = this->accounts.find(team);
@@ -347,9 +387,30 @@
     return 0;
   }
   const Account& account = found->second;
-  const double soon = kShortageSeconds * SteadyDemandOf(account, now);
-  return SaturatingSubtract(account.waiting + static_cast<std::uint64_t>(soon),
-                            account.available());
+  const std::uint64_t available = account.available();
+  double least = 0.0;
+  double planned = 0.0;
+  if (const double steady = SteadyDemandOf(account, now); steady > 0.0) {
+    const double demand =
+        std::max(steady, account.recent_demand.PerSecond(now));
+    least = kShortageSeconds * demand;
+    planned = kAskSeconds * demand;
+  } else {
+    planned = account.ahead_seconds * RareDemandOf(account, now);
+    least = kLeastAheadShare * planned;
+  }
+  if (available >= account.waiting + static_cast<std::uint64_t>(least)) {
+    return 0;
+  }
+  return account.waiting + static_cast<std::uint64_t>(planned) - available;
+}
+
+auto AllowanceManager::GetsAhead(std::string_view team, Instant now) const
+    -> bool {
+  const auto found = this->accounts.find(team);
+  return found != this->accounts.end() &&
+         SteadyDemandOf(found->second, now) <= 0.0 &&
+         RareDemandOf(found->second, now) > 0.0;
 }
 
 //==============================================================================
@@ -359,7 +420,18 @@
          account.requested_demand.PerSecond(now);
 }
 
-auto AllowanceManager::IsReportOutdated(const Account& account, Instant now)
+auto AllowanceManager::ReportedDemandOf(const Account& account,
+                                        bool holds_reserve,
+                                        Instant now) -> ReportedDemand {
+  const double steady = SteadyDemandOf(account, now);
+  // A router without a share of the reserve reports only the demand for which
+  // it takes tokens: the holders measure the rest as requested transfers.
+  return holds_reserve ? ReportedDemand{DemandOf(account, now), steady,
+                                        account.ahead_demand.PerSecond(now)}
+                       : ReportedDemand{steady, steady, 0.0};
+}
+
+auto AllowanceManager::IsReportOutdated(const Account& account, double demand)
     -> bool {
   if (account.written == 0 && account.granted == 0) {
     return false;  // This router spends only what the entries of others cover.
@@ -369,7 +441,7 @@
   }
   // Report the end of a demand once: otherwise the reserve would continue to
   // cover it.
-  return DemandOf(account, now) < account.demand_written * kDemandDropRatio &&
+  return demand < account.demand_written * kDemandDropRatio &&
          account.demand_written >
              account.mean_request_tokens * kDemandDropRatio;
 }
@@ -382,28 +454,43 @@
              : 0.0;
 }
 
-auto AllowanceManager::TargetTokens(std::string_view team,
-                                    const Account& account,
+auto AllowanceManager::RareDemandOf(const Account& account, Instant now)
+    -> double {
+  if (SteadyDemandOf(account, now) > 0.0) {
+    return 0.0;
+  }
+  const double demand = account.rare_demand.PerSecond(now);
+  return demand * account.ahead_seconds >=
+                 kMinAheadRequests * account.mean_request_tokens
+             ? demand
+             : 0.0;
+}
+
+auto AllowanceManager::TargetTokens(Account& account,
                                     const AllowanceLedger::Totals& totals,
                                     const FleetStatus& fleet,
+                                    bool holds_reserve,
                                     Instant now) const -> std::uint64_t {
-  const double demand = DemandOf(account, now);
-  const auto remaining = static_cast<double>(RemainingOf(
+  const double steady = SteadyDemandOf(account, now);
+  TeamDemand demand;
+  demand.remaining_tokens = static_cast<double>(RemainingOf(
       account.prepaid, totals.taken_by_expired + totals.settled_by_active));
-  const double working =
-      std::min(SteadyDemandOf(account, now) * kWorkingSeconds,
-               remaining * kMaxWorkingShare);
-  if (!fleet.holds_reserve(team)) {
-    return static_cast<std::uint64_t>(working);
-  }
-  const double all = std::max(totals.demand_of_active, demand);
-  const double outage_demand =
-      std::min(all * ToSeconds(this->settings.outage_coverage),
-               remaining * kMaxReserveShare);
+  demand.all = std::max(totals.demand_of_active, DemandOf(account, now));
+  // Its own part as it is now: the ledger has that of its last entry.
+  demand.steady = std::max(0.0, totals.steady_demand_of_active -
+                                    account.steady_demand_written) +
+                  steady;
+  demand.ahead = std::max(totals.ahead_demand_of_active,
+                          account.ahead_demand.PerSecond(now));
+  const HoldingPlan plan = PlanHoldings(this->settings, demand);
+  account.own_seconds = plan.own_seconds;
+  account.ahead_seconds = plan.ahead_seconds;
+  const double working = std::min(steady * plan.own_seconds,
+                                  demand.remaining_tokens * kMaxWorkingShare);
   const double reserve =
-      std::max(outage_demand, remaining * this->settings.min_reserve_share);
-  return static_cast<std::uint64_t>(
-      working + reserve / std::max(1, fleet.reserve_holders));
+      holds_reserve ? plan.reserve_tokens / std::max(1, fleet.reserve_holders)
+                    : 0.0;
+  return static_cast<std::uint64_t>(working + reserve);
 }
 
 auto AllowanceManager::UpdateTakenTokens(Account& account,
@@ -450,19 +537,24 @@
 auto AllowanceManager::MakeEntry(const std::string& team,
                                  Account& account,
                                  std::int64_t taken,
-                                 double demand) -> AllowanceEntry {
+                                 const ReportedDemand& demand)
+    -> AllowanceEntry {
   AllowanceEntry entry;
   entry.team = team;
   entry.holder = this->holder;
   entry.taken_tokens = taken;
   entry.settled_tokens = account.net_settled();
-  entry.demand_per_second = demand;
+  entry.demand_per_second = demand.all;
+  entry.steady_demand_per_second = demand.steady;
+  entry.ahead_demand_per_second = demand.ahead;
   entry.reserved_tokens =
       static_cast<std::int64_t>(account.reserved + account.waiting);
   entry.revision = ++this->last_revision;
   account.written = taken;
   account.settled_written = entry.settled_tokens;
-  account.demand_written = entry.demand_per_second;
+  account.demand_written = demand.all;
+  account.steady_demand_written = demand.steady;
+  account.ahead_demand_written = demand.ahead;
   account.pending_revision = entry.revision;
   return entry;
 }
--- a/modules/al_gateway/prepaid/allowance_manager.h
+++ b/modules/al_gateway/prepaid/allowance_manager.h
@@ -12,20 +12,10 @@
 #include "al_core/time/instant.h"
 #include "al_gateway/limits/rate_meter.h"
 #include "al_gateway/prepaid/allowance_ledger.h"
+#include "al_gateway/prepaid/holding_plan.h"
 
 namespace auburnloft::gateway {
 
-/** How large a router's allowances are planned. */
-struct AllowanceSizing {
-  /** Length of an outage of the log service for which the allowances cover
-     the demand. */
-  Duration outage_coverage = std::chrono::seconds(5);
-
-  /** Minimum reserve as a share of a team's remaining budget, 0 to 1. It covers
-     demand that is not reported yet or that moves to other routers. */
-  double min_reserve_share = 0.2;
-};
-
 /** Which changes of the ledger PlanEntries() may plan. */
 enum class EntryScope {
   kIncreases,  ///< Tokens that are needed now.
@@ -63,12 +53,12 @@
 /** Manages one router's allowances: the part of each team's budget that this
    router may spend without another ledger entry.
 
-    Each router holds an allowance for one second of its own demand. In
-   addition, a few routers hold the reserve that carries a team through an
-   outage of the log service; the others request transfers from them, and hand
-   what a request did not use back to them: with many routers, small remainders
-   on each would add up to most of a small team's budget. If a large fleet
-   shared the reserve evenly, no share would cover a request.
+    Each router with steady demand holds an allowance for some seconds of it
+   (PlanHoldings()). In addition, a few routers hold the reserve that carries a
+   team through an outage of the log service; the others request transfers from
+   them, and hand what a request did not use back to them: with many routers,
+   small remainders on each would add up to most of a small team's budget. If a
+   large fleet shared the reserve evenly, no share would cover a request.
 
     A request reserves its maximum with TryReserve() before it is sent, and
    Settle() records its use when it ends. PlanEntries() returns the
@@ -158,6 +148,20 @@
                                  bool first_try,
                                  Instant now) -> std::uint64_t;
 
+  /** Adds the demand behind another router's request for tokens to the measured
+     one. TransferOut() with `first_try` false follows.
+      @param gets_ahead  whether the router also requests tokens for its future
+                         requests, and holds them. */
+  auto RecordRequestedDemand(std::string_view team,
+                             std::uint64_t tokens,
+                             bool gets_ahead,
+                             Instant now) -> void;
+
+  /** Returns the tokens of requests since the last call, which this router's
+     entries do not report: the demand to tell with a request for a transfer. */
+  [[nodiscard]] auto TakeUnreportedDemand(std::string_view team)
+      -> std::uint64_t;
+
   /** Removes the tokens that this router needs neither for requests nor for
      its steady demand, to hand them to a reserve holder, and counts them as
      spent. Skips the teams whose reserve this router holds. */
@@ -203,17 +207,40 @@
      entries must never be below. */
   [[nodiscard]] auto Covered(std::string_view team) const -> std::int64_t;
 
-  /** Returns the tokens that are missing for the queued requests and for the
-     steady demand of the near future. */
+  /** Returns whether this router gets tokens of a team ahead by transfers: it
+     has enough requests to use them, and too few to take them by entries. */
+  [[nodiscard]] auto GetsAhead(std::string_view team, Instant now) const
+      -> bool;
+
+  /** Returns the tokens that are missing for the queued requests and, once less
+     is left than the near future needs, for the demand of some seconds: a
+     request for transfers then covers several requests. */
   [[nodiscard]] auto Shortage(std::string_view team, Instant now) const
       -> std::uint64_t;
 
+  /** Returns whether the newest entry reports this router's demand, so that
+     those who transfer tokens to it must not count it as theirs. */
+  [[nodiscard]] auto ReportsDemand(std::string_view team) const -> bool;
+
   /** Returns whether planned entries were not read back from the log yet. */
   [[nodiscard]] auto has_unrecorded_entries() const -> bool {
     return this->pending_entries > 0;
   }
 
  private:
+  /** Decay of the rate that shows a jump of the demand within a second. */
+  static constexpr Duration kRecentDecay = std::chrono::seconds(1);
+
+  /** Decay of the rate of requests that come once in some seconds. */
+  static constexpr Duration kRareDecay = std::chrono::seconds(16);
+
+  /** As in AllowanceEntry. */
+  struct ReportedDemand {
+    double all = 0.0;
+    double steady = 0.0;
+    double ahead = 0.0;
+  };
+
   /** A valid increase that other routers may not have read. */
   struct UnwitnessedIncrease {
     std::int64_t taken = 0;  ///< The net total with it.
@@ -226,15 +253,23 @@
     std::int64_t granted = 0;    ///< Net total of valid entries.
     std::int64_t spendable = 0;  ///< The part that others know, too.
     std::vector<UnwitnessedIncrease> unwitnessed;  ///< In order.
-    std::int64_t written = 0;          ///< Taken tokens of the newest entry.
-    std::uint64_t settled = 0;         ///< Spent or transferred to others.
-    std::uint64_t received = 0;        ///< Transferred from other routers.
-    std::uint64_t reserved = 0;        ///< For requests that have not ended.
-    std::uint64_t waiting = 0;         ///< Needed by queued requests.
-    RateMeter own_demand;              ///< Of requests to this router.
-    RateMeter requested_demand;        ///< Of transfers that others requested.
+    std::int64_t written = 0;    ///< Taken tokens of the newest entry.
+    std::uint64_t settled = 0;   ///< Spent or transferred to others.
+    std::uint64_t received = 0;  ///< Transferred from other routers.
+    std::uint64_t reserved = 0;  ///< For requests that have not ended.
+    std::uint64_t waiting = 0;   ///< Needed by queued requests.
+    RateMeter own_demand;        ///< Of requests to this router.
+    RateMeter recent_demand{kRecentDecay};  ///< The same, of the last second.
+    RateMeter rare_demand{kRareDecay};  ///< The same, where requests are rare.
+    std::uint64_t unreported_demand = 0;  ///< See TakeUnreportedDemand().
+    RateMeter requested_demand;  ///< Of transfers that others requested.
+    RateMeter ahead_demand;      ///< The part of routers that get tokens ahead.
     std::int64_t settled_written = 0;  ///< Settled tokens of the newest entry.
     double demand_written = 0.0;       ///< Demand in the newest entry.
+    double steady_demand_written = 0.0;  ///< Steady demand in that entry.
+    double ahead_demand_written = 0.0;   ///< Ahead demand in that entry.
+    double own_seconds = 0.0;            ///< Of the last HoldingPlan.
+    double ahead_seconds = 0.0;          ///< Of the last HoldingPlan.
     double mean_request_tokens =
         0.0;  ///< Running mean of the requests' maximum.
     std::uint64_t pending_revision = 0;  ///< 0: no unrecorded entry.
@@ -268,19 +303,29 @@
      router and of transfers that others requested. */
   [[nodiscard]] static auto DemandOf(const Account& account, Instant now)
       -> double;
+  /** Returns the demand that this router reports in its entries: a holder of
+     the reserve that of the transfers, too. */
+  [[nodiscard]] static auto ReportedDemandOf(const Account& account,
+                                             bool holds_reserve,
+                                             Instant now) -> ReportedDemand;
+  /** Returns the demand of requests to this router for which it gets tokens
+     ahead by transfers, else 0. */
+  [[nodiscard]] static auto RareDemandOf(const Account& account, Instant now)
+      -> double;
   /** Returns whether the use or demand in the newest entry is outdated. */
   [[nodiscard]] static auto IsReportOutdated(const Account& account,
-                                             Instant now) -> bool;
+                                             double demand) -> bool;
 
   /** Returns the demand of requests to this router if they arrive often enough
      to hold tokens for them, else 0. */
   [[nodiscard]] static auto SteadyDemandOf(const Account& account, Instant now)
       -> double;
-  /** Returns the uncommitted tokens that this router should hold for a team. */
-  [[nodiscard]] auto TargetTokens(std::string_view team,
-                                  const Account& account,
+  /** Returns the uncommitted tokens that this router should hold for a team,
+     and keeps the plan's seconds in the account. */
+  [[nodiscard]] auto TargetTokens(Account& account,
                                   const AllowanceLedger::Totals& totals,
                                   const FleetStatus& fleet,
+                                  bool holds_reserve,
                                   Instant now) const -> std::uint64_t;
   /** Returns the taken tokens for the next entry. Lowers the account if tokens
      are to be returned. */
@@ -294,7 +339,7 @@
   auto MakeEntry(const std::string& team,
                  Account& account,
                  std::int64_t taken,
-                 double demand) -> AllowanceEntry;
+                 const ReportedDemand& demand) -> AllowanceEntry;
 
   std::string holder;
   AllowanceSizing settings;
--- a/programs/gateway/main.cc
+++ b/programs/gateway/main.cc
@@ -39,6 +39,10 @@
       "retry-slack", "retries of the fleet in a window beyond the ratio", "50");
   settings.DeclareInteger("retry-window-s",
                           "window of the retry bounds, in seconds", 10, 1, 60);
+  settings.DeclareInteger("held-demand-s",
+                          "seconds of its own demand of a team that a router "
+                          "holds tokens for, at most",
+                          1, 1, 60);
   settings.DeclareText("hedge-share",
                        "second attempts of late requests per request that may "
                        "have one, 0 to 1; 0: none",
@@ -111,6 +115,8 @@
       NumberOf(settings, "retry-slack", findings);
   options.retry_bound.window_seconds =
       static_cast<int>(settings.Integer("retry-window-s"));
+  options.allowances.held_demand =
+      std::chrono::seconds(settings.Integer("held-demand-s"));
   options.hedge_share = NumberOf(settings, "hedge-share", findings);
   if (options.hedge_share > 1.0) {
     findings.Add("--hedge-share", "must be a number from 0 to 1");
