Leave more connections to other routers

A router that holds the reserves of teams gets up to two connections from each other router: 388 in a fleet of 195, of which the peer address took 256 at 4,100 descriptors. Callers keep half of the connections.

--- a/modules/al_http1/descriptor_plan.cc
+++ b/modules/al_http1/descriptor_plan.cc
@@ -14,10 +14,10 @@
     asks others over a few connections; the platform checks readiness and reads
     metrics over one or two. */
 constexpr std::size_t kUnits = 32;
-constexpr std::size_t kClientUnits = 20;
+constexpr std::size_t kClientUnits = 16;
 constexpr std::size_t kEntryUnits = 2;
 constexpr std::size_t kReadinessUnits = 1;
-constexpr std::size_t kPeerUnits = 2;
+constexpr std::size_t kPeerUnits = 6;
 constexpr std::size_t kMetricsUnits = 1;
 
 /** All connections take at most this part of the account by their fixed cost,
