--- a/programs/gateway/gateway_context.h
+++ b/programs/gateway/gateway_context.h
@@ -60,7 +60,7 @@
   std::function<void(const UpstreamRecord&)> observe_end;
   std::function<void()> report_news;  ///< Writes news about crashes and limits
                                       ///< of upstreams soon.
-  RateMeter request_rate;       ///< Requests that callers send to this router.
+  RateMeter request_rate{};     ///< Requests that callers send to this router.
   double close_fraction = 0.0;  ///< Of responses, after which the connection is
                                 ///< closed.
   int routers = 1;              ///< Active routers in the fleet.
--- a/programs/gateway/gateway_daemon.cc
+++ b/programs/gateway/gateway_daemon.cc
@@ -259,55 +259,7 @@
 auto GatewayDaemon::Start() -> bool {
   const DescriptorPlan plan = DescriptorPlan::ForProcess(
       this->options.max_descriptors, this->memory->limit());
-  const bool opened =
-      this->StartServer(
-          {"client", this->options.self.client_address, plan.clients(), true,
-           [this](const Http1RequestHead& head) {
-             return this->HasRoute(head);
-           }},
-          [this](std::shared_ptr<Http1ServerSession> session,
-                 Http1Request request) {
-            std::make_shared<RequestHandler>(this->context, std::move(session),
-                                             std::move(request))
-                ->Start();
-          }) &&
-      this->StartServer(
-          {"entry", this->options.entry_address, plan.entry(), false,
-           [](const Http1RequestHead& head) {
-             return platform::ReadRouterAddressQuery(head.target).has_value();
-           }},
-          [this](const std::shared_ptr<Http1ServerSession>& session,
-                 const Http1Request& request) {
-            this->OnRouterAddressRequest(*session, request);
-          }) &&
-      this->StartServer(
-          {"readiness", this->options.readiness_address, plan.readiness(),
-           false,
-           [](const Http1RequestHead& head) {
-             return head.target == platform::kReadinessPath;
-           }},
-          [this](const std::shared_ptr<Http1ServerSession>& session,
-                 const Http1Request& request) {
-            this->OnReadinessRequest(*session, request);
-          }) &&
-      this->StartServer(
-          {"peer", this->options.self.peer_address, plan.peers(), true, {}},
-          [this](const std::shared_ptr<Http1ServerSession>& session,
-                 const Http1Request& request) {
-            this->OnPeerRequest(*session, request);
-          }) &&
-      (this->options.metrics_address.empty() ||
-       this->StartServer(
-           {"metrics",
-            this->options.metrics_address,
-            plan.metrics(),
-            false,
-            {}},
-           [this](const std::shared_ptr<Http1ServerSession>& session,
-                  const Http1Request& request) {
-             this->OnMetricsRequest(*session, request);
-           }));
-  if (!opened) {
+  if (!this->StartCallerServer(plan) || !this->StartOtherServers(plan)) {
     return false;
   }
   this->log.WriteLine(DecisionLog::Severity::kNotable, "start",
@@ -320,6 +272,58 @@
   return true;
 }
 
+auto GatewayDaemon::StartCallerServer(const DescriptorPlan& plan) -> bool {
+  return this->StartServer(
+      {"client", this->options.self.client_address, plan.clients(), true,
+       [this](const Http1RequestHead& head) { return this->HasRoute(head); }},
+      [this](std::shared_ptr<Http1ServerSession> session,
+             Http1Request request) {
+        std::make_shared<RequestHandler>(this->context, std::move(session),
+                                         std::move(request))
+            ->Start();
+      });
+}
+
+auto GatewayDaemon::StartOtherServers(const DescriptorPlan& plan) -> bool {
+  return this->StartServer(
+             {"entry", this->options.entry_address, plan.entry(), false,
+              [](const Http1RequestHead& head) {
+                return platform::ReadRouterAddressQuery(head.target)
+                    .has_value();
+              }},
+             [this](const std::shared_ptr<Http1ServerSession>& session,
+                    const Http1Request& request) {
+               this->OnRouterAddressRequest(*session, request);
+             }) &&
+         this->StartServer(
+             {"readiness", this->options.readiness_address, plan.readiness(),
+              false,
+              [](const Http1RequestHead& head) {
+                return head.target == platform::kReadinessPath;
+              }},
+             [this](const std::shared_ptr<Http1ServerSession>& session,
+                    const Http1Request& request) {
+               this->OnReadinessRequest(*session, request);
+             }) &&
+         this->StartServer(
+             {"peer", this->options.self.peer_address, plan.peers(), true, {}},
+             [this](const std::shared_ptr<Http1ServerSession>& session,
+                    const Http1Request& request) {
+               this->OnPeerRequest(*session, request);
+             }) &&
+         (this->options.metrics_address.empty() ||
+          this->StartServer(
+              {"metrics",
+               this->options.metrics_address,
+               plan.metrics(),
+               false,
+               {}},
+              [this](const std::shared_ptr<Http1ServerSession>& session,
+                     const Http1Request& request) {
+                this->OnMetricsRequest(*session, request);
+              }));
+}
+
 auto GatewayDaemon::StartServer(Address address,
                                 Http1ServerSession::OnRequest call) -> bool {
   Http1ServerOptions server_options;
--- a/programs/gateway/gateway_daemon.h
+++ b/programs/gateway/gateway_daemon.h
@@ -25,6 +25,10 @@
 #include "gateway/upstream_end_detector.h"
 #include "platform/router_address_codec.h"
 
+namespace auburnloft {
+class DescriptorPlan;
+}
+
 namespace auburnloft::gateway {
 
 /** One router process: serves callers, follows the log service, and drains on
@@ -90,6 +94,10 @@
     std::function<bool(const Http1RequestHead&)> is_useful;
   };
 
+  /** Starts the server of callers; the first one of `servers`. */
+  auto StartCallerServer(const DescriptorPlan& plan) -> bool;
+  /** Starts the servers of the entry, readiness, peer and metrics addresses. */
+  auto StartOtherServers(const DescriptorPlan& plan) -> bool;
   auto StartServer(Address address, Http1ServerSession::OnRequest call) -> bool;
   /** Returns whether a caller's request has a route and a key. */
   [[nodiscard]] auto HasRoute(const Http1RequestHead& head) const -> bool;
