--- a/bench/allowance_main.cc
+++ b/bench/allowance_main.cc
@@ -401,6 +401,23 @@
   }
 }
 
+auto FaultNames() -> std::vector<std::string> {
+  std::vector<std::string> names;
+  names.reserve(kInjectedFaults.size());
+  for (const InjectedFault& fault : kInjectedFaults) {
+    names.emplace_back(fault.name);
+  }
+  return names;
+}
+
+/** @pre `name` is one of FaultNames(). */
+auto InjectFault(std::string_view name, AllowanceFleet::Settings& settings)
+    -> void {
+  std::find_if(kInjectedFaults.begin(), kInjectedFaults.end(),
+               [name](const InjectedFault& item) { return item.name == name; })
+      ->inject(settings);
+}
+
 }  // namespace
 
 auto main(int argc, char** argv) -> int {
@@ -436,11 +453,7 @@
       "tokens of replies after the time-out, or handed over into a cut, are "
       "lost",
       command);
-  std::vector<std::string> names;
-  names.reserve(kInjectedFaults.size());
-  for (const InjectedFault& fault : kInjectedFaults) {
-    names.emplace_back(fault.name);
-  }
+  std::vector<std::string> names = FaultNames();
   TCLAP::ValuesConstraint<std::string> known_faults(names);
   TCLAP::ValueArg<std::string> fault(
       "", "fault", "put this fault into the routers after a restore", false,
@@ -453,21 +466,15 @@
     settings.routers = routers.getValue();
     settings.late_reply_probability = late_replies.getValue();
     settings.keeps_late_replies = !loses_late_replies.getValue();
-    std::find_if(kInjectedFaults.begin(), kInjectedFaults.end(),
-                 [&](const InjectedFault& item) {
-                   return item.name == fault.getValue();
-                 })
-        ->inject(settings);
+    InjectFault(fault.getValue(), settings);
     return RunSeeds(seeds.getValue(), settings) ? 0 : 1;
   }
   if (compares_spreads.getValue()) {
     PrintSpreadTable(loses_late_replies.getValue());
-    return 0;
-  }
-  if (compares_restores.getValue()) {
+  } else if (compares_restores.getValue()) {
     PrintRestoreTable();
-    return 0;
+  } else {
+    PrintTables();
   }
-  PrintTables();
   return 0;
 }
