--- a/tests/gateway/allowance_test.cc
+++ b/tests/gateway/allowance_test.cc
@@ -358,7 +358,7 @@
     CHECK_TRUE(manager.TryReserve("team", 500, true, now));
   }
   const auto calm = manager.Shortage("team", now);
-  CHECK_TRUE(calm > 0 && calm < 2'500 * 3);
+  CHECK_TRUE(calm > 0 && calm < 7'500);
   manager.ReceiveTransfer("team", calm);
   for (int i = 0; i < 20; ++i) {
     now += milliseconds(40);
