Log how late the loop is, and requests that meet a close

A report says that a request got no answer beside a change of the configuration. The logs can't tell whether the loop was held, whether a connection was closed as idle, or whether bytes came after that.

config names its bytes, the idle time-out and for how long reading it held the loop; loop_late and a histogram tell by how much timers were late; connection_limit has limit=crossed_close for bytes that arrive on a connection that was closed as idle. No decision changes.

--- a/modules/al_edge/loop/event_loop.cc
+++ b/modules/al_edge/loop/event_loop.cc
@@ -3,6 +3,7 @@
 #include <libwebsockets.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <atomic>
 #include <csignal>
@@ -211,6 +212,14 @@
   }
 }
 
+auto EventLoop::RecordLateness(Duration lateness) -> void {
+  this->max_lateness = std::max(this->max_lateness, lateness);
+}
+
+auto EventLoop::TakeMaxLateness() -> Duration {
+  return std::exchange(this->max_lateness, Duration(0));
+}
+
 auto EventLoop::SkipNextWait() -> void {
   // A timer that is always due: libwebsockets then serves the sockets that are
   // ready, but does not wait for others. It runs timers before it would wait,
--- a/modules/al_edge/loop/event_loop.h
+++ b/modules/al_edge/loop/event_loop.h
@@ -81,6 +81,13 @@
       running. */
   auto StopWatching(int descriptor) -> void;
 
+  /** Records by how much a timer fired late. */
+  auto RecordLateness(Duration lateness) -> void;
+
+  /** Returns the most by which a timer fired late since the last call: how long
+     a callback held the loop. */
+  [[nodiscard]] auto TakeMaxLateness() -> Duration;
+
   //============================================================================
   // Queries
 
@@ -115,6 +122,7 @@
   std::map<int, struct ::lws*> watches;  ///< By descriptor.
   std::vector<Callback> posted;
   std::unique_ptr<Timer> wake_up;  ///< Runs while callbacks are posted.
+  Duration max_lateness{0};
   Callback terminate_handler;
   Callback hangup_handler;
 };
--- a/modules/al_edge/loop/loop_timer.cc
+++ b/modules/al_edge/loop/loop_timer.cc
@@ -13,6 +13,7 @@
   lws_sorted_usec_list_t sul{};
   EventLoop* loop = nullptr;
   bool running = false;
+  Instant due{};
   std::function<void()> callback;
 };
 
@@ -30,10 +31,12 @@
   const auto fire = [](lws_sorted_usec_list_t* sul) {
     auto* const fired = reinterpret_cast<Entry*>(sul);
     fired->running = false;
+    fired->loop->RecordLateness(fired->loop->Now() - fired->due);
     const std::function<void()> callback = fired->callback;
     callback();  // May destroy the entry.
   };
   this->entry->running = true;
+  this->entry->due = this->entry->loop->Now() + delay;
   // libwebsockets treats a delay of 0 as already past and a negative one as a
   // cancellation.
   const auto micros = std::max<lws_usec_t>(1, delay.count());
--- a/modules/al_http1/http1_server_session.cc
+++ b/modules/al_http1/http1_server_session.cc
@@ -196,7 +196,12 @@
                        !this->reader->has_started() &&
                        this->connection->input().empty();
   if (is_idle && this->poller.loop().Now() - this->idle_since >= min_idle) {
-    this->connection->CloseGracefully(kLingerTimeout);
+    this->connection->CloseGracefully(kLingerTimeout,
+                                      [options = this->options] {
+                                        if (options->on_limit) {
+                                          options->on_limit({"crossed_close"});
+                                        }
+                                      });
     this->MarkClosed();
   }
 }
--- a/programs/gateway/gateway_daemon.cc
+++ b/programs/gateway/gateway_daemon.cc
@@ -58,6 +58,10 @@
 constexpr Duration kDrainInterval = std::chrono::milliseconds(100);
 constexpr Duration kTickInterval = std::chrono::milliseconds(500);
 
+/** Timers that are late by this much are logged: a sixth of the shortest time
+   to a first event that routes of the users aim for. */
+constexpr Duration kLoggedLateness = std::chrono::milliseconds(50);
+
 /** Maximum duration of a long poll of the log for a newer configuration. */
 constexpr Duration kConfigWait = std::chrono::milliseconds(1'000);
 
@@ -491,6 +495,7 @@
 }
 
 auto GatewayDaemon::ApplyConfig(const std::string& text) -> void {
+  const Instant began_at = this->loop.Now();
   Findings findings;
   auto config = platform::ReadConfig(text, findings);
   if (!config) {
@@ -518,7 +523,10 @@
   this->log.WriteLine(DecisionLog::Severity::kNotable, "config",
                       {{"version", config->version},
                        {"routes", config->routes.size()},
-                       {"teams", config->teams.size()}},
+                       {"teams", config->teams.size()},
+                       {"bytes", text.size()},
+                       {"idle_ms", this->limits.idle_timeout},
+                       {"read_ms", this->loop.Now() - began_at}},
                       this->loop.Now());
   this->fleet_topic.SetConfigVersion(config->version);
   const auto shared_text = std::make_shared<const std::string>(text);
@@ -573,6 +581,7 @@
 auto GatewayDaemon::OnTick() -> void {
   this->tick_timer->Start(kTickInterval);
   const Instant now = this->loop.Now();
+  this->RecordLateness(now);
   this->upstreams.Expire(now);
   this->evacuations.Update();
   this->cold_upstreams.Update(now);
@@ -598,6 +607,17 @@
   }
 }
 
+auto GatewayDaemon::RecordLateness(Instant now) -> void {
+  const Duration lateness = this->loop.TakeMaxLateness();
+  this->metrics.RecordLoopLateness(lateness);
+  if (lateness >= kLoggedLateness) {
+    this->log.WriteLine(
+        DecisionLog::Severity::kNotable, "loop_late",
+        {{"late_ms", lateness}, {"open", this->context.open_requests.size()}},
+        now);
+  }
+}
+
 auto GatewayDaemon::UpdateLoadShare(Instant now) -> void {
   const double own_rate = this->context.request_rate.PerSecond(now);
   this->fleet_topic.SetRequestRate(own_rate);
--- a/programs/gateway/gateway_daemon.h
+++ b/programs/gateway/gateway_daemon.h
@@ -126,6 +126,8 @@
   auto OnShortage(const std::string& team) -> void;
   auto OnTick() -> void;
   /** Updates how many connections are closed to spread callers evenly. */
+  /** Records by how much the loop was late since the last tick. */
+  auto RecordLateness(Instant now) -> void;
   auto UpdateLoadShare(Instant now) -> void;
   /** Records that an upstream has ended under requests of this router. */
   auto OnUpstreamEnded(const UpstreamProcess& upstream) -> void;
--- a/programs/gateway/gateway_metrics.cc
+++ b/programs/gateway/gateway_metrics.cc
@@ -45,6 +45,8 @@
       .append(std::to_string(this->engine_reports_dropped))
       .append("\n");
   text += this->first_byte.ToPrometheus("auburnloft_first_byte_seconds", "");
+  text +=
+      this->loop_lateness.ToPrometheus("auburnloft_loop_lateness_seconds", "");
   return text;
 }
 
--- a/programs/gateway/gateway_metrics.h
+++ b/programs/gateway/gateway_metrics.h
@@ -77,6 +77,11 @@
     this->first_byte.Record(duration);
   }
 
+  /** Records by how much the loop's timers were late at most, of a tick. */
+  auto RecordLoopLateness(Duration duration) -> void {
+    this->loop_lateness.Record(duration);
+  }
+
   /** All metrics in the Prometheus text format 0.0.4. */
   [[nodiscard]] auto ToPrometheus() const -> std::string;
 
@@ -92,6 +97,7 @@
   std::uint64_t log_restores = 0;
   std::uint64_t engine_reports_dropped = 0;
   LatencyHistogram first_byte;
+  LatencyHistogram loop_lateness;
 };
 
 }  // namespace auburnloft::gateway
