Read or refuse a request before its connection is closed for room

What callers would see: no answer to a request that has arrived whole, as its connection was closed for a new one, or in a planned stop.

Cause: whether a connection is idle was decided by the bytes that the loop had read. What the kernel holds did not count.

Change: HasRequest() is the one question before a connection is closed without a response, and includes unread input. A connection with unread input is passed over when a new one needs room (at most eight are; then the least useful one is refused with 503), and is no idle one for a planned stop.

--- a/modules/al_http1/http1_server.cc
+++ b/modules/al_http1/http1_server.cc
@@ -17,6 +17,11 @@
    usual request fits. Responses of up to 64 KiB leave the process at once. */
 constexpr SocketBuffers kBuffers = {16 * 1024, 64 * 1024};
 
+/** Connections that are passed over for a new one, as they have input that was
+    not read yet. Bounds the search; beyond it, the least useful one is refused.
+ */
+constexpr std::size_t kMaxPassedOver = 8;
+
 /** Sent to a connection for which there is no room. */
 constexpr std::string_view kNoRoom =
     "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\n"
@@ -125,17 +130,10 @@
       return true;
     }
   }
-  using Candidate = std::tuple<MemoryRank, Instant, Http1ServerSession*>;
-  Candidate worst{MemoryRank::kProtected, Instant(), nullptr};
-  for (const auto& [key, session] : this->sessions) {
-    worst =
-        std::min(worst, {session->Rank(), session->last_progress_at(), key});
-  }
-  if (std::get<MemoryRank>(worst) == MemoryRank::kProtected) {
+  const std::shared_ptr<Http1ServerSession> session = this->LeastUseful();
+  if (!session) {
     return false;
   }
-  const std::shared_ptr<Http1ServerSession> session =
-      this->sessions.at(std::get<Http1ServerSession*>(worst));
   session->CloseForRoom("connections_closed");
   // Its descriptor is needed now.
   if (const auto connection = session->tcp_connection().lock()) {
@@ -144,6 +142,33 @@
   return true;
 }
 
+auto Http1Server::LeastUseful() const -> std::shared_ptr<Http1ServerSession> {
+  using Candidate = std::tuple<MemoryRank, Instant, Http1ServerSession*>;
+  std::vector<Candidate> passed_over;
+  while (true) {
+    Candidate worst{MemoryRank::kProtected, Instant(), nullptr};
+    for (const auto& [key, session] : this->sessions) {
+      const Candidate candidate{session->Rank(), session->last_progress_at(),
+                                key};
+      if (candidate < worst &&
+          std::ranges::find(passed_over, candidate) == passed_over.end()) {
+        worst = candidate;
+      }
+    }
+    const bool is_last = passed_over.size() == kMaxPassedOver;
+    if (std::get<MemoryRank>(worst) == MemoryRank::kProtected || is_last) {
+      worst = passed_over.empty() ? worst : passed_over.front();
+    } else if (this->sessions.at(std::get<Http1ServerSession*>(worst))
+                   ->HasUnreadInput()) {
+      passed_over.push_back(worst);
+      continue;
+    }
+    return std::get<MemoryRank>(worst) == MemoryRank::kProtected
+               ? nullptr
+               : this->sessions.at(std::get<Http1ServerSession*>(worst));
+  }
+}
+
 auto Http1Server::Report(std::string_view limit, std::size_t bytes) const
     -> void {
   if (this->options->on_limit) {
--- a/modules/al_http1/http1_server.h
+++ b/modules/al_http1/http1_server.h
@@ -51,6 +51,10 @@
   /** Closes a connection if there are as many as there may be.
      @return false if each of them must be kept. */
   auto FindRoom() -> bool;
+  /** Returns the connection to close for a new one: of the lowest rank, without
+     progress for longest, and with no unread input, which may be a whole
+     request; null if each must be kept. */
+  [[nodiscard]] auto LeastUseful() const -> std::shared_ptr<Http1ServerSession>;
   auto Report(std::string_view limit, std::size_t bytes) const -> void;
 
   SocketPoller& poller;
--- a/modules/al_http1/http1_server_session.cc
+++ b/modules/al_http1/http1_server_session.cc
@@ -199,10 +199,9 @@
 // Commands of the server
 
 auto Http1ServerSession::CloseIfIdle(Duration min_idle) -> void {
-  const bool is_idle = this->state == State::kReading &&
-                       !this->reader->has_started() &&
-                       this->connection->input().empty();
-  if (is_idle && this->poller.loop().Now() - this->idle_since >= min_idle) {
+  if (this->state == State::kReading &&
+      this->poller.loop().Now() - this->idle_since >= min_idle &&
+      !this->HasRequest()) {
     this->connection->CloseGracefully(kLingerTimeout,
                                       [options = this->options] {
                                         if (options->on_limit) {
@@ -218,7 +217,7 @@
   if (this->state == State::kClosed) {
     return;
   }
-  if (this->reader->has_started() && !this->waits_for_reader) {
+  if (!this->waits_for_reader && this->HasRequest()) {
     this->Refuse(kServiceUnavailable, limit);
     return;
   }
@@ -238,6 +237,11 @@
                                      : kMaxUnsentBytes);
 }
 
+auto Http1ServerSession::HasRequest() const -> bool {
+  return this->is_serving() || this->reader->has_started() ||
+         !this->connection->input().empty() || this->HasUnreadInput();
+}
+
 auto Http1ServerSession::Rank() -> MemoryRank {
   if (this->is_serving()) {
     return MemoryRank::kProtected;
@@ -382,6 +386,9 @@
     this->Refuse(kRequestTimeout, "slow");
   } else {
     this->CloseIfIdle(Duration(0));
+    if (this->state == State::kReading) {
+      this->timer->Start(this->limits.idle_timeout);
+    }
   }
 }
 
--- a/modules/al_http1/http1_server_session.h
+++ b/modules/al_http1/http1_server_session.h
@@ -105,9 +105,8 @@
   /** Closes the connection if it has been idle for at least `min_idle`. */
   auto CloseIfIdle(Duration min_idle) -> void;
 
-  /** Closes the connection so that its memory and descriptor become free. A
-     request that has begun to arrive is refused with 503. @pre Rank() is not
-     kProtected. */
+  /** Closes the connection so that its memory becomes free. A request that has
+     begun to arrive is refused with 503. @pre Rank() is not kProtected. */
   auto CloseForRoom(std::string_view limit) -> void;
 
   //============================================================================
@@ -117,6 +116,15 @@
   [[nodiscard]] auto tcp_connection() const -> std::weak_ptr<TcpConnection> {
     return this->connection;
   }
+  /** Returns whether a request has begun to arrive, be it that the loop has not
+     read it yet. Whoever closes the connection then has to answer it. Costs a
+     system call. */
+  [[nodiscard]] auto HasRequest() const -> bool;
+  /** Returns whether bytes have arrived that the loop has not read yet. Costs a
+     system call. */
+  [[nodiscard]] auto HasUnreadInput() const -> bool {
+    return this->connection->HasUnreadInput();
+  }
   /** How soon the connection is closed if room is needed. */
   [[nodiscard]] auto Rank() -> MemoryRank;
   /** When the connection last took a step: bytes of a request, or a response
