Reuse connections to other routers only within their stated time

What routers saw: a request for an allowance that got no reply, as it met the close of an idle connection; its team's request is refused or waits longer.

Cause: as for callers; Http1Client, which calls other routers and the log, reused a connection of any age.

Change: it keeps to the time that the server states in Keep-Alive.

--- a/modules/al_http1/http1_client.cc
+++ b/modules/al_http1/http1_client.cc
@@ -41,6 +41,10 @@
   assert(!this->is_busy());
   this->pending_callback = std::move(on_reply);
   this->reply = {};
+  if (this->connection && this->reusable_until &&
+      this->poller.loop().Now() >= *this->reusable_until) {
+    this->connection->Close();
+  }
   if (!this->connection || !this->connection->is_reusable()) {
     this->connection = Http1ClientConnection::Connect(
         this->poller, this->address,
@@ -68,6 +72,10 @@
     this->reply.body.append(bytes);
   };
   callbacks.on_done = [this](Http1Outcome outcome) {
+    const auto reuse_time = FindReuseTime(this->reply.fields);
+    this->reusable_until =
+        reuse_time ? std::optional(this->poller.loop().Now() + *reuse_time)
+                   : std::nullopt;
     this->Finish(outcome == Http1Outcome::kComplete
                      ? std::optional(std::move(this->reply))
                      : std::nullopt);
--- a/modules/al_http1/http1_client.h
+++ b/modules/al_http1/http1_client.h
@@ -15,8 +15,10 @@
 class LoopTimer;
 
 /** An HTTP client for one server: one call at a time, over a persistent
-   connection, with a time-out per call. Used for the log service and for other
-   routers.
+    connection, with a time-out per call. Used for the log service and for other
+    routers.
+
+    A connection is not reused after the time that the server stated for it.
 
     Thread safety: none; use on the loop's thread.
 */
@@ -62,6 +64,7 @@
   std::unique_ptr<LoopTimer> timer;
   OnReply pending_callback;
   Reply reply;
+  std::optional<Instant> reusable_until;  ///< None: not stated.
 };
 
 }  // namespace auburnloft
--- a/modules/al_http1/http1_message.cc
+++ b/modules/al_http1/http1_message.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <array>
 #include <cctype>
+#include <charconv>
+#include <cmath>
 #include <cstdio>
 
 namespace auburnloft {
@@ -108,6 +110,28 @@
   return bytes;
 }
 
+auto FindReuseTime(const Http1Fields& fields) -> std::optional<Duration> {
+  constexpr std::string_view kTimeout = "timeout=";
+  const std::string_view text = fields.Find("Keep-Alive").value_or("");
+  const std::size_t at = text.find(kTimeout);
+  if (at == std::string_view::npos) {
+    return std::nullopt;
+  }
+  std::string_view value = text.substr(at + kTimeout.size());
+  value = TrimSpaces(value.substr(0, value.find(',')));
+  double stated = 0.0;
+  const auto [end, error] =
+      std::from_chars(value.data(), value.data() + value.size(), stated);
+  if (error != std::errc() || end != value.data() + value.size() ||
+      std::isnan(stated)) {
+    return std::nullopt;
+  }
+  // More would overflow where a time is added.
+  constexpr double kMaxSeconds = 1e9;
+  return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
+      std::clamp(stated, -kMaxSeconds, kMaxSeconds)));
+}
+
 auto SerializeResponseHead(const Http1ResponseHead& head,
                            Http1Framing framing,
                            std::size_t length,
--- a/modules/al_http1/http1_message.h
+++ b/modules/al_http1/http1_message.h
@@ -8,6 +8,8 @@
 #include <string_view>
 #include <vector>
 
+#include "al_core/time/instant.h"
+
 namespace auburnloft {
 
 /** One header field as received. */
@@ -83,6 +85,11 @@
   std::chrono::seconds reuse_time{0};  ///< within this time; 0: not stated.
 };
 
+/** Returns for how long the sender of a response keeps the connection open, as
+    its field Keep-Alive states; none if it does not. May be below 0. */
+[[nodiscard]] auto FindReuseTime(const Http1Fields& fields)
+    -> std::optional<Duration>;
+
 /** Serializes the status line and header fields.
     @param length  of the body in bytes; ignored with kChunked. */
 [[nodiscard]] auto SerializeResponseHead(const Http1ResponseHead& head,
--- a/tests/gateway/arrived_request_test.cc
+++ b/tests/gateway/arrived_request_test.cc
@@ -8,7 +8,10 @@
 #include <array>
 #include <charconv>
 #include <memory>
+#include <optional>
+#include <set>
 #include <thread>
+#include <vector>
 
 #include "al_edge/loop/event_loop.h"
 #include "al_edge/loop/loop_timer.h"
@@ -155,6 +158,42 @@
   CHECK_TRUE(caller->is_closed());
 }
 
+// Guards against calls between routers that meet the close of a connection
+// whose stated time has passed.
+TEST(ArrivedRequests, AreNotSentByTheOwnClientAfterTheStatedTime) {
+  constexpr int kStatedSeconds = 1;
+  this->limits.idle_timeout = milliseconds(1'250);
+  int calls = 0;
+  std::set<std::weak_ptr<Http1ServerSession>, std::owner_less<>> connections;
+  this->server = std::make_unique<Http1Server>(
+      this->poller, this->limits,
+      [&](const std::shared_ptr<Http1ServerSession>& session,
+          const Http1Request& /*request*/) {
+        connections.insert(session);
+        session->Respond({200, "OK", {}}, "done");
+      });
+  CHECK_TRUE(this->server->Listen(this->address));
+  Http1Client client(this->poller, this->address);
+  const auto call = [&] {
+    Http1Request request;
+    request.method = "GET";
+    request.target = "/x";
+    request.fields.Add("Host", "h");
+    client.Call(request, seconds(1),
+                [&](const std::optional<Http1Client::Reply>& reply) {
+                  calls += reply ? 1 : 0;
+                });
+    this->RunFor(milliseconds(50));
+  };
+  call();
+  call();
+  CHECK_EQUAL(1U, connections.size());
+  this->RunFor(seconds(kStatedSeconds) + milliseconds(50));
+  call();
+  CHECK_EQUAL(3, calls);
+  CHECK_EQUAL(2U, connections.size());
+}
+
 // Guards against a configuration that shortens the time for which a connection
 // was said to stay open.
 TEST(ArrivedRequests, KeepTheStatedTimeWhenTheLimitFalls) {
