--- a/standins/wire/test_caller_request.cc
+++ b/standins/wire/test_caller_request.cc
@@ -20,6 +20,12 @@
     http.fields.Add(platform::kTokensHeader, request.tokens);
     http.fields.Add(platform::kPromptHeader, request.prompt_parts);
   }
+  if (!request.last_event_id.empty()) {
+    http.fields.Add(platform::kLastEventHeader, request.last_event_id);
+  }
+  if (!request.resumes.empty()) {
+    http.fields.Add(platform::kResumesHeader, request.resumes);
+  }
   http.body = request.body;
   return http;
 }
--- a/standins/wire/test_caller_request.h
+++ b/standins/wire/test_caller_request.h
@@ -17,6 +17,8 @@
   std::string tokens;  ///< `PROMPT,MAX_OUTPUT`; empty: a plain call.
   std::string prompt_parts = "aa:10,bb:10";
   std::string deadline_ms;
+  std::string last_event_id;  ///< Of a stream that is taken up; empty: none.
+  std::string resumes;        ///< Id of the attempt that began it; as above.
   std::string body = "body";
 };
 
--- a/standins/wire/wire_upstream.cc
+++ b/standins/wire/wire_upstream.cc
@@ -58,6 +58,7 @@
                          ? this->settings.address
                          : this->settings.announced_address;
   entry["Zone"] = domain;
+  entry["Version"] = this->settings.version;
   entry["BatchSlots"] = 8;
   entry["State"] = leaving ? "draining" : "ready";
   entry["born"] = this->settings.start_unix_ms;
--- a/standins/wire/wire_upstream.h
+++ b/standins/wire/wire_upstream.h
@@ -35,6 +35,7 @@
     std::string address;  ///< IP:PORT to listen on.
     std::string announced_address;  ///< Address in the entry; empty: `address`.
     std::int64_t start_unix_ms = 1;      ///< `born` in the entry.
+    std::string version = "v1";          ///< `Version` in the entry.
     Duration first_event_delay{0};       ///< Before a stream's first event.
     Duration event_interval{0};          ///< Between the events of a stream.
     std::uint64_t events = 4;            ///< Number of events of a stream.
@@ -71,6 +72,13 @@
   [[nodiscard]] auto Listen() -> bool;
   auto SetFault(Fault fault) -> void { this->fault = fault; }
 
+  /** Lets the entry say that the upstream has started again, with another
+     version of its software. */
+  auto SetVersion(std::string version) -> void {
+    this->settings.version = std::move(version);
+    ++this->settings.start_unix_ms;
+  }
+
   /** Sets the pace of the streams that start from now on. */
   auto SetPace(Duration first_event_delay, Duration event_interval) -> void {
     this->settings.first_event_delay = first_event_delay;
--- a/tests/gateway/odd_records_test.cc
+++ b/tests/gateway/odd_records_test.cc
@@ -31,7 +31,7 @@
   std::string extra = "1";
 
   [[nodiscard]] auto ToText() const -> std::string {
-    return R"({"Service":"desks","Zone":"a","Version":1,"State":"ready","Address":)" +
+    return R"({"Service":"desks","Zone":"a","Version":"v1","State":"ready","Address":)" +
            this->address + R"(,"BatchSlots":)" + this->slots +
            R"(,"WarmupLeftMs":)" + this->warm_up + R"(,"born":)" + this->born +
            R"(,"Extra":)" + this->extra + "}";
--- a/tests/support/gateway_fixture.cc
+++ b/tests/support/gateway_fixture.cc
@@ -135,6 +135,8 @@
   request.tokens = call.tokens;
   request.prompt_parts = call.prompt_parts;
   request.deadline_ms = call.deadline_ms;
+  request.last_event_id = call.last_event_id;
+  request.resumes = call.resumes;
   return standins::MakeHttpRequest(request);
 }
 
@@ -153,9 +155,10 @@
   return connection ? this->StartSendingOn(connection, call) : nullptr;
 }
 
-auto GatewayFixture::Connect() -> std::shared_ptr<Http1ClientConnection> {
-  return Http1ClientConnection::Connect(this->poller, AddressOf(1, "clients"),
-                                        seconds(2));
+auto GatewayFixture::Connect(int router)
+    -> std::shared_ptr<Http1ClientConnection> {
+  return Http1ClientConnection::Connect(
+      this->poller, AddressOf(router, "clients"), seconds(2));
 }
 
 auto GatewayFixture::StartSendingOn(
--- a/tests/support/gateway_fixture.h
+++ b/tests/support/gateway_fixture.h
@@ -39,6 +39,8 @@
     std::string tokens;  ///< `prompt,max output`; empty for a plain service.
     std::string prompt_parts = "aa:10,bb:10";  ///< Of a generation.
     std::string deadline_ms = "4000";
+    std::string last_event_id;  ///< Of a stream that is taken up.
+    std::string resumes;        ///< Id of the attempt that began it.
   };
 
   /** @param grace_period  of a planned stop.
@@ -93,8 +95,8 @@
       not listen. */
   auto StartSending(const Call& call) -> std::shared_ptr<Response>;
 
-  /** Opens a connection to router 1; null if it does not listen. */
-  auto Connect() -> std::shared_ptr<Http1ClientConnection>;
+  /** Opens a connection to a router; null if it does not listen. */
+  auto Connect(int router = 1) -> std::shared_ptr<Http1ClientConnection>;
 
   /** As StartSending(), on a connection. @pre it is idle. */
   auto StartSendingOn(const std::shared_ptr<Http1ClientConnection>& connection,
