Let a stream go on only at the software version that began it

What callers saw: streams with events of two software versions of an engine. What two versions write doesn't fit together.

Cause: no module knew an upstream's version. A router's retry after the first event chose among all engines, and a stream that its caller took up at another router came there with nothing but the id of the attempt that began it.

Change: an upstream's version is read from its record and passed on by readers. The first event of a stream fixes its version; retries, hedged sends, homes of prompts and the queue choose among the engines of that version only, and an attempt whose upstream turns out to be of another one is rejected. While more than one version is listed, a router that forwards a first event tells two others, which follow from the attempt's id, and the router at which the stream is taken up asks these (StreamOrigins). Without a name, a stream goes on only if all that answer have seen one version; else it is refused at once, with no time to come back.

--- a/modules/al_gateway/membership/router_registry.cc
+++ b/modules/al_gateway/membership/router_registry.cc
@@ -1,6 +1,8 @@
 #include "al_gateway/membership/router_registry.h"
 
 #include <algorithm>
+#include <functional>
+#include <set>
 #include <utility>
 
 #include "al_core/text/digest.h"
@@ -179,6 +181,35 @@
   return highest;
 }
 
+auto RouterRegistry::FindHighestRankedAcrossDomains(std::string_view item,
+                                                    std::size_t count,
+                                                    Instant now) const
+    -> std::vector<const RouterAnnouncement*> {
+  std::vector<std::pair<std::uint64_t, const RouterAnnouncement*>> ranked;
+  for (const auto& [name, member] : this->members) {
+    if (name != this->self && !member.announcement.leaving &&
+        this->IsActive(member, now)) {
+      ranked.emplace_back(StableHash(item, name), &member.announcement);
+    }
+  }
+  std::ranges::sort(ranked, std::greater<>());
+  std::vector<const RouterAnnouncement*> found;
+  std::set<std::string_view> domains;
+  while (found.size() < count && !ranked.empty()) {
+    auto next = std::ranges::find_if(ranked, [&domains](const auto& router) {
+      return !domains.contains(router.second->domain);
+    });
+    if (next == ranked.end()) {
+      domains.clear();
+      continue;
+    }
+    domains.insert(next->second->domain);
+    found.push_back(next->second);
+    ranked.erase(next);
+  }
+  return found;
+}
+
 auto RouterRegistry::MeanRequestRate(Instant now) const -> double {
   double sum = 0.0;
   for (const auto& [name, member] : this->members) {
--- a/modules/al_gateway/membership/router_registry.h
+++ b/modules/al_gateway/membership/router_registry.h
@@ -97,6 +97,15 @@
   [[nodiscard]] auto FindHighestRanked(std::string_view item, Instant now) const
       -> const RouterAnnouncement*;
 
+  /** Returns up to `count` routers in the rendezvous order of `item` among the
+     others that are active and do not leave, but each of another failure domain
+     than those before it as long as there is one. Their content may change with
+     the next Apply(). */
+  [[nodiscard]] auto FindHighestRankedAcrossDomains(std::string_view item,
+                                                    std::size_t count,
+                                                    Instant now) const
+      -> std::vector<const RouterAnnouncement*>;
+
   /** Returns whether all active routers but this one have announced themselves
      in an era of the log, or a later one. Those that do not tell are left out.
    */
--- a/modules/al_gateway/model/request_metadata.h
+++ b/modules/al_gateway/model/request_metadata.h
@@ -39,6 +39,13 @@
   std::optional<std::string> key;   ///< The team's key.
   std::optional<GenerationMetadata> generation;
   std::optional<std::uint64_t> last_event_id;  ///< The stream resumes after it.
+  std::string resumed_attempt_id;  ///< The attempt that began the stream; may
+                                   ///< be empty.
+
+  /** Returns whether the caller takes up a stream that has begun. */
+  [[nodiscard]] auto takes_up_stream() const -> bool {
+    return this->last_event_id.has_value() || !this->resumed_attempt_id.empty();
+  }
 };
 
 /** Metadata that a router adds to a request for an upstream. */
--- a/modules/al_gateway/model/upstream_record.h
+++ b/modules/al_gateway/model/upstream_record.h
@@ -13,11 +13,12 @@
 struct UpstreamRecord {
   std::string id;  ///< Usually new with each start.
   std::string service;
-  std::string address;             ///< `ip:port`.
-  std::string domain;              ///< Its failure domain.
-  int slots = 1;                   ///< Requests that it executes concurrently.
-  bool leaving = false;            ///< It is draining and gets no new requests.
-  Duration warm_up_left{0};        ///< Remaining slow period after its start.
+  std::string address;       ///< `ip:port`.
+  std::string domain;        ///< Its failure domain.
+  std::string version;       ///< Of its software; empty: its record names none.
+  int slots = 1;             ///< Requests that it executes concurrently.
+  bool leaving = false;      ///< It is draining and gets no new requests.
+  Duration warm_up_left{0};  ///< Remaining slow period after its start.
   std::int64_t started_at_ms = 0;  ///< Unix time; 0 if unknown.
 
   [[nodiscard]] auto process() const -> UpstreamProcess {
--- a/modules/al_gateway/upstreams/upstream_selector.cc
+++ b/modules/al_gateway/upstreams/upstream_selector.cc
@@ -67,6 +67,15 @@
   return allows(query.route_regions) && allows(query.team_regions);
 }
 
+/** Returns whether an upstream may get the request, whatever it has open. */
+auto IsEligible(const UpstreamState& upstream,
+                const ChoiceQuery& query,
+                Instant now) -> bool {
+  const std::string& version = upstream.record().version;
+  return upstream.is_usable(now) && IsAllowedIn(upstream.region(), query) &&
+         (!query.version || (!version.empty() && version == *query.version));
+}
+
 /** Returns the prompt part that determines the home engine: the second to last
    part, because the last one is unique to the request or its session. A single
    part counts as shared. Null if the prompt has no parts. */
@@ -114,8 +123,7 @@
   double lowest = std::numeric_limits<double>::infinity();
   std::uint64_t highest = 0;
   for (const UpstreamDirectory::State& upstream : upstreams) {
-    if (!upstream->is_usable(now) || upstream->is_limited() ||
-        !IsAllowedIn(upstream->region(), query)) {
+    if (!IsEligible(*upstream, query, now) || upstream->is_limited()) {
       continue;
     }
     const std::uint64_t hash = StableHash(part, upstream->record().id);
@@ -179,15 +187,14 @@
   }
   const bool has_non_suspect =
       std::any_of(upstreams.begin(), upstreams.end(), [&](const auto& item) {
-        return item->is_usable(now) && !item->is_suspect() &&
-               IsAllowedIn(item->region(), query) &&
+        return IsEligible(*item, query, now) && !item->is_suspect() &&
                !IsExcluded(query.excluded, item->record().id) &&
                HasRoom(query, KnownMemory(*item, now));
       });
   std::optional<UpstreamChoice> best;
   double best_score = 0.0;
   for (const UpstreamDirectory::State& upstream : upstreams) {
-    if (!upstream->is_usable(now) || !IsAllowedIn(upstream->region(), query) ||
+    if (!IsEligible(*upstream, query, now) ||
         (has_non_suspect && upstream->is_suspect()) ||
         IsExcluded(query.excluded, upstream->record().id) ||
         !HasRoom(query, KnownMemory(*upstream, now))) {
--- a/modules/al_gateway/upstreams/upstream_selector.h
+++ b/modules/al_gateway/upstreams/upstream_selector.h
@@ -20,6 +20,9 @@
   /** Regions of upstreams that may be chosen; both apply. Empty: all. */
   std::span<const std::string> route_regions;
   std::span<const std::string> team_regions;
+  /** The software version at which a stream has to go on; none: any. An empty
+     one is that of no upstream. */
+  std::optional<std::string_view> version;
   std::uint64_t memory_capacity = 0;  ///< Tokens of the generations that an
                                       ///< engine runs; 0: no limit is known.
 };
--- /dev/null
+++ b/modules/al_gateway/upstreams/version_history.h
@@ -0,0 +1,67 @@
+#ifndef AL_GATEWAY_UPSTREAMS_VERSION_HISTORY_H_
+#define AL_GATEWAY_UPSTREAMS_VERSION_HISTORY_H_
+
+#include <map>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "al_core/time/instant.h"
+
+namespace auburnloft::gateway {
+
+class UpstreamDirectory;
+
+/** The software versions of each service's upstreams that this router has seen
+    listed lately, leaving and lapsed ones included. While there is only one, a
+    stream can have begun at no other.
+
+    Thread safety: none; use on one thread.
+*/
+class VersionHistory {
+ public:
+  /** How long a version counts that is listed no more: the lifetime of a stream
+      (see StreamOriginTable). */
+  static constexpr Duration kPeriod = std::chrono::seconds(30);
+
+  /** @param directory  outlives the history. */
+  VersionHistory(const UpstreamDirectory& directory, Instant now)
+      : directory(directory), began_at(now) {}
+
+  VersionHistory(const VersionHistory&) = delete;
+  auto operator=(const VersionHistory&) -> VersionHistory& = delete;
+
+  /** Records what is listed now. Call it at least once a second. */
+  auto Update(Instant now) -> void;
+
+  /** Returns the versions of a service, those that are listed now included. An
+      empty one is that of upstreams whose records name none. */
+  [[nodiscard]] auto VersionsOf(std::string_view service, Instant now) const
+      -> std::set<std::string>;
+
+  /** Returns whether streams of more than one version may exist. */
+  [[nodiscard]] auto IsMixed(std::string_view service, Instant now) const
+      -> bool {
+    return this->VersionsOf(service, now).size() > 1;
+  }
+
+  /** Returns the services for which IsMixed(). */
+  [[nodiscard]] auto MixedServices(Instant now) const
+      -> std::vector<std::string>;
+
+  /** Returns whether the history covers the whole period. */
+  [[nodiscard]] auto IsComplete(Instant now) const -> bool {
+    return now - this->began_at >= kPeriod;
+  }
+
+ private:
+  const UpstreamDirectory& directory;
+  Instant began_at;
+  std::map<std::string, std::map<std::string, Instant>, std::less<>>
+      listed_at;  ///< By service and version.
+};
+
+}  // namespace auburnloft::gateway
+
+#endif  // AL_GATEWAY_UPSTREAMS_VERSION_HISTORY_H_
--- a/programs/gateway/gateway_context.h
+++ b/programs/gateway/gateway_context.h
@@ -29,6 +29,7 @@
 class AdmissionGate;
 class HedgePolicy;
 class RequestHandler;
+class StreamOrigins;
 
 /** State that all requests of one process share.
 
@@ -69,6 +70,7 @@
   bool is_stopping = false;  ///< Set at the end of a drain: no request starts.
   std::unordered_set<RequestHandler*> open_requests;  ///< In this process.
   AdmissionGate* admission = nullptr;  ///< Null: all requests are admitted.
+  StreamOrigins* stream_origins = nullptr;  ///< Not null once requests come.
   double load_ratio = 1.0;  ///< Requests per second of this router by the mean
                             ///< of the fleet's routers.
   bool is_log_reachable = false;  ///< Whether the log service replies.
--- a/programs/gateway/gateway_daemon.cc
+++ b/programs/gateway/gateway_daemon.cc
@@ -223,6 +223,15 @@
           this->fleet_topic,
           this->log,
           [this](const std::string& text) { this->ApplyConfig(text); }),
+      stream_origins(
+          this->poller,
+          this->fleet_topic,
+          this->upstreams,
+          [this] {
+            return this->upstream_discovery.DirectoryAge(this->loop.Now());
+          },
+          this->log,
+          this->metrics),
       memory(MemoryAccount::ForVm(this->options.memory_mb)),
       tick_timer(std::make_unique<LoopTimer>(loop, [this] { this->OnTick(); })),
       drain_timer(
@@ -242,6 +251,7 @@
   this->context.observe_end = [this](const UpstreamRecord& upstream) {
     this->end_detector.Observe(upstream);
   };
+  this->context.stream_origins = &this->stream_origins;
   if (this->options.admission) {
     this->context.admission = &this->admission.emplace(this->context);
   }
@@ -416,6 +426,9 @@
     this->increase_notifier.OnPeerRequest(session, request);
   } else if (request.target == ConfigExchange::kPath) {
     this->config_exchange.OnPeerRequest(session, request);
+  } else if (request.target == StreamOrigins::kNewsPath ||
+             request.target == StreamOrigins::kAskPath) {
+    this->stream_origins.OnPeerRequest(session, request);
   } else {
     this->allowance_exchange.OnPeerRequest(session, request);
   }
@@ -583,6 +596,7 @@
   const Instant now = this->loop.Now();
   this->RecordLateness(now);
   this->upstreams.Expire(now);
+  this->stream_origins.Update();
   this->evacuations.Update();
   this->cold_upstreams.Update(now);
   this->chooser.UpdatePaces(now);
--- a/programs/gateway/gateway_daemon.h
+++ b/programs/gateway/gateway_daemon.h
@@ -21,6 +21,7 @@
 #include "gateway/gateway_context.h"
 #include "gateway/gateway_metrics.h"
 #include "gateway/increase_notifier.h"
+#include "gateway/stream_origins.h"
 #include "gateway/upstream_discovery.h"
 #include "gateway/upstream_end_detector.h"
 #include "platform/router_address_codec.h"
@@ -166,6 +167,7 @@
   AllowanceExchange allowance_exchange;
   UpstreamDiscovery upstream_discovery;
   ConfigExchange config_exchange;
+  StreamOrigins stream_origins;
   std::unique_ptr<TopicFollower> config_follower;
   std::string first_config;  ///< Held until all evacuations are known.
   Http1SessionLimits limits;
--- a/programs/gateway/gateway_metrics.cc
+++ b/programs/gateway/gateway_metrics.cc
@@ -36,6 +36,8 @@
   AppendCounters(text, "auburnloft_hedges_total", "result", this->hedges);
   AppendCounters(text, "auburnloft_connection_limits_total", "limit",
                  this->connection_limits);
+  AppendCounters(text, "auburnloft_streams_taken_up_total", "source",
+                 this->streams_taken_up);
   text.append("# TYPE auburnloft_log_restores_total counter\n")
       .append("auburnloft_log_restores_total ")
       .append(std::to_string(this->log_restores))
--- a/programs/gateway/gateway_metrics.h
+++ b/programs/gateway/gateway_metrics.h
@@ -69,6 +69,12 @@
     ++this->connection_limits[std::string(limit)];
   }
 
+  /** Counts a stream that a caller takes up, by how its version was found; see
+     StreamOrigins::Answer. */
+  auto CountStreamTakenUp(std::string_view source) -> void {
+    ++this->streams_taken_up[std::string(source)];
+  }
+
   /** Counts a restore of the log from an older copy. */
   auto CountLogRestore() -> void { ++this->log_restores; }
 
@@ -94,6 +100,7 @@
   std::map<std::string, std::uint64_t> admissions;
   std::map<std::string, std::uint64_t> hedges;
   std::map<std::string, std::uint64_t> connection_limits;
+  std::map<std::string, std::uint64_t> streams_taken_up;
   std::uint64_t log_restores = 0;
   std::uint64_t engine_reports_dropped = 0;
   LatencyHistogram first_byte;
--- a/programs/gateway/hedged_attempts.cc
+++ b/programs/gateway/hedged_attempts.cc
@@ -39,17 +39,10 @@
   return excluded;
 }
 
-auto FindCandidate(const GatewayContext& context,
-                   const AttemptParameters& parameters)
+auto FindCandidate(GatewayContext& context, const AttemptParameters& parameters)
     -> std::optional<HedgePolicy::Candidate> {
-  ChoiceQuery query;
-  query.service = parameters.service;
-  query.generation = parameters.metadata.generation
-                         ? &*parameters.metadata.generation
-                         : nullptr;
-  query.excluded = parameters.tried_upstreams;
   const Instant now = context.loop.Now();
-  const auto choice = context.chooser.Choose(query, now);
+  const auto choice = FindUpstream(context, parameters);
   if (!choice) {
     return std::nullopt;
   }
--- a/programs/gateway/request_handler.cc
+++ b/programs/gateway/request_handler.cc
@@ -48,6 +48,7 @@
       budget(context),
       upstream_notices(context),
       crash_guard(context, this->request, this->metadata),
+      continuation(context, this->metadata),
       hedge(context,
             this->execution_counter,
             this->crash_guard,
@@ -117,7 +118,24 @@
   if (this->RefuseIfQuarantined()) {
     return;
   }
-  this->ReserveBudget();
+  this->AwaitVersion();
+}
+
+auto RequestHandler::AwaitVersion() -> void {
+  this->continuation.Begin(
+      *this->route, this->service,
+      [this, kept = this->shared_from_this()](std::string_view why_not) {
+        if (this->ended) {
+          return;
+        }
+        if (why_not.empty()) {
+          this->ReserveBudget();
+        } else {
+          // Coming back would not help: the stream's callers have to begin
+          // anew.
+          this->Refuse(kUnavailable, why_not, Duration(0));
+        }
+      });
 }
 
 auto RequestHandler::MayFinishInDrain(Duration timeout) const -> bool {
@@ -226,6 +244,7 @@
           this->tried_upstreams,
           this->RemainingTime(),
           this->event_splitter.last_id(),
+          this->continuation.version(),
           !this->execution_counter.never_executed()};
 }
 
@@ -294,6 +313,11 @@
     this->RejectResponse("the seal is missing");
     return;
   }
+  if (!this->attempt->has_begun() &&
+      !this->continuation.MayForward(*this->attempt)) {
+    this->RejectResponse("another version of the upstream");
+    return;
+  }
   const std::uint64_t events_before = this->event_splitter.event_count();
   this->pending_events += this->event_splitter.Feed(bytes);
   if (this->event_splitter.has_gap()) {
@@ -301,6 +325,9 @@
     return;
   }
   if (this->event_splitter.event_count() > events_before) {
+    if (!this->attempt->has_begun()) {
+      this->continuation.RecordFirstEvent(*this->attempt);
+    }
     this->attempt->RecordTokens(
         (this->event_splitter.event_count() - events_before) *
         TokensPerEvent(*this->table, this->service));
@@ -626,6 +653,7 @@
 
 auto RequestHandler::EndAttempt(UpstreamResult result)
     -> std::unique_ptr<UpstreamAttempt> {
+  this->continuation.RecordEnd(*this->attempt);
   this->attempt->Finish(result, this->metadata.attempt_id);
   return std::move(this->attempt);
 }
--- a/programs/gateway/request_handler.h
+++ b/programs/gateway/request_handler.h
@@ -18,6 +18,7 @@
 #include "gateway/gateway_context.h"
 #include "gateway/hedged_attempts.h"
 #include "gateway/request_budget.h"
+#include "gateway/stream_continuation.h"
 #include "gateway/upstream_attempt.h"
 #include "gateway/upstream_dispatch.h"
 #include "gateway/upstream_notices.h"
@@ -59,6 +60,8 @@
   [[nodiscard]] auto MayFinishInDrain(Duration timeout) const -> bool;
   /** Returns whether the request draws on its team's budget. */
   [[nodiscard]] auto NeedsTokens() const -> bool;
+  /** Begins the request once it is known where its stream may go on. */
+  auto AwaitVersion() -> void;
   auto ReserveBudget() -> void;
   auto OnReservation(ReservationResult result) -> void;
 
@@ -135,6 +138,7 @@
   RequestBudget budget;
   UpstreamNotices upstream_notices;
   CrashGuard crash_guard;
+  StreamContinuation continuation;
   std::unique_ptr<UpstreamAttempt> attempt;
   std::vector<std::string> tried_upstreams;  ///< By id.
   ExecutionCounter execution_counter;
--- /dev/null
+++ b/programs/gateway/stream_continuation.cc
@@ -0,0 +1,77 @@
+#include "gateway/stream_continuation.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "gateway/stream_origins.h"
+#include "gateway/upstream_attempt.h"
+
+namespace auburnloft::gateway {
+
+StreamContinuation::StreamContinuation(GatewayContext& context,
+                                       const RequestMetadata& metadata)
+    : context(context), metadata(metadata) {}
+
+auto StreamContinuation::Begin(
+    const RouteRule& route,
+    const std::string& service,
+    std::function<void(std::string_view why_not)> on_found) -> void {
+  this->service = service;
+  if (route.kind != RouteKind::kStream || !this->metadata.takes_up_stream()) {
+    on_found({});
+    return;
+  }
+  this->context.stream_origins->Find(
+      this->metadata.resumed_attempt_id, service, this->metadata.attempt_id,
+      [this,
+       on_found = std::move(on_found)](const StreamOrigins::Answer& answer) {
+        this->required = answer.version;
+        if (answer.version.empty()) {
+          on_found("the stream's version is unknown");
+        } else if (!this->IsServed()) {
+          on_found("no upstream of the stream's version");
+        } else {
+          on_found({});
+        }
+      });
+}
+
+auto StreamContinuation::MayForward(const UpstreamAttempt& attempt) const
+    -> bool {
+  const std::string_view version = attempt.version();
+  return !this->required || (!version.empty() && version == *this->required);
+}
+
+auto StreamContinuation::RecordFirstEvent(const UpstreamAttempt& attempt)
+    -> void {
+  if (!this->required) {
+    this->required = std::string(attempt.version());
+  }
+  this->Record();
+}
+
+auto StreamContinuation::RecordEnd(const UpstreamAttempt& attempt) -> void {
+  if (this->required && !this->required->empty() && attempt.has_begun() &&
+      attempt.version().empty()) {
+    this->required = std::string();
+    this->Record();
+  }
+}
+
+auto StreamContinuation::Record() -> void {
+  this->context.stream_origins->Record({this->metadata.takes_up_stream()
+                                            ? this->metadata.resumed_attempt_id
+                                            : this->metadata.attempt_id,
+                                        this->service, *this->required});
+}
+
+auto StreamContinuation::IsServed() const -> bool {
+  const auto upstreams =
+      this->context.upstreams.UpstreamsOfService(this->service);
+  return std::ranges::any_of(upstreams, [this](const auto& upstream) {
+    return upstream->is_serving() &&
+           upstream->record().version == *this->required;
+  });
+}
+
+}  // namespace auburnloft::gateway
--- /dev/null
+++ b/programs/gateway/stream_origins.cc
@@ -0,0 +1,290 @@
+#include "gateway/stream_origins.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "al_core/text/digest.h"
+#include "al_edge/loop/event_loop.h"
+#include "fleet.pb.h"
+#include "gateway/peer_message.h"
+
+namespace auburnloft::gateway {
+
+namespace {
+
+constexpr int kOk = static_cast<int>(PeerStatus::kOk);
+
+/** Routers that are told of a stream, of different failure domains: one of them
+    may be lost together with the router that began it. */
+constexpr std::size_t kTold = 2;
+
+/** Routers that are asked: those that were told, also if the two lists of
+    routers differ by the one that has died and another one. */
+constexpr std::size_t kAsked = 4;
+
+/** Timeout of an answer and of news: several times the longest round trip
+    between failure domains, and little of a caller's deadline. */
+constexpr Duration kReplyTimeout = std::chrono::milliseconds(250);
+
+/** Streams are divided into this many groups, each with its own routers, so
+   that a router of a large fleet has connections to some of the others only. */
+constexpr std::uint64_t kGroups = 32;
+
+/** An older directory may lack a version that others have listed: upstreams
+    renew their records each 1.2 s. */
+constexpr Duration kMaxDirectoryAge = std::chrono::seconds(3);
+
+/** Connections to a router are dropped after this time without use. */
+constexpr Duration kUnusedPeerLifetime = std::chrono::seconds(30);
+
+}  // namespace
+
+/** A stream whose version other routers are asked for. */
+struct StreamOrigins::Search {
+  std::string attempt_id;
+  std::string request_id;
+  OnAnswer on_answer;                     ///< Empty once called.
+  std::set<std::string> listed_versions;  ///< Seen by this router or another.
+  std::size_t pending = 0;                ///< Replies.
+  std::size_t replies = 0;                ///< Valid ones.
+  Instant began_at{};
+};
+
+StreamOrigins::StreamOrigins(SocketPoller& poller,
+                             const FleetTopicClient& fleet,
+                             const UpstreamDirectory& directory,
+                             std::function<Duration()> directory_age,
+                             DecisionLog& log,
+                             GatewayMetrics& metrics)
+    : poller(poller),
+      fleet(fleet),
+      directory_age(std::move(directory_age)),
+      log(log),
+      metrics(metrics),
+      history(directory, poller.loop().Now()) {}
+
+StreamOrigins::~StreamOrigins() = default;
+
+//==============================================================================
+// Streams that begin
+
+auto StreamOrigins::Record(StreamOrigin origin) -> void {
+  const Instant now = this->poller.loop().Now();
+  const std::string service = origin.service;
+  this->table.RecordOwn(std::move(origin), now);
+  if (this->history.IsMixed(service, now)) {
+    this->TellUntold(service);
+  }
+}
+
+auto StreamOrigins::TellUntold(std::string_view service) -> void {
+  for (const StreamOrigin& origin :
+       this->table.TakeUntold(service, this->poller.loop().Now())) {
+    for (const std::string& address :
+         this->KnowersOf(origin.attempt_id, kTold)) {
+      this->peers[address].news.push_back(origin);
+      this->SendNews(address);
+    }
+  }
+}
+
+auto StreamOrigins::SendNews(const std::string& address) -> void {
+  Peer& peer = this->peers[address];
+  if (peer.is_told || peer.news.empty()) {
+    return;  // They follow when the news under way are confirmed.
+  }
+  wire::StreamOriginNews message;
+  for (const StreamOrigin& origin : std::exchange(peer.news, {})) {
+    wire::StreamOriginRecord& record = *message.add_streams();
+    record.set_attempt(origin.attempt_id);
+    record.set_service(origin.service);
+    record.set_version(origin.version);
+  }
+  peer.is_told = true;
+  this->ClientOf(peer, address)
+      .Call(MakePeerRequest(kNewsPath, message.SerializeAsString()),
+            kReplyTimeout,
+            [this, address](const std::optional<Http1Client::Reply>& reply) {
+              if (!reply || reply->status != kOk) {
+                this->log.WriteLine(DecisionLog::Severity::kNotable,
+                                    "stream_news_failed", {{"peer", address}},
+                                    this->poller.loop().Now());
+              }
+              this->peers[address].is_told = false;
+              this->SendNews(address);
+            });
+}
+
+auto StreamOrigins::Update() -> void {
+  const Instant now = this->poller.loop().Now();
+  this->history.Update(now);
+  for (const std::string& service : this->history.MixedServices(now)) {
+    this->TellUntold(service);
+  }
+  std::erase_if(this->peers, [now](const auto& item) {
+    const Peer& peer = item.second;
+    return now - peer.used_at >= kUnusedPeerLifetime && peer.news.empty() &&
+           std::ranges::none_of(peer.clients, [](const auto& client) {
+             return client->is_busy();
+           });
+  });
+}
+
+//==============================================================================
+// Streams that are taken up
+
+auto StreamOrigins::Find(const std::string& attempt_id,
+                         const std::string& service,
+                         const std::string& request_id,
+                         OnAnswer on_answer) -> void {
+  const Instant now = this->poller.loop().Now();
+  const auto search = std::make_shared<Search>();
+  search->attempt_id = attempt_id;
+  search->request_id = request_id;
+  search->on_answer = std::move(on_answer);
+  search->began_at = now;
+  search->listed_versions = this->history.VersionsOf(service, now);
+  if (const StreamOrigin* const known = this->table.Find(attempt_id, now)) {
+    this->Finish(*search, {known->version, "recorded"});
+    return;
+  }
+  const bool has_one = search->listed_versions.size() == 1;
+  if (has_one && this->history.IsComplete(now) &&
+      this->directory_age() <= kMaxDirectoryAge) {
+    this->Finish(*search, {*search->listed_versions.begin(), "only"});
+    return;
+  }
+  const std::vector<std::string> knowers = this->KnowersOf(attempt_id, kAsked);
+  if (knowers.empty()) {
+    // No other router is active, so that none can have seen another version.
+    search->replies = 1;
+    search->pending = 1;
+    this->OnReply(*search, std::nullopt);
+    return;
+  }
+  wire::StreamOriginAsk message;
+  message.set_attempt(attempt_id);
+  message.set_service(service);
+  search->pending = knowers.size();
+  for (const std::string& address : knowers) {
+    this->Ask(address, message.SerializeAsString(), search);
+  }
+}
+
+auto StreamOrigins::Ask(const std::string& address,
+                        const std::string& message,
+                        const std::shared_ptr<Search>& search) -> void {
+  this->ClientOf(this->peers[address], address)
+      .Call(MakePeerRequest(kAskPath, message), kReplyTimeout,
+            [this, search](const std::optional<Http1Client::Reply>& reply) {
+              this->OnReply(*search, reply);
+            });
+}
+
+auto StreamOrigins::OnReply(Search& search,
+                            const std::optional<Http1Client::Reply>& reply)
+    -> void {
+  --search.pending;
+  wire::StreamOriginAnswer answer;
+  if (reply && reply->status == kOk && answer.ParseFromString(reply->body)) {
+    ++search.replies;
+    search.listed_versions.insert(answer.listed_versions().begin(),
+                                  answer.listed_versions().end());
+    if (answer.is_known()) {
+      this->Finish(search, {answer.version(), "told"});
+      return;
+    }
+  }
+  if (search.pending > 0) {
+    return;
+  }
+  const bool is_agreed =
+      search.replies > 0 && search.listed_versions.size() == 1;
+  this->Finish(search, is_agreed
+                           ? Answer{*search.listed_versions.begin(), "agreed"}
+                           : Answer{"", "unknown"});
+}
+
+auto StreamOrigins::Finish(Search& search, const Answer& answer) -> void {
+  const OnAnswer call = std::exchange(search.on_answer, {});
+  if (!call) {
+    return;
+  }
+  const Instant now = this->poller.loop().Now();
+  this->metrics.CountStreamTakenUp(answer.source);
+  this->log.WriteLine(
+      DecisionLog::Severity::kNotable, "stream_taken_up",
+      {{"id", search.request_id},
+       {"resumes",
+        search.attempt_id.empty() ? std::string("-") : search.attempt_id},
+       {"version", answer.version.empty() ? std::string("-") : answer.version},
+       {"source", answer.source},
+       {"versions_listed", search.listed_versions.size()},
+       {"replies", search.replies},
+       {"after_ms", now - search.began_at}},
+      now);
+  call(answer);
+}
+
+//==============================================================================
+
+auto StreamOrigins::OnPeerRequest(Http1ServerSession& session,
+                                  const Http1Request& request) -> void {
+  const Instant now = this->poller.loop().Now();
+  if (request.target == kNewsPath) {
+    wire::StreamOriginNews news;
+    if (!news.ParseFromString(request.body)) {
+      SendPeerReply(session, PeerStatus::kBadRequest, {});
+      return;
+    }
+    for (const wire::StreamOriginRecord& record : news.streams()) {
+      this->table.RecordTold(
+          {record.attempt(), record.service(), record.version()}, now);
+    }
+    SendPeerReply(session, PeerStatus::kOk, {});
+    return;
+  }
+  wire::StreamOriginAsk ask;
+  if (!ask.ParseFromString(request.body)) {
+    SendPeerReply(session, PeerStatus::kBadRequest, {});
+    return;
+  }
+  wire::StreamOriginAnswer answer;
+  if (const StreamOrigin* const known = this->table.Find(ask.attempt(), now)) {
+    answer.set_is_known(true);
+    answer.set_version(known->version);
+  }
+  for (const std::string& version :
+       this->history.VersionsOf(ask.service(), now)) {
+    answer.add_listed_versions(version);
+  }
+  SendPeerReply(session, PeerStatus::kOk, answer.SerializeAsString());
+}
+
+auto StreamOrigins::KnowersOf(std::string_view attempt_id,
+                              std::size_t count) const
+    -> std::vector<std::string> {
+  const std::string group =
+      "streams " + std::to_string(StableHash(attempt_id) % kGroups);
+  std::vector<std::string> addresses;
+  for (const RouterAnnouncement* const router :
+       this->fleet.registry().FindHighestRankedAcrossDomains(
+           group, count, this->fleet.last_read_at())) {
+    addresses.push_back(router->peer_address);
+  }
+  return addresses;
+}
+
+auto StreamOrigins::ClientOf(Peer& peer, const std::string& address)
+    -> Http1Client& {
+  peer.used_at = this->poller.loop().Now();
+  const auto found = std::ranges::find_if(
+      peer.clients, [](const auto& client) { return !client->is_busy(); });
+  if (found != peer.clients.end()) {
+    return **found;
+  }
+  return *peer.clients.emplace_back(
+      std::make_unique<Http1Client>(this->poller, address));
+}
+
+}  // namespace auburnloft::gateway
--- /dev/null
+++ b/programs/gateway/stream_origins.h
@@ -0,0 +1,122 @@
+#ifndef GATEWAY_STREAM_ORIGINS_H_
+#define GATEWAY_STREAM_ORIGINS_H_
+
+#include <cstddef>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "al_gateway/streams/stream_origin_table.h"
+#include "al_gateway/upstreams/version_history.h"
+#include "al_http1/http1_client.h"
+#include "al_http1/http1_server_session.h"
+#include "al_net/socket_poller.h"
+#include "gateway/decision_log.h"
+#include "gateway/fleet_topic_client.h"
+#include "gateway/gateway_metrics.h"
+
+namespace auburnloft::gateway {
+
+/** Knows, together with the other routers, at which software version a stream
+    began that its caller takes up.
+
+    While upstreams of more than one version are listed, a router that forwards
+    the first event of a stream tells two others, which follow from the
+   attempt's id. The router at which the stream is taken up asks these. A stream
+   that nobody knows goes on only if all that are asked have seen one version:
+   see docs/design/stream-versions.md.
+
+    Thread safety: none; used on the loop's thread.
+*/
+class StreamOrigins {
+ public:
+  /** Paths for requests of other routers, at the peer address. */
+  static constexpr std::string_view kNewsPath = "/stream-news";
+  static constexpr std::string_view kAskPath = "/stream-origin";
+
+  /** How a version was found; its name is written to the log. */
+  struct Answer {
+    std::string version;  ///< Empty: none can be named.
+    std::string_view source;
+  };
+  using OnAnswer = std::function<void(const Answer&)>;
+
+  /** @param directory_age  returns how old the directory is. */
+  StreamOrigins(SocketPoller& poller,
+                const FleetTopicClient& fleet,
+                const UpstreamDirectory& directory,
+                std::function<Duration()> directory_age,
+                DecisionLog& log,
+                GatewayMetrics& metrics);
+  ~StreamOrigins();
+
+  StreamOrigins(const StreamOrigins&) = delete;
+  auto operator=(const StreamOrigins&) -> StreamOrigins& = delete;
+
+  //============================================================================
+  // Commands
+
+  /** Records a stream whose first event is forwarded, or of which is learned
+     that its version is in doubt. */
+  auto Record(StreamOrigin origin) -> void;
+
+  /** Finds the version at which a stream began. Calls `on_answer` once, perhaps
+     before it returns; within half a second in any case.
+      @param attempt_id  as the caller names it; may be empty.
+      @param request_id  for the log. */
+  auto Find(const std::string& attempt_id,
+            const std::string& service,
+            const std::string& request_id,
+            OnAnswer on_answer) -> void;
+
+  /** Drops what is out of date, and tells of the streams of services of which a
+     second version has been listed. Call it twice a second. */
+  auto Update() -> void;
+
+  /** Replies to another router. @pre `request` has one of the paths above. */
+  auto OnPeerRequest(Http1ServerSession& session, const Http1Request& request)
+      -> void;
+
+ private:
+  struct Search;
+  /** The connections to another router, and the news that wait for one. */
+  struct Peer {
+    std::vector<std::unique_ptr<Http1Client>> clients;
+    std::vector<StreamOrigin> news;
+    bool is_told = false;  ///< News are under way.
+    Instant used_at{};
+  };
+
+  auto TellUntold(std::string_view service) -> void;
+  auto SendNews(const std::string& address) -> void;
+  auto Ask(const std::string& address,
+           const std::string& message,
+           const std::shared_ptr<Search>& search) -> void;
+  auto OnReply(Search& search, const std::optional<Http1Client::Reply>& reply)
+      -> void;
+  auto Finish(Search& search, const Answer& answer) -> void;
+  /** Returns the peer addresses of the routers that may know a stream. */
+  [[nodiscard]] auto KnowersOf(std::string_view attempt_id,
+                               std::size_t count) const
+      -> std::vector<std::string>;
+  [[nodiscard]] auto ClientOf(Peer& peer, const std::string& address)
+      -> Http1Client&;
+
+  SocketPoller& poller;
+  const FleetTopicClient& fleet;
+  std::function<Duration()> directory_age;
+  DecisionLog& log;
+  GatewayMetrics& metrics;
+  StreamOriginTable table;
+  VersionHistory history;
+  std::map<std::string, Peer> peers;  ///< By peer address.
+};
+
+}  // namespace auburnloft::gateway
+
+#endif  // GATEWAY_STREAM_ORIGINS_H_
--- a/programs/gateway/upstream_attempt.cc
+++ b/programs/gateway/upstream_attempt.cc
@@ -29,6 +29,7 @@
       chosen(std::move(choice)),
       http_connection(std::move(connection)),
       started_at(context.loop.Now()),
+      version_when_sent(this->chosen.upstream->record().version),
       pending_prefill(this->chosen.prefill_tokens) {
   this->chosen.upstream->RecordSent(this->pending_prefill, this->started_at);
   this->chosen.upstream->ReserveMemory(this->chosen.memory_tokens);
@@ -124,6 +125,12 @@
       this->metadata.idle_timeout);
 }
 
+auto UpstreamAttempt::version() const -> std::string_view {
+  return this->upstream().record().version == this->version_when_sent
+             ? std::string_view(this->version_when_sent)
+             : std::string_view();
+}
+
 auto UpstreamAttempt::LogRejected(std::string_view id,
                                   std::string_view why) const -> void {
   this->context.log.WriteLine(
--- a/programs/gateway/upstream_attempt.h
+++ b/programs/gateway/upstream_attempt.h
@@ -94,6 +94,11 @@
   }
   [[nodiscard]] auto sent_at() const -> Instant { return this->started_at; }
 
+  /** Returns the software version of the upstream that answers; empty if it is
+     in doubt, as the upstream's record names none, or another one than when the
+     request was sent: the upstream has started again, before or after that. */
+  [[nodiscard]] auto version() const -> std::string_view;
+
   /** Logs that its response is not valid. @param id  as for Finish(). */
   auto LogRejected(std::string_view id, std::string_view why) const -> void;
 
@@ -116,6 +121,7 @@
   UpstreamChoice chosen;
   UpstreamConnectionPool::Connection http_connection;
   Instant started_at;
+  std::string version_when_sent;  ///< Of the upstream's software.
   std::uint64_t pending_prefill =
       0;  ///< Counted at the upstream until the first byte.
   bool has_first_byte = false;
--- a/programs/gateway/upstream_discovery.cc
+++ b/programs/gateway/upstream_discovery.cc
@@ -61,6 +61,7 @@
   message.set_warm_up_left_us(
       static_cast<std::uint64_t>(change.record->warm_up_left.count()));
   message.set_started_at_ms(change.record->started_at_ms);
+  message.set_version(change.record->version);
 }
 
 auto FromWire(const wire::UpstreamChangeRecord& message) -> UpstreamChange {
@@ -79,6 +80,7 @@
   record.warm_up_left =
       Duration(static_cast<std::int64_t>(message.warm_up_left_us()));
   record.started_at_ms = message.started_at_ms();
+  record.version = message.version();
   return change;
 }
 
@@ -221,6 +223,7 @@
 auto UpstreamDiscovery::OnLogContact(bool answered) -> void {
   if (answered) {
     this->log_read_at = this->poller.loop().Now();
+    this->directory_as_of = this->log_read_at;
   }
   this->callbacks.on_contact(answered);
 }
@@ -341,6 +344,7 @@
       this->config_received_at = now;
       this->callbacks.on_config(message.config());
     }
+    this->directory_as_of = now - age.reader;
     this->source.RecordSuccess();
     this->timer->Start(kPollInterval);
     return;
--- a/programs/gateway/upstream_discovery.h
+++ b/programs/gateway/upstream_discovery.h
@@ -93,6 +93,12 @@
     return this->reader_tells_evacuations;
   }
 
+  /** Returns how old the directory is: the time since this router, or the
+     reader that it asks, read the log. */
+  [[nodiscard]] auto DirectoryAge(Instant now) const -> Duration {
+    return now - this->directory_as_of;
+  }
+
   /** Replies to another router's request for upstream updates. */
   auto OnPeerRequest(Http1ServerSession& session, const Http1Request& request)
       -> void;
@@ -136,6 +142,7 @@
   std::set<std::string> unreadable;  ///< Keys of records that were logged.
   bool listed = false;               ///< Whether the change log is complete.
   Instant log_read_at{};             ///< When the follower last had a reply.
+  Instant directory_as_of{};
   std::unique_ptr<Http1Client> reader_connection;  ///< To `reader_address`.
   std::string reader_address;                      ///< The reader asked last.
   std::string reader_incarnation;
--- a/programs/gateway/upstream_dispatch.cc
+++ b/programs/gateway/upstream_dispatch.cc
@@ -28,6 +28,7 @@
   query.generation = parameters.metadata.generation
                          ? &*parameters.metadata.generation
                          : nullptr;
+  query.version = parameters.version;
   query.route_regions = parameters.route.allowed_regions;
   if (parameters.team != nullptr) {
     query.team_regions = parameters.team->allowed_regions;
@@ -163,6 +164,7 @@
   context.log.WriteLine(DecisionLog::Severity::kRoutine, "send",
                         {{"id", parameters.metadata.attempt_id},
                          {"upstream", upstream.record().id},
+                         {"version", upstream.record().version},
                          {"prefill", attempt.choice().prefill_tokens},
                          {"expected_ms", attempt.choice().expected},
                          {"open", upstream.open_requests()},
--- a/programs/gateway/upstream_dispatch.h
+++ b/programs/gateway/upstream_dispatch.h
@@ -27,6 +27,8 @@
   Duration time_left{0};
   std::optional<std::uint64_t> last_event_id;  ///< Of the last event received,
                                                ///< to resume a stream.
+  /** At which the stream has to go on; see ChoiceQuery. */
+  std::optional<std::string_view> version;
   bool may_have_run = false;  ///< At an upstream of an earlier attempt.
   int attempt_number = 1;     ///< Counts the attempts of the request from 1.
 };
