--- a/tests/gateway/arrived_request_test.cc
+++ b/tests/gateway/arrived_request_test.cc
@@ -6,6 +6,7 @@
 #include <unistd.h>
 
 #include <array>
+#include <cerrno>
 #include <charconv>
 #include <memory>
 #include <optional>
@@ -77,6 +78,14 @@
     this->Receive();
     return this->has_ended;
   }
+  /** Whether the server has closed the connection without having read all that
+      was sent. */
+  [[nodiscard]] auto is_reset() const -> bool {
+    int error = 0;
+    socklen_t size = sizeof(error);
+    getsockopt(this->descriptor, SOL_SOCKET, SO_ERROR, &error, &size);
+    return error == ECONNRESET || error == EPIPE;
+  }
 
  private:
   int descriptor;
@@ -329,3 +338,154 @@
   this->RunFor(milliseconds(50));
   CHECK_EQUAL(2, caller->CountResponses());
 }
+
+// Guards against a call on a connection whose end has arrived but was not read
+// yet, as the loop was held.
+TEST(ArrivedRequests, AreNotSentByTheOwnClientWhereTheEndHasArrived) {
+  this->Listen();
+  Http1Client client(this->poller, this->address);
+  int answered = 0;
+  int failed = 0;
+  const auto call = [&] {
+    Http1Request request;
+    request.method = "GET";
+    request.target = "/x";
+    request.fields.Add("Host", "h");
+    client.Call(request, seconds(1),
+                [&](const std::optional<Http1Client::Reply>& reply) {
+                  ++(reply ? answered : failed);
+                });
+  };
+  call();
+  this->RunFor(milliseconds(50));
+  CHECK_EQUAL(1, answered);
+  this->server->CloseIdle(Duration(0));
+  HoldLoop(milliseconds(20));
+  call();
+  this->RunFor(milliseconds(100));
+  CHECK_EQUAL(0, failed);
+  CHECK_EQUAL(2, answered);
+}
+
+// Guards against a stated time that begins before the caller has the response.
+TEST(ArrivedRequests, KeepTheStatedTimeFromTheEndOfASlowResponse) {
+  this->limits.idle_timeout = milliseconds(2'500);  // States 2 s.
+  const std::string body(std::size_t{8} << 20, 'x');
+  this->server = std::make_unique<Http1Server>(
+      this->poller, this->limits,
+      [&](const std::shared_ptr<Http1ServerSession>& session,
+          const Http1Request& request) {
+        session->Respond({200, "OK", {}},
+                         request.target == "/large" ? body : "done");
+      });
+  CHECK_TRUE(this->server->Listen(this->address));
+  Caller caller(this->address);
+  caller.Send("GET /large HTTP/1.1\r\nHost: h\r\n\r\n");
+  this->RunFor(milliseconds(2'000));
+  while (caller.Receive().size() < body.size()) {
+    this->RunFor(milliseconds(5));
+  }
+  this->RunFor(milliseconds(1'000));  // Half of the stated time.
+  CHECK_FALSE(caller.is_closed());
+  caller.Send(kRequest);
+  this->RunFor(milliseconds(50));
+  CHECK_EQUAL(2, caller.CountResponses());
+}
+
+// Guards against an answer that is cut, as its connection, which closes after
+// it, is taken for a new one.
+TEST(ArrivedRequests, AreAnsweredWholeWhenTheirClosingConnectionIsWanted) {
+  const std::string body(std::size_t{8} << 20, 'x');
+  Http1ServerOptions options;
+  options.max_connections = 1;
+  this->server = std::make_unique<Http1Server>(
+      this->poller, this->limits,
+      [&](const std::shared_ptr<Http1ServerSession>& session,
+          const Http1Request& /*request*/) {
+        session->Respond({200, "OK", {}}, body);
+      },
+      std::move(options));
+  CHECK_TRUE(this->server->Listen(this->address));
+  Caller caller(this->address);
+  caller.Send("GET /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+  this->RunFor(milliseconds(50));
+  Caller other(this->address);
+  this->RunFor(milliseconds(50));
+  while (!caller.is_closed()) {
+    this->RunFor(milliseconds(5));
+  }
+  CHECK_TRUE(caller.Receive().size() > body.size());
+}
+
+// Guards against a router that reads a request after it has closed its
+// connection as idle: what was not read may be sent again, and a reset says so.
+TEST(ArrivedRequests, AreNotReadAfterTheCloseOfAnIdleConnection) {
+  this->Listen();
+  const auto caller = this->ConnectAndCall();
+  this->server->CloseIdle(Duration(0));
+  caller->Send(kRequest);
+  this->RunFor(milliseconds(50));
+  CHECK_TRUE(caller->is_reset());
+}
+
+// Guards against timers that wait until all of a crowd has been served.
+TEST(ArrivedRequests, DelayNoTimerForLong) {
+  this->server = std::make_unique<Http1Server>(
+      this->poller, this->limits,
+      [](const std::shared_ptr<Http1ServerSession>& session,
+         const Http1Request& /*request*/) {
+        HoldLoop(milliseconds(1));
+        session->Respond({200, "OK", {}}, "done");
+      });
+  CHECK_TRUE(this->server->Listen(this->address));
+  constexpr int kCallers = 800;
+  std::vector<std::unique_ptr<Caller>> callers;
+  for (int i = 0; i < kCallers; ++i) {
+    callers.push_back(std::make_unique<Caller>(this->address));
+  }
+  this->RunFor(milliseconds(100));
+  const Instant start = this->loop.Now();
+  Duration lateness{0};
+  LoopTimer timer(this->loop, [&] {
+    lateness = this->loop.Now() - start - milliseconds(20);
+  });
+  timer.Start(milliseconds(20));
+  for (const auto& caller : callers) {
+    caller->Send(kRequest);
+  }
+  HoldLoop(milliseconds(50));
+  this->RunFor(milliseconds(1'500));
+  // Half a second late, an end of time is too late for its caller.
+  CHECK_TRUE(lateness > Duration(0));
+  CHECK_TRUE(lateness < milliseconds(500));
+}
+
+// Guards against connections that read no response and keep a request unread:
+// they were passed over, and one that is in order was closed.
+TEST(ArrivedRequests, KeepTheirConnectionBesideOnesThatReadNoResponse) {
+  const std::string body(std::size_t{8} << 20, 'x');
+  Http1ServerOptions options;
+  options.max_connections = 3;
+  this->server = std::make_unique<Http1Server>(
+      this->poller, this->limits,
+      [&](const std::shared_ptr<Http1ServerSession>& session,
+          const Http1Request& request) {
+        session->Respond({200, "OK", {}},
+                         request.target == "/large" ? body : "done");
+      },
+      std::move(options));
+  CHECK_TRUE(this->server->Listen(this->address));
+  Caller first(this->address);
+  Caller second(this->address);
+  for (Caller* const stuck : {&first, &second}) {
+    stuck->Send("GET /large HTTP/1.1\r\nHost: h\r\n\r\n");
+    this->RunFor(milliseconds(50));
+    stuck->Send(kRequest);
+  }
+  this->RunFor(milliseconds(300));
+  const auto orderly = this->ConnectAndCall();
+  this->RunFor(milliseconds(50));
+  Caller other(this->address);
+  this->RunFor(milliseconds(50));
+  CHECK_FALSE(orderly->is_closed());
+}
