Bound the time for which a due timer waits for sockets

Cause: since ready sockets are served before a timer that is due, a crowd of callers that are ready at once held every timer, posted callbacks and signal handlers until all had been served: 400 callers of 1 ms each 470 ms.

Change: 50 ms at most, then the timer runs; the others follow in the next turn, as before.

--- a/modules/al_net/socket_poller.cc
+++ b/modules/al_net/socket_poller.cc
@@ -17,9 +17,9 @@
    iteration. */
 constexpr int kEventsPerWait = 64;
 
-/** Calls of epoll_wait() in a row at most: they serve each socket of the
-   largest plan of descriptors once. */
-constexpr int kMaxWaitsInRow = 64;
+/** Time for which a timer that is due waits for ready sockets: a tenth of the
+   half second within which callers expect an answer after their time-out. */
+constexpr Duration kMaxServeTime = std::chrono::milliseconds(50);
 
 }  // namespace
 
@@ -31,7 +31,7 @@
     throw std::runtime_error(
         "the event loop cannot watch the epoll descriptor");
   }
-  loop.AddSockets(this, [this] { this->DispatchAll(); });
+  loop.AddSockets(this, [this] { this->DispatchReady(); });
 }
 
 SocketPoller::~SocketPoller() {
@@ -56,8 +56,9 @@
   this->handlers.erase(token);
 }
 
-auto SocketPoller::DispatchAll() -> void {
-  for (int i = 0; i < kMaxWaitsInRow && this->Dispatch(); ++i) {
+auto SocketPoller::DispatchReady() -> void {
+  const Instant end = this->event_loop.Now() + kMaxServeTime;
+  while (this->Dispatch() && this->event_loop.Now() < end) {
   }
 }
 
--- a/modules/al_net/socket_poller.h
+++ b/modules/al_net/socket_poller.h
@@ -54,8 +54,8 @@
   /** Serves sockets that are ready, a limited number.
       @return whether there may be more. */
   auto Dispatch() -> bool;
-  /** Serves all sockets that are ready. */
-  auto DispatchAll() -> void;
+  /** Serves the sockets that are ready, for a limited time. */
+  auto DispatchReady() -> void;
 
   EventLoop& event_loop;
   int epoll_descriptor = -1;
