Pass over no connection whose caller takes no responses

Cause: a new connection passes over those with unread input, and the input of a caller that takes no responses stays unread on purpose. So stuck connections were kept, and an orderly idle one was closed.

Change: unread input counts only on a connection that is read.

Evidence: found in review; ArrivedRequests. KeepTheirConnectionBesideOnesThatReadNoResponse failed before and is off the list.

--- a/modules/al_http1/http1_server.cc
+++ b/modules/al_http1/http1_server.cc
@@ -159,7 +159,7 @@
     if (std::get<MemoryRank>(worst) == MemoryRank::kProtected || is_last) {
       worst = passed_over.empty() ? worst : passed_over.front();
     } else if (this->sessions.at(std::get<Http1ServerSession*>(worst))
-                   ->HasUnreadInput()) {
+                   ->MayHaveArrivedRequest()) {
       passed_over.push_back(worst);
       continue;
     }
--- a/modules/al_http1/http1_server_session.cc
+++ b/modules/al_http1/http1_server_session.cc
@@ -239,7 +239,8 @@
 
 auto Http1ServerSession::HasRequest() const -> bool {
   return this->is_serving() || this->reader->has_started() ||
-         !this->connection->input().empty() || this->HasUnreadInput();
+         !this->connection->input().empty() ||
+         this->connection->HasUnreadInput();
 }
 
 auto Http1ServerSession::Rank() -> MemoryRank {
--- a/modules/al_http1/http1_server_session.h
+++ b/modules/al_http1/http1_server_session.h
@@ -120,10 +120,11 @@
      read it yet. Whoever closes the connection then has to answer it. Costs a
      system call. */
   [[nodiscard]] auto HasRequest() const -> bool;
-  /** Returns whether bytes have arrived that the loop has not read yet. Costs a
+  /** Returns whether input that the loop has not read yet may hold a request
+     that is to be served; not while the caller takes no responses. Costs a
      system call. */
-  [[nodiscard]] auto HasUnreadInput() const -> bool {
-    return this->connection->HasUnreadInput();
+  [[nodiscard]] auto MayHaveArrivedRequest() const -> bool {
+    return !this->waits_for_reader && this->connection->HasUnreadInput();
   }
   /** How soon the connection is closed if room is needed. */
   [[nodiscard]] auto Rank() -> MemoryRank;
