Read nothing on a connection that was closed as idle

What callers saw: a request that met the close of an idle connection was read and dropped. Its caller sees the end of the connection only, and may not repeat what must run once, as it can't know that nothing has run.

An idle one has no response under way.

Change: it is closed at once. The kernel resets what comes later. Hence no event tells any more that a request met a close.

--- a/modules/al_http1/http1_server.cc
+++ b/modules/al_http1/http1_server.cc
@@ -48,10 +48,7 @@
   }
 }
 
-Http1Server::~Http1Server() {
-  // Connections that are closing outlive the server and share its options.
-  this->options->on_limit = {};
-}
+Http1Server::~Http1Server() = default;
 
 auto Http1Server::Listen(std::string_view address) -> bool {
   return this->listener.Listen(
--- a/modules/al_http1/http1_server_options.h
+++ b/modules/al_http1/http1_server_options.h
@@ -14,9 +14,8 @@
 /** A connection that met a limit of its server. */
 struct Http1LimitEvent {
   /** `memory_refused`, `memory_closed`, `connections_refused`,
-      `connections_closed`, `crossed_close` (bytes arrived after it was closed
-      as idle), `head_size`, `body_size`, `body_time`, `malformed`, `pipelined`
-      or `slow`. A string literal. */
+      `connections_closed`, `head_size`, `body_size`, `body_time`, `malformed`,
+     `pipelined` or `slow`. A string literal. */
   std::string_view limit;
   std::size_t bytes = 0;        ///< That the connection takes.
   std::size_t connections = 0;  ///< At the address.
--- a/modules/al_http1/http1_server_session.cc
+++ b/modules/al_http1/http1_server_session.cc
@@ -202,12 +202,9 @@
   if (this->state == State::kReading &&
       this->poller.loop().Now() - this->idle_since >= min_idle &&
       !this->HasRequest()) {
-    this->connection->CloseGracefully(kLingerTimeout,
-                                      [options = this->options] {
-                                        if (options->on_limit) {
-                                          options->on_limit({"crossed_close"});
-                                        }
-                                      });
+    // Nothing is read any more: a request that meets the close is reset, which
+    // tells its caller that it was not executed.
+    this->connection->Close();
     this->MarkClosed();
   }
 }
--- a/modules/al_net/tcp_connection.cc
+++ b/modules/al_net/tcp_connection.cc
@@ -212,16 +212,13 @@
   this->timer.reset();
 }
 
-auto TcpConnection::CloseGracefully(Duration timeout,
-                                    std::function<void()> on_discarded)
-    -> void {
+auto TcpConnection::CloseGracefully(Duration timeout) -> void {
   if (!this->is_open() || !this->established) {
     this->Close();
     return;
   }
   this->is_shutting_down = true;
   this->callbacks = {};
-  this->on_discarded = std::move(on_discarded);
   ReleaseIfLarge(this->received);
   this->consumed = 0;
   this->input_full = false;
@@ -327,9 +324,6 @@
       bytes_in_turn += static_cast<std::size_t>(count);
       if (this->is_shutting_down) {
         this->discarded_bytes += static_cast<std::size_t>(count);
-        if (const auto call = std::exchange(this->on_discarded, {})) {
-          call();
-        }
         if (this->discarded_bytes > kMaxDiscardedBytes) {
           this->Close();
           return;
--- a/modules/al_net/tcp_connection.h
+++ b/modules/al_net/tcp_connection.h
@@ -104,10 +104,9 @@
   /** Shuts the connection down gracefully: sends the unsent bytes and then a
      FIN, and closes when the peer closes or after `timeout`, even if bytes are
      still unsent. Until then, it discards received bytes, up to a limit after
-     which it closes, and calls no callback but `on_discarded`, at the first of
-     them. Closes at once if the connection is not established. */
-  auto CloseGracefully(Duration timeout,
-                       std::function<void()> on_discarded = {}) -> void;
+     which it closes, and calls no callback. Closes at once if the connection is
+     not established. */
+  auto CloseGracefully(Duration timeout) -> void;
 
   //============================================================================
   // Queries
@@ -164,9 +163,8 @@
   bool has_sent_bytes = false;
   bool paused_by_owner = false;
   bool resume_posted = false;
-  std::size_t discarded_bytes = 0;     ///< While it shuts down.
-  std::function<void()> on_discarded;  ///< Empty once called.
-  bool ends_if_full = false;           ///< See SetMaxInputBytes().
+  std::size_t discarded_bytes = 0;  ///< While it shuts down.
+  bool ends_if_full = false;        ///< See SetMaxInputBytes().
   bool peer_closed = false;
   bool input_full = false;  ///< input() exceeded its limit; reading waits.
   bool is_shutting_down = false;
