Call no router on a connection whose end has arrived

Cause: Http1Client decided by what the loop had read. After a held loop, a call went out on a connection whose close was in the kernel, and failed.

Change: as the pool of connections to upstreams, it asks the kernel first.

--- a/modules/al_http1/http1_client.cc
+++ b/modules/al_http1/http1_client.cc
@@ -41,8 +41,11 @@
   assert(!this->is_busy());
   this->pending_callback = std::move(on_reply);
   this->reply = {};
-  if (this->connection && this->reusable_until &&
-      this->poller.loop().Now() >= *this->reusable_until) {
+  // Bytes on an idle connection are no reply, or its end.
+  if (this->connection &&
+      (this->connection->HasUnreadInput() ||
+       (this->reusable_until &&
+        this->poller.loop().Now() >= *this->reusable_until))) {
     this->connection->Close();
   }
   if (!this->connection || !this->connection->is_reusable()) {
