Begin the stated time when the caller has taken the response

Cause: the idle time began when the response was written, also if most of it waited for a slow caller. Its connection was closed before the stated time.

Change: the time begins anew when the last byte has left.

KeepTheStatedTimeFromTheEndOfASlowResponse failed before and is off the list.

--- a/modules/al_http1/http1_server_session.cc
+++ b/modules/al_http1/http1_server_session.cc
@@ -284,7 +284,13 @@
     call();
     return;
   }
-  this->charge.RecordProgress(this->poller.loop().Now());
+  const Instant now = this->poller.loop().Now();
+  this->charge.RecordProgress(now);
+  if (this->state == State::kReading && !this->reader->has_started()) {
+    // The stated time begins when the caller has the response.
+    this->idle_since = now;
+    this->timer->Start(this->idle_timeout);
+  }
   if (std::exchange(this->waits_for_reader, false)) {
     this->connection->SetReadingPaused(false);
     this->DeferReadNext();
