Cut no response on a closing connection to make room

Cause: a new connection took the place of the oldest one that was closing, also if a part of its response had not been sent.

Change: only of one that has sent all; else the least useful open one gives way, or the new one is refused.

AreAnsweredWholeWhenTheirClosingConnectionIsWanted failed before and is off the list.

--- a/modules/al_http1/http1_server.cc
+++ b/modules/al_http1/http1_server.cc
@@ -115,17 +115,9 @@
   if (limit == 0 || this->sessions.size() + this->closing.size() < limit) {
     return true;
   }
-  // Those that are closing have been answered.
-  while (!this->closing.empty()) {
-    const auto connection = this->closing.front().lock();
-    this->closing.pop_front();
-    if (connection && connection->is_open()) {
-      connection->Close();
-      return true;
-    }
-    if (this->sessions.size() + this->closing.size() < limit) {
-      return true;
-    }
+  if (this->CloseOneThatIsClosing() ||
+      this->sessions.size() + this->closing.size() < limit) {
+    return true;
   }
   const std::shared_ptr<Http1ServerSession> session = this->LeastUseful();
   if (!session) {
@@ -139,6 +131,23 @@
   return true;
 }
 
+auto Http1Server::CloseOneThatIsClosing() -> bool {
+  std::erase_if(this->closing, [](const auto& weak) {
+    const auto connection = weak.lock();
+    return !connection || !connection->is_open();
+  });
+  const auto sent = std::ranges::find_if(this->closing, [](const auto& weak) {
+    return weak.lock()->unsent_bytes() == 0;
+  });
+  if (sent == this->closing.end()) {
+    return false;
+  }
+  const auto connection = sent->lock();
+  this->closing.erase(sent);
+  connection->Close();
+  return true;
+}
+
 auto Http1Server::LeastUseful() const -> std::shared_ptr<Http1ServerSession> {
   using Candidate = std::tuple<MemoryRank, Instant, Http1ServerSession*>;
   std::vector<Candidate> passed_over;
--- a/modules/al_http1/http1_server.h
+++ b/modules/al_http1/http1_server.h
@@ -51,6 +51,9 @@
   /** Closes a connection if there are as many as there may be.
      @return false if each of them must be kept. */
   auto FindRoom() -> bool;
+  /** Closes the oldest connection that is closing and has sent its response.
+     @return false if there is none. */
+  auto CloseOneThatIsClosing() -> bool;
   /** Returns the connection to close for a new one: of the lowest rank, without
      progress for longest, and with no unread input, which may be a whole
      request; null if each must be kept. */
