Let a stream go on at the service that began it

Cause: a route may have several services, of which each request draws one. A stream that was taken up drew anew, while its version is one of the service that began it.

Change: routers name the service with the version; a stream goes on there, or is refused if its route has that service no more.

Tests without a network for what is decided: StreamOriginTables, VersionHistories, StreamKnowers (fleets of 8, 78, 195 and 420 routers). The choice of the service itself has no test yet.

--- a/programs/gateway/request_handler.cc
+++ b/programs/gateway/request_handler.cc
@@ -128,6 +128,7 @@
         if (this->ended) {
           return;
         }
+        this->service = this->continuation.service();
         if (why_not.empty()) {
           this->ReserveBudget();
         } else {
--- a/programs/gateway/stream_continuation.cc
+++ b/programs/gateway/stream_continuation.cc
@@ -8,6 +8,16 @@
 
 namespace auburnloft::gateway {
 
+namespace {
+
+auto IsServiceOf(const RouteRule& route, std::string_view service) -> bool {
+  return std::ranges::any_of(route.services, [service](const auto& share) {
+    return share.service == service;
+  });
+}
+
+}  // namespace
+
 StreamContinuation::StreamContinuation(GatewayContext& context,
                                        const RequestMetadata& metadata)
     : context(context), metadata(metadata) {}
@@ -16,19 +26,23 @@
     const RouteRule& route,
     const std::string& service,
     std::function<void(std::string_view why_not)> on_found) -> void {
-  this->service = service;
+  this->service_name = service;
   if (route.kind != RouteKind::kStream || !this->metadata.takes_up_stream()) {
     on_found({});
     return;
   }
   this->context.stream_origins->Find(
       this->metadata.resumed_attempt_id, service, this->metadata.attempt_id,
-      [this,
+      [this, &route,
        on_found = std::move(on_found)](const StreamOrigins::Answer& answer) {
         this->required = answer.version;
+        if (!answer.service.empty()) {
+          this->service_name = answer.service;
+        }
         if (answer.version.empty()) {
           on_found("the stream's version is unknown");
-        } else if (!this->IsServed()) {
+        } else if (!IsServiceOf(route, this->service_name) ||
+                   !this->IsServed()) {
           on_found("no upstream of the stream's version");
         } else {
           on_found({});
@@ -62,12 +76,12 @@
   this->context.stream_origins->Record({this->metadata.takes_up_stream()
                                             ? this->metadata.resumed_attempt_id
                                             : this->metadata.attempt_id,
-                                        this->service, *this->required});
+                                        this->service_name, *this->required});
 }
 
 auto StreamContinuation::IsServed() const -> bool {
   const auto upstreams =
-      this->context.upstreams.UpstreamsOfService(this->service);
+      this->context.upstreams.UpstreamsOfService(this->service_name);
   return std::ranges::any_of(upstreams, [this](const auto& upstream) {
     return upstream->is_serving() &&
            upstream->record().version == *this->required;
--- a/programs/gateway/stream_continuation.h
+++ b/programs/gateway/stream_continuation.h
@@ -48,6 +48,12 @@
      doubt and goes on nowhere. */
   auto RecordEnd(const UpstreamAttempt& attempt) -> void;
 
+  /** The service at which the stream has to go on. @pre Begin() has found it.
+   */
+  [[nodiscard]] auto service() const -> const std::string& {
+    return this->service_name;
+  }
+
   /** The version at which the stream has to go on, empty if it is in doubt;
      none: at any. */
   [[nodiscard]] auto version() const -> std::optional<std::string_view> {
@@ -61,7 +67,7 @@
 
   GatewayContext& context;
   const RequestMetadata& metadata;
-  std::string service;
+  std::string service_name;
   std::optional<std::string> required;
 };
 
--- a/programs/gateway/stream_origins.cc
+++ b/programs/gateway/stream_origins.cc
@@ -145,13 +145,13 @@
   search->began_at = now;
   search->listed_versions = this->history.VersionsOf(service, now);
   if (const StreamOrigin* const known = this->table.Find(attempt_id, now)) {
-    this->Finish(*search, {known->version, "recorded"});
+    this->Finish(*search, {known->version, known->service, "recorded"});
     return;
   }
   const bool has_one = search->listed_versions.size() == 1;
   if (has_one && this->history.IsComplete(now) &&
       this->directory_age() <= kMaxDirectoryAge) {
-    this->Finish(*search, {*search->listed_versions.begin(), "only"});
+    this->Finish(*search, {*search->listed_versions.begin(), "", "only"});
     return;
   }
   const std::vector<std::string> knowers = this->KnowersOf(attempt_id, kAsked);
@@ -191,7 +191,7 @@
     search.listed_versions.insert(answer.listed_versions().begin(),
                                   answer.listed_versions().end());
     if (answer.is_known()) {
-      this->Finish(search, {answer.version(), "told"});
+      this->Finish(search, {answer.version(), answer.known_service(), "told"});
       return;
     }
   }
@@ -200,9 +200,9 @@
   }
   const bool is_agreed =
       search.replies > 0 && search.listed_versions.size() == 1;
-  this->Finish(search, is_agreed
-                           ? Answer{*search.listed_versions.begin(), "agreed"}
-                           : Answer{"", "unknown"});
+  this->Finish(search,
+               is_agreed ? Answer{*search.listed_versions.begin(), "", "agreed"}
+                         : Answer{"", "", "unknown"});
 }
 
 auto StreamOrigins::Finish(Search& search, const Answer& answer) -> void {
@@ -253,6 +253,7 @@
   if (const StreamOrigin* const known = this->table.Find(ask.attempt(), now)) {
     answer.set_is_known(true);
     answer.set_version(known->version);
+    answer.set_known_service(known->service);
   }
   for (const std::string& version :
        this->history.VersionsOf(ask.service(), now)) {
--- a/programs/gateway/stream_origins.h
+++ b/programs/gateway/stream_origins.h
@@ -42,6 +42,7 @@
   /** How a version was found; its name is written to the log. */
   struct Answer {
     std::string version;  ///< Empty: none can be named.
+    std::string service;  ///< At which the stream began; empty: unknown.
     std::string_view source;
   };
   using OnAnswer = std::function<void(const Answer&)>;
--- /dev/null
+++ b/tests/gateway/stream_origin_test.cc
@@ -0,0 +1,189 @@
+// What routers know of streams that their callers take up, without a network:
+// where streams began, which versions were listed, and who is told.
+#include <set>
+#include <string>
+#include <vector>
+
+#include "al_gateway/membership/router_registry.h"
+#include "al_gateway/streams/stream_origin_table.h"
+#include "al_gateway/upstreams/upstream_directory.h"
+#include "al_gateway/upstreams/version_history.h"
+#include "support/test_harness.h"
+
+using namespace auburnloft;           // NOLINT(google-build-using-namespace)
+using namespace auburnloft::gateway;  // NOLINT(google-build-using-namespace)
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+auto AtSecond(std::int64_t second) -> Instant {
+  return Instant(seconds(1'000 + second));
+}
+
+auto Engine(const std::string& id, const std::string& version)
+    -> UpstreamRecord {
+  UpstreamRecord record;
+  record.id = id;
+  record.service = "engines";
+  record.address = "127.0.0.1:1";
+  record.version = version;
+  return record;
+}
+
+auto Router(int number, const std::string& domain) -> RouterAnnouncement {
+  RouterAnnouncement router;
+  router.name = "r" + std::to_string(number);
+  router.incarnation = router.name + "#1";
+  router.domain = domain;
+  router.peer_address = router.name + ":1";
+  return router;
+}
+
+}  // namespace
+
+TEST_GROUP(StreamOriginTables) {
+  StreamOriginTable table;
+};
+
+// Guards against a table that grows with a fleet's streams: at the peak of 420
+// routers, a router begins 3 streams a second and is told 6.
+TEST(StreamOriginTables, KeepsStreamsForTheirLifetimeOnly) {
+  for (int i = 0; i < 900; ++i) {
+    this->table.RecordTold({"s" + std::to_string(i), "engines", "v1"},
+                           AtSecond(i / 9));
+  }
+  CHECK_TRUE(this->table.size() <= 9U * 31U);
+  CHECK_TRUE(this->table.Find("s0", AtSecond(99)) == nullptr);
+  CHECK_EQUAL(std::string("v1"),
+              this->table.Find("s899", AtSecond(99))->version);
+}
+
+// Guards against a stream that is forgotten while it goes on, from one attempt
+// of its caller to the next.
+TEST(StreamOriginTables, BeginsTheLifetimeAnewWithEachAttempt) {
+  this->table.RecordOwn({"s", "engines", "v1"}, AtSecond(0));
+  this->table.RecordOwn({"s", "engines", "v1"}, AtSecond(20));
+  this->table.RecordOwn({"other", "engines", "v1"}, AtSecond(40));
+  CHECK_TRUE(this->table.Find("s", AtSecond(45)) != nullptr);
+  CHECK_TRUE(this->table.Find("s", AtSecond(50)) == nullptr);
+}
+
+// Guards against streams that other routers are not told of: those that began
+// before a second version was listed.
+TEST(StreamOriginTables, ReturnsOwnStreamsThatWereNotToldOnce) {
+  this->table.RecordOwn({"a", "engines", "v1"}, AtSecond(0));
+  this->table.RecordOwn({"b", "others", "v1"}, AtSecond(0));
+  this->table.RecordTold({"c", "engines", "v1"}, AtSecond(0));
+  const auto untold = this->table.TakeUntold("engines", AtSecond(1));
+  CHECK_EQUAL(1U, untold.size());
+  CHECK_EQUAL(std::string("a"), untold[0].attempt_id);
+  CHECK_TRUE(this->table.TakeUntold("engines", AtSecond(1)).empty());
+}
+
+// Guards against ids of callers that fill the memory.
+TEST(StreamOriginTables, KeepsNoOverlongIds) {
+  const std::string id(StreamOriginTable::kMaxIdBytes + 1, 'x');
+  this->table.RecordOwn({id, "engines", "v1"}, AtSecond(0));
+  this->table.RecordOwn({"", "engines", "v1"}, AtSecond(0));
+  CHECK_EQUAL(0U, this->table.size());
+}
+
+TEST_GROUP(VersionHistories) {
+  UpstreamDirectory directory{[](const UpstreamState&) {}};
+  VersionHistory history{this->directory, AtSecond(0)};
+};
+
+// Guards against a release whose last old upstream has left: streams that it
+// began may still be taken up.
+TEST(VersionHistories, RememberAVersionThatIsListedNoMore) {
+  this->directory.Put(Engine("a", "v1"));
+  this->directory.Put(Engine("b", "v2"));
+  this->history.Update(AtSecond(1));
+  this->directory.Remove("a", AtSecond(2));
+  this->history.Update(AtSecond(2));
+  CHECK_TRUE(this->history.IsMixed("engines", AtSecond(30)));
+  CHECK_FALSE(this->history.IsMixed("engines", AtSecond(31)));
+  const std::set<std::string> now = {"v2"};
+  CHECK_TRUE(this->history.VersionsOf("engines", AtSecond(31)) == now);
+}
+
+// Guards against a version that counts only from the next update on: streams
+// begin at an upstream as soon as it is listed.
+TEST(VersionHistories, CountAVersionAsSoonAsItIsListed) {
+  this->directory.Put(Engine("a", "v1"));
+  this->history.Update(AtSecond(1));
+  this->directory.Put(Engine("b", "v2"));
+  CHECK_TRUE(this->history.IsMixed("engines", AtSecond(1)));
+}
+
+// Guards against an upstream that starts again under its id at another version.
+TEST(VersionHistories, CountBothVersionsOfAnUpstreamThatStartedAgain) {
+  this->directory.Put(Engine("a", "v1"));
+  this->history.Update(AtSecond(1));
+  this->directory.Put(Engine("a", "v2"));
+  CHECK_TRUE(this->history.IsMixed("engines", AtSecond(2)));
+}
+
+TEST_GROUP(StreamKnowers) {
+  RouterRegistry registry{"r0"};
+
+  auto Announce(int routers)->void {
+    const std::vector<std::string> domains = {"a", "b", "c"};
+    for (int i = 0; i < routers; ++i) {
+      this->registry.Apply(Router(i, domains[static_cast<std::size_t>(i) % 3]),
+                           AtSecond(0));
+    }
+  }
+};
+
+// Guards against the loss of a failure domain that takes all who know a stream.
+TEST(StreamKnowers, AreOfDifferentDomains) {
+  this->Announce(85);
+  for (int i = 0; i < 100; ++i) {
+    const auto knowers = this->registry.FindHighestRankedAcrossDomains(
+        "s" + std::to_string(i), 4, AtSecond(0));
+    CHECK_EQUAL(4U, knowers.size());
+    std::set<std::string> domains;
+    for (std::size_t k = 0; k < 3; ++k) {
+      domains.insert(knowers[k]->domain);
+    }
+    CHECK_EQUAL(3U, domains.size());
+  }
+}
+
+// Guards against a router that asks others than were told, as it still lists
+// one that has died: of fleets of 8, 78, 195 and 420.
+TEST(StreamKnowers, AreFoundByARouterThatListsADeadOne) {
+  for (const int size : {8, 78, 195, 420}) {
+    RouterRegistry asker{"r0"};
+    RouterRegistry teller{"r1"};
+    const std::vector<std::string> domains = {"a", "b", "c"};
+    for (int i = 0; i < size; ++i) {
+      const auto router = Router(i, domains[static_cast<std::size_t>(i) % 3]);
+      asker.Apply(router, AtSecond(0));
+      if (i != 5) {
+        teller.Apply(router, AtSecond(0));
+      }
+    }
+    int found = 0;
+    constexpr int kStreams = 300;
+    for (int i = 0; i < kStreams; ++i) {
+      const std::string stream = "s" + std::to_string(i);
+      std::set<std::string> asked = {"r0"};
+      for (const auto* const router :
+           asker.FindHighestRankedAcrossDomains(stream, 4, AtSecond(0))) {
+        asked.insert(router->name);
+      }
+      for (const auto* const router :
+           teller.FindHighestRankedAcrossDomains(stream, 2, AtSecond(0))) {
+        if (asked.contains(router->name)) {
+          ++found;
+          break;
+        }
+      }
+    }
+    CHECK_EQUAL(kStreams, found);
+  }
+}
