--- a/modules/al_gateway/al_gateway.h
+++ b/modules/al_gateway/al_gateway.h
@@ -15,7 +15,8 @@
                    routers tell each other;
                    UpstreamLimits: requests a second that upstreams take;
                    EvacuationTable: evacuated failure domains;
-                   ColdUpstreams: which upstreams are cold, and until when
+                   ColdUpstreams: which upstreams are cold, and until when;
+                   VersionHistory: software versions that may have begun streams
     - limits/      timeouts, ExecutionCounter, DrainSchedule: planned stops,
                    and FleetRetryBudget: this router's share of the fleet's
                    retries
@@ -28,7 +29,8 @@
     - membership/  RouterRegistry: the active routers; DiscoveryPlan and
                    DiscoverySource: which routers read upstream records
     - quarantine/  CrashQuarantine: requests that crash upstreams
-    - streams/     EventSplitter: complete events of a stream
+    - streams/     EventSplitter: complete events of a stream;
+                   StreamOriginTable: where recent streams began
 */
 #ifndef AL_GATEWAY_AL_GATEWAY_H_
 #define AL_GATEWAY_AL_GATEWAY_H_
@@ -54,6 +56,7 @@
 #include "al_gateway/quarantine/crash_quarantine.h"
 #include "al_gateway/quarantine/crash_suspects.h"
 #include "al_gateway/routing/route_table.h"
+#include "al_gateway/streams/stream_origin_table.h"
 #include "al_gateway/upstreams/cold_upstreams.h"
 #include "al_gateway/upstreams/engine_load_reporter.h"
 #include "al_gateway/upstreams/engine_load_table.h"
@@ -64,5 +67,6 @@
 #include "al_gateway/upstreams/upstream_change_log.h"
 #include "al_gateway/upstreams/upstream_directory.h"
 #include "al_gateway/upstreams/upstream_selector.h"
+#include "al_gateway/upstreams/version_history.h"
 
 #endif  // AL_GATEWAY_AL_GATEWAY_H_
