--- a/tests/gateway/arrived_request_test.cc
+++ b/tests/gateway/arrived_request_test.cc
@@ -261,6 +261,7 @@
   // More than the loop reads at a time.
   constexpr int kCallers = 150;
   std::vector<std::unique_ptr<Caller>> callers;
+  callers.reserve(kCallers);
   for (int i = 0; i < kCallers; ++i) {
     callers.push_back(std::make_unique<Caller>(this->address));
   }
@@ -440,6 +441,7 @@
   CHECK_TRUE(this->server->Listen(this->address));
   constexpr int kCallers = 800;
   std::vector<std::unique_ptr<Caller>> callers;
+  callers.reserve(kCallers);
   for (int i = 0; i < kCallers; ++i) {
     callers.push_back(std::make_unique<Caller>(this->address));
   }
--- a/tests/gateway/stream_origin_test.cc
+++ b/tests/gateway/stream_origin_test.cc
@@ -54,7 +54,7 @@
     this->table.RecordTold({"s" + std::to_string(i), "engines", "v1"},
                            AtSecond(i / 9));
   }
-  CHECK_TRUE(this->table.size() <= 9U * 31U);
+  CHECK_TRUE(this->table.size() <= std::size_t{9} * 31);
   CHECK_TRUE(this->table.Find("s0", AtSecond(99)) == nullptr);
   CHECK_EQUAL(std::string("v1"),
               this->table.Find("s899", AtSecond(99))->version);
