Let the stand-in upstreams name the release of their software

Cause: no test or soak could run upstreams of two releases side by side and tell which of them wrote an event.

Without it, records and events are as before. A stream that is resumed after its last event ends at once; it got a ninth event before. Test callers can take up a stream (Last-Event-Id, Resumes).

--- a/standins/wire/main.cc
+++ b/standins/wire/main.cc
@@ -43,6 +43,10 @@
   settings.DeclareText("told-address",
                        "address to announce if it differs, such as a proxy's",
                        "");
+  settings.DeclareText("release",
+                       "version of this upstream's software, also written into "
+                       "its events; empty: none",
+                       "");
   settings.DeclareText(
       "runs-file", "file that receives a line when an execution starts", "");
   settings.DeclareText("dies-on",
@@ -72,6 +76,7 @@
   upstream_settings.id = settings.Text("id");
   upstream_settings.address = settings.Text("address");
   upstream_settings.announced_address = settings.Text("told-address");
+  upstream_settings.release = settings.Text("release");
   upstream_settings.start_unix_ms = ToUnixMillis(loop.Now());
   upstream_settings.event_interval = Duration(settings.Integer("between-us"));
   upstream_settings.first_event_delay = upstream_settings.event_interval;
--- a/standins/wire/test_caller_request.cc
+++ b/standins/wire/test_caller_request.cc
@@ -20,6 +20,10 @@
     http.fields.Add(platform::kTokensHeader, request.tokens);
     http.fields.Add(platform::kPromptHeader, request.prompt_parts);
   }
+  if (!request.last_event_id.empty()) {
+    http.fields.Add(platform::kLastEventHeader, request.last_event_id);
+    http.fields.Add("Resumes", request.resumes);
+  }
   http.body = request.body;
   return http;
 }
--- a/standins/wire/test_caller_request.h
+++ b/standins/wire/test_caller_request.h
@@ -17,6 +17,8 @@
   std::string tokens;  ///< `PROMPT,MAX_OUTPUT`; empty: a plain call.
   std::string prompt_parts = "aa:10,bb:10";
   std::string deadline_ms;
+  std::string last_event_id;  ///< Takes up a stream after it; empty: does not.
+  std::string resumes;  ///< Attempt that brought the first event of the stream.
   std::string body = "body";
 };
 
--- a/standins/wire/wire_upstream.cc
+++ b/standins/wire/wire_upstream.cc
@@ -58,6 +58,9 @@
                          ? this->settings.address
                          : this->settings.announced_address;
   entry["Zone"] = domain;
+  if (!this->settings.release.empty()) {
+    entry["Version"] = this->settings.release;
+  }
   entry["BatchSlots"] = 8;
   entry["State"] = leaving ? "draining" : "ready";
   entry["born"] = this->settings.start_unix_ms;
@@ -235,9 +238,16 @@
     session->Abort();
     return;
   }
-  stream.session->Send("id: " + std::to_string(stream.next) + "\ndata: event " +
-                       std::to_string(stream.next) +
-                       std::string(this->settings.event_padding, '.') + "\n\n");
+  // A stream that is resumed after its last event only ends.
+  if (stream.next <= stream.last) {
+    std::string event = "id: " + std::to_string(stream.next) +
+                        "\ndata: event " + std::to_string(stream.next) +
+                        std::string(this->settings.event_padding, '.');
+    if (!this->settings.release.empty()) {
+      event.append(" ").append(this->settings.release);
+    }
+    stream.session->Send(event + "\n\n");
+  }
   if (stream.next++ >= stream.last) {
     const Session session = stream.session;
     this->RemoveStream(&stream);
--- a/standins/wire/wire_upstream.h
+++ b/standins/wire/wire_upstream.h
@@ -34,6 +34,8 @@
     std::string id;       ///< Also the value expected in `X-Expect-Instance`.
     std::string address;  ///< IP:PORT to listen on.
     std::string announced_address;  ///< Address in the entry; empty: `address`.
+    std::string release;  ///< `Version` in the entry, and at the end of each
+                          ///< event's data; empty: in neither.
     std::int64_t start_unix_ms = 1;      ///< `born` in the entry.
     Duration first_event_delay{0};       ///< Before a stream's first event.
     Duration event_interval{0};          ///< Between the events of a stream.
