--- a/programs/soak/main.cc
+++ b/programs/soak/main.cc
@@ -39,6 +39,14 @@
   settings.DeclareInteger("deadly-percent",
                           "percentage of requests that crash upstreams", 0, 0,
                           100);
+  settings.DeclareInteger("take-ups",
+                          "how often a stream that was broken off is taken up "
+                          "at another router, at most",
+                          0, 0, 100);
+  settings.DeclareInteger("pause-ms",
+                          "longest pause of all callers, in milliseconds; 0: "
+                          "they do not pause",
+                          0, 0, 60'000);
   settings.DeclareInteger("rate", "requests per second", 40, 1, 10'000);
   if (!settings.Read(argc, argv)) {
     std::cerr << settings.findings().ToText();
@@ -54,6 +62,9 @@
   constexpr double kPercent = 0.01;
   caller_settings.deadly_fraction =
       static_cast<double>(settings.Integer("deadly-percent")) * kPercent;
+  caller_settings.take_ups = static_cast<int>(settings.Integer("take-ups"));
+  caller_settings.longest_pause =
+      std::chrono::milliseconds(settings.Integer("pause-ms"));
   soak::SoakCallers callers(poller, caller_settings);
   callers.Start();
   const std::int64_t seconds = settings.Integer("seconds");
--- a/programs/soak/soak_callers.cc
+++ b/programs/soak/soak_callers.cc
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <iostream>
+#include <set>
 #include <string_view>
 #include <utility>
 
@@ -35,11 +36,20 @@
 constexpr Duration kRequestTimeout = std::chrono::seconds(9);
 constexpr std::string_view kDeadlineMs = "8000";
 
-/** Returns the text of a complete stream of the stand-in upstreams. */
-auto ExpectedStream() -> std::string {
-  constexpr int kEvents = 8;
+/** Number of events in a stream of the stand-in upstreams. */
+constexpr std::uint64_t kEvents = 8;
+
+/** Time before a caller takes up a stream: a few tries end within the time in
+ * which a router starts again. */
+constexpr Duration kTakeUpDelay = std::chrono::milliseconds(250);
+
+/** One in this many requests is followed by a pause of all callers. */
+constexpr std::uint64_t kPauseEvery = 200;
+
+/** Returns the text of a stream of the stand-in upstreams after an event. */
+auto ExpectedStream(std::uint64_t last_event_id) -> std::string {
   std::string text;
-  for (int number = 1; number <= kEvents; ++number) {
+  for (std::uint64_t number = last_event_id + 1; number <= kEvents; ++number) {
     const std::string digits = std::to_string(number);
     text.append("id: ").append(digits);
     text.append("\ndata: event ").append(digits).append("\n\n");
@@ -47,10 +57,27 @@
   return text;
 }
 
+/** Removes from the events of a stream the releases that wrote them.
+    @return these. */
+auto TakeReleases(std::string& events) -> std::set<std::string> {
+  constexpr std::string_view kMark = " v";
+  std::set<std::string> releases;
+  std::size_t begin = 0;
+  while ((begin = events.find(kMark, begin)) != std::string::npos) {
+    const std::size_t length = events.find('\n', begin) - begin;
+    releases.insert(events.substr(begin + 1, length - 1));
+    events.erase(begin, length);
+  }
+  return releases;
+}
+
 }  // namespace
 
 struct SoakCallers::Call {
   RequestResult result;
+  std::uint64_t last_event_id = 0;  ///< Of the stream that is taken up; or 0.
+  int take_ups_left = 0;
+  std::optional<Duration> reuse_time;  ///< Of the connection, as stated.
   std::uint64_t probed_route = 0;  ///< Configuration version; 0 if not a probe.
   std::uint64_t newest_route_when_sent =
       0;  ///< Newest route the router had served when the probe was sent.
@@ -79,9 +106,16 @@
 
 auto SoakCallers::SendNext() -> void {
   constexpr double kMicrosPerSecond = 1e6;
-  this->timer->Start(Duration(static_cast<std::int64_t>(
+  auto wait = Duration(static_cast<std::int64_t>(
       2.0 * this->random.UniformDouble() * kMicrosPerSecond /
-      this->settings.requests_per_second)));
+      this->settings.requests_per_second));
+  if (this->settings.longest_pause > Duration(0) &&
+      this->random.UniformBelow(kPauseEvery) == 0) {
+    wait += Duration(static_cast<std::int64_t>(
+        this->random.UniformDouble() *
+        static_cast<double>(this->settings.longest_pause.count())));
+  }
+  this->timer->Start(wait);
   if (this->settings.deadly_fraction > 0.0 &&
       this->random.Bernoulli(this->settings.deadly_fraction)) {
     this->SendDeadly();
@@ -100,6 +134,7 @@
   result.kind = &kKinds[this->random.UniformBelow(kKinds.size())];
   result.team = this->random.Bernoulli(0.5) ? "parish-collectors" : "garages";
   result.prompt_tokens = kMinTokens + this->random.UniformBelow(kTokenRange);
+  call->take_ups_left = this->settings.take_ups;
   const std::string path = std::string(result.kind->path) + result.id;
   this->Send(std::move(call), path);
 }
@@ -127,6 +162,24 @@
              std::string(result.kind->path) + std::string(kDeadlyPath));
 }
 
+auto SoakCallers::TakeUp(const RequestResult& broken,
+                         std::uint64_t last_event_id,
+                         int take_ups_left) -> void {
+  auto call = this->NewCall();
+  RequestResult& result = call->result;
+  while (result.router == broken.router && this->settings.routers.size() > 1) {
+    result.router = this->PickRouter();
+  }
+  result.kind = broken.kind;
+  result.team = broken.team;
+  result.prompt_tokens = broken.prompt_tokens;
+  result.resumes = broken.resumes.empty() ? broken.id : broken.resumes;
+  call->last_event_id = last_event_id;
+  call->take_ups_left = take_ups_left;
+  const std::string path = std::string(result.kind->path) + result.resumes;
+  this->Send(std::move(call), path);
+}
+
 auto SoakCallers::NewCall() -> std::unique_ptr<Call> {
   auto call = std::make_unique<Call>();
   call->result.id =
@@ -135,8 +188,9 @@
   return call;
 }
 
-auto SoakCallers::SerializeRequest(const RequestResult& result,
-                                   const std::string& path) -> std::string {
+auto SoakCallers::SerializeRequest(const Call& call, const std::string& path)
+    -> std::string {
+  const RequestResult& result = call.result;
   standins::TestCallerRequest request;
   request.id = result.id;
   request.host = "demo";
@@ -147,13 +201,16 @@
     request.tokens = std::to_string(result.prompt_tokens) + ",40";
     request.prompt_parts = "aa:50,bb:50";
   }
+  if (!result.resumes.empty()) {
+    request.last_event_id = std::to_string(call.last_event_id);
+    request.resumes = result.resumes;
+  }
   return auburnloft::SerializeRequest(standins::MakeHttpRequest(request));
 }
 
 auto SoakCallers::Send(std::unique_ptr<Call> call, const std::string& path)
     -> void {
-  RequestResult& result = call->result;
-  call->connection = this->ConnectionTo(result.router);
+  call->connection = this->ConnectionFor(call->result);
   Call* const opened = call.get();
   this->calls.push_back(std::move(call));
   if (!opened->connection) {
@@ -177,12 +234,13 @@
   callbacks.on_done = [this, opened](Http1Outcome outcome) {
     this->OnDone(*opened, outcome);
   };
-  opened->connection->Start(SerializeRequest(opened->result, path), false,
+  opened->connection->Start(SerializeRequest(*opened, path), false,
                             std::move(callbacks));
 }
 
 auto SoakCallers::OnHead(Call& call, const Http1ResponseHead& head) -> void {
   call.result.status = head.status;
+  call.reuse_time = FindReuseTime(head.fields);
   const std::string expected_seal = "seal-" + call.result.id;
   const auto seal = head.fields.Find(platform::kSealHeader);
   const auto id = head.fields.Find(platform::kAttemptIdHeader);
@@ -205,17 +263,28 @@
   RequestResult& result = call.result;
   result.was_sent = outcome != Http1Outcome::kNotSent;
   result.is_complete = outcome == Http1Outcome::kComplete;
+  if (result.kind->streams && result.status == kOk) {
+    result.releases = TakeReleases(call.body);
+  }
   if (result.is_complete && result.status == kOk) {
     const bool matches =
         call.body + std::string(call.events.rest()) ==
-        (result.kind->streams ? ExpectedStream() : "answer to " + result.id);
+        (result.kind->streams ? ExpectedStream(call.last_event_id)
+                              : "answer to " + result.id);
     result.is_mixed = result.is_mixed || !matches;
+  } else if (call.take_ups_left > 0) {
+    this->OnStreamDone(call);
   }
   if (call.probed_route > 0) {
     this->OnProbeDone(call);
   }
   if (call.connection && call.connection->is_reusable()) {
-    this->idle_connections[result.router].push_back(call.connection);
+    std::optional<Instant> reusable_until;
+    if (call.reuse_time) {
+      reusable_until = this->poller.loop().Now() + *call.reuse_time;
+    }
+    this->idle_connections[result.router].push_back(
+        {call.connection, reusable_until});
   }
   this->finished.push_back(result);
   this->poller.loop().Post([this, done = &call] {
@@ -240,21 +309,47 @@
   }
 }
 
+auto SoakCallers::OnStreamDone(const Call& call) -> void {
+  const std::uint64_t last_event_id =
+      call.events.last_id().value_or(call.last_event_id);
+  // A stream may be resumed if its request may run more than once.
+  if (call.result.kind->at_most_once || last_event_id == 0 ||
+      last_event_id >= kEvents) {
+    return;
+  }
+  this->poller.loop().ScheduleAfter(
+      kTakeUpDelay, [this, broken = call.result, last_event_id,
+                     take_ups_left = call.take_ups_left - 1] {
+        this->TakeUp(broken, last_event_id, take_ups_left);
+      });
+}
+
 auto SoakCallers::PickRouter() -> const std::string& {
   return this->settings
       .routers[this->random.UniformBelow(this->settings.routers.size())];
 }
 
-auto SoakCallers::ConnectionTo(const std::string& router) -> Connection {
-  std::vector<Connection>& candidates = this->idle_connections[router];
+auto SoakCallers::ConnectionFor(RequestResult& result) -> Connection {
+  std::vector<KeptConnection>& candidates =
+      this->idle_connections[result.router];
+  const Instant now = this->poller.loop().Now();
   while (!candidates.empty()) {
-    Connection connection = candidates.back();
+    if (this->settings.longest_pause > Duration(0)) {
+      // Any of them, so that some are reused late in their time.
+      std::swap(candidates[this->random.UniformBelow(candidates.size())],
+                candidates.back());
+    }
+    const KeptConnection kept = candidates.back();
     candidates.pop_back();
-    if (connection->is_reusable()) {
-      return connection;
+    if (kept.connection->is_reusable() &&
+        (!kept.reusable_until || now < *kept.reusable_until)) {
+      result.on_kept_connection = true;
+      return kept.connection;
     }
+    kept.connection->Close();
   }
-  return Http1ClientConnection::Connect(this->poller, router, kConnectTimeout);
+  return Http1ClientConnection::Connect(this->poller, result.router,
+                                        kConnectTimeout);
 }
 
 }  // namespace auburnloft::soak
--- a/programs/soak/soak_callers.h
+++ b/programs/soak/soak_callers.h
@@ -5,6 +5,7 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -16,7 +17,8 @@
 namespace auburnloft::soak {
 
 /** Simulates the callers of a fleet: sends requests of all kinds to random
-   routers, reuses idle connections and records the results. Some requests are
+   routers, reuses idle connections for the time that routers state, and records
+   the results. Streams that were broken off may be taken up. Some requests are
    probes: they use the newest route that a router has served, or the next one.
    A router that no longer has a route it served before has reverted to an older
    configuration.
@@ -30,6 +32,8 @@
     std::uint64_t seed = 1;
     double requests_per_second = 40.0;
     double deadly_fraction = 0.0;  ///< Of requests that crash upstreams.
+    int take_ups = 0;  ///< How often a broken stream is taken up at most.
+    Duration longest_pause{0};  ///< Of all callers at once; 0: none pauses.
   };
 
   SoakCallers(SocketPoller& poller, Settings settings);
@@ -64,13 +68,23 @@
   using Connection = std::shared_ptr<Http1ClientConnection>;
   struct Call;
 
+  /** A connection without a request. */
+  struct KeptConnection {
+    Connection connection;
+    std::optional<Instant> reusable_until;  ///< None: not stated.
+  };
+
   auto SendNext() -> void;
   auto SendRequest() -> void;
   auto SendProbe() -> void;
   /** Repeats a request under which each upstream ends that runs it. */
   auto SendDeadly() -> void;
   [[nodiscard]] auto NewCall() -> std::unique_ptr<Call>;
-  [[nodiscard]] static auto SerializeRequest(const RequestResult& result,
+  /** Requests the rest of a stream that was broken off from another router. */
+  auto TakeUp(const RequestResult& broken,
+              std::uint64_t last_event_id,
+              int take_ups_left) -> void;
+  [[nodiscard]] static auto SerializeRequest(const Call& call,
                                              const std::string& path)
       -> std::string;
   auto Send(std::unique_ptr<Call> call, const std::string& path) -> void;
@@ -78,14 +92,17 @@
   auto OnBody(Call& call, const std::string& bytes) -> void;
   auto OnDone(Call& call, Http1Outcome outcome) -> void;
   auto OnProbeDone(const Call& call) -> void;
+  /** Has a stream that is not complete taken up shortly after. */
+  auto OnStreamDone(const Call& call) -> void;
   [[nodiscard]] auto PickRouter() -> const std::string&;
-  auto ConnectionTo(const std::string& router) -> Connection;
+  /** Returns a kept or a new connection for a request, which says so. */
+  auto ConnectionFor(RequestResult& result) -> Connection;
 
   SocketPoller& poller;
   Settings settings;
   RandomSource random;
   std::unique_ptr<LoopTimer> timer;
-  std::map<std::string, std::vector<Connection>>
+  std::map<std::string, std::vector<KeptConnection>>
       idle_connections;  ///< By router.
   std::list<std::unique_ptr<Call>> calls;
   std::vector<RequestResult> finished;
--- a/programs/soak/soak_check.cc
+++ b/programs/soak/soak_check.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <iostream>
 #include <nlohmann/json.hpp>
+#include <set>
 #include <sstream>
 
 namespace auburnloft::soak {
@@ -23,6 +24,12 @@
 constexpr std::int64_t kDeadlyDelayMs = 3'000;
 constexpr std::uint64_t kMaxDeadlyLater = 3;
 
+/** The users' platform tolerates this many streams of several releases. */
+constexpr std::uint64_t kMaxMixedReleases = 2;
+
+/** A request may cross the close of its connection this often. */
+constexpr std::uint64_t kMaxUnansweredOnKept = 3;
+
 auto ReportViolation(std::string_view violation, const std::string& location)
     -> void {
   std::cerr << "violation: " << violation << ": " << location << "\n";
@@ -64,6 +71,47 @@
   } else if (!result.is_complete && result.was_sent) {
     ++report.unknown_outcome;
   }
+  report.on_kept += result.on_kept_connection ? 1 : 0;
+  if (report.only_planned_work && result.on_kept_connection &&
+      result.was_sent && !result.is_complete && result.status == 0) {
+    ++report.unanswered_on_kept;
+    ReportViolation("no response on a kept connection",
+                    result.id + " from " + result.router);
+  }
+}
+
+/** Checks who wrote each stream, over all requests that brought it. */
+auto CheckStreams(std::span<const RequestResult> results, SoakReport& report)
+    -> void {
+  struct Stream {
+    std::set<std::string> releases;
+    bool is_taken_up = false;
+    bool goes_on = false;
+    std::string sources;  // For the message.
+  };
+  std::map<std::string_view, Stream> streams;  // By its first request.
+  for (const RequestResult& result : results) {
+    Stream& stream =
+        streams[result.resumes.empty() ? result.id : result.resumes];
+    for (const std::string& release : result.releases) {
+      stream.releases.insert(release);
+      stream.sources +=
+          " " + release + " in " + result.id + " from " + result.router;
+    }
+    if (!result.resumes.empty() && result.was_sent) {
+      stream.is_taken_up = true;
+      stream.goes_on = stream.goes_on || result.events > 0;
+    }
+  }
+  for (const auto& [id, stream] : streams) {
+    report.taken_up += stream.is_taken_up ? 1 : 0;
+    report.went_on += stream.goes_on ? 1 : 0;
+    if (stream.releases.size() > 1) {
+      ++report.mixed_releases;
+      ReportViolation("stream of several releases",
+                      std::string(id) + stream.sources);
+    }
+  }
 }
 
 /** Checks how often each request that crashes upstreams was executed; those of
@@ -110,6 +158,8 @@
                               this->started_after_leaving;
   return count + this->deadly_over_bound > 0 || this->requests == 0 ||
          this->complete_responses == 0 ||
+         this->mixed_releases > kMaxMixedReleases ||
+         this->unanswered_on_kept > kMaxUnansweredOnKept ||
          (this->only_planned_work && this->interrupted > 0);
 }
 
@@ -127,6 +177,11 @@
           {"new_after_leaving", this->started_after_leaving},
           {"deadly_run", this->deadly_executions},
           {"deadly_over_bound", this->deadly_over_bound},
+          {"mixed_versions", this->mixed_releases},
+          {"taken_up", this->taken_up},
+          {"went_on", this->went_on},
+          {"on_kept", this->on_kept},
+          {"unanswered_on_kept", this->unanswered_on_kept},
           {"only_planned", this->only_planned_work},
           {"held", !this->has_violation()}};
 }
@@ -184,10 +239,13 @@
     const auto& request_executions = by_request[result.id];
     CheckRequest(result, request_executions, report);
     if (result.kind->streams && !request_executions.empty()) {
+      // A prompt is paid once, also if its stream is taken up.
       spent[result.team] +=
-          result.prompt_tokens + result.events * kTokensPerEvent;
+          (result.resumes.empty() ? result.prompt_tokens : 0) +
+          result.events * kTokensPerEvent;
     }
   }
+  CheckStreams(results, report);
   CheckDeadly(results, by_request, report);
   for (const auto& [team, tokens] : spent) {
     const auto prepaid = events.prepaid.find(team);
--- a/programs/soak/soak_check.h
+++ b/programs/soak/soak_check.h
@@ -48,6 +48,13 @@
   std::uint64_t started_after_leaving = 0;
   std::uint64_t deadly_executions = 0;  ///< Of requests that crash upstreams.
   std::uint64_t deadly_over_bound = 0;  ///< As above, that were too many.
+  std::uint64_t mixed_releases = 0;     ///< Streams that upstreams of several
+                                        ///< releases wrote.
+  std::uint64_t taken_up = 0;           ///< Streams that were taken up.
+  std::uint64_t went_on = 0;            ///< As above, with events after that.
+  std::uint64_t on_kept = 0;            ///< Requests on kept connections.
+  std::uint64_t unanswered_on_kept =
+      0;  ///< Of these, without a response; counted with planned work only.
   bool only_planned_work = false;
 
   /** Whether a guarantee was violated or nothing was served. Interrupted
--- a/programs/soak/soak_result.h
+++ b/programs/soak/soak_result.h
@@ -2,6 +2,7 @@
 #define PROGRAMS_SOAK_SOAK_RESULT_H_
 
 #include <cstdint>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -14,8 +15,8 @@
   bool at_most_once = true;  ///< Upstreams must not execute it twice.
 };
 
-/** Result of one request, as its caller observed it. The caller never retries.
- */
+/** Result of one request, as its caller observed it. The caller never retries,
+ * but may take up a stream that was broken off with another request. */
 struct RequestResult {
   std::string id;
   const RequestKind* kind = nullptr;
@@ -27,8 +28,12 @@
   bool is_complete = false;  ///< The response ended normally.
   bool is_mixed =
       false;  ///< The response has bytes of another request or is out of order.
-  bool is_deadly = false;    ///< Each upstream ends that runs it.
-  std::uint64_t events = 0;  ///< Events received of the stream.
+  bool is_deadly = false;           ///< Each upstream ends that runs it.
+  bool on_kept_connection = false;  ///< Others preceded it on its connection.
+  std::uint64_t events = 0;         ///< Events received of the stream.
+  std::set<std::string> releases;   ///< Of the upstreams that wrote them.
+  std::string resumes;  ///< The request that brought the first event of the
+                        ///< stream that this one takes up; empty: none.
 
   /** Whether the status guarantees that the request was not and will not be
    * executed. */
--- a/tests/gateway/soak_check_test.cc
+++ b/tests/gateway/soak_check_test.cc
@@ -1,5 +1,6 @@
 // The soak test's checker reports each kind of violation that it looks for.
 #include <algorithm>
+#include <set>
 
 #include "soak/soak_check.h"
 #include "support/test_harness.h"
@@ -10,6 +11,7 @@
 
 constexpr RequestKind kOnce{"/payouts/", false, true};
 constexpr RequestKind kStream{"/summaries/", true, true};
+constexpr RequestKind kResumable{"/questions/", true, false};
 
 auto MakeAttempt(const std::string& id, const RequestKind& kind, int status)
     -> RequestResult {
@@ -23,6 +25,24 @@
   return result;
 }
 
+auto MakeStream(const std::string& id, const std::set<std::string>& releases)
+    -> RequestResult {
+  RequestResult result = MakeAttempt(id, kResumable, 200);
+  result.was_sent = true;
+  result.releases = releases;
+  result.events = releases.empty() ? 0 : 4;
+  return result;
+}
+
+/** Returns the result of a request that takes up the stream `resumes`. */
+auto MakeTakeUp(const std::string& id,
+                const std::string& resumes,
+                const std::set<std::string>& releases) -> RequestResult {
+  RequestResult result = MakeStream(id, releases);
+  result.resumes = resumes;
+  return result;
+}
+
 }  // namespace
 
 TEST_GROUP(SoakCheck) {
@@ -112,3 +132,86 @@
   this->executions.pop_back();
   CHECK_FALSE(this->Report().has_violation());
 }
+
+// Guards against a stream of two releases in one response that goes unseen.
+TEST(SoakCheck, FindsStreamsOfSeveralReleasesInOneResponse) {
+  for (const std::string id : {"s1", "s2"}) {
+    this->results.push_back(MakeStream(id, {"v1", "v2"}));
+  }
+  this->results.push_back(MakeStream("s3", {"v1"}));
+  CHECK_EQUAL(2U, this->Report().mixed_releases);
+  CHECK_FALSE(this->Report().has_violation());
+  this->results.back().releases.insert("v2");
+  CHECK_EQUAL(3U, this->Report().mixed_releases);
+  CHECK_TRUE(this->Report().has_violation());
+}
+
+// Guards against a stream whose parts only differ between requests, also if
+// the second of three brought nothing.
+TEST(SoakCheck, FindsStreamsOfSeveralReleasesOverSeveralRequests) {
+  for (const std::string id : {"s1", "s2", "s3"}) {
+    this->results.push_back(MakeStream(id, {"v1"}));
+    this->results.push_back(MakeTakeUp(id + "-again", id, {}));
+    this->results.push_back(MakeTakeUp(id + "-more", id, {"v1"}));
+  }
+  CHECK_EQUAL(0U, this->Report().mixed_releases);
+  for (RequestResult& result : this->results) {
+    if (result.id.ends_with("-more")) {
+      result.releases = {"v2"};
+    }
+  }
+  CHECK_EQUAL(3U, this->Report().mixed_releases);
+  CHECK_TRUE(this->Report().has_violation());
+}
+
+// Guards against a count of requests in place of streams, and of take-ups that
+// brought nothing as ones that went on.
+TEST(SoakCheck, CountsStreamsThatAreTakenUp) {
+  this->results.push_back(MakeStream("s1", {"v1"}));
+  this->results.push_back(MakeTakeUp("a1", "s1", {}));
+  this->results.push_back(MakeTakeUp("a2", "s1", {"v1"}));
+  this->results.push_back(MakeStream("s2", {"v1"}));
+  this->results.push_back(MakeTakeUp("a3", "s2", {}));
+  this->results.push_back(MakeStream("s3", {"v1"}));
+  this->results.push_back(MakeTakeUp("a4", "s3", {}));
+  this->results.back().was_sent = false;
+  const SoakReport report = this->Report();
+  CHECK_EQUAL(2U, report.taken_up);
+  CHECK_EQUAL(1U, report.went_on);
+  CHECK_FALSE(report.has_violation());
+}
+
+// Guards against a prompt that is counted again when its stream is taken up,
+// and against events after that which are not counted.
+TEST(SoakCheck, CountsThePromptOfAStreamOnce) {
+  this->results.push_back(MakeStream("s1", {"v1"}));
+  this->results.push_back(MakeTakeUp("a1", "s1", {"v1"}));
+  this->executions.push_back({1'200, "u1", "s1"});
+  this->executions.push_back({1'300, "u1", "a1"});
+  this->events.prepaid["blue"] = 140;
+  CHECK_EQUAL(0U, this->Report().overspend_tokens);
+  this->events.prepaid["blue"] = 139;
+  CHECK_EQUAL(1U, this->Report().overspend_tokens);
+}
+
+// Guards against lost requests on kept connections that go unseen, and against
+// a bound in runs with faults, where routers are killed.
+TEST(SoakCheck, FindsRequestsOnKeptConnectionsWithoutAResponse) {
+  this->events.only_planned_work = true;
+  for (const std::string id : {"k1", "k2", "k3", "k4"}) {
+    RequestResult result = MakeAttempt(id, kOnce, 0);
+    result.is_complete = false;
+    result.was_sent = true;
+    result.on_kept_connection = true;
+    this->results.push_back(result);
+  }
+  CHECK_EQUAL(4U, this->Report().unanswered_on_kept);
+  CHECK_TRUE(this->Report().has_violation());
+  this->results.back().on_kept_connection = false;
+  CHECK_EQUAL(3U, this->Report().unanswered_on_kept);
+  CHECK_FALSE(this->Report().has_violation());
+  this->results.back().on_kept_connection = true;
+  this->events.only_planned_work = false;
+  CHECK_EQUAL(0U, this->Report().unanswered_on_kept);
+  CHECK_FALSE(this->Report().has_violation());
+}
