--- a/standins/wire/wire_upstream.cc
+++ b/standins/wire/wire_upstream.cc
@@ -236,9 +236,16 @@
     session->Abort();
     return;
   }
-  stream.session->Send("id: " + std::to_string(stream.next) + "\ndata: event " +
-                       std::to_string(stream.next) +
-                       std::string(this->settings.event_padding, '.') + "\n\n");
+  // A stream that is resumed after its last event only ends.
+  if (stream.next <= stream.last) {
+    std::string event = "id: " + std::to_string(stream.next) +
+                        "\ndata: event " + std::to_string(stream.next) +
+                        std::string(this->settings.event_padding, '.');
+    if (this->settings.marks_events) {
+      event.append(" ").append(this->settings.version);
+    }
+    stream.session->Send(event + "\n\n");
+  }
   if (stream.next++ >= stream.last) {
     const Session session = stream.session;
     this->RemoveStream(&stream);
--- a/standins/wire/wire_upstream.h
+++ b/standins/wire/wire_upstream.h
@@ -34,8 +34,9 @@
     std::string id;       ///< Also the value expected in `X-Expect-Instance`.
     std::string address;  ///< IP:PORT to listen on.
     std::string announced_address;  ///< Address in the entry; empty: `address`.
-    std::int64_t start_unix_ms = 1;      ///< `born` in the entry.
-    std::string version = "v1";          ///< `Version` in the entry.
+    std::int64_t start_unix_ms = 1;  ///< `born` in the entry.
+    std::string version = "v1";      ///< `Version` in the entry.
+    bool marks_events = false;  ///< Whether each event ends with the version.
     Duration first_event_delay{0};       ///< Before a stream's first event.
     Duration event_interval{0};          ///< Between the events of a stream.
     std::uint64_t events = 4;            ///< Number of events of a stream.
