Name a stream's version only by what covers its begin

Cause, found in review: a stream that nobody knew went on if all that answered had seen one version, also if they had just started, or had old lists: routers that started after a release named the version that serves now. A router whose list was up to three seconds old named one without asking those that knew better. A route with several services has a version for each. Two versions at the service that began a stream could so be mixed.

Change: others are always asked. An unknown stream goes on only if one version is seen by all that answer, one of them has looked for longer than a stream lasts (16 s, a setting), and that one's list is fresh, or nearly all that were asked have answered: then the log is away, and nobody has a newer list. Not on routes with several services, whose streams are told always. A doubt about a version is removed by no news. Streams that can't be resumed are not told. At most 64 streams are looked for at a time, and two idle connections are kept to a router.

--- a/modules/al_gateway/streams/stream_origin_table.cc
+++ b/modules/al_gateway/streams/stream_origin_table.cc
@@ -17,6 +17,10 @@
     return;
   }
   const std::string id = origin.attempt_id;
+  if (const StreamOrigin* const known = this->Find(id, now);
+      known != nullptr && known->version.empty()) {
+    origin.version.clear();  // A doubt remains.
+  }
   this->streams[id] = {std::move(origin), now, is_untold};
   this->order.emplace_back(id, now);
 }
--- a/modules/al_gateway/upstreams/version_history.h
+++ b/modules/al_gateway/upstreams/version_history.h
@@ -25,9 +25,12 @@
       (see StreamOriginTable). */
   static constexpr Duration kPeriod = std::chrono::seconds(30);
 
-  /** @param directory  outlives the history. */
-  VersionHistory(const UpstreamDirectory& directory, Instant now)
-      : directory(directory), began_at(now) {}
+  /** @param directory        outlives the history.
+      @param stream_lifetime  from which on the history IsComplete(). */
+  VersionHistory(const UpstreamDirectory& directory,
+                 Duration stream_lifetime,
+                 Instant now)
+      : directory(directory), stream_lifetime(stream_lifetime), began_at(now) {}
 
   VersionHistory(const VersionHistory&) = delete;
   auto operator=(const VersionHistory&) -> VersionHistory& = delete;
@@ -50,13 +53,15 @@
   [[nodiscard]] auto MixedServices(Instant now) const
       -> std::vector<std::string>;
 
-  /** Returns whether the history covers the whole period. */
+  /** Returns whether the history covers the time within which a stream that may
+     be taken up now has begun. */
   [[nodiscard]] auto IsComplete(Instant now) const -> bool {
-    return now - this->began_at >= kPeriod;
+    return now - this->began_at >= this->stream_lifetime;
   }
 
  private:
   const UpstreamDirectory& directory;
+  Duration stream_lifetime;
   Instant began_at;
   std::map<std::string, std::map<std::string, Instant>, std::less<>>
       listed_at;  ///< By service and version.
--- a/programs/gateway/gateway_daemon.cc
+++ b/programs/gateway/gateway_daemon.cc
@@ -227,6 +227,7 @@
           this->poller,
           this->fleet_topic,
           this->upstreams,
+          this->options.stream_lifetime,
           [this] {
             return this->upstream_discovery.DirectoryAge(this->loop.Now());
           },
--- a/programs/gateway/gateway_daemon.h
+++ b/programs/gateway/gateway_daemon.h
@@ -48,6 +48,9 @@
     std::string log_address;        ///< Of the platform's log service.
     FleetRetryLimit retry_bound;
     AllowanceSizing allowances;
+    /** Within which a stream that is taken up has begun: the longest time-out
+       of the users' routes, and the second after which all know a version. */
+    Duration stream_lifetime = std::chrono::seconds(16);
     double hedge_share = 0.0;  ///< Second attempts per request; 0: none.
     Duration grace_period =
         std::chrono::seconds(8);  ///< From SIGTERM to the exit.
--- a/programs/gateway/stream_continuation.cc
+++ b/programs/gateway/stream_continuation.cc
@@ -26,6 +26,7 @@
     const RouteRule& route,
     const std::string& service,
     std::function<void(std::string_view why_not)> on_found) -> void {
+  this->route = &route;
   this->service_name = service;
   if (route.kind != RouteKind::kStream || !this->metadata.takes_up_stream()) {
     on_found({});
@@ -39,9 +40,13 @@
         if (!answer.service.empty()) {
           this->service_name = answer.service;
         }
-        if (answer.version.empty()) {
+        // Where a route has several services, a version says too little.
+        const bool is_known =
+            !answer.version.empty() &&
+            (!answer.service.empty() || this->route->services.size() == 1);
+        if (!is_known) {
           on_found("the stream's version is unknown");
-        } else if (!IsServiceOf(route, this->service_name) ||
+        } else if (!IsServiceOf(*this->route, this->service_name) ||
                    !this->IsServed()) {
           on_found("no upstream of the stream's version");
         } else {
@@ -61,22 +66,30 @@
   if (!this->required) {
     this->required = std::string(attempt.version());
   }
+  this->source = &attempt;
   this->Record();
 }
 
 auto StreamContinuation::RecordEnd(const UpstreamAttempt& attempt) -> void {
-  if (this->required && !this->required->empty() && attempt.has_begun() &&
-      attempt.version().empty()) {
+  if (&attempt != this->source) {
+    return;
+  }
+  this->source = nullptr;
+  if (!this->required->empty() && attempt.version().empty()) {
     this->required = std::string();
     this->Record();
   }
 }
 
 auto StreamContinuation::Record() -> void {
-  this->context.stream_origins->Record({this->metadata.takes_up_stream()
-                                            ? this->metadata.resumed_attempt_id
-                                            : this->metadata.attempt_id,
-                                        this->service_name, *this->required});
+  if (!this->route->resumable) {
+    return;
+  }
+  this->context.stream_origins->Record(
+      {this->metadata.takes_up_stream() ? this->metadata.resumed_attempt_id
+                                        : this->metadata.attempt_id,
+       this->service_name, *this->required},
+      this->route->services.size() > 1);
 }
 
 auto StreamContinuation::IsServed() const -> bool {
--- a/programs/gateway/stream_continuation.h
+++ b/programs/gateway/stream_continuation.h
@@ -28,7 +28,8 @@
   StreamContinuation(const StreamContinuation&) = delete;
   auto operator=(const StreamContinuation&) -> StreamContinuation& = delete;
 
-  /** Finds the version of a stream that the caller takes up. Calls `on_found`
+  /** Call it once, before the first attempt. @pre `route` outlives this object.
+     Finds the version of a stream that the caller takes up. Calls `on_found`
      once, at once if the request takes none up; the owner has to see to it that
      it lives until then.
       @param on_found  gets why the stream cannot go on; empty: it can. */
@@ -67,7 +68,9 @@
 
   GatewayContext& context;
   const RequestMetadata& metadata;
+  const RouteRule* route = nullptr;
   std::string service_name;
+  const UpstreamAttempt* source = nullptr;  ///< That sends the events.
   std::optional<std::string> required;
 };
 
--- a/programs/gateway/stream_origins.cc
+++ b/programs/gateway/stream_origins.cc
@@ -34,6 +34,13 @@
     renew their records each 1.2 s. */
 constexpr Duration kMaxDirectoryAge = std::chrono::seconds(3);
 
+/** More streams are not looked for at a time, but refused if none knows them: a
+    caller may take up any number that never was. */
+constexpr std::size_t kMaxSearches = 64;
+
+/** Idle connections to a router that are kept. */
+constexpr std::size_t kKeptClients = 2;
+
 /** Connections to a router are dropped after this time without use. */
 constexpr Duration kUnusedPeerLifetime = std::chrono::seconds(30);
 
@@ -45,7 +52,11 @@
   std::string request_id;
   OnAnswer on_answer;                     ///< Empty once called.
   std::set<std::string> listed_versions;  ///< Seen by this router or another.
+  bool has_complete_view = false;         ///< Of this router or another.
+  bool has_fresh_view = false;            ///< A complete one.
+  std::size_t needed = 0;                 ///< Replies that suffice.
   std::size_t pending = 0;                ///< Replies.
+  bool is_open = false;                   ///< Others are asked.
   std::size_t replies = 0;                ///< Valid ones.
   Instant began_at{};
 };
@@ -53,6 +64,7 @@
 StreamOrigins::StreamOrigins(SocketPoller& poller,
                              const FleetTopicClient& fleet,
                              const UpstreamDirectory& directory,
+                             Duration stream_lifetime,
                              std::function<Duration()> directory_age,
                              DecisionLog& log,
                              GatewayMetrics& metrics)
@@ -61,18 +73,18 @@
       directory_age(std::move(directory_age)),
       log(log),
       metrics(metrics),
-      history(directory, poller.loop().Now()) {}
+      history(directory, stream_lifetime, poller.loop().Now()) {}
 
 StreamOrigins::~StreamOrigins() = default;
 
 //==============================================================================
 // Streams that begin
 
-auto StreamOrigins::Record(StreamOrigin origin) -> void {
+auto StreamOrigins::Record(StreamOrigin origin, bool is_told_always) -> void {
   const Instant now = this->poller.loop().Now();
   const std::string service = origin.service;
   this->table.RecordOwn(std::move(origin), now);
-  if (this->history.IsMixed(service, now)) {
+  if (is_told_always || this->history.IsMixed(service, now)) {
     this->TellUntold(service);
   }
 }
@@ -121,6 +133,12 @@
   for (const std::string& service : this->history.MixedServices(now)) {
     this->TellUntold(service);
   }
+  for (auto& [address, peer] : this->peers) {
+    std::size_t idle = 0;
+    std::erase_if(peer.clients, [&idle](const auto& client) {
+      return !client->is_busy() && ++idle > kKeptClients;
+    });
+  }
   std::erase_if(this->peers, [now](const auto& item) {
     const Peer& peer = item.second;
     return now - peer.used_at >= kUnusedPeerLifetime && peer.news.empty() &&
@@ -148,29 +166,35 @@
     this->Finish(*search, {known->version, known->service, "recorded"});
     return;
   }
-  const bool has_one = search->listed_versions.size() == 1;
-  if (has_one && this->history.IsComplete(now) &&
-      this->directory_age() <= kMaxDirectoryAge) {
-    this->Finish(*search, {*search->listed_versions.begin(), "", "only"});
-    return;
-  }
+  search->has_complete_view = this->history.IsComplete(now);
+  search->has_fresh_view = search->has_complete_view && this->IsFresh();
+  const bool may_be_known = !attempt_id.empty() &&
+                            attempt_id.size() <= StreamOriginTable::kMaxIdBytes;
   const std::vector<std::string> knowers = this->KnowersOf(attempt_id, kAsked);
-  if (knowers.empty()) {
-    // No other router is active, so that none can have seen another version.
-    search->replies = 1;
-    search->pending = 1;
-    this->OnReply(*search, std::nullopt);
+  const bool asks = !knowers.empty() && this->open_searches < kMaxSearches &&
+                    (may_be_known || search->listed_versions.size() == 1);
+  if (!asks) {
+    search->needed = knowers.empty() ? 0 : 1;
+    this->Decide(*search);
     return;
   }
   wire::StreamOriginAsk message;
   message.set_attempt(attempt_id);
   message.set_service(service);
   search->pending = knowers.size();
+  // One of them may be the router that began the stream, and have died.
+  search->needed = std::max<std::size_t>(1, knowers.size() - 1);
+  ++this->open_searches;
+  search->is_open = true;
   for (const std::string& address : knowers) {
     this->Ask(address, message.SerializeAsString(), search);
   }
 }
 
+auto StreamOrigins::IsFresh() const -> bool {
+  return this->directory_age() <= kMaxDirectoryAge;
+}
+
 auto StreamOrigins::Ask(const std::string& address,
                         const std::string& message,
                         const std::shared_ptr<Search>& search) -> void {
@@ -188,6 +212,9 @@
   wire::StreamOriginAnswer answer;
   if (reply && reply->status == kOk && answer.ParseFromString(reply->body)) {
     ++search.replies;
+    search.has_complete_view = search.has_complete_view || answer.is_complete();
+    search.has_fresh_view =
+        search.has_fresh_view || (answer.is_complete() && answer.is_fresh());
     search.listed_versions.insert(answer.listed_versions().begin(),
                                   answer.listed_versions().end());
     if (answer.is_known()) {
@@ -195,11 +222,17 @@
       return;
     }
   }
-  if (search.pending > 0) {
-    return;
+  if (search.pending == 0 || search.replies >= search.needed) {
+    this->Decide(search);
   }
+}
+
+auto StreamOrigins::Decide(Search& search) -> void {
+  // An old list will do if nearly all answer: then the log is away, and nobody
+  // has a newer one. A router that is cut off hears from its own side only.
   const bool is_agreed =
-      search.replies > 0 && search.listed_versions.size() == 1;
+      search.listed_versions.size() == 1 && search.has_complete_view &&
+      (search.has_fresh_view || search.replies >= search.needed);
   this->Finish(search,
                is_agreed ? Answer{*search.listed_versions.begin(), "", "agreed"}
                          : Answer{"", "", "unknown"});
@@ -210,6 +243,9 @@
   if (!call) {
     return;
   }
+  if (std::exchange(search.is_open, false)) {
+    --this->open_searches;
+  }
   const Instant now = this->poller.loop().Now();
   this->metrics.CountStreamTakenUp(answer.source);
   this->log.WriteLine(
@@ -259,6 +295,8 @@
        this->history.VersionsOf(ask.service(), now)) {
     answer.add_listed_versions(version);
   }
+  answer.set_is_complete(this->history.IsComplete(now));
+  answer.set_is_fresh(this->IsFresh());
   SendPeerReply(session, PeerStatus::kOk, answer.SerializeAsString());
 }
 
--- a/programs/gateway/stream_origins.h
+++ b/programs/gateway/stream_origins.h
@@ -47,10 +47,12 @@
   };
   using OnAnswer = std::function<void(const Answer&)>;
 
-  /** @param directory_age  returns how old the directory is. */
+  /** @param stream_lifetime  within which a stream that is taken up has begun.
+      @param directory_age    returns how old the directory is. */
   StreamOrigins(SocketPoller& poller,
                 const FleetTopicClient& fleet,
                 const UpstreamDirectory& directory,
+                Duration stream_lifetime,
                 std::function<Duration()> directory_age,
                 DecisionLog& log,
                 GatewayMetrics& metrics);
@@ -63,8 +65,10 @@
   // Commands
 
   /** Records a stream whose first event is forwarded, or of which is learned
-     that its version is in doubt. */
-  auto Record(StreamOrigin origin) -> void;
+     that its version is in doubt.
+      @param is_told_always  whether others are told also while one version of
+     its service is listed. */
+  auto Record(StreamOrigin origin, bool is_told_always) -> void;
 
   /** Finds the version at which a stream began. Calls `on_answer` once, perhaps
      before it returns; within half a second in any case.
@@ -100,7 +104,10 @@
            const std::shared_ptr<Search>& search) -> void;
   auto OnReply(Search& search, const std::optional<Http1Client::Reply>& reply)
       -> void;
+  /** Names the only version that is listed, or none. */
+  auto Decide(Search& search) -> void;
   auto Finish(Search& search, const Answer& answer) -> void;
+  [[nodiscard]] auto IsFresh() const -> bool;
   /** Returns the peer addresses of the routers that may know a stream. */
   [[nodiscard]] auto KnowersOf(std::string_view attempt_id,
                                std::size_t count) const
@@ -116,6 +123,7 @@
   StreamOriginTable table;
   VersionHistory history;
   std::map<std::string, Peer> peers;  ///< By peer address.
+  std::size_t open_searches = 0;
 };
 
 }  // namespace auburnloft::gateway
--- a/tests/gateway/stream_origin_test.cc
+++ b/tests/gateway/stream_origin_test.cc
@@ -90,9 +90,17 @@
   CHECK_EQUAL(0U, this->table.size());
 }
 
+// Guards against a doubt that news of another router remove.
+TEST(StreamOriginTables, KeepsADoubt) {
+  this->table.RecordOwn({"s", "engines", "v1"}, AtSecond(0));
+  this->table.RecordOwn({"s", "engines", ""}, AtSecond(1));
+  this->table.RecordTold({"s", "engines", "v1"}, AtSecond(2));
+  CHECK_TRUE(this->table.Find("s", AtSecond(2))->version.empty());
+}
+
 TEST_GROUP(VersionHistories) {
   UpstreamDirectory directory{[](const UpstreamState&) {}};
-  VersionHistory history{this->directory, AtSecond(0)};
+  VersionHistory history{this->directory, seconds(16), AtSecond(0)};
 };
 
 // Guards against a release whose last old upstream has left: streams that it
