Doubt the version of an upstream that left the list and came back

Cause, found in review: an attempt compared versions with the state of its upstream, which is no longer that of the list if the upstream was removed and listed again under its id.

Change: the record that is listed under the id counts as well.

Evidence: StreamVersions.EndWhereTheirUpstreamLeftTheListAndCameBackAtAnother fails without the change (the stream goes on at another upstream). The tests of streams that go on now check the status, as a refusal is a complete response, too.

--- a/modules/al_gateway/upstreams/upstream_directory.cc
+++ b/modules/al_gateway/upstreams/upstream_directory.cc
@@ -261,6 +261,12 @@
   return found;
 }
 
+auto UpstreamDirectory::FindRecord(const std::string& id) const
+    -> const UpstreamRecord* {
+  const auto found = this->by_id.find(id);
+  return found == this->by_id.end() ? nullptr : &found->second.state->record();
+}
+
 auto UpstreamDirectory::Contains(const UpstreamProcess& upstream) const
     -> bool {
   return this->FindProcess(upstream) != nullptr;
--- a/modules/al_gateway/upstreams/upstream_directory.h
+++ b/modules/al_gateway/upstreams/upstream_directory.h
@@ -118,6 +118,11 @@
     }
   }
 
+  /** Returns the record listed under an id; null if there is none. Valid until
+     the next command. */
+  [[nodiscard]] auto FindRecord(const std::string& id) const
+      -> const UpstreamRecord*;
+
   /** Returns whether this process of an upstream is listed. */
   [[nodiscard]] auto Contains(const UpstreamProcess& upstream) const -> bool;
 
--- a/programs/gateway/upstream_attempt.cc
+++ b/programs/gateway/upstream_attempt.cc
@@ -126,9 +126,14 @@
 }
 
 auto UpstreamAttempt::version() const -> std::string_view {
-  return this->upstream().record().version == this->version_when_sent
-             ? std::string_view(this->version_when_sent)
-             : std::string_view();
+  // Its state here is that of a process that may have left the list since.
+  const UpstreamRecord& record = this->upstream().record();
+  const UpstreamRecord* const listed =
+      this->context.upstreams.FindRecord(record.id);
+  const bool is_in_doubt =
+      record.version != this->version_when_sent ||
+      (listed != nullptr && listed->version != this->version_when_sent);
+  return is_in_doubt ? std::string_view() : this->version_when_sent;
 }
 
 auto UpstreamAttempt::LogRejected(std::string_view id,
--- a/tests/gateway/stream_version_session_test.cc
+++ b/tests/gateway/stream_version_session_test.cc
@@ -17,6 +17,7 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+constexpr int kOk = 200;
 constexpr int kUnavailable = 503;
 
 }  // namespace
@@ -171,7 +172,7 @@
     home->SetFault(WireUpstream::Fault::kFull);
     return this->TakeUp(3, began);
   };
-  CHECK_TRUE(begin_and_take_up("w1").complete);
+  CHECK_EQUAL(kOk, begin_and_take_up("w1").status);
   CHECK_TRUE(this->EngineOf(this->last_id()) == others[0]);
   CHECK_EQUAL(kUnavailable, begin_and_take_up("w2").status);
   CHECK_TRUE(this->EngineOf(this->last_id()) == nullptr);
@@ -183,7 +184,7 @@
   this->AddRouters(3);
   const std::string began = this->BeginAndBreak(2, true);
   WireUpstream* const first = this->EngineOf(began);
-  CHECK_TRUE(this->TakeUp(3, began).complete);
+  CHECK_EQUAL(kOk, this->TakeUp(3, began).status);
   WireUpstream* const second = this->EngineOf(this->last_id());
   const auto is_v1 = [&](const WireUpstream* engine) {
     return engine == this->fixture.engine_1.get();
@@ -215,7 +216,69 @@
 TEST(StreamVersions, AreTakenUpWhileOneVersionServes) {
   this->Start({"v1", "v1", "v1"});
   this->AddRouters(2);
-  CHECK_TRUE(this->TakeUp(3, "unknown").complete);
+  CHECK_EQUAL(kOk, this->TakeUp(3, "unknown").status);
   const std::string began = this->BeginAndBreak(2, true);
-  CHECK_TRUE(this->TakeUp(3, began).complete);
+  CHECK_EQUAL(kOk, this->TakeUp(3, began).status);
+}
+
+// Guards against a guess of routers that have just started: all list the one
+// version that serves now, and none has seen the one that began the stream.
+TEST(StreamVersions, AreNotGuessedByRoutersThatHaveJustStarted) {
+  this->Start({"v1", "v1", "v1"});
+  this->AddRouters(1);
+  const std::string began = this->BeginAndBreak(2, true);
+  this->fixture.router.reset();
+  for (WireUpstream* const engine : this->engines()) {
+    this->Relist(*engine, "v2");
+  }
+  this->fixture.AddRouter(3);
+  this->fixture.AddRouter(4);
+  this->fixture.RunFor(milliseconds(600));
+  const auto response = this->TakeUp(3, began);
+  CHECK_TRUE(this->EngineOf(this->last_id()) == nullptr);
+  CHECK_EQUAL(kUnavailable, response.status);
+}
+
+// Guards against an upstream that leaves the list and comes back under its id
+// at another version, while a request is under way there.
+TEST(StreamVersions, EndWhereTheirUpstreamLeftTheListAndCameBackAtAnother) {
+  this->Start({"v1", "v1", "v1"});
+  for (WireUpstream* const engine : this->engines()) {
+    engine->SetPace(milliseconds(2), milliseconds(800));
+  }
+  const GatewayFixture::Call call = this->MakeCall();
+  const auto response = this->fixture.StartSending(call);
+  this->fixture.loop.RunUntil([&] { return !response->body.empty(); },
+                              seconds(2));
+  WireUpstream* const engine = this->EngineOf(call.id);
+  CHECK_TRUE(engine != nullptr);
+  this->fixture.store.Put("keyed.servers", engine->id(), std::nullopt);
+  this->fixture.RunFor(milliseconds(300));
+  engine->SetFault(WireUpstream::Fault::kBreaksStream);
+  this->Relist(*engine, "v2");
+  this->fixture.loop.RunUntil([&] { return response->ended; }, seconds(4));
+  CHECK_FALSE(response->complete);
+  CHECK_EQUAL(1U, this->CountExecutions());
+}
+
+// Guards against a refusal where the only other router has died: this one has
+// looked for longer than a stream lasts.
+TEST(StreamVersions, AreTakenUpWhereTheOnlyOtherRouterHasDied) {
+  this->Start({"v1", "v1", "v1"});
+  this->AddRouters(1);
+  const std::string began = this->BeginAndBreak(2, true);
+  CHECK_EQUAL(kOk, this->TakeUp(1, began).status);
+}
+
+// Guards against ids of callers that are no text and spoil the news of others.
+TEST(StreamVersions, AreKnownWhateverIdsOtherCallersChoose) {
+  this->Start({"v1", "v1", "v2"});
+  this->AddRouters(2);
+  GatewayFixture::Call odd = this->MakeCall();
+  odd.id = "\xff\xfe";
+  const auto odd_connection = this->fixture.Connect(2);
+  const auto odd_response = this->fixture.StartSendingOn(odd_connection, odd);
+  const std::string began = this->BeginAndBreak(2, true);
+  CHECK_EQUAL(kOk, this->TakeUp(3, began).status);
+  odd_connection->Close();
 }
