Wait for all replies before a stream counts as unknown

What callers saw: a stream was refused though a router knew its version.

Cause: the search ended as soon as all but one had replied, so that the one that knew the stream could be the one that was left out. The others that were told, or began it, had been killed and answered at once that they knew nothing.

Change: the search ends with the first router that knows the stream, or when all have replied or had their time.

No test without real processes shows it.

--- a/programs/gateway/stream_origins.cc
+++ b/programs/gateway/stream_origins.cc
@@ -54,10 +54,10 @@
   std::set<std::string> listed_versions;  ///< Seen by this router or another.
   bool has_complete_view = false;         ///< Of this router or another.
   bool has_fresh_view = false;            ///< A complete one.
-  std::size_t needed = 0;                 ///< Replies that suffice.
-  std::size_t pending = 0;                ///< Replies.
-  bool is_open = false;                   ///< Others are asked.
-  std::size_t replies = 0;                ///< Valid ones.
+  std::size_t needed = 0;   ///< Replies that make up for old lists.
+  std::size_t pending = 0;  ///< Replies.
+  bool is_open = false;     ///< Others are asked.
+  std::size_t replies = 0;  ///< Valid ones.
   Instant began_at{};
 };
 
@@ -222,7 +222,7 @@
       return;
     }
   }
-  if (search.pending == 0 || search.replies >= search.needed) {
+  if (search.pending == 0) {
     this->Decide(search);
   }
 }
