--- a/programs/gateway/stream_continuation.cc
+++ b/programs/gateway/stream_continuation.cc
@@ -34,7 +34,7 @@
   }
   this->context.stream_origins->Find(
       this->metadata.resumed_attempt_id, service, this->metadata.attempt_id,
-      [this, &route,
+      [this,
        on_found = std::move(on_found)](const StreamOrigins::Answer& answer) {
         this->required = answer.version;
         if (!answer.service.empty()) {
--- a/programs/gateway/stream_continuation.h
+++ b/programs/gateway/stream_continuation.h
@@ -28,10 +28,10 @@
   StreamContinuation(const StreamContinuation&) = delete;
   auto operator=(const StreamContinuation&) -> StreamContinuation& = delete;
 
-  /** Call it once, before the first attempt. @pre `route` outlives this object.
-     Finds the version of a stream that the caller takes up. Calls `on_found`
+  /** Finds the version of a stream that the caller takes up. Calls `on_found`
      once, at once if the request takes none up; the owner has to see to it that
-     it lives until then.
+     it lives until then. Call it once, before the first attempt.
+      @pre `route` outlives this object.
       @param on_found  gets why the stream cannot go on; empty: it can. */
   auto Begin(const RouteRule& route,
              const std::string& service,
