--- a/programs/gateway/stream_origins.h
+++ b/programs/gateway/stream_origins.h
@@ -28,8 +28,8 @@
     While upstreams of more than one version are listed, a router that forwards
     the first event of a stream tells two others, which follow from the
    attempt's id. The router at which the stream is taken up asks these. A stream
-   that nobody knows goes on only if all that are asked have seen one version:
-   see docs/design/stream-versions.md.
+   that nobody knows goes on only if one version alone can have begun it: see
+   docs/design/stream-versions.md.
 
     Thread safety: none; used on the loop's thread.
 */
