--- a/review/stand_ins_2/fleet.cc
+++ b/review/stand_ins_2/fleet.cc
@@ -194,6 +194,19 @@
   this->listener.Stop();
 }
 
+auto Server::Drain() -> void {
+  {
+    const std::lock_guard lock(this->mutex);
+    this->state = "draining";
+  }
+  this->Announce();
+}
+
+auto Server::RequestTimes() -> std::vector<std::int64_t> {
+  const std::lock_guard lock(this->mutex);
+  return this->request_times;
+}
+
 auto Server::StartAgain(const std::string& version) -> void {
   {
     const std::lock_guard lock(this->mutex);
@@ -215,13 +228,13 @@
   std::string entry;
   {
     const std::lock_guard lock(this->mutex);
-    entry = R"({"Service":")" + this->settings.service + R"(","Address":")" +
-            Address(this->listener.port()) + R"(","Zone":")" +
-            this->settings.zone + R"(","Version":")" + this->settings.version +
-            R"(","BatchSlots":)" + std::to_string(this->settings.slots) +
-            R"(,"State":"ready","WarmupLeftMs":0,"Sequence":)" +
-            std::to_string(++this->sequence) + R"(,"born":)" +
-            std::to_string(this->born) + "}";
+    entry =
+        R"({"Service":")" + this->settings.service + R"(","Address":")" +
+        Address(this->listener.port()) + R"(","Zone":")" + this->settings.zone +
+        R"(","Version":")" + this->settings.version + R"(","BatchSlots":)" +
+        std::to_string(this->settings.slots) + R"(,"State":")" + this->state +
+        R"(","WarmupLeftMs":0,"Sequence":)" + std::to_string(++this->sequence) +
+        R"(,"born":)" + std::to_string(this->born) + "}";
   }
   this->fleet.Put("keyed.servers", this->settings.id, entry);
 }
@@ -256,12 +269,19 @@
           "Content-Length: 0\r\n\r\n");
       continue;
     }
+    {
+      const std::lock_guard lock(this->mutex);
+      this->request_times.push_back(this->record.now());
+    }
     this->record.Write("run " + request->Field("x-attempt-id") + " at " +
                        this->settings.id + " " + this->version() +
                        " deadline " + request->Field("x-deadline-ms"));
     const bool is_stream = !request->Field("x-token-count").empty();
-    if (!(is_stream ? this->SendStream(connection, *request)
-                    : this->SendPlain(connection, *request))) {
+    ++this->open;
+    const bool goes_on = is_stream ? this->SendStream(connection, *request)
+                                   : this->SendPlain(connection, *request);
+    --this->open;
+    if (!goes_on) {
       return;
     }
   }
@@ -276,7 +296,6 @@
                   "\r\nX-Server-Seal: seal." + id +
                   "\r\nContent-Type: text/event-stream\r\n"
                   "Transfer-Encoding: chunked\r\n\r\n");
-  ++this->streams;
   bool is_open = true;
   const auto until = Clock::now() + Millis(request.Number("x-deadline-ms"));
   while (is_open && event < this->settings.events && this->life == own_life &&
@@ -286,7 +305,6 @@
     is_open = connection.Send(
         Chunk("id: " + std::to_string(event) + "\ndata: " + version + "\n\n"));
   }
-  --this->streams;
   return is_open && event >= this->settings.events &&
          connection.Send("0\r\n\r\n");
 }
--- a/review/stand_ins_2/fleet.h
+++ b/review/stand_ins_2/fleet.h
@@ -107,10 +107,16 @@
 
   /** Ends as in a crash: its connections are reset, it says no more. */
   auto Crash() -> void;
+  /** Reports that it is draining, and goes on serving. */
+  auto Drain() -> void;
   /** Starts again under its id and at its address. */
   auto StartAgain(const std::string& version) -> void;
 
-  [[nodiscard]] auto running_streams() const -> int { return this->streams; }
+  /** How many requests it works on. */
+  [[nodiscard]] auto working() const -> int { return this->open; }
+  [[nodiscard]] auto port() const -> int { return this->listener.port(); }
+  /** When it got its requests, by the record's clock. */
+  [[nodiscard]] auto RequestTimes() -> std::vector<std::int64_t>;
 
  private:
   auto Serve(Connection& connection) -> void;
@@ -126,10 +132,12 @@
   std::mutex mutex;
   std::int64_t born = 0;
   std::int64_t sequence = 0;
+  std::string state = "ready";
+  std::vector<std::int64_t> request_times;
   std::atomic<bool> runs = true;
   std::atomic<bool> ends = false;
   std::atomic<int> life = 0;
-  std::atomic<int> streams = 0;
+  std::atomic<int> open = 0;
   Listener listener;
   std::thread heartbeat;
 };
