--- a/review/stand_ins_2/fleet.cc
+++ b/review/stand_ins_2/fleet.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <charconv>
 #include <csignal>
+#include <functional>
 #include <random>
 #include <sstream>
 #include <utility>
@@ -33,6 +34,13 @@
   return ports;
 }
 
+/** Returns an id of a prompt part: hexadecimal, as PROTOCOL.md says. */
+auto HexId(const std::string& text) -> std::string {
+  std::ostringstream id;
+  id << std::hex << std::hash<std::string>()(text);
+  return id.str();
+}
+
 auto Chunk(const std::string& bytes) -> std::string {
   std::ostringstream text;
   text << std::hex << bytes.size() << "\r\n" << bytes << "\r\n";
@@ -336,7 +344,7 @@
       "POST " + request.path +
       " HTTP/1.1\r\nHost: demo\r\nX-Attempt-Id: " + request.id +
       "\r\nX-Model: m\r\nX-Token-Count: 826,290\r\n" +
-      "X-Prompt-Prefix: 5c1e:198," + request.id +
+      "X-Prompt-Prefix: 5c1e:198," + HexId(request.id) +
       ":628\r\nX-Deadline-Ms: " + std::to_string(request.deadline_ms) +
       "\r\nAuthorization: Token key-1\r\nContent-Length: 4\r\n";
   if (!request.resumes.empty()) {
