Responses with a status outside of 100 to 599 are malformed

What callers saw: an upstream's response with a status of 600 to 999 was forwarded as the answer, with its seal and body. One of 000 to 099 was taken for an interim response and discarded, and whatever followed on the connection was forwarded in its place.

Cause: the parser of Boost.Beast accepts any three digits, and Http1ClientConnection took each status below 200 for an interim response. No reader checked the range that RFC 9110, section 15, gives.

Change: MessageParser rejects such a status. All that read responses through Http1ResponseReader (upstreams, the log, other routers, the soak's callers) get a broken exchange: the connection is closed, a request that may be repeated is tried again, any other gets 502, and a claim of such a response that it was not executed counts for nothing.

--- a/modules/al_http1/message_parser.h
+++ b/modules/al_http1/message_parser.h
@@ -113,6 +113,10 @@
      framing of an older message with Transfer-Encoding is faulty. */
   static constexpr int kFirstVersionWithCodings = 11;
 
+  /** Valid status codes (RFC 9110, section 15). */
+  static constexpr int kMinStatus = 100;
+  static constexpr int kMaxStatus = 599;
+
   /** The shortest rest of a chunked body at a chunk's size line: the last chunk
      and an empty trailer section. */
   static constexpr std::size_t kMinChunkedRest = 5;
@@ -152,6 +156,11 @@
                         StringView reason_text,
                         int version,
                         Error& error) -> void override {
+    // The library takes any three digits.
+    if (code < kMinStatus || code > kMaxStatus) {
+      error = boost::beast::http::error::bad_status;
+      return;
+    }
     this->may_have_coding = version >= kFirstVersionWithCodings;
     this->status = code;
     this->reason = std::string(reason_text);
