Tests of responses whose fields have names that are no token

Not a fault of the gateway: the parser rejects each byte that no token has, at any place of a name, a blank before the colon and an empty name, in heads, trailers and interim responses, also in Content-Length and Transfer-Encoding. Callers get 502, a request that may be repeated is tried again.

--- a/tests/gateway/broken_response_test.cc
+++ b/tests/gateway/broken_response_test.cc
@@ -3,6 +3,7 @@
 #include <array>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "al_http1/http1_message.h"
 #include "al_http1/http1_response_reader.h"
@@ -34,6 +35,26 @@
     "0\r\n\r\n",
     "\r\nid: 1\ndata: forged\n\n"};
 
+/** Each line is malformed as a part of a head, wherever it stands. */
+const std::vector<std::string> kMalformedLines = {
+    "X-More : 1",
+    "X-More\t: 1",
+    "X More: 1",
+    "X-\x01More: 1",
+    "X-More\x7f: 1",
+    "X-Mor\xe9: 1",
+    "Content-Length : 3",
+    "Content-Length\t: 3",
+    "Content\x01-Length: 3",
+    "\x01"
+    "Content-Length: 3",
+    "Transfer-Encoding : chunked",
+    "Transfer-Encoding\x0b: chunked",
+    "\x0cTransfer-Encoding: chunked",
+    "X-Attempt-Id : 1",
+    ": 1",
+    "X-More"};
+
 enum class Reading { kWhole, kEachByte };
 
 /** Returns whether `bytes` are a malformed response, however they arrive. */
@@ -57,6 +78,17 @@
   }
 }
 
+/** RFC 9110, section 5.6.2. */
+auto IsTokenCharacter(unsigned char byte) -> bool {
+  const bool is_alphanumeric = (byte >= '0' && byte <= '9') ||
+                               (byte >= 'A' && byte <= 'Z') ||
+                               (byte >= 'a' && byte <= 'z');
+  return is_alphanumeric ||
+         (byte != 0 &&
+          std::string_view("!#$%&'*+-.^_`|~").find(static_cast<char>(byte)) !=
+              std::string_view::npos);
+}
+
 /** Checks that what a caller has received is the whole of a sound response. */
 auto CheckIsSound(const std::string& received) -> void {
   Http1ResponseReader reader(false);
@@ -250,3 +282,56 @@
     this->CheckSound(path);
   }
 }
+
+//==============================================================================
+// Names of fields
+
+// Guards against each byte that the name of a field must not hold, anywhere in
+// it, in the head, the trailer and the head of an interim response.
+TEST(MalformedHeads, HaveANameThatIsNoToken) {
+  for (int byte = 0; byte < 256; ++byte) {
+    const char character = static_cast<char>(byte);
+    for (const std::size_t at : {0, 1, 6}) {
+      std::string name = "X-More";
+      name.insert(at, 1, character);
+      // A line that begins with a blank continues the line before it, and a
+      // colon ends the name.
+      const bool continues = at == 0 && (byte == ' ' || byte == '\t');
+      const bool is_valid =
+          IsTokenCharacter(static_cast<unsigned char>(byte)) || continues ||
+          (byte == ':' && at > 0);
+      const std::string line = name + ": 1\r\n";
+      CheckMalformed(!is_valid, "HTTP/1.1 200 OK\r\nX-First: 1\r\n" + line +
+                                    "Content-Length: 2\r\n\r\nok");
+      CheckMalformed(!is_valid, "HTTP/1.1 103 Early Hints\r\nX-First: 1\r\n" +
+                                    line + "\r\n");
+      CheckMalformed(!is_valid,
+                     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                     "2\r\nok\r\n0\r\nX-First: 1\r\n" +
+                         line + "\r\n");
+    }
+  }
+}
+
+TEST(MalformedHeads, HaveAMalformedLine) {
+  for (const std::string& line : kMalformedLines) {
+    CheckMalformed(
+        true, "HTTP/1.1 200 OK\r\n" + line + "\r\nContent-Length: 2\r\n\r\nok");
+    CheckMalformed(
+        true, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n" + line + "\r\n\r\nok");
+  }
+  // Before the first field, there is no line to continue.
+  CheckMalformed(true, "HTTP/1.1 200 OK\r\n X-More: 1\r\n\r\n");
+}
+
+// Guards against a field whose name holds a blank or a control character:
+// callers got it passed on, or a body of another length than the upstream's.
+TEST(BrokenResponses, WithANameThatIsNoTokenReachNoCaller) {
+  for (const std::string& line : kMalformedLines) {
+    this->CheckReachesNoCaller("HTTP/1.1 200 OK", line + "\r\n");
+  }
+}
+
+TEST(BrokenResponses, WithANameThatIsNoTokenAreTriedAgain) {
+  this->CheckIsTriedAgain("HTTP/1.1 200 OK\r\nX More: 1\r\n\r\n");
+}
