A folded line in a response is malformed

What callers saw: a field whose name begins with a blank was passed on as a part of the value before it. "X-Server-Seal: seal" and then " X-More: 1" arrived as "X-Server-Seal: seal X-More: 1", in an answer 200.

Cause: a line that begins with a blank is a folded one, which the parser joins with the line before it. RFC 9112, section 5.2, leaves a gateway the choice to do that or to discard the response; joined, a damaged name changes a field that the upstream did send.

Change: MessageParser rejects folded lines in the heads of responses, which no sender may make. Requests are read as before.

--- a/modules/al_http1/message_parser.h
+++ b/modules/al_http1/message_parser.h
@@ -58,6 +58,10 @@
       if (this->NeedsMoreFirst(rest)) {
         break;
       }
+      if (!is_request && !this->is_header_done() && HasFoldedLine(rest)) {
+        this->failure = boost::beast::http::error::bad_field;
+        break;
+      }
       Error status;
       const std::size_t count = this->put(
           boost::asio::const_buffer(rest.data(), rest.size()), status);
@@ -129,6 +133,20 @@
            this->chunked();
   }
 
+  /** Returns whether a line of a header begins with a blank, so that it belongs
+     to the value of the field before it (RFC 9112, section 5.2). The library
+     joins the two, which a gateway need not do for a response: the line may be
+     a field whose name is damaged, and would change the one before it.
+      @param bytes  from the start of a line; the body may follow. */
+  static auto HasFoldedLine(std::string_view bytes) -> bool {
+    if (bytes.starts_with("\r\n")) {
+      return false;  // The end of the header.
+    }
+    const std::string_view header = bytes.substr(0, bytes.find("\r\n\r\n"));
+    return header.find("\r\n ") != std::string_view::npos ||
+           header.find("\r\n\t") != std::string_view::npos;
+  }
+
   /** Adds to a size that has a limit. */
   static auto Count(std::size_t& total,
                     std::size_t more,
