Tests of responses that are cut while an upload is being written

Not a fault of the gateway: a response without a length whose upstream resets the connection while the upload is being written breaks the exchange, also if the reset is that of a close with unread input. Callers get 502 and no part of the response, a request that may be repeated is tried again, and a stream that has begun is broken off; a response that ends with its connection in order arrives whole. The four tests passed when they were written, for each kind of route, in HTTP/1.0 and 1.1, with "Connection: close", after an interim response, with an empty body, and with uploads that the kernel takes at once and that it does not.

RawUpstream may answer a request of which it has read the head only. No code is changed.

--- a/tests/gateway/broken_response_test.cc
+++ b/tests/gateway/broken_response_test.cc
@@ -1,10 +1,14 @@
-// Upstreams whose responses are no HTTP, although they look like it: no part of
-// them may reach a caller as the upstream's response.
+// Upstreams whose responses are no HTTP, although they look like it, or end
+// with a connection that is reset: no part of them may reach a caller as the
+// upstream's response.
 #include <array>
+#include <functional>
+#include <memory>
 #include <string>
 #include <string_view>
 #include <vector>
 
+#include "al_edge/loop/loop_timer.h"
 #include "al_http1/http1_message.h"
 #include "al_http1/http1_response_reader.h"
 #include "support/gateway_fixture.h"
@@ -35,6 +39,33 @@
     "0\r\n\r\n",
     "\r\nid: 1\ndata: forged\n\n"};
 
+/** Part of a response whose end is that of the connection. */
+struct EarlyResponse {
+  std::string_view first_line;
+  std::string_view fields;
+  std::string_view content;
+
+  [[nodiscard]] auto Bytes(const std::string& id) const -> std::string {
+    return std::string(this->first_line) + "\r\nX-Attempt-Id: " + id +
+           "\r\nX-Server-Seal: seal\r\n" + std::string(this->fields) + "\r\n" +
+           std::string(this->content);
+  }
+};
+
+constexpr std::string_view kPart = "id: 1\ndata: forged";
+
+constexpr std::array<EarlyResponse, 5> kEarlyResponses = {{
+    {"HTTP/1.1 200 OK", "", kPart},
+    {"HTTP/1.0 200 OK", "", kPart},
+    {"HTTP/1.1 200 OK", "Connection: close\r\n", kPart},
+    {"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK", "", kPart},
+    {"HTTP/1.1 200 OK", "", ""},
+}};
+
+/** Sizes of uploads: one that the kernel takes at once, and one that is more
+    than it takes of a connection. */
+constexpr std::array<std::size_t, 2> kUploads = {300'000, 8'000'000};
+
 /** Each line is malformed as a part of a head, wherever it stands. */
 const std::vector<std::string> kMalformedLines = {
     "X-More : 1",
@@ -115,6 +146,7 @@
   GatewayFixture fixture;
   RawUpstream desk{this->fixture.poller, "raw-desk"};
   RawUpstream engine{this->fixture.poller, "raw-engine"};
+  std::vector<std::unique_ptr<LoopTimer>> timers;
   int calls = 100'000;  ///< All ids are equally long.
 
   TEST_SETUP() {
@@ -130,12 +162,14 @@
                             this->desk.Entry("desks"));
     this->fixture.store.Put("keyed.servers", "raw-engine",
                             this->engine.Entry("engines"));
+    this->fixture.SetMaxBodyBytes(kUploads.back());
     this->fixture.Publish(1, 1'000'000'000);
   }
 
   auto SetScript(const RawUpstream::Script& script)->void {
     for (RawUpstream* const upstream : {&this->desk, &this->engine}) {
       upstream->SetScript(script);
+      upstream->SetReadsBodies(true);
     }
   }
 
@@ -230,6 +264,50 @@
       CHECK_EQUAL(2, arrivals);
     }
   }
+
+  /** As SetScript(), but the upstreams answer when they have the head of a
+      request, and do not read its body. */
+  auto SetEarlyScript(const RawUpstream::Script& script)->void {
+    this->SetScript(script);
+    this->desk.SetReadsBodies(false);
+    this->engine.SetReadsBodies(false);
+  }
+
+  auto After(Duration delay, std::function<void()> call)->void {
+    this->timers.push_back(
+        std::make_unique<LoopTimer>(this->fixture.loop, std::move(call)));
+    this->timers.back()->Start(delay);
+  }
+
+  /** Answers uploads of each size with a part of a response without a length,
+      and then ends the connection: at once, and when the router has read the
+      part. */
+  auto CheckEarlyResponses(
+      const std::function<void(const Arrival&)>& end_connection)
+      ->void {
+    for (const std::size_t size : kUploads) {
+      for (const char* const path : kPaths) {
+        for (const EarlyResponse& early : kEarlyResponses) {
+          for (const auto delay : {0, 30}) {
+            this->SetEarlyScript([&](const Arrival& arrival) {
+              arrival.send(early.Bytes(arrival.id));
+              if (delay == 0) {
+                end_connection(arrival);
+              } else {
+                this->After(
+                    std::chrono::milliseconds(delay),
+                    [&end_connection, arrival] { end_connection(arrival); });
+              }
+            });
+            const std::string received =
+                this->Call(path, std::string(size, 'u'));
+            this->CheckFails(path, received, early.Bytes("ID"));
+            this->CheckSound(path);
+          }
+        }
+      }
+    }
+  }
 };
 
 //==============================================================================
@@ -345,3 +423,50 @@
 TEST(BrokenResponses, WithANameThatIsNoTokenAreTriedAgain) {
   this->CheckIsTriedAgain("HTTP/1.1 200 OK\r\nX More: 1\r\n\r\n");
 }
+
+//==============================================================================
+// Responses that come before the request has been read, and whose end is that
+// of the connection
+
+// Guards against a response that its upstream cuts by a reset while it has not
+// read the upload: callers got the part as the whole.
+TEST(BrokenResponses, DuringAnUploadAreNoSuccessAfterAReset) {
+  this->CheckEarlyResponses([](const Arrival& arrival) { arrival.reset(); });
+}
+
+// As above: the kernel makes a reset of a close that leaves input unread.
+TEST(BrokenResponses, DuringAnUploadAreNoSuccessAfterACloseWithUnreadInput) {
+  this->CheckEarlyResponses([](const Arrival& arrival) { arrival.drop(); });
+}
+
+// A sound upstream that refuses an upload early: it ends the connection in
+// order, and reads on until the router closes it.
+TEST(BrokenResponses, AreNotThoseThatEndInOrderDuringAnUpload) {
+  for (const std::size_t size : kUploads) {
+    for (const char* const path : kPaths) {
+      this->SetEarlyScript([](const Arrival& arrival) {
+        arrival.send(RawUpstream::Head(arrival.id, "") +
+                     std::string(kSoundContent));
+        arrival.close();
+      });
+      CheckIsSound(this->Call(path, std::string(size, 'u')));
+    }
+  }
+}
+
+// A stream whose caller has got an event already is broken off, not ended.
+TEST(BrokenResponses, OfStreamsDuringAnUploadEndNoStream) {
+  for (const char* const path : {"/draft/", "/ask/"}) {
+    this->SetEarlyScript([&](const Arrival& arrival) {
+      arrival.send(
+          RawUpstream::Head(arrival.id, "Content-Type: text/event-stream\r\n") +
+          std::string(kContent));
+      this->After(std::chrono::milliseconds(30), arrival.reset);
+    });
+    const std::string received =
+        this->Call(path, std::string(kUploads.back(), 'u'));
+    CHECK_TRUE_TEXT(received.starts_with("HTTP/1.1 200 "), received.c_str());
+    CHECK_FALSE_TEXT(received.ends_with(kLastChunk), received.c_str());
+    this->CheckSound(path);
+  }
+}
--- a/tests/support/raw_upstream.cc
+++ b/tests/support/raw_upstream.cc
@@ -3,6 +3,7 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <limits>
 #include <stdexcept>
 #include <utility>
 
@@ -32,6 +33,13 @@
   connection.Close();
 }
 
+/** Makes a reader that accepts bodies of any size. */
+auto MakeReader() -> std::unique_ptr<Http1RequestReader> {
+  Http1RequestLimits limits;
+  limits.body_bytes = std::numeric_limits<std::size_t>::max();
+  return std::make_unique<Http1RequestReader>(limits);
+}
+
 }  // namespace
 
 struct RawUpstream::Peer {
@@ -128,7 +136,7 @@
   peer->descriptor = descriptor;
   TcpConnection::Callbacks callbacks;
   callbacks.on_input = [this, raw = peer.get()] { this->OnInput(*raw); };
-  peer->reader = std::make_unique<Http1RequestReader>(Http1RequestLimits());
+  peer->reader = MakeReader();
   peer->connection =
       TcpConnection::Adopt(this->poller, descriptor, std::move(callbacks));
   this->peers.push_back(std::move(peer));
@@ -136,15 +144,18 @@
 
 auto RawUpstream::OnInput(Peer& peer) -> void {
   peer.connection->Consume(peer.reader->Feed(peer.connection->input()));
-  if (!peer.reader->is_done()) {
+  const bool has_arrived =
+      this->reads_bodies ? peer.reader->is_done() : peer.reader->has_header();
+  if (!has_arrived) {
     return;
   }
-  const Http1Request request = peer.reader->TakeRequest();
-  peer.reader = std::make_unique<Http1RequestReader>(Http1RequestLimits());
+  peer.connection->SetReadingPaused(!peer.reader->is_done());
   Arrival arrival;
+  const Http1RequestHead head = peer.reader->Head();
   arrival.id =
-      std::string(request.fields.Find(platform::kAttemptIdHeader).value_or(""));
-  arrival.target = request.target;
+      std::string(head.fields.Find(platform::kAttemptIdHeader).value_or(""));
+  arrival.target = head.target;
+  peer.reader = MakeReader();
   arrival.number = ++this->arrival_count;
   arrival.send = [this, connection = peer.connection](std::string_view bytes) {
     this->total_sent += bytes.size();
@@ -153,6 +164,7 @@
   arrival.close = [connection = peer.connection] {
     connection->CloseGracefully(std::chrono::seconds(2));
   };
+  arrival.drop = [connection = peer.connection] { connection->Close(); };
   arrival.reset = [connection = peer.connection, descriptor = peer.descriptor] {
     Reset(*connection, descriptor);
   };
--- a/tests/support/raw_upstream.h
+++ b/tests/support/raw_upstream.h
@@ -29,6 +29,7 @@
     int number = 0;      ///< Counts from 1.
     std::function<void(std::string_view bytes)> send;
     std::function<void()> close;  ///< Sends a FIN after the bytes.
+    std::function<void()> drop;   ///< Closes at once, whatever is unread.
     std::function<void()> reset;  ///< Ends the connection with a reset.
   };
   using Script = std::function<void(const Arrival&)>;
@@ -43,6 +44,10 @@
   /** Sets what happens at each arrival. */
   auto SetScript(Script script) -> void { this->script = std::move(script); }
 
+  /** Sets whether requests are read to their end, as by default. Otherwise they
+     arrive with their head, and nothing more is read. */
+  auto SetReadsBodies(bool reads) -> void { this->reads_bodies = reads; }
+
   /** Ends as a process that crashes: resets all connections, and refuses new
      ones until Restart(). */
   auto Crash() -> void;
@@ -94,6 +99,7 @@
   std::string id;
   std::string address;
   Script script;
+  bool reads_bodies = true;
   int arrival_count = 0;
   std::size_t total_sent = 0;
   std::vector<std::unique_ptr<Peer>> peers;
