A failed write does not drop a response that has arrived

What callers saw: an upstream answered a long upload early and closed the connection without reading on. Its response was whole, by its length or by a FIN before the reset, and had arrived, but callers got 502; a request that may not be repeated had lost its answer.

Cause: when a buffered write failed, TcpConnection closed the connection at once as reset and dropped what the kernel had received.

Change: it reads on to the end, as far as its owner takes input. A failed write takes the error that recv() would report, so that recv() returns 0 as after a FIN; therefore the error of the first failed write says what that end is. Linux reports a reset behind a FIN as EPIPE, any other as ECONNRESET, so that a part of a response without a length stays broken.

--- a/modules/al_net/tcp_connection.cc
+++ b/modules/al_net/tcp_connection.cc
@@ -162,7 +162,7 @@
   }
   if (this->established && this->unsent_bytes() == 0) {
     // Ignores failure: the error also causes an event of the poller, and
-    // OnReady() then closes the connection and calls on_end.
+    // OnReady() then reads to the end and calls on_end.
     bytes.remove_prefix(this->SendNow(bytes).value_or(0));
   }
   this->output.append(bytes);
@@ -263,7 +263,8 @@
   }
   if (readiness.writable && this->is_open() && this->unsent_bytes() > 0) {
     if (!this->Flush()) {
-      this->CloseAndNotify(TcpCloseReason::kReset);
+      // Nothing more can be sent, but what has arrived may be whole.
+      this->ReadAvailable();
       return;
     }
     if (this->unsent_bytes() == 0) {
@@ -341,7 +342,8 @@
         }
       }
     } else if (count == 0) {
-      reason = TcpCloseReason::kClosedByPeer;
+      reason =
+          this->end_after_failed_write.value_or(TcpCloseReason::kClosedByPeer);
       break;
     } else if (errno == EAGAIN || errno == EWOULDBLOCK) {
       break;
@@ -357,6 +359,11 @@
     // The end itself lies behind input that is not read.
     reason = TcpCloseReason::kClosedByPeer;
   }
+  if (this->end_after_failed_write && reason == TcpCloseReason::kOpen &&
+      !this->resume_posted) {
+    // The end cannot be read now, and no event will tell of it later.
+    reason = TcpCloseReason::kReset;
+  }
   if (reason != TcpCloseReason::kOpen && this->is_open()) {
     this->CloseAndNotify(reason);
   }
@@ -417,6 +424,13 @@
     } else if (errno == EAGAIN || errno == EWOULDBLOCK) {
       break;
     } else if (errno != EINTR) {
+      if (!this->end_after_failed_write) {
+        // The kernel reports an error once, here in place of recv(), which then
+        // returns 0 as after a FIN. A reset behind a FIN is reported as EPIPE.
+        this->end_after_failed_write = errno == EPIPE
+                                           ? TcpCloseReason::kClosedByPeer
+                                           : TcpCloseReason::kReset;
+      }
       return std::nullopt;
     }
   }
--- a/modules/al_net/tcp_connection.h
+++ b/modules/al_net/tcp_connection.h
@@ -38,6 +38,8 @@
    is released when they are empty.
    Keep-alive probes and a time-out of unacknowledged bytes detect a peer that
    stops responding.
+   If a write fails, what has arrived before is still delivered to on_input, as
+   far as reading is not paused, and then on_end is called.
 
     Callbacks are called from the event loop, never from within Write(). None is
    called after Close().
@@ -168,6 +170,9 @@
   bool peer_closed = false;
   bool input_full = false;  ///< input() exceeded its limit; reading waits.
   bool is_shutting_down = false;
+
+  /** Set once a write has failed: what the end of the input then means. */
+  std::optional<TcpCloseReason> end_after_failed_write;
 };
 
 /** Parses an IPv4 `ip:port`. @return false if `text` is not one. */
--- a/tests/gateway/broken_response_test.cc
+++ b/tests/gateway/broken_response_test.cc
@@ -470,3 +470,28 @@
     this->CheckSound(path);
   }
 }
+
+// Sound upstreams that do not wait for the rest of an upload: their response is
+// whole, by its length or as the connection ended in order before the reset.
+TEST(BrokenResponses, AreNotThoseThatAreWholeBeforeAReset) {
+  const auto with_length = [](const Arrival& arrival) {
+    arrival.send(RawUpstream::Whole(arrival.id, kSoundContent));
+    arrival.drop();
+  };
+  const auto without_length = [](const Arrival& arrival) {
+    arrival.send(RawUpstream::Head(arrival.id, "") +
+                 std::string(kSoundContent));
+    arrival.finish();
+    arrival.drop();
+  };
+  for (const RawUpstream::Script& script :
+       {RawUpstream::Script(with_length),
+        RawUpstream::Script(without_length)}) {
+    for (const std::size_t size : kUploads) {
+      for (const char* const path : kPaths) {
+        this->SetEarlyScript(script);
+        CheckIsSound(this->Call(path, std::string(size, 'u')));
+      }
+    }
+  }
+}
--- a/tests/support/raw_upstream.cc
+++ b/tests/support/raw_upstream.cc
@@ -164,6 +164,9 @@
   arrival.close = [connection = peer.connection] {
     connection->CloseGracefully(std::chrono::seconds(2));
   };
+  arrival.finish = [descriptor = peer.descriptor] {
+    shutdown(descriptor, SHUT_WR);
+  };
   arrival.drop = [connection = peer.connection] { connection->Close(); };
   arrival.reset = [connection = peer.connection, descriptor = peer.descriptor] {
     Reset(*connection, descriptor);
--- a/tests/support/raw_upstream.h
+++ b/tests/support/raw_upstream.h
@@ -28,9 +28,10 @@
     std::string target;  ///< Path with its query.
     int number = 0;      ///< Counts from 1.
     std::function<void(std::string_view bytes)> send;
-    std::function<void()> close;  ///< Sends a FIN after the bytes.
-    std::function<void()> drop;   ///< Closes at once, whatever is unread.
-    std::function<void()> reset;  ///< Ends the connection with a reset.
+    std::function<void()> close;   ///< Sends a FIN after the bytes.
+    std::function<void()> drop;    ///< Closes at once, whatever is unread.
+    std::function<void()> finish;  ///< Sends a FIN, and reads no more.
+    std::function<void()> reset;   ///< Ends the connection with a reset.
   };
   using Script = std::function<void(const Arrival&)>;
 
