The own interface reads responses as the gateway does

What callers saw: an engine's response with a status of 000 and "auburnloft-run: no" made the router refuse the chat as not run. The client below took any status for valid, took names of fields with a blank or a control character ("Content-Length : 3", too), and completed a response without a length by a reset, during an upload or not: a part passed for the whole.

Cause: HttpClient used the client of libwebsockets 4.1, which checks neither the status nor the names, and takes each end of a connection for the end of a body without a length. Its callbacks do not show the difference.

Change: HttpClient moves to al_http1 and becomes a layer over Http1ClientConnection, with the same interface: one connection a call, no time-out but that of connecting. All that used it (the router's relay, its polls of load and caches, the clients of the log and of the VM list, auburnloft-ctl, auburnloft-load) now reads through the one strict reader; a malformed or cut response fails the call as one that was sent. It no longer follows redirects, and takes addresses as ip:port only, as documented.

--- a/modules/al_edge/al_edge.h
+++ b/modules/al_edge/al_edge.h
@@ -1,14 +1,14 @@
 /** Module al_edge: the event loop, sockets, timers, settings and metrics of a
    process, all on one thread.
 
-    Depends on: al_core, libwebsockets (HTTP server and client, the loop),
+    Depends on: al_core, libwebsockets (HTTP server, the loop),
    ZeroMQ and protobuf (messages between routers), Boost.Histogram (metrics),
    TCLAP (flags), log4cplus (logs).
 
     Parts:
     - loop/       EventLoop and LoopTimer: timers, posted callbacks and watched
    descriptors
-    - http/       HttpServer, HttpExchange, HttpClient, SseParser
+    - http/       HttpServer, HttpExchange, SseParser
     - peer/       PeerSocket: messages between routers
     - settings/   SettingsReader: command-line flags and environment variables
     - metrics/    LatencyHistogram and its Prometheus text
@@ -16,7 +16,6 @@
 #ifndef AL_EDGE_AL_EDGE_H_
 #define AL_EDGE_AL_EDGE_H_
 
-#include "al_edge/http/http_client.h"
 #include "al_edge/http/http_exchange.h"
 #include "al_edge/http/http_server.h"
 #include "al_edge/http/sse_parser.h"
--- a/modules/al_edge/loop/event_loop.cc
+++ b/modules/al_edge/loop/event_loop.cc
@@ -10,8 +10,6 @@
 #include <stdexcept>
 #include <utility>
 
-#include "al_edge/http/http_client.h"
-
 namespace auburnloft {
 
 namespace {
@@ -20,8 +18,6 @@
    decision code enforces the deadlines. */
 constexpr unsigned int kNoTimeoutSeconds = 86'400;
 
-constexpr unsigned int kConnectTimeoutSeconds = 3;
-
 /** Maximum time for a caller to send a request header. */
 constexpr unsigned int kHeaderTimeoutSeconds = 10;
 
@@ -81,7 +77,6 @@
   info.port = CONTEXT_PORT_NO_LISTEN;
   info.options = LWS_SERVER_OPTION_EXPLICIT_VHOSTS;
   info.timeout_secs = kNoTimeoutSeconds;
-  info.connect_timeout_secs = kConnectTimeoutSeconds;
   info.timeout_secs_ah_idle = kHeaderTimeoutSeconds;
   info.pt_serv_buf_size = kReadBufferBytes;
   info.max_http_header_data = kMaxHeaderBytes;
@@ -89,13 +84,12 @@
   if (this->lws == nullptr) {
     throw std::runtime_error("the event loop cannot be created");
   }
-  static const std::array<lws_protocols, 3> kProtocols = {{
-      HttpClient::Protocol(),
+  static const std::array<lws_protocols, 2> kProtocols = {{
       {kWatchProtocol, OnWatchEvent, 0, 0, 0, nullptr, 0},
       {nullptr, nullptr, 0, 0, 0, nullptr, 0},
   }};
   info.protocols = kProtocols.data();
-  info.vhost_name = "client";
+  info.vhost_name = "watch";
   this->vhost = lws_create_vhost(this->lws, &info);
 }
 
--- a/modules/al_edge/loop/event_loop.h
+++ b/modules/al_edge/loop/event_loop.h
@@ -21,7 +21,7 @@
    be called from a signal handler or another thread. Stop() sets a
    process-wide flag, so it ends all loops of the process.
 
-    @see HttpServer, HttpClient, PeerSocket
+    @see HttpServer, PeerSocket
 */
 class EventLoop {
  public:
@@ -107,10 +107,8 @@
      elapsed on the steady clock. */
   [[nodiscard]] auto Now() const -> Instant;
 
-  /** The libwebsockets context and the virtual host of clients, for the other
-     classes of this module. */
+  /** The libwebsockets context, for the other classes of this module. */
   [[nodiscard]] auto context() const -> lws_context* { return this->lws; }
-  [[nodiscard]] auto client_vhost() const -> lws_vhost* { return this->vhost; }
 
  private:
   struct Timer;
--- a/modules/al_http1/al_http1.h
+++ b/modules/al_http1/al_http1.h
@@ -18,6 +18,7 @@
     - Http1Server   a listener and its sessions
     - Http1ClientConnection   one connection to a server, one exchange at a time
     - Http1Client   calls with a time-out over one persistent connection
+    - HttpClient   calls over a connection each
 */
 #ifndef AL_HTTP1_AL_HTTP1_H_
 #define AL_HTTP1_AL_HTTP1_H_
@@ -32,6 +33,7 @@
 #include "al_http1/http1_server.h"
 #include "al_http1/http1_server_options.h"
 #include "al_http1/http1_server_session.h"
+#include "al_http1/http_client.h"
 #include "al_http1/memory_account.h"
 
 #endif  // AL_HTTP1_AL_HTTP1_H_
--- a/modules/al_edge/http/http_client.h
+++ b/modules/al_http1/http_client.h
@@ -1,21 +1,23 @@
-#ifndef AL_EDGE_HTTP_HTTP_CLIENT_H_
-#define AL_EDGE_HTTP_HTTP_CLIENT_H_
+#ifndef AL_HTTP1_HTTP_CLIENT_H_
+#define AL_HTTP1_HTTP_CLIENT_H_
 
+#include <cstddef>
 #include <functional>
-#include <map>
 #include <memory>
 #include <string>
 #include <string_view>
+#include <unordered_set>
 #include <vector>
 
 #include "al_edge/http/http_types.h"
-#include "al_edge/loop/event_loop.h"
-
-struct lws;
-struct lws_protocols;
+#include "al_http1/http1_client_connection.h"
+#include "al_net/socket_poller.h"
 
 namespace auburnloft {
 
+class EventLoop;
+class HttpClient;
+
 /** A request to an HTTP server, with the callbacks for its response. */
 struct HttpCall {
   std::string address;  ///< `ip:port`.
@@ -38,8 +40,8 @@
   /** The response is complete. Excludes `on_error`. */
   std::function<void()> on_end;
 
-  /** The call failed or the response was truncated. `sent` is true if the
-     server may have received the request. */
+  /** The call failed, or the response was malformed or truncated. `sent` is
+     true if the server may have received the request. */
   std::function<void(bool sent, std::string_view text)> on_error;
 };
 
@@ -54,24 +56,31 @@
 
  private:
   friend class HttpClient;
+
+  auto OnHead(const Http1ResponseHead& head) -> void;
+  auto OnBody(std::string_view data) -> void;
+  auto OnDone(Http1Outcome outcome) -> void;
+  auto Fail(bool sent, std::string_view text) -> void;
+
+  /** Closes the connection. @return the call, whose callbacks are now its
+     receiver's. */
+  auto End() -> HttpCall;
+
+  HttpClient* client = nullptr;  ///< Null once the call has ended.
   HttpCall call;
-  lws* wsi = nullptr;
-  std::string host;
+  std::shared_ptr<Http1ClientConnection> connection;
   std::size_t received_bytes = 0;  ///< Of the response body.
-  bool sent = false;
-  bool finished = false;
-  bool paused = false;
-  bool starting = true;  ///< Inside HttpClient::Send().
 };
 
 /** An HTTP/1.1 client. Each call opens its own connection, so that no call
-   waits for another.
+   waits for another, and has no time-out but that of connecting.
+    @see Http1Client, for calls over one persistent connection
 
     Thread safety: none; use on the loop's thread.
 */
 class HttpClient {
  public:
-  explicit HttpClient(EventLoop& loop) : loop(loop) {}
+  explicit HttpClient(EventLoop& loop) : poller(loop) {}
   ~HttpClient();
 
   HttpClient(const HttpClient&) = delete;
@@ -81,24 +90,13 @@
      Send() returns. */
   auto Send(HttpCall call) -> std::shared_ptr<HttpCallHandle>;
 
-  /** The libwebsockets protocol of clients, for EventLoop. */
-  [[nodiscard]] static auto Protocol() -> lws_protocols;
-
  private:
-  static auto OnEvent(lws* wsi, int reason, void* in, std::size_t size) -> int;
-  static auto OnHandshake(HttpCallHandle& handle,
-                          lws* wsi,
-                          void* in,
-                          std::size_t size) -> int;
-  static auto OnWritable(HttpCallHandle& handle, lws* wsi) -> int;
-  static auto OnHead(HttpCallHandle& handle, lws* wsi) -> void;
-  static auto OnData(HttpCallHandle& handle, std::string_view data) -> int;
-  static auto Fail(HttpCallHandle& handle, std::string_view text) -> void;
-  static auto Finish(HttpCallHandle& handle) -> void;
-
-  EventLoop& loop;
+  friend class HttpCallHandle;
+
+  SocketPoller poller;
+  std::unordered_set<HttpCallHandle*> running_calls;
 };
 
 }  // namespace auburnloft
 
-#endif  // AL_EDGE_HTTP_HTTP_CLIENT_H_
+#endif  // AL_HTTP1_HTTP_CLIENT_H_
--- a/modules/al_operator/session/operator_session.h
+++ b/modules/al_operator/session/operator_session.h
@@ -7,8 +7,8 @@
 #include <vector>
 
 #include "al_config/replay/config_state_machine.h"
-#include "al_edge/http/http_client.h"
 #include "al_edge/loop/event_loop.h"
+#include "al_http1/http_client.h"
 #include "al_ledger/fold/partition_ledger.h"
 #include "al_platform/log/log_client.h"
 
--- a/modules/al_platform/al_platform.h
+++ b/modules/al_platform/al_platform.h
@@ -3,7 +3,7 @@
     The protocol of another platform would be another module like this one:
     RouterCore uses only the actions and events of al_actions.
 
-    Depends on: al_edge, al_actions, al_fleet (the rows of the VM list),
+    Depends on: al_http1, al_actions, al_fleet (the rows of the VM list),
     nlohmann-json.
 
     Parts:
--- a/modules/al_platform/log/log_client.h
+++ b/modules/al_platform/log/log_client.h
@@ -6,7 +6,7 @@
 #include <string>
 
 #include "al_actions/log_events.h"
-#include "al_edge/http/http_client.h"
+#include "al_http1/http_client.h"
 
 namespace auburnloft {
 
--- a/modules/al_platform/vms/vm_list_client.h
+++ b/modules/al_platform/vms/vm_list_client.h
@@ -5,8 +5,8 @@
 #include <optional>
 #include <string>
 
-#include "al_edge/http/http_client.h"
 #include "al_fleet/membership/vm_list.h"
+#include "al_http1/http_client.h"
 
 namespace auburnloft {
 
--- a/programs/load/caller.h
+++ b/programs/load/caller.h
@@ -5,9 +5,9 @@
 #include <memory>
 #include <string>
 
-#include "al_edge/http/http_client.h"
 #include "al_edge/http/sse_parser.h"
 #include "al_edge/loop/event_loop.h"
+#include "al_http1/http_client.h"
 #include "load/entry_address_table.h"
 #include "load/request_result.h"
 #include "load/workload.h"
--- a/programs/load/entry_address_table.h
+++ b/programs/load/entry_address_table.h
@@ -8,8 +8,8 @@
 
 #include "al_core/ids/ids.h"
 #include "al_core/random/random_source.h"
-#include "al_edge/http/http_client.h"
 #include "al_edge/loop/event_loop.h"
+#include "al_http1/http_client.h"
 
 namespace auburnloft::load {
 
--- a/programs/load/load_generator.h
+++ b/programs/load/load_generator.h
@@ -7,8 +7,8 @@
 #include <vector>
 
 #include "al_core/random/random_source.h"
-#include "al_edge/http/http_client.h"
 #include "al_edge/loop/event_loop.h"
+#include "al_http1/http_client.h"
 #include "load/caller.h"
 #include "load/entry_address_table.h"
 #include "load/request_result.h"
--- a/programs/router/request_relay.h
+++ b/programs/router/request_relay.h
@@ -7,9 +7,9 @@
 
 #include "al_actions/action.h"
 #include "al_config/model/configuration.h"
-#include "al_edge/http/http_client.h"
 #include "al_edge/http/http_exchange.h"
 #include "al_edge/http/sse_parser.h"
+#include "al_http1/http_client.h"
 #include "al_router/requests/upstream_events.h"
 #include "al_router/validation/request_validator.h"
 
--- a/programs/router/router_daemon.h
+++ b/programs/router/router_daemon.h
@@ -5,11 +5,11 @@
 #include <memory>
 #include <string>
 
-#include "al_edge/http/http_client.h"
 #include "al_edge/http/http_server.h"
 #include "al_edge/loop/event_loop.h"
 #include "al_edge/metrics/latency_histogram.h"
 #include "al_edge/peer/peer_socket.h"
+#include "al_http1/http_client.h"
 #include "al_platform/log/log_client.h"
 #include "al_platform/vms/vm_list_client.h"
 #include "al_router/core/router_core.h"
--- a/programs/router/upstream_poller.h
+++ b/programs/router/upstream_poller.h
@@ -8,8 +8,8 @@
 #include <vector>
 
 #include "al_config/model/configuration.h"
-#include "al_edge/http/http_client.h"
 #include "al_edge/loop/event_loop.h"
+#include "al_http1/http_client.h"
 #include "al_traffic/upstreams/upstream_pool.h"
 
 namespace auburnloft {
--- a/tests/http/hostile_engine_test.cc
+++ b/tests/http/hostile_engine_test.cc
@@ -132,3 +132,39 @@
     }
   }
 }
+
+// Guards against a response that is no HTTP, which was passed on with its
+// status and body: the caller must get an error that does not deny the
+// execution, even if the response does.
+TEST(HostileOwnEngines, PassOnNoMalformedResponse) {
+  for (const std::string_view start :
+       {"HTTP/1.1 000 OK\r\n", "HTTP/1.1 099 OK\r\n", "HTTP/1.1 600 OK\r\n",
+        "HTTP/1.1 404 Not Found\r\nX More: 1\r\n",
+        "HTTP/1.1 404 Not Found\r\nX-More : 1\r\n",
+        "HTTP/1.1 404 Not Found\r\nX-\x01More: 1\r\n",
+        "HTTP/1.1 404 Not Found\r\nContent-Length : 3\r\n"}) {
+    for (const bool wants_stream : {false, true}) {
+      int attempts = 0;
+      this->AnswerChats([&](const Arrival& arrival) {
+        ++attempts;
+        arrival.send(std::string(start) +
+                     "auburnloft-run: no\r\nContent-Length: 6\r\n\r\nforged");
+      });
+      const std::string response = this->Chat(wants_stream);
+      const std::string where = std::string(start) + "->\n" + response;
+      CHECK_TRUE_TEXT(response.starts_with("HTTP/1.1 50"), where.c_str());
+      CHECK_TRUE_TEXT(response.find("forged") == std::string::npos,
+                      where.c_str());
+      CHECK_TRUE_TEXT(response.find(R"("run":"no")") == std::string::npos,
+                      where.c_str());
+      CHECK_EQUAL(1, attempts);
+      // A success, so that the engine is not taken for one that always fails.
+      this->AnswerChats([&](const Arrival& arrival) {
+        arrival.send(std::string(kEvents) + "Connection: close\r\n\r\n" +
+                     "data: [DONE]\n\n");
+        arrival.close();
+      });
+      CHECK_TRUE(this->Chat(wants_stream).find(" 200 ") != std::string::npos);
+    }
+  }
+}
--- a/tests/http/http_fixture.h
+++ b/tests/http/http_fixture.h
@@ -4,8 +4,8 @@
 #include <memory>
 #include <string>
 
-#include "al_edge/http/http_client.h"
 #include "al_edge/loop/event_loop.h"
+#include "al_http1/http_client.h"
 #include "al_net/socket_poller.h"
 #include "engine/engine_server.h"
 #include "platform/platform_server.h"
