Satisfy the linter in TcpConnection and the tests of broken responses

ReadAvailable was too long: what its end means is now EndAfterReading(). No change of behaviour; TcpConnections.*, HttpClients.* and MalformedHeads.* pass.

--- a/modules/al_net/tcp_connection.cc
+++ b/modules/al_net/tcp_connection.cc
@@ -342,8 +342,7 @@
         }
       }
     } else if (count == 0) {
-      reason =
-          this->end_after_failed_write.value_or(TcpCloseReason::kClosedByPeer);
+      reason = TcpCloseReason::kClosedByPeer;
       break;
     } else if (errno == EAGAIN || errno == EWOULDBLOCK) {
       break;
@@ -355,18 +354,27 @@
   if (has_new_input) {
     this->NotifyInput();
   }
+  reason = this->EndAfterReading(reason);
+  if (reason != TcpCloseReason::kOpen && this->is_open()) {
+    this->CloseAndNotify(reason);
+  }
+}
+
+auto TcpConnection::EndAfterReading(TcpCloseReason reason) const
+    -> TcpCloseReason {
   if (this->input_full && this->ends_if_full && this->peer_closed) {
     // The end itself lies behind input that is not read.
-    reason = TcpCloseReason::kClosedByPeer;
+    return TcpCloseReason::kClosedByPeer;
   }
-  if (this->end_after_failed_write && reason == TcpCloseReason::kOpen &&
+  if (reason == TcpCloseReason::kClosedByPeer) {
+    return this->end_after_failed_write.value_or(reason);
+  }
+  if (reason == TcpCloseReason::kOpen && this->end_after_failed_write &&
       !this->resume_posted) {
     // The end cannot be read now, and no event will tell of it later.
-    reason = TcpCloseReason::kReset;
-  }
-  if (reason != TcpCloseReason::kOpen && this->is_open()) {
-    this->CloseAndNotify(reason);
+    return TcpCloseReason::kReset;
   }
+  return reason;
 }
 
 auto TcpConnection::NotifyInput() -> bool {
--- a/modules/al_net/tcp_connection.h
+++ b/modules/al_net/tcp_connection.h
@@ -142,6 +142,10 @@
   auto OnReady(SocketPoller::Readiness readiness) -> void;
   auto FinishConnect() -> bool;
   auto ReadAvailable() -> void;
+  /** Returns why the connection ends after a turn of reading, whose recv()
+     calls ended with `reason`; kOpen if it goes on. */
+  [[nodiscard]] auto EndAfterReading(TcpCloseReason reason) const
+      -> TcpCloseReason;
   /** Calls on_input. @return false if the connection was closed. */
   auto NotifyInput() -> bool;
   auto ResumeReading() -> void;
