--- a/modules/al_http1/al_http1.h
+++ b/modules/al_http1/al_http1.h
@@ -1,9 +1,10 @@
 /** Module al_http1: HTTP/1.1 messages and connections, for callers, upstreams,
-   the log service and other routers.
+   the log service and other routers, and the client of the own interface.
 
     Boost.Beast parses the messages. libwebsockets 4.1 cannot: it does not list
     unknown header fields and does not accept chunked request bodies, and a
-    router must forward both.
+    router must forward both. Its client takes malformed and truncated responses
+    for complete ones.
 
     Depends on: al_net, Boost.Beast.
 
