stream_taken_up says why no version can be named

Cause: the line of a stream that nobody knows gave the number of versions listed and of replies. It did not say how many routers were asked, nor whether any of them had looked for long enough, so that "too young", "list too old" and "nobody answered" read alike.

Change: `asked`, `complete` and `fresh` in the line.

--- a/programs/gateway/stream_origins.cc
+++ b/programs/gateway/stream_origins.cc
@@ -54,6 +54,7 @@
   std::set<std::string> listed_versions;  ///< Seen by this router or another.
   bool has_complete_view = false;         ///< Of this router or another.
   bool has_fresh_view = false;            ///< A complete one.
+  std::size_t asked = 0;                  ///< Routers.
   std::size_t needed = 0;   ///< Replies that make up for old lists.
   std::size_t pending = 0;  ///< Replies.
   bool is_open = false;     ///< Others are asked.
@@ -181,6 +182,7 @@
   wire::StreamOriginAsk message;
   message.set_attempt(attempt_id);
   message.set_service(service);
+  search->asked = knowers.size();
   search->pending = knowers.size();
   // One of them may be the router that began the stream, and have died.
   search->needed = std::max<std::size_t>(1, knowers.size() - 1);
@@ -256,7 +258,10 @@
        {"version", answer.version.empty() ? std::string("-") : answer.version},
        {"source", answer.source},
        {"versions_listed", search.listed_versions.size()},
+       {"asked", search.asked},
        {"replies", search.replies},
+       {"complete", search.has_complete_view ? 1 : 0},
+       {"fresh", search.has_fresh_view ? 1 : 0},
        {"after_ms", now - search.began_at}},
       now);
   call(answer);
