--- a/programs/gateway/stream_origins.cc
+++ b/programs/gateway/stream_origins.cc
@@ -38,12 +38,6 @@
     caller may take up any number that never was. */
 constexpr std::size_t kMaxSearches = 64;
 
-/** Idle connections to a router that are kept. */
-constexpr std::size_t kKeptClients = 2;
-
-/** Connections to a router are dropped after this time without use. */
-constexpr Duration kUnusedPeerLifetime = std::chrono::seconds(30);
-
 }  // namespace
 
 /** A stream whose version other routers are asked for. */
@@ -74,7 +68,8 @@
       directory_age(std::move(directory_age)),
       log(log),
       metrics(metrics),
-      history(directory, stream_lifetime, poller.loop().Now()) {}
+      history(directory, stream_lifetime, poller.loop().Now()),
+      clients(poller) {}
 
 StreamOrigins::~StreamOrigins() = default;
 
@@ -95,37 +90,36 @@
        this->table.TakeUntold(service, this->poller.loop().Now())) {
     for (const std::string& address :
          this->KnowersOf(origin.attempt_id, kTold)) {
-      this->peers[address].news.push_back(origin);
+      this->outboxes[address].news.push_back(origin);
       this->SendNews(address);
     }
   }
 }
 
 auto StreamOrigins::SendNews(const std::string& address) -> void {
-  Peer& peer = this->peers[address];
-  if (peer.is_told || peer.news.empty()) {
+  Outbox& outbox = this->outboxes[address];
+  if (outbox.is_sending || outbox.news.empty()) {
     return;  // They follow when the news under way are confirmed.
   }
   wire::StreamOriginNews message;
-  for (const StreamOrigin& origin : std::exchange(peer.news, {})) {
+  for (const StreamOrigin& origin : std::exchange(outbox.news, {})) {
     wire::StreamOriginRecord& record = *message.add_streams();
     record.set_attempt(origin.attempt_id);
     record.set_service(origin.service);
     record.set_version(origin.version);
   }
-  peer.is_told = true;
-  this->ClientOf(peer, address)
-      .Call(MakePeerRequest(kNewsPath, message.SerializeAsString()),
-            kReplyTimeout,
-            [this, address](const std::optional<Http1Client::Reply>& reply) {
-              if (!reply || reply->status != kOk) {
-                this->log.WriteLine(DecisionLog::Severity::kNotable,
-                                    "stream_news_failed", {{"peer", address}},
-                                    this->poller.loop().Now());
-              }
-              this->peers[address].is_told = false;
-              this->SendNews(address);
-            });
+  outbox.is_sending = true;
+  this->clients.IdleClient(address).Call(
+      MakePeerRequest(kNewsPath, message.SerializeAsString()), kReplyTimeout,
+      [this, address](const std::optional<Http1Client::Reply>& reply) {
+        if (!reply || reply->status != kOk) {
+          this->log.WriteLine(DecisionLog::Severity::kNotable,
+                              "stream_news_failed", {{"peer", address}},
+                              this->poller.loop().Now());
+        }
+        this->outboxes[address].is_sending = false;
+        this->SendNews(address);
+      });
 }
 
 auto StreamOrigins::Update() -> void {
@@ -134,18 +128,9 @@
   for (const std::string& service : this->history.MixedServices(now)) {
     this->TellUntold(service);
   }
-  for (auto& [address, peer] : this->peers) {
-    std::size_t idle = 0;
-    std::erase_if(peer.clients, [&idle](const auto& client) {
-      return !client->is_busy() && ++idle > kKeptClients;
-    });
-  }
-  std::erase_if(this->peers, [now](const auto& item) {
-    const Peer& peer = item.second;
-    return now - peer.used_at >= kUnusedPeerLifetime && peer.news.empty() &&
-           std::ranges::none_of(peer.clients, [](const auto& client) {
-             return client->is_busy();
-           });
+  this->clients.CloseUnused();
+  std::erase_if(this->outboxes, [](const auto& item) {
+    return !item.second.is_sending && item.second.news.empty();
   });
 }
 
@@ -200,11 +185,11 @@
 auto StreamOrigins::Ask(const std::string& address,
                         const std::string& message,
                         const std::shared_ptr<Search>& search) -> void {
-  this->ClientOf(this->peers[address], address)
-      .Call(MakePeerRequest(kAskPath, message), kReplyTimeout,
-            [this, search](const std::optional<Http1Client::Reply>& reply) {
-              this->OnReply(*search, reply);
-            });
+  this->clients.IdleClient(address).Call(
+      MakePeerRequest(kAskPath, message), kReplyTimeout,
+      [this, search](const std::optional<Http1Client::Reply>& reply) {
+        this->OnReply(*search, reply);
+      });
 }
 
 auto StreamOrigins::OnReply(Search& search,
@@ -319,16 +304,4 @@
   return addresses;
 }
 
-auto StreamOrigins::ClientOf(Peer& peer, const std::string& address)
-    -> Http1Client& {
-  peer.used_at = this->poller.loop().Now();
-  const auto found = std::ranges::find_if(
-      peer.clients, [](const auto& client) { return !client->is_busy(); });
-  if (found != peer.clients.end()) {
-    return **found;
-  }
-  return *peer.clients.emplace_back(
-      std::make_unique<Http1Client>(this->poller, address));
-}
-
 }  // namespace auburnloft::gateway
--- a/programs/gateway/stream_origins.h
+++ b/programs/gateway/stream_origins.h
@@ -19,6 +19,7 @@
 #include "gateway/decision_log.h"
 #include "gateway/fleet_topic_client.h"
 #include "gateway/gateway_metrics.h"
+#include "gateway/peer_client_pool.h"
 
 namespace auburnloft::gateway {
 
@@ -89,12 +90,10 @@
 
  private:
   struct Search;
-  /** The connections to another router, and the news that wait for one. */
-  struct Peer {
-    std::vector<std::unique_ptr<Http1Client>> clients;
+  /** What another router has to be told. */
+  struct Outbox {
     std::vector<StreamOrigin> news;
-    bool is_told = false;  ///< News are under way.
-    Instant used_at{};
+    bool is_sending = false;  ///< News are under way.
   };
 
   auto TellUntold(std::string_view service) -> void;
@@ -112,8 +111,6 @@
   [[nodiscard]] auto KnowersOf(std::string_view attempt_id,
                                std::size_t count) const
       -> std::vector<std::string>;
-  [[nodiscard]] auto ClientOf(Peer& peer, const std::string& address)
-      -> Http1Client&;
 
   SocketPoller& poller;
   const FleetTopicClient& fleet;
@@ -122,7 +119,8 @@
   GatewayMetrics& metrics;
   StreamOriginTable table;
   VersionHistory history;
-  std::map<std::string, Peer> peers;  ///< By peer address.
+  PeerClientPool clients;
+  std::map<std::string, Outbox> outboxes;  ///< By peer address.
   std::size_t open_searches = 0;
 };
 
