A version history begins with the first whole list of upstreams

What callers saw: a stream that began at version v1 went on at v2, where a router that had been started while the log did not reply took it up.

Cause: the router counted the time since its start as time in which it had looked at the versions that are listed. It had no list for most of it, and said nevertheless that it had looked for longer than a stream lasts.

Change: VersionHistory begins when the directory is fresh for the first time.

--- a/modules/al_gateway/upstreams/version_history.cc
+++ b/modules/al_gateway/upstreams/version_history.cc
@@ -6,6 +6,12 @@
 
 namespace auburnloft::gateway {
 
+auto VersionHistory::Begin(Instant now) -> void {
+  if (!this->began_at) {
+    this->began_at = now;
+  }
+}
+
 auto VersionHistory::Update(Instant now) -> void {
   this->directory.VisitServices(
       [&](std::span<const UpstreamDirectory::State> upstreams) {
--- a/modules/al_gateway/upstreams/version_history.h
+++ b/modules/al_gateway/upstreams/version_history.h
@@ -2,6 +2,7 @@
 #define AL_GATEWAY_UPSTREAMS_VERSION_HISTORY_H_
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -27,14 +28,16 @@
 
   /** @param directory        outlives the history.
       @param stream_lifetime  from which on the history IsComplete(). */
-  VersionHistory(const UpstreamDirectory& directory,
-                 Duration stream_lifetime,
-                 Instant now)
-      : directory(directory), stream_lifetime(stream_lifetime), began_at(now) {}
+  VersionHistory(const UpstreamDirectory& directory, Duration stream_lifetime)
+      : directory(directory), stream_lifetime(stream_lifetime) {}
 
   VersionHistory(const VersionHistory&) = delete;
   auto operator=(const VersionHistory&) -> VersionHistory& = delete;
 
+  /** Begins the history. Call it as soon as the directory holds all upstreams
+     that are listed; it has no effect after that. */
+  auto Begin(Instant now) -> void;
+
   /** Records what is listed now. Call it at least once a second. */
   auto Update(Instant now) -> void;
 
@@ -56,13 +59,13 @@
   /** Returns whether the history covers the time within which a stream that may
      be taken up now has begun. */
   [[nodiscard]] auto IsComplete(Instant now) const -> bool {
-    return now - this->began_at >= this->stream_lifetime;
+    return this->began_at && now - *this->began_at >= this->stream_lifetime;
   }
 
  private:
   const UpstreamDirectory& directory;
   Duration stream_lifetime;
-  Instant began_at;
+  std::optional<Instant> began_at;
   std::map<std::string, std::map<std::string, Instant>, std::less<>>
       listed_at;  ///< By service and version.
 };
--- a/programs/gateway/stream_origins.cc
+++ b/programs/gateway/stream_origins.cc
@@ -68,7 +68,7 @@
       directory_age(std::move(directory_age)),
       log(log),
       metrics(metrics),
-      history(directory, stream_lifetime, poller.loop().Now()),
+      history(directory, stream_lifetime),
       clients(poller) {}
 
 StreamOrigins::~StreamOrigins() = default;
@@ -124,6 +124,9 @@
 
 auto StreamOrigins::Update() -> void {
   const Instant now = this->poller.loop().Now();
+  if (this->IsFresh()) {
+    this->history.Begin(now);
+  }
   this->history.Update(now);
   for (const std::string& service : this->history.MixedServices(now)) {
     this->TellUntold(service);
--- a/tests/gateway/stream_origin_test.cc
+++ b/tests/gateway/stream_origin_test.cc
@@ -100,9 +100,19 @@
 
 TEST_GROUP(VersionHistories) {
   UpstreamDirectory directory{[](const UpstreamState&) {}};
-  VersionHistory history{this->directory, seconds(16), AtSecond(0)};
+  VersionHistory history{this->directory, seconds(16)};
 };
 
+// Guards against a history that counts time in which the router had no list.
+TEST(VersionHistories, CoverOnlyTheTimeSinceTheListWasWhole) {
+  this->history.Update(AtSecond(0));
+  CHECK_FALSE(this->history.IsComplete(AtSecond(20)));
+  this->history.Begin(AtSecond(20));
+  this->history.Begin(AtSecond(30));
+  CHECK_FALSE(this->history.IsComplete(AtSecond(35)));
+  CHECK_TRUE(this->history.IsComplete(AtSecond(36)));
+}
+
 // Guards against a release whose last old upstream has left: streams that it
 // began may still be taken up.
 TEST(VersionHistories, RememberAVersionThatIsListedNoMore) {
--- a/tests/gateway/stream_version_session_test.cc
+++ b/tests/gateway/stream_version_session_test.cc
@@ -239,6 +239,27 @@
   CHECK_EQUAL(kUnavailable, response.status);
 }
 
+// Guards against a router that counts the time since its start although it had
+// no list of upstreams for most of it: the log did not reply.
+TEST(StreamVersions, AreNotGuessedByARouterThatHadNoListOfUpstreams) {
+  this->fixture.SetStreamLifetime(seconds(4));
+  this->Start({"v1", "v1", "v1"});
+  this->AddRouters(1);
+  this->fixture.store.SetFault(standins::StoreServer::Fault::kBusy);
+  this->fixture.AddRouter(3);
+  this->fixture.RunFor(milliseconds(4'200));
+  const std::string began = this->BeginAndBreak(2);
+  this->fixture.router.reset();
+  this->fixture.more_routers.front().reset();
+  for (WireUpstream* const engine : this->engines()) {
+    this->Relist(*engine, "v2");
+  }
+  this->fixture.store.SetFault(standins::StoreServer::Fault::kNone);
+  this->fixture.RunFor(milliseconds(2'000));
+  CHECK_EQUAL(kUnavailable, this->TakeUp(3, began).status);
+  CHECK_TRUE(this->EngineOf(this->last_id()) == nullptr);
+}
+
 // Guards against an upstream that leaves the list and comes back under its id
 // at another version, while a request is under way there.
 TEST(StreamVersions, EndWhereTheirUpstreamLeftTheListAndCameBackAtAnother) {
--- a/tests/support/gateway_fixture.cc
+++ b/tests/support/gateway_fixture.cc
@@ -78,7 +78,7 @@
   options.metrics_address = AddressOf(number, "metrics");
   options.log_address = AddressFor("store");
   options.grace_period = this->grace_period;
-  options.stream_lifetime = milliseconds(800);
+  options.stream_lifetime = this->stream_lifetime;
   options.admission = this->admission;
   options.hedge_share = this->hedge_share;
   options.on_stopped = [this] { ++this->stopped_routers; };
--- a/tests/support/gateway_fixture.h
+++ b/tests/support/gateway_fixture.h
@@ -71,6 +71,12 @@
     this->idle_timeout = idle;
   }
 
+  /** Sets within which a stream that is taken up has begun, for routers that
+     are started from now on. */
+  auto SetStreamLifetime(Duration lifetime) -> void {
+    this->stream_lifetime = lifetime;
+  }
+
   /** Writes a configuration and waits until it is in force. */
   auto Publish(std::uint64_t version, std::uint64_t prepaid) -> void;
 
@@ -135,6 +141,7 @@
   Duration grace_period;
   bool admission = false;
   double hedge_share;
+  Duration stream_lifetime = std::chrono::milliseconds(800);
   std::size_t max_body_bytes = 1'000;
   std::size_t max_header_bytes = 4'096;
   Duration header_timeout = std::chrono::seconds(3);
