A router that starts takes over what others have seen of versions

Cause: where nobody knows a stream, it goes on only if one version alone can have begun it, and a router vouches for that once it has run for 16 s. In a rolling restart those that have run for so long leave, and those that do not leave have just started. What the fleet had seen without a gap was lost with each process.

Change: VersionHistoryExchange. After a loss of all routers nobody can answer, and streams are refused as before.

--- a/modules/al_gateway/membership/router_registry.h
+++ b/modules/al_gateway/membership/router_registry.h
@@ -62,6 +62,10 @@
   //============================================================================
   // Queries
 
+  [[nodiscard]] auto own_name() const -> const std::string& {
+    return this->self;
+  }
+
   /** Returns the client addresses for a caller in `domain` of `region`: those
      of the active routers in the domain; if these are fewer than two, in the
      region; if these are fewer than two, all. Leaving routers are left out.
--- a/modules/al_gateway/upstreams/version_history.cc
+++ b/modules/al_gateway/upstreams/version_history.cc
@@ -1,5 +1,6 @@
 #include "al_gateway/upstreams/version_history.h"
 
+#include <algorithm>
 #include <span>
 
 #include "al_gateway/upstreams/upstream_directory.h"
@@ -27,6 +28,34 @@
   }
 }
 
+auto VersionHistory::Extend(std::span<const Sighting> sightings,
+                            Duration covered,
+                            Instant now) -> void {
+  if (!this->began_at) {
+    return;
+  }
+  for (const Sighting& sighting : sightings) {
+    if (sighting.age >= Duration(0) && sighting.age < kPeriod) {
+      Instant& listed_at = this->listed_at[sighting.service][sighting.version];
+      listed_at = std::max(listed_at, now - sighting.age);
+    }
+  }
+  // The sightings reach back no further.
+  this->began_at = std::min(*this->began_at, now - std::min(covered, kPeriod));
+}
+
+auto VersionHistory::Sightings(Instant now) const -> std::vector<Sighting> {
+  std::vector<Sighting> sightings;
+  for (const auto& [service, versions] : this->listed_at) {
+    for (const auto& [version, at] : versions) {
+      if (now - at < kPeriod) {
+        sightings.push_back({service, version, now - at});
+      }
+    }
+  }
+  return sightings;
+}
+
 auto VersionHistory::VersionsOf(std::string_view service, Instant now) const
     -> std::set<std::string> {
   std::set<std::string> versions;
--- a/modules/al_gateway/upstreams/version_history.h
+++ b/modules/al_gateway/upstreams/version_history.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -26,6 +27,13 @@
       (see StreamOriginTable). */
   static constexpr Duration kPeriod = std::chrono::seconds(30);
 
+  /** A version, and when it was listed last. */
+  struct Sighting {
+    std::string service;
+    std::string version;
+    Duration age{};
+  };
+
   /** @param directory        outlives the history.
       @param stream_lifetime  from which on the history IsComplete(). */
   VersionHistory(const UpstreamDirectory& directory, Duration stream_lifetime)
@@ -41,6 +49,23 @@
   /** Records what is listed now. Call it at least once a second. */
   auto Update(Instant now) -> void;
 
+  /** Adds what another router has seen. From now on the history reaches back as
+     far as the other one's.
+      @pre it has begun: what was listed after the other router looked, and
+     before this one did, would be missing.
+      @param covered  how far back the other router's history reaches. */
+  auto Extend(std::span<const Sighting> sightings,
+              Duration covered,
+              Instant now) -> void;
+
+  /** Returns what this router has seen lately, as of the last Update(). */
+  [[nodiscard]] auto Sightings(Instant now) const -> std::vector<Sighting>;
+
+  /** Returns how far back the history reaches; 0 if it has not begun. */
+  [[nodiscard]] auto CoveredTime(Instant now) const -> Duration {
+    return this->began_at ? now - *this->began_at : Duration(0);
+  }
+
   /** Returns the versions of a service, those that are listed now included. An
       empty one is that of upstreams whose records name none. */
   [[nodiscard]] auto VersionsOf(std::string_view service, Instant now) const
@@ -59,7 +84,7 @@
   /** Returns whether the history covers the time within which a stream that may
      be taken up now has begun. */
   [[nodiscard]] auto IsComplete(Instant now) const -> bool {
-    return this->began_at && now - *this->began_at >= this->stream_lifetime;
+    return this->began_at && this->CoveredTime(now) >= this->stream_lifetime;
   }
 
  private:
--- a/programs/gateway/gateway_daemon.cc
+++ b/programs/gateway/gateway_daemon.cc
@@ -428,7 +428,8 @@
   } else if (request.target == ConfigExchange::kPath) {
     this->config_exchange.OnPeerRequest(session, request);
   } else if (request.target == StreamOrigins::kNewsPath ||
-             request.target == StreamOrigins::kAskPath) {
+             request.target == StreamOrigins::kAskPath ||
+             request.target == StreamOrigins::kHistoryPath) {
     this->stream_origins.OnPeerRequest(session, request);
   } else {
     this->allowance_exchange.OnPeerRequest(session, request);
--- a/programs/gateway/stream_origins.cc
+++ b/programs/gateway/stream_origins.cc
@@ -69,7 +69,14 @@
       log(log),
       metrics(metrics),
       history(directory, stream_lifetime),
-      clients(poller) {}
+      clients(poller),
+      history_exchange(
+          poller,
+          this->clients,
+          fleet,
+          this->history,
+          [this] { return this->IsFresh(); },
+          log) {}
 
 StreamOrigins::~StreamOrigins() = default;
 
@@ -128,6 +135,7 @@
     this->history.Begin(now);
   }
   this->history.Update(now);
+  this->history_exchange.Update();
   for (const std::string& service : this->history.MixedServices(now)) {
     this->TellUntold(service);
   }
@@ -260,6 +268,10 @@
 auto StreamOrigins::OnPeerRequest(Http1ServerSession& session,
                                   const Http1Request& request) -> void {
   const Instant now = this->poller.loop().Now();
+  if (request.target == kHistoryPath) {
+    this->history_exchange.OnPeerRequest(session);
+    return;
+  }
   if (request.target == kNewsPath) {
     wire::StreamOriginNews news;
     if (!news.ParseFromString(request.body)) {
--- a/programs/gateway/stream_origins.h
+++ b/programs/gateway/stream_origins.h
@@ -20,6 +20,7 @@
 #include "gateway/fleet_topic_client.h"
 #include "gateway/gateway_metrics.h"
 #include "gateway/peer_client_pool.h"
+#include "gateway/version_history_exchange.h"
 
 namespace auburnloft::gateway {
 
@@ -39,6 +40,8 @@
   /** Paths for requests of other routers, at the peer address. */
   static constexpr std::string_view kNewsPath = "/stream-news";
   static constexpr std::string_view kAskPath = "/stream-origin";
+  static constexpr std::string_view kHistoryPath =
+      VersionHistoryExchange::kPath;
 
   /** How a version was found; its name is written to the log. */
   struct Answer {
@@ -120,6 +123,7 @@
   StreamOriginTable table;
   VersionHistory history;
   PeerClientPool clients;
+  VersionHistoryExchange history_exchange;
   std::map<std::string, Outbox> outboxes;  ///< By peer address.
   std::size_t open_searches = 0;
 };
--- a/tests/gateway/stream_origin_test.cc
+++ b/tests/gateway/stream_origin_test.cc
@@ -113,6 +113,55 @@
   CHECK_TRUE(this->history.IsComplete(AtSecond(36)));
 }
 
+// Guards against a fleet that is restarted router by router, in which nobody
+// has looked for as long as a stream lasts.
+TEST(VersionHistories, ReachBackAsFarAsThoseOfRoutersThatWereThereBefore) {
+  VersionHistory second{this->directory, seconds(16)};
+  VersionHistory third{this->directory, seconds(16)};
+  this->history.Begin(AtSecond(0));
+  second.Begin(AtSecond(10));
+  second.Extend(this->history.Sightings(AtSecond(11)),
+                this->history.CoveredTime(AtSecond(11)), AtSecond(11));
+  third.Begin(AtSecond(14));
+  third.Extend(second.Sightings(AtSecond(15)), second.CoveredTime(AtSecond(15)),
+               AtSecond(15));
+  CHECK_FALSE(third.IsComplete(AtSecond(15)));
+  CHECK_TRUE(third.IsComplete(AtSecond(16)));
+}
+
+// Guards against versions that leave the list before a router starts: streams
+// that they began may still be taken up there.
+TEST(VersionHistories, KnowWhatOthersHaveSeenForAsLongAsThoseDo) {
+  this->history.Begin(AtSecond(0));
+  const std::vector<VersionHistory::Sighting> sightings = {
+      {"engines", "v1", seconds(20)}, {"engines", "v2", seconds(0)}};
+  this->history.Extend(sightings, seconds(25), AtSecond(1));
+  CHECK_TRUE(this->history.IsMixed("engines", AtSecond(10)));
+  CHECK_FALSE(this->history.IsMixed("engines", AtSecond(11)));
+}
+
+// Guards against a gap between what another router saw and what this one does:
+// it has no list yet.
+TEST(VersionHistories, AreNotExtendedBeforeTheyBegin) {
+  const std::vector<VersionHistory::Sighting> sightings = {
+      {"engines", "v1", seconds(1)}};
+  this->history.Extend(sightings, seconds(25), AtSecond(1));
+  this->history.Begin(AtSecond(2));
+  CHECK_FALSE(this->history.IsComplete(AtSecond(3)));
+  CHECK_TRUE(this->history.VersionsOf("engines", AtSecond(3)).empty());
+}
+
+// Guards against numbers of another router that mean nothing.
+TEST(VersionHistories, IgnoreAgesBeyondTheirPeriod) {
+  this->history.Begin(AtSecond(0));
+  const std::vector<VersionHistory::Sighting> sightings = {
+      {"engines", "old", VersionHistory::kPeriod},
+      {"engines", "future", seconds(-1)}};
+  this->history.Extend(sightings, seconds(1'000'000), AtSecond(1));
+  CHECK_TRUE(this->history.VersionsOf("engines", AtSecond(1)).empty());
+  CHECK_TRUE(this->history.CoveredTime(AtSecond(1)) == VersionHistory::kPeriod);
+}
+
 // Guards against a release whose last old upstream has left: streams that it
 // began may still be taken up.
 TEST(VersionHistories, RememberAVersionThatIsListedNoMore) {
--- a/tests/gateway/stream_version_session_test.cc
+++ b/tests/gateway/stream_version_session_test.cc
@@ -293,6 +293,23 @@
   CHECK_EQUAL(kOk, this->TakeUp(1, began).status);
 }
 
+// Guards against a rolling restart after which no router has looked for as long
+// as a stream lasts: each of them was there while one of its predecessors was.
+TEST(StreamVersions, AreTakenUpAfterAllRoutersWereReplacedInTurn) {
+  this->fixture.SetStreamLifetime(seconds(5));
+  this->Start({"v1", "v1", "v1"});
+  this->AddRouters(1);
+  this->fixture.RunFor(seconds(4));
+  const std::string began = this->BeginAndBreak(2);
+  this->fixture.AddRouter(3);
+  this->fixture.RunFor(seconds(2));
+  this->fixture.router.reset();
+  this->fixture.more_routers.front().reset();
+  this->fixture.AddRouter(4);
+  this->fixture.RunFor(milliseconds(1'000));
+  CHECK_EQUAL(kOk, this->TakeUp(4, began).status);
+}
+
 // Guards against ids of callers that are no text and spoil the news of others.
 TEST(StreamVersions, AreKnownWhateverIdsOtherCallersChoose) {
   this->Start({"v1", "v1", "v2"});
