Where streams began outlives the routers that were told

Cause: a router that forwards a first event tells two others, once. Those leave or start again without their tables while the stream goes on; the routers that are asked later are those that do not leave then, others than were told. Nobody told them, and a router that left took along what it knew.

Change: StreamOriginReplicas. The router that serves a stream tells each router that takes the place of a replica which leaves, has expired or has started again. A router that leaves replicates all its streams, also while one version is listed, and those that routers told it which are gone. Those that leave are asked, too; their replies don't count where nearly all have to answer. A stream carries its age, so that it is not kept for longer with each restart.

Evidence: three tests of StreamVersions.* with real sockets failed before (expected 200, was 503) and pass now: AreKnownWhereThoseThatWereToldHaveLeft, AreKnownWhereTheirRouterAndThoseThatItToldHaveLeft, and AreKnownWhereTheirRouterLeftBeforeTheSecondVersionCame.

RouterRegistry chooses the highest ranked without sorting all, as it is asked for each group twice a second.

--- a/modules/al_gateway/al_gateway.h
+++ b/modules/al_gateway/al_gateway.h
@@ -30,7 +30,8 @@
                    DiscoverySource: which routers read upstream records
     - quarantine/  CrashQuarantine: requests that crash upstreams
     - streams/     EventSplitter: complete events of a stream;
-                   StreamOriginTable: where recent streams began
+                   StreamOriginTable: where recent streams began;
+                   StreamOriginReplicas: which other routers know it
 */
 #ifndef AL_GATEWAY_AL_GATEWAY_H_
 #define AL_GATEWAY_AL_GATEWAY_H_
@@ -56,6 +57,7 @@
 #include "al_gateway/quarantine/crash_quarantine.h"
 #include "al_gateway/quarantine/crash_suspects.h"
 #include "al_gateway/routing/route_table.h"
+#include "al_gateway/streams/stream_origin_replicas.h"
 #include "al_gateway/streams/stream_origin_table.h"
 #include "al_gateway/upstreams/cold_upstreams.h"
 #include "al_gateway/upstreams/engine_load_reporter.h"
--- a/modules/al_gateway/membership/router_registry.cc
+++ b/modules/al_gateway/membership/router_registry.cc
@@ -185,22 +185,38 @@
                                                     std::size_t count,
                                                     Instant now) const
     -> std::vector<const RouterAnnouncement*> {
+  return this->RankAcrossDomains(item, count, false, now);
+}
+
+auto RouterRegistry::FindHighestRankedLeaving(std::string_view item,
+                                              std::size_t count,
+                                              Instant now) const
+    -> std::vector<const RouterAnnouncement*> {
+  return this->RankAcrossDomains(item, count, true, now);
+}
+
+auto RouterRegistry::RankAcrossDomains(std::string_view item,
+                                       std::size_t count,
+                                       bool leaving,
+                                       Instant now) const
+    -> std::vector<const RouterAnnouncement*> {
   std::vector<std::pair<std::uint64_t, const RouterAnnouncement*>> ranked;
   for (const auto& [name, member] : this->members) {
-    if (name != this->self && !member.announcement.leaving &&
+    if (name != this->self && member.announcement.leaving == leaving &&
         this->IsActive(member, now)) {
       ranked.emplace_back(StableHash(item, name), &member.announcement);
     }
   }
-  std::ranges::sort(ranked, std::greater<>());
   std::vector<const RouterAnnouncement*> found;
   std::set<std::string_view> domains;
   while (found.size() < count && !ranked.empty()) {
-    auto next = std::ranges::find_if(ranked, [&domains](const auto& router) {
-      return !domains.contains(router.second->domain);
-    });
-    if (next == ranked.end()) {
-      domains.clear();
+    const auto next =
+        std::ranges::max_element(ranked, {}, [&domains](const auto& router) {
+          return std::pair(!domains.contains(router.second->domain),
+                           router.first);
+        });
+    if (domains.contains(next->second->domain)) {
+      domains.clear();  // Each has one; begin anew.
       continue;
     }
     domains.insert(next->second->domain);
--- a/modules/al_gateway/membership/router_registry.h
+++ b/modules/al_gateway/membership/router_registry.h
@@ -110,6 +110,12 @@
                                                     Instant now) const
       -> std::vector<const RouterAnnouncement*>;
 
+  /** As above, but of the active routers that leave. */
+  [[nodiscard]] auto FindHighestRankedLeaving(std::string_view item,
+                                              std::size_t count,
+                                              Instant now) const
+      -> std::vector<const RouterAnnouncement*>;
+
   /** Returns whether all active routers but this one have announced themselves
      in an era of the log, or a later one. Those that do not tell are left out.
    */
@@ -142,6 +148,14 @@
       -> void;
 
  private:
+  /** As FindHighestRankedAcrossDomains(), of the others that leave or of those
+     that do not. */
+  [[nodiscard]] auto RankAcrossDomains(std::string_view item,
+                                       std::size_t count,
+                                       bool leaving,
+                                       Instant now) const
+      -> std::vector<const RouterAnnouncement*>;
+
   struct Member {
     RouterAnnouncement announcement;
     Instant refreshed_at{};  ///< When it was read, or the log recovered.
--- a/modules/al_gateway/streams/stream_origin_table.cc
+++ b/modules/al_gateway/streams/stream_origin_table.cc
@@ -1,28 +1,48 @@
 #include "al_gateway/streams/stream_origin_table.h"
 
+#include <utility>
+
 namespace auburnloft::gateway {
 
-auto StreamOriginTable::RecordOwn(StreamOrigin origin, Instant now) -> void {
-  this->Record(std::move(origin), true, now);
+auto StreamOriginTable::RecordOwn(StreamOrigin origin, Instant now) -> Entry* {
+  Entry* const entry = this->Put(std::move(origin), 0, now, now);
+  if (entry != nullptr) {
+    entry->told = {};
+  }
+  return entry;
 }
 
-auto StreamOriginTable::RecordTold(StreamOrigin origin, Instant now) -> void {
-  this->Record(std::move(origin), false, now);
+auto StreamOriginTable::RecordTold(StreamOrigin origin,
+                                   std::uint64_t teller,
+                                   Instant recorded_at,
+                                   Instant now) -> void {
+  this->Put(std::move(origin), teller, recorded_at, now);
 }
 
-auto StreamOriginTable::Record(StreamOrigin origin, bool is_untold, Instant now)
-    -> void {
+auto StreamOriginTable::Put(StreamOrigin origin,
+                            std::uint64_t teller,
+                            Instant recorded_at,
+                            Instant now) -> Entry* {
   this->DropOldest(now);
   if (origin.attempt_id.empty() || origin.attempt_id.size() > kMaxIdBytes) {
-    return;
+    return nullptr;
   }
-  const std::string id = origin.attempt_id;
-  if (const StreamOrigin* const known = this->Find(id, now);
-      known != nullptr && known->version.empty()) {
+  const StreamOrigin* const known = this->Find(origin.attempt_id, now);
+  Entry& entry = this->streams[origin.attempt_id];
+  if (known == nullptr) {
+    entry = {};
+  } else if (known->version.empty()) {
     origin.version.clear();  // A doubt remains.
   }
-  this->streams[id] = {std::move(origin), now, is_untold};
-  this->order.emplace_back(id, now);
+  if (known == nullptr || teller == 0 || entry.teller != 0) {
+    entry.teller = teller;
+  }
+  entry.origin = std::move(origin);
+  if (recorded_at > entry.recorded_at) {
+    entry.recorded_at = recorded_at;
+    this->order.emplace_back(entry.origin.attempt_id, recorded_at);
+  }
+  return &entry;
 }
 
 auto StreamOriginTable::DropOldest(Instant now) -> void {
@@ -40,17 +60,14 @@
   }
 }
 
-auto StreamOriginTable::TakeUntold(std::string_view service, Instant now)
-    -> std::vector<StreamOrigin> {
-  std::vector<StreamOrigin> untold;
+auto StreamOriginTable::VisitEntries(Instant now,
+                                     const std::function<void(Entry&)>& visit)
+    -> void {
   for (auto& [id, entry] : this->streams) {
-    if (entry.is_untold && entry.origin.service == service &&
-        now - entry.recorded_at < kLifetime) {
-      entry.is_untold = false;
-      untold.push_back(entry.origin);
+    if (now - entry.recorded_at < kLifetime) {
+      visit(entry);
     }
   }
-  return untold;
 }
 
 auto StreamOriginTable::Find(std::string_view attempt_id, Instant now) const
--- a/modules/al_gateway/streams/stream_origin_table.h
+++ b/modules/al_gateway/streams/stream_origin_table.h
@@ -1,13 +1,15 @@
 #ifndef AL_GATEWAY_STREAMS_STREAM_ORIGIN_TABLE_H_
 #define AL_GATEWAY_STREAMS_STREAM_ORIGIN_TABLE_H_
 
+#include <array>
 #include <cstddef>
+#include <cstdint>
 #include <deque>
+#include <functional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
 #include <utility>
-#include <vector>
 
 #include "al_core/time/instant.h"
 
@@ -37,28 +39,46 @@
       users' routes, within which a stream and its repetitions end. */
   static constexpr Duration kLifetime = std::chrono::seconds(30);
 
-  /** About 2 MB. A router of 420 begins 3 streams a second at the peak, and is
+  /** About 5 MB. A router of 420 begins 3 streams a second at the peak, and is
       told 6. */
   static constexpr std::size_t kMaxStreams = 20'000;
 
   static constexpr std::size_t kMaxIdBytes = 128;
 
+  /** Other routers that keep a copy of where a stream began. */
+  static constexpr std::size_t kReplicas = 2;
+
+  struct Entry {
+    StreamOrigin origin;
+    Instant recorded_at{};       ///< By the router that serves the stream.
+    std::uint64_t teller = 0;    ///< Hash of that router's incarnation; 0: this
+                                 ///< one.
+    bool is_replicated = false;  ///< Whether other routers are told of it.
+    std::array<std::uint64_t, kReplicas> told{};  ///< Hashes of incarnations.
+  };
+
   StreamOriginTable() = default;
 
   StreamOriginTable(const StreamOriginTable&) = delete;
   auto operator=(const StreamOriginTable&) -> StreamOriginTable& = delete;
 
   /** Records a stream that this router serves; a known one begins its lifetime
-      anew. */
-  auto RecordOwn(StreamOrigin origin, Instant now) -> void;
-
-  /** Records a stream that another router told. */
-  auto RecordTold(StreamOrigin origin, Instant now) -> void;
-
-  /** Returns the own streams of a service that were not returned before, to be
-      told to other routers. */
-  [[nodiscard]] auto TakeUntold(std::string_view service, Instant now)
-      -> std::vector<StreamOrigin>;
+      anew.
+      @return its entry, valid until the next command; null if it is not kept.
+   */
+  auto RecordOwn(StreamOrigin origin, Instant now) -> Entry*;
+
+  /** Records a stream that another router told. One that this router serves
+     stays its own.
+      @param teller  hash of the other router's incarnation, not 0. */
+  auto RecordTold(StreamOrigin origin,
+                  std::uint64_t teller,
+                  Instant recorded_at,
+                  Instant now) -> void;
+
+  /** Calls `visit` with each entry within its lifetime. */
+  auto VisitEntries(Instant now, const std::function<void(Entry&)>& visit)
+      -> void;
 
   /** Returns where a stream began; null if it is not known. Valid until the
      next command. */
@@ -70,13 +90,11 @@
   }
 
  private:
-  struct Entry {
-    StreamOrigin origin;
-    Instant recorded_at{};
-    bool is_untold = false;
-  };
-
-  auto Record(StreamOrigin origin, bool is_untold, Instant now) -> void;
+  /** @return the entry; null if the stream is not kept. */
+  auto Put(StreamOrigin origin,
+           std::uint64_t teller,
+           Instant recorded_at,
+           Instant now) -> Entry*;
   auto DropOldest(Instant now) -> void;
 
   std::unordered_map<std::string, Entry> streams;     ///< By attempt id.
--- a/programs/gateway/gateway_daemon.cc
+++ b/programs/gateway/gateway_daemon.cc
@@ -225,6 +225,7 @@
           [this](const std::string& text) { this->ApplyConfig(text); }),
       stream_origins(
           this->poller,
+          this->options.self.incarnation,
           this->fleet_topic,
           this->upstreams,
           this->options.stream_lifetime,
@@ -713,6 +714,7 @@
   this->log.WriteLine(DecisionLog::Severity::kNotable, "drain",
                       {{"open", this->context.open_requests.size()}}, now);
   this->fleet_topic.AnnounceLeaving();
+  this->stream_origins.BeginLeaving();
   this->drain_timer->Start(kDrainInterval);
 }
 
--- a/programs/gateway/peer_message.h
+++ b/programs/gateway/peer_message.h
@@ -1,9 +1,11 @@
 #ifndef GATEWAY_PEER_MESSAGE_H_
 #define GATEWAY_PEER_MESSAGE_H_
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 
+#include "al_core/time/instant.h"
 #include "al_http1/http1_message.h"
 #include "al_http1/http1_server_session.h"
 
@@ -20,6 +22,12 @@
 [[nodiscard]] auto MakePeerRequest(std::string_view path, std::string message)
     -> Http1Request;
 
+/** Returns a span as messages have it. @pre it is not negative. */
+[[nodiscard]] auto ToMillis(Duration duration) -> std::uint64_t;
+
+/** Returns a span that another router sent, cut to a day. */
+[[nodiscard]] auto FromMillis(std::uint64_t millis) -> Duration;
+
 /** Sends the reply to a call. @pre a request is open on `session`. */
 auto SendPeerReply(Http1ServerSession& session,
                    PeerStatus status,
--- a/programs/gateway/stream_origins.cc
+++ b/programs/gateway/stream_origins.cc
@@ -1,9 +1,9 @@
 #include "gateway/stream_origins.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
-#include "al_core/text/digest.h"
 #include "al_edge/loop/event_loop.h"
 #include "fleet.pb.h"
 #include "gateway/peer_message.h"
@@ -14,21 +14,12 @@
 
 constexpr int kOk = static_cast<int>(PeerStatus::kOk);
 
-/** Routers that are told of a stream, of different failure domains: one of them
-    may be lost together with the router that began it. */
-constexpr std::size_t kTold = 2;
-
-/** Routers that are asked: those that were told, also if the two lists of
-    routers differ by the one that has died and another one. */
-constexpr std::size_t kAsked = 4;
-
 /** Timeout of an answer and of news: several times the longest round trip
     between failure domains, and little of a caller's deadline. */
 constexpr Duration kReplyTimeout = std::chrono::milliseconds(250);
 
-/** Streams are divided into this many groups, each with its own routers, so
-   that a router of a large fleet has connections to some of the others only. */
-constexpr std::uint64_t kGroups = 32;
+/** Of one message: about 5 KB. The rest follows when it is confirmed. */
+constexpr std::size_t kMaxStreamsPerMessage = 100;
 
 /** An older directory may lack a version that others have listed: upstreams
     renew their records each 1.2 s. */
@@ -49,14 +40,16 @@
   bool has_complete_view = false;         ///< Of this router or another.
   bool has_fresh_view = false;            ///< A complete one.
   std::size_t asked = 0;                  ///< Routers.
-  std::size_t needed = 0;   ///< Replies that make up for old lists.
-  std::size_t pending = 0;  ///< Replies.
-  bool is_open = false;     ///< Others are asked.
-  std::size_t replies = 0;  ///< Valid ones.
+  std::size_t needed = 0;              ///< Replies that make up for old lists.
+  std::size_t pending = 0;             ///< Replies.
+  bool is_open = false;                ///< Others are asked.
+  std::size_t replies = 0;             ///< Valid ones.
+  std::size_t replies_of_staying = 0;  ///< Of those that stay.
   Instant began_at{};
 };
 
 StreamOrigins::StreamOrigins(SocketPoller& poller,
+                             std::string own_incarnation,
                              const FleetTopicClient& fleet,
                              const UpstreamDirectory& directory,
                              Duration stream_lifetime,
@@ -64,10 +57,12 @@
                              DecisionLog& log,
                              GatewayMetrics& metrics)
     : poller(poller),
+      own_incarnation(std::move(own_incarnation)),
       fleet(fleet),
       directory_age(std::move(directory_age)),
       log(log),
       metrics(metrics),
+      replicas(fleet.registry(), stream_lifetime),
       history(directory, stream_lifetime),
       clients(poller),
       history_exchange(
@@ -85,21 +80,24 @@
 
 auto StreamOrigins::Record(StreamOrigin origin, bool is_told_always) -> void {
   const Instant now = this->poller.loop().Now();
-  const std::string service = origin.service;
-  this->table.RecordOwn(std::move(origin), now);
-  if (is_told_always || this->history.IsMixed(service, now)) {
-    this->TellUntold(service);
-  }
+  const bool is_replicated =
+      is_told_always || this->history.IsMixed(origin.service, now);
+  this->replicas.RecordOwn(std::move(origin), is_replicated, now,
+                           this->fleet.last_read_at());
+  this->SendAllNews();
 }
 
-auto StreamOrigins::TellUntold(std::string_view service) -> void {
-  for (const StreamOrigin& origin :
-       this->table.TakeUntold(service, this->poller.loop().Now())) {
-    for (const std::string& address :
-         this->KnowersOf(origin.attempt_id, kTold)) {
-      this->outboxes[address].news.push_back(origin);
-      this->SendNews(address);
-    }
+auto StreamOrigins::BeginLeaving() -> void {
+  this->replicas.BeginLeaving();
+  this->Update();
+}
+
+auto StreamOrigins::SendAllNews() -> void {
+  for (auto& [address, news] : this->replicas.TakeNews()) {
+    std::vector<StreamOriginReplicas::News>& waiting =
+        this->outboxes[address].news;
+    std::ranges::move(news, std::back_inserter(waiting));
+    this->SendNews(address);
   }
 }
 
@@ -108,13 +106,20 @@
   if (outbox.is_sending || outbox.news.empty()) {
     return;  // They follow when the news under way are confirmed.
   }
+  const Instant now = this->poller.loop().Now();
+  const std::size_t count = std::min(outbox.news.size(), kMaxStreamsPerMessage);
   wire::StreamOriginNews message;
-  for (const StreamOrigin& origin : std::exchange(outbox.news, {})) {
+  message.set_teller(this->own_incarnation);
+  for (std::size_t i = 0; i < count; ++i) {
+    const auto& [origin, recorded_at] = outbox.news[i];
     wire::StreamOriginRecord& record = *message.add_streams();
     record.set_attempt(origin.attempt_id);
     record.set_service(origin.service);
     record.set_version(origin.version);
+    record.set_age_ms(ToMillis(now - recorded_at));
   }
+  outbox.news.erase(outbox.news.begin(),
+                    outbox.news.begin() + static_cast<std::ptrdiff_t>(count));
   outbox.is_sending = true;
   this->clients.IdleClient(address).Call(
       MakePeerRequest(kNewsPath, message.SerializeAsString()), kReplyTimeout,
@@ -136,9 +141,9 @@
   }
   this->history.Update(now);
   this->history_exchange.Update();
-  for (const std::string& service : this->history.MixedServices(now)) {
-    this->TellUntold(service);
-  }
+  this->replicas.Update(this->history.MixedServices(now), now,
+                        this->fleet.last_read_at());
+  this->SendAllNews();
   this->clients.CloseUnused();
   std::erase_if(this->outboxes, [](const auto& item) {
     return !item.second.is_sending && item.second.news.empty();
@@ -159,7 +164,7 @@
   search->on_answer = std::move(on_answer);
   search->began_at = now;
   search->listed_versions = this->history.VersionsOf(service, now);
-  if (const StreamOrigin* const known = this->table.Find(attempt_id, now)) {
+  if (const StreamOrigin* const known = this->replicas.Find(attempt_id, now)) {
     this->Finish(*search, {known->version, known->service, "recorded"});
     return;
   }
@@ -167,25 +172,30 @@
   search->has_fresh_view = search->has_complete_view && this->IsFresh();
   const bool may_be_known = !attempt_id.empty() &&
                             attempt_id.size() <= StreamOriginTable::kMaxIdBytes;
-  const std::vector<std::string> knowers = this->KnowersOf(attempt_id, kAsked);
-  const bool asks = !knowers.empty() && this->open_searches < kMaxSearches &&
+  const StreamOriginReplicas::Sources sources =
+      this->replicas.SourcesOf(attempt_id, this->fleet.last_read_at());
+  search->asked = sources.staying.size() + sources.leaving.size();
+  const bool asks = search->asked > 0 && this->open_searches < kMaxSearches &&
                     (may_be_known || search->listed_versions.size() == 1);
+  // One of them may be the router that began the stream, and have died.
+  search->needed = sources.staying.size() < 2 ? sources.staying.size()
+                                              : sources.staying.size() - 1;
   if (!asks) {
-    search->needed = knowers.empty() ? 0 : 1;
     this->Decide(*search);
     return;
   }
   wire::StreamOriginAsk message;
   message.set_attempt(attempt_id);
   message.set_service(service);
-  search->asked = knowers.size();
-  search->pending = knowers.size();
-  // One of them may be the router that began the stream, and have died.
-  search->needed = std::max<std::size_t>(1, knowers.size() - 1);
+  search->pending = search->asked;
   ++this->open_searches;
   search->is_open = true;
-  for (const std::string& address : knowers) {
-    this->Ask(address, message.SerializeAsString(), search);
+  const std::string bytes = message.SerializeAsString();
+  for (const std::string& address : sources.staying) {
+    this->Ask(address, true, bytes, search);
+  }
+  for (const std::string& address : sources.leaving) {
+    this->Ask(address, false, bytes, search);
   }
 }
 
@@ -194,22 +204,25 @@
 }
 
 auto StreamOrigins::Ask(const std::string& address,
+                        bool stays,
                         const std::string& message,
                         const std::shared_ptr<Search>& search) -> void {
   this->clients.IdleClient(address).Call(
       MakePeerRequest(kAskPath, message), kReplyTimeout,
-      [this, search](const std::optional<Http1Client::Reply>& reply) {
-        this->OnReply(*search, reply);
+      [this, stays, search](const std::optional<Http1Client::Reply>& reply) {
+        this->OnReply(*search, stays, reply);
       });
 }
 
 auto StreamOrigins::OnReply(Search& search,
+                            bool stays,
                             const std::optional<Http1Client::Reply>& reply)
     -> void {
   --search.pending;
   wire::StreamOriginAnswer answer;
   if (reply && reply->status == kOk && answer.ParseFromString(reply->body)) {
     ++search.replies;
+    search.replies_of_staying += stays ? 1 : 0;
     search.has_complete_view = search.has_complete_view || answer.is_complete();
     search.has_fresh_view =
         search.has_fresh_view || (answer.is_complete() && answer.is_fresh());
@@ -230,7 +243,7 @@
   // has a newer one. A router that is cut off hears from its own side only.
   const bool is_agreed =
       search.listed_versions.size() == 1 && search.has_complete_view &&
-      (search.has_fresh_view || search.replies >= search.needed);
+      (search.has_fresh_view || search.replies_of_staying >= search.needed);
   this->Finish(search,
                is_agreed ? Answer{*search.listed_versions.begin(), "", "agreed"}
                          : Answer{"", "", "unknown"});
@@ -279,8 +292,9 @@
       return;
     }
     for (const wire::StreamOriginRecord& record : news.streams()) {
-      this->table.RecordTold(
-          {record.attempt(), record.service(), record.version()}, now);
+      this->replicas.RecordTold(
+          {record.attempt(), record.service(), record.version()},
+          FromMillis(record.age_ms()), news.teller(), now);
     }
     SendPeerReply(session, PeerStatus::kOk, {});
     return;
@@ -291,7 +305,8 @@
     return;
   }
   wire::StreamOriginAnswer answer;
-  if (const StreamOrigin* const known = this->table.Find(ask.attempt(), now)) {
+  if (const StreamOrigin* const known =
+          this->replicas.Find(ask.attempt(), now)) {
     answer.set_is_known(true);
     answer.set_version(known->version);
     answer.set_known_service(known->service);
@@ -305,18 +320,4 @@
   SendPeerReply(session, PeerStatus::kOk, answer.SerializeAsString());
 }
 
-auto StreamOrigins::KnowersOf(std::string_view attempt_id,
-                              std::size_t count) const
-    -> std::vector<std::string> {
-  const std::string group =
-      "streams " + std::to_string(StableHash(attempt_id) % kGroups);
-  std::vector<std::string> addresses;
-  for (const RouterAnnouncement* const router :
-       this->fleet.registry().FindHighestRankedAcrossDomains(
-           group, count, this->fleet.last_read_at())) {
-    addresses.push_back(router->peer_address);
-  }
-  return addresses;
-}
-
 }  // namespace auburnloft::gateway
--- a/programs/gateway/stream_origins.h
+++ b/programs/gateway/stream_origins.h
@@ -11,7 +11,7 @@
 #include <string_view>
 #include <vector>
 
-#include "al_gateway/streams/stream_origin_table.h"
+#include "al_gateway/streams/stream_origin_replicas.h"
 #include "al_gateway/upstreams/version_history.h"
 #include "al_http1/http1_client.h"
 #include "al_http1/http1_server_session.h"
@@ -29,9 +29,9 @@
 
     While upstreams of more than one version are listed, a router that forwards
     the first event of a stream tells two others, which follow from the
-   attempt's id. The router at which the stream is taken up asks these. A stream
-   that nobody knows goes on only if one version alone can have begun it: see
-   docs/design/stream-versions.md.
+   attempt's id; while it leaves, it does so in any case. The router at which
+   the stream is taken up asks these. A stream that nobody knows goes on only if
+   one version alone can have begun it: see docs/design/stream-versions.md.
 
     Thread safety: none; used on the loop's thread.
 */
@@ -54,6 +54,7 @@
   /** @param stream_lifetime  within which a stream that is taken up has begun.
       @param directory_age    returns how old the directory is. */
   StreamOrigins(SocketPoller& poller,
+                std::string own_incarnation,
                 const FleetTopicClient& fleet,
                 const UpstreamDirectory& directory,
                 Duration stream_lifetime,
@@ -84,9 +85,13 @@
             OnAnswer on_answer) -> void;
 
   /** Drops what is out of date, and tells of the streams of services of which a
-     second version has been listed. Call it twice a second. */
+     second version has been listed, and routers that have joined. Call it twice
+     a second. */
   auto Update() -> void;
 
+  /** Tells others of all streams from now on, as this router leaves. */
+  auto BeginLeaving() -> void;
+
   /** Replies to another router. @pre `request` has one of the paths above. */
   auto OnPeerRequest(Http1ServerSession& session, const Http1Request& request)
       -> void;
@@ -95,32 +100,33 @@
   struct Search;
   /** What another router has to be told. */
   struct Outbox {
-    std::vector<StreamOrigin> news;
+    std::vector<StreamOriginReplicas::News> news;
     bool is_sending = false;  ///< News are under way.
   };
 
-  auto TellUntold(std::string_view service) -> void;
+  /** Sends what is queued in `replicas`. */
+  auto SendAllNews() -> void;
   auto SendNews(const std::string& address) -> void;
+  /** @param stays  whether the router at `address` does not leave. */
   auto Ask(const std::string& address,
+           bool stays,
            const std::string& message,
            const std::shared_ptr<Search>& search) -> void;
-  auto OnReply(Search& search, const std::optional<Http1Client::Reply>& reply)
-      -> void;
+  auto OnReply(Search& search,
+               bool stays,
+               const std::optional<Http1Client::Reply>& reply) -> void;
   /** Names the only version that is listed, or none. */
   auto Decide(Search& search) -> void;
   auto Finish(Search& search, const Answer& answer) -> void;
   [[nodiscard]] auto IsFresh() const -> bool;
-  /** Returns the peer addresses of the routers that may know a stream. */
-  [[nodiscard]] auto KnowersOf(std::string_view attempt_id,
-                               std::size_t count) const
-      -> std::vector<std::string>;
 
   SocketPoller& poller;
+  std::string own_incarnation;
   const FleetTopicClient& fleet;
   std::function<Duration()> directory_age;
   DecisionLog& log;
   GatewayMetrics& metrics;
-  StreamOriginTable table;
+  StreamOriginReplicas replicas;
   VersionHistory history;
   PeerClientPool clients;
   VersionHistoryExchange history_exchange;
--- a/tests/gateway/stream_version_session_test.cc
+++ b/tests/gateway/stream_version_session_test.cc
@@ -113,6 +113,34 @@
     return "s" + std::to_string(this->next_call);
   }
 
+  /** Ends routers as a planned stop does, when they have told what they know.
+   */
+  auto StopRouters(const std::vector<int>& numbers)->void {
+    for (const int number : numbers) {
+      this->RouterAt(number)->Drain();
+    }
+    this->fixture.RunFor(milliseconds(1'500));
+    for (const int number : numbers) {
+      this->RouterAt(number).reset();
+    }
+  }
+  [[nodiscard]] auto RouterAt(int number)
+      ->std::unique_ptr<gateway::GatewayDaemon>& {
+    return number == 1 ? this->fixture.router
+                       : this->fixture.more_routers.at(
+                             static_cast<std::size_t>(number - 2));
+  }
+
+  /** Checks that a stream goes on at the version that began it, and nowhere
+     else. @pre engine 3 has another version than the others. */
+  auto CheckGoesOn(int router, const std::string& began)->void {
+    const auto is_v1 = [this](const std::string& id) {
+      return this->EngineOf(id) != this->engine_3.get();
+    };
+    CHECK_EQUAL(kOk, this->TakeUp(router, began).status);
+    CHECK_EQUAL(is_v1(began), is_v1(this->last_id()));
+  }
+
   auto AddRouters(int count)->void {
     for (int number = 2; number < 2 + count; ++number) {
       this->fixture.AddRouter(number);
@@ -310,6 +338,54 @@
   CHECK_EQUAL(kOk, this->TakeUp(4, began).status);
 }
 
+// Guards against a rolling restart during a release: the routers that were told
+// of a stream leave before the one that serves it.
+TEST(StreamVersions, AreKnownWhereThoseThatWereToldHaveLeft) {
+  this->fixture.SetStreamLifetime(seconds(16));
+  this->Start({"v1", "v1", "v2"});
+  this->AddRouters(2);
+  const std::string began = this->BeginAndBreak(2);
+  this->fixture.AddRouter(4);
+  this->fixture.AddRouter(5);
+  this->fixture.RunFor(milliseconds(1'500));
+  this->StopRouters({1, 3});
+  this->RouterAt(2).reset();
+  this->CheckGoesOn(5, began);
+}
+
+// Guards against a rolling restart during a release: the routers that were told
+// of a stream leave after the one that served it.
+TEST(StreamVersions, AreKnownWhereTheirRouterAndThoseThatItToldHaveLeft) {
+  this->fixture.SetStreamLifetime(seconds(16));
+  this->Start({"v1", "v1", "v2"});
+  this->AddRouters(2);
+  const std::string began = this->BeginAndBreak(2);
+  this->StopRouters({2});
+  this->fixture.AddRouter(4);
+  this->fixture.AddRouter(5);
+  this->fixture.RunFor(seconds(3));
+  this->StopRouters({1, 3});
+  this->CheckGoesOn(5, began);
+}
+
+// Guards against a release that begins when the routers that served streams at
+// the only version until then have left.
+TEST(StreamVersions, AreKnownWhereTheirRouterLeftBeforeTheSecondVersionCame) {
+  this->fixture.SetStreamLifetime(seconds(16));
+  this->Start({"v1", "v1", "v1"});
+  this->AddRouters(2);
+  const std::string began = this->BeginAndBreak(2);
+  this->StopRouters({2});
+  if (this->EngineOf(began) != this->engine_3.get()) {
+    this->Relist(*this->engine_3, "v2");
+  } else {
+    this->Relist(*this->fixture.engine_1, "v2");
+    this->Relist(*this->fixture.engine_2, "v2");
+  }
+  this->fixture.RunFor(milliseconds(500));
+  this->CheckGoesOn(3, began);
+}
+
 // Guards against ids of callers that are no text and spoil the news of others.
 TEST(StreamVersions, AreKnownWhateverIdsOtherCallersChoose) {
   this->Start({"v1", "v1", "v2"});
