The soak restarts all routers in turn

Of the streams that their callers take up, at least half have to go on; those that want for tokens don't count.

SoakCheck.FindsRestartsThatLoseStreams shows that the checker can fail.

--- a/programs/soak/soak_check.cc
+++ b/programs/soak/soak_check.cc
@@ -27,6 +27,9 @@
 /** The users' platform tolerates this many streams of several releases. */
 constexpr std::uint64_t kMaxMixedReleases = 2;
 
+/** Of fewer streams that are taken up, no share is checked. */
+constexpr std::uint64_t kMinTakenUp = 12;
+
 /** A request may cross the close of its connection this often. */
 constexpr std::uint64_t kMaxUnansweredOnKept = 3;
 
@@ -83,10 +86,12 @@
 /** Checks who wrote each stream, over all requests that brought it. */
 auto CheckStreams(std::span<const RequestResult> results, SoakReport& report)
     -> void {
+  constexpr int kBudgetSpent = 402;
   struct Stream {
     std::set<std::string> releases;
     bool is_taken_up = false;
     bool goes_on = false;
+    bool lacks_tokens = false;
     std::string sources;  // For the message.
   };
   std::map<std::string_view, Stream> streams;  // By its first request.
@@ -98,13 +103,16 @@
       stream.sources +=
           " " + release + " in " + result.id + " from " + result.router;
     }
-    if (!result.resumes.empty() && result.was_sent) {
+    if (result.status == kBudgetSpent) {
+      stream.lacks_tokens = true;
+    } else if (!result.resumes.empty() && result.was_sent) {
       stream.is_taken_up = true;
       stream.goes_on = stream.goes_on || result.events > 0;
     }
   }
   for (const auto& [id, stream] : streams) {
-    report.taken_up += stream.is_taken_up ? 1 : 0;
+    const bool counts = stream.goes_on || !stream.lacks_tokens;
+    report.taken_up += stream.is_taken_up && counts ? 1 : 0;
     report.went_on += stream.goes_on ? 1 : 0;
     if (stream.releases.size() > 1) {
       ++report.mixed_releases;
@@ -151,6 +159,11 @@
 
 }  // namespace
 
+auto SoakReport::loses_streams() const -> bool {
+  return this->only_restarts && this->taken_up >= kMinTakenUp &&
+         2 * this->went_on < this->taken_up;
+}
+
 auto SoakReport::has_violation() const -> bool {
   const std::uint64_t count = this->overspend_tokens + this->double_executions +
                               this->executed_after_refusal +
@@ -160,7 +173,8 @@
          this->complete_responses == 0 ||
          this->mixed_releases > kMaxMixedReleases ||
          this->unanswered_on_kept > kMaxUnansweredOnKept ||
-         (this->only_planned_work && this->interrupted > 0);
+         (this->only_planned_work && this->interrupted > 0) ||
+         this->loses_streams();
 }
 
 auto SoakReport::ToJson() const -> nlohmann::json {
@@ -212,6 +226,8 @@
       events.prepaid[name] = tokens;
     } else if (word == "planned") {
       events.only_planned_work = true;
+    } else if (word == "restarts") {
+      events.only_restarts = true;
     }
   }
   return events;
@@ -222,6 +238,7 @@
            const SoakEvents& events) -> SoakReport {
   SoakReport report;
   report.only_planned_work = events.only_planned_work;
+  report.only_restarts = events.only_restarts;
   ExecutionsByRequest by_request;
   for (const UpstreamExecution& execution : executions) {
     by_request[execution.request_id].push_back(&execution);
@@ -244,6 +261,11 @@
     }
   }
   CheckStreams(results, report);
+  if (report.loses_streams()) {
+    ReportViolation("streams that were taken up did not go on",
+                    std::to_string(report.taken_up - report.went_on) + " of " +
+                        std::to_string(report.taken_up));
+  }
   CheckDeadly(results, by_request, report);
   for (const auto& [team, tokens] : spent) {
     const auto prepaid = events.prepaid.find(team);
--- a/programs/soak/soak_check.h
+++ b/programs/soak/soak_check.h
@@ -30,6 +30,9 @@
       prepaid;  ///< Last recorded prepaid tokens, by team.
   bool only_planned_work =
       false;  ///< No unplanned faults: no response may be interrupted.
+  bool only_restarts = false;  ///< Routers are restarted in turn, with streams
+                               ///< that they cannot finish: most that are
+                               ///< taken up have to go on.
 };
 
 /** Counts of results and of violated guarantees. Check() also writes each
@@ -56,7 +59,11 @@
   std::uint64_t unanswered_on_kept =
       0;  ///< Of these, without a response; counted with planned work only.
   bool only_planned_work = false;
+  bool only_restarts = false;
 
+  /** Whether streams end as their routers are restarted: of those that are
+   * taken up, fewer than half go on. All others begin. */
+  [[nodiscard]] auto loses_streams() const -> bool;
   /** Whether a guarantee was violated or nothing was served. Interrupted
    * responses are a violation only if all events were planned work. */
   [[nodiscard]] auto has_violation() const -> bool;
@@ -67,7 +74,8 @@
 [[nodiscard]] auto ReadExecutions(std::string_view text)
     -> std::vector<UpstreamExecution>;
 
-/** Reads `left UPSTREAM MILLIS`, `prepaid TEAM TOKENS` and `planned` lines. */
+/** Reads `left UPSTREAM MILLIS`, `prepaid TEAM TOKENS`, `planned` and
+ * `restarts` lines. */
 [[nodiscard]] auto ReadEvents(std::string_view text) -> SoakEvents;
 
 /** Compares the results of the callers with the records of the upstreams and
--- a/tests/gateway/soak_check_test.cc
+++ b/tests/gateway/soak_check_test.cc
@@ -182,6 +182,25 @@
 }
 
 // Guards against events of a stream that is taken up which are not counted.
+TEST(SoakCheck, FindsRestartsThatLoseStreams) {
+  for (int i = 0; i < 12; ++i) {
+    const std::string id = "s" + std::to_string(i);
+    this->results.push_back(MakeStream(id, {"v1"}));
+    this->results.push_back(MakeTakeUp(
+        id + "b", id,
+        i < 6 ? std::set<std::string>{"v1"} : std::set<std::string>{}));
+  }
+  CHECK_FALSE(this->Report().has_violation());
+  this->events.only_restarts = true;
+  CHECK_FALSE(this->Report().has_violation());
+  this->results.push_back(MakeStream("s12", {"v1"}));
+  this->results.push_back(MakeTakeUp("s12b", "s12", {}));
+  CHECK_TRUE(this->Report().has_violation());
+  // Streams that end for want of tokens don't count.
+  this->results.back().status = 402;
+  CHECK_FALSE(this->Report().has_violation());
+}
+
 TEST(SoakCheck, CountsWhatATakenUpStreamUses) {
   this->results.push_back(MakeStream("s1", {"v1"}));
   this->results.push_back(MakeTakeUp("a1", "s1", {"v1"}));
