--- a/programs/soak/soak_check.cc
+++ b/programs/soak/soak_check.cc
@@ -86,12 +86,10 @@
 /** Checks who wrote each stream, over all requests that brought it. */
 auto CheckStreams(std::span<const RequestResult> results, SoakReport& report)
     -> void {
-  constexpr int kBudgetSpent = 402;
   struct Stream {
     std::set<std::string> releases;
     bool is_taken_up = false;
     bool goes_on = false;
-    bool lacks_tokens = false;
     std::string sources;  // For the message.
   };
   std::map<std::string_view, Stream> streams;  // By its first request.
@@ -103,16 +101,13 @@
       stream.sources +=
           " " + release + " in " + result.id + " from " + result.router;
     }
-    if (result.status == kBudgetSpent) {
-      stream.lacks_tokens = true;
-    } else if (!result.resumes.empty() && result.was_sent) {
+    if (!result.resumes.empty() && result.was_sent) {
       stream.is_taken_up = true;
       stream.goes_on = stream.goes_on || result.events > 0;
     }
   }
   for (const auto& [id, stream] : streams) {
-    const bool counts = stream.goes_on || !stream.lacks_tokens;
-    report.taken_up += stream.is_taken_up && counts ? 1 : 0;
+    report.taken_up += stream.is_taken_up ? 1 : 0;
     report.went_on += stream.goes_on ? 1 : 0;
     if (stream.releases.size() > 1) {
       ++report.mixed_releases;
--- a/tests/gateway/soak_check_test.cc
+++ b/tests/gateway/soak_check_test.cc
@@ -196,9 +196,6 @@
   this->results.push_back(MakeStream("s12", {"v1"}));
   this->results.push_back(MakeTakeUp("s12b", "s12", {}));
   CHECK_TRUE(this->Report().has_violation());
-  // Streams that end for want of tokens don't count.
-  this->results.back().status = 402;
-  CHECK_FALSE(this->Report().has_violation());
 }
 
 TEST(SoakCheck, CountsWhatATakenUpStreamUses) {
