--- a/modules/al_gateway/upstreams/version_history.h
+++ b/modules/al_gateway/upstreams/version_history.h
@@ -50,9 +50,8 @@
   auto Update(Instant now) -> void;
 
   /** Adds what another router has seen. From now on the history reaches back as
-     far as the other one's.
-      @pre it has begun: what was listed after the other router looked, and
-     before this one did, would be missing.
+     far as the other one's. It has no effect before Begin(): what was listed
+     after the other router looked, and before this one did, would be missing.
       @param covered  how far back the other router's history reaches. */
   auto Extend(std::span<const Sighting> sightings,
               Duration covered,
