--- a/review/14/run.sh
+++ b/review/15/run.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # Half of the routers are killed in the first seconds of traffic; callers take their streams up at the other routers. See claim.txt.
-#   review/14/run.sh            TROUBLE=0 review/14/run.sh: without the kill
+#   review/15/run.sh            TROUBLE=0 review/15/run.sh: without the kill
 set -u
 . "$(dirname "$0")/../stand_ins_3/fleet.sh"
 routers=8 engines=6 kill_from=5
