Log how the evidence against a suspect of crashes counts

Two hypotheses could not be told apart: that quarantined requests explain the crashes away, and that crashes of one failure domain are taken for its loss.

crash_suspect names, for each suspect that was at three upstreams or more without a success, how many of them count, are unconfirmed, are explained by a quarantined suspect, are of a loss of a domain, or are cleared. It is written when one of the numbers changes.

--- a/modules/al_gateway/quarantine/crash_evidence.cc
+++ b/modules/al_gateway/quarantine/crash_evidence.cc
@@ -1,6 +1,7 @@
 #include "al_gateway/quarantine/crash_evidence.h"
 
 #include <algorithm>
+#include <array>
 #include <map>
 #include <tuple>
 #include <utility>
@@ -377,15 +378,69 @@
   return static_cast<int>(upstreams.size());
 }
 
-auto CrashEvidence::AssessAll(const std::set<std::string>& known,
-                              const Scope& scope) const
-    -> std::vector<Assessment> {
+auto CrashEvidence::WeighSuspects(const std::set<std::string>& known,
+                                  Instant until) const
+    -> std::vector<Weighing> {
+  // By suspect and upstream; the lowest one of its failures there.
+  std::map<std::string_view, std::map<std::string_view, int Weighing::*>> kinds;
+  constexpr std::array kOrder = {&Weighing::counted, &Weighing::unconfirmed,
+                                 &Weighing::explained,
+                                 &Weighing::of_domain_loss, &Weighing::cleared};
+  const std::set<std::string_view> explained = this->ExplainedUpstreams(known);
+  const std::vector<bool> is_of_domain_loss = this->FindDomainLosses();
+  for (std::size_t i = 0; i < this->failures.size(); ++i) {
+    const Entry& entry = this->failures[i];
+    const CrashReport::Failure& failure = entry.failure;
+    if (failure.at > until) {
+      continue;
+    }
+    for (const std::string& suspect : failure.suspects) {
+      int Weighing::*kind = &Weighing::counted;
+      if (!this->Counts(suspect, failure.at, ClearedBy::kAll)) {
+        kind = &Weighing::cleared;
+      } else if (is_of_domain_loss[i]) {
+        kind = &Weighing::of_domain_loss;
+      } else if (explained.contains(failure.upstream)) {
+        kind = &Weighing::explained;
+      } else if (entry.certainty != Certainty::kConfirmed) {
+        kind = &Weighing::unconfirmed;
+      }
+      int Weighing::*& known_kind =
+          kinds[suspect].try_emplace(failure.upstream, kind).first->second;
+      if (std::ranges::find(kOrder, kind) <
+          std::ranges::find(kOrder, known_kind)) {
+        known_kind = kind;
+      }
+    }
+  }
+  std::vector<Weighing> weighed;
+  for (const auto& [suspect, upstreams] : kinds) {
+    Weighing weighing{.suspect = std::string(suspect)};
+    for (const auto& [upstream, kind] : upstreams) {
+      ++(weighing.*kind);
+    }
+    if (static_cast<int>(upstreams.size()) - weighing.cleared >= kMinCrashes) {
+      weighed.push_back(std::move(weighing));
+    }
+  }
+  return weighed;
+}
+
+auto CrashEvidence::ExplainedUpstreams(const std::set<std::string>& known) const
+    -> std::set<std::string_view> {
   std::set<std::string_view> explained;
   for (const Entry& entry : this->failures) {
     if (Contains(entry.failure.suspects, known)) {
       explained.insert(entry.failure.upstream);
     }
   }
+  return explained;
+}
+
+auto CrashEvidence::AssessAll(const std::set<std::string>& known,
+                              const Scope& scope) const
+    -> std::vector<Assessment> {
+  const std::set<std::string_view> explained = this->ExplainedUpstreams(known);
   FirstFailures crashed;
   std::map<std::string_view, Tally> tallies;  // By suspect.
   const std::vector<bool> is_of_domain_loss = this->FindDomainLosses();
--- a/modules/al_gateway/quarantine/crash_evidence.h
+++ b/modules/al_gateway/quarantine/crash_evidence.h
@@ -50,6 +50,20 @@
     Instant last_at{};
   };
 
+  /** The upstreams that ended, or may have ended, under a suspect, by whether
+     and why not they count against it. Each is in one of the numbers, the first
+     that fits. */
+  struct Weighing {
+    std::string suspect;
+    int counted = 0;
+    int unconfirmed = 0;  ///< It is not known that they have ended.
+    int explained = 0;    ///< By a quarantined suspect.
+    int of_domain_loss = 0;
+    int cleared = 0;  ///< By a success of the suspect.
+
+    auto operator==(const Weighing&) const -> bool = default;
+  };
+
   /** Older failures tell nothing about parts of prompts. */
   static constexpr Duration kFailureLifetime = std::chrono::seconds(30);
 
@@ -161,6 +175,13 @@
   [[nodiscard]] auto FindUnconfirmed(const std::set<std::string>& known) const
       -> std::vector<Assessment>;
 
+  /** Weighs the failures of each suspect that was at three upstreams or more
+     without a success; for the log.
+      @param until  later failures are left out. */
+  [[nodiscard]] auto WeighSuspects(const std::set<std::string>& known,
+                                   Instant until) const
+      -> std::vector<Weighing>;
+
   /** Returns when the newest failure happened; Instant::min() if there was
      none. */
   [[nodiscard]] auto newest_failure() const -> Instant {
@@ -189,6 +210,11 @@
     bool only_confirmed = false;
   };
 
+  /** Returns the upstreams that ended a request with one of `known` suspects.
+   */
+  [[nodiscard]] auto ExplainedUpstreams(
+      const std::set<std::string>& known) const -> std::set<std::string_view>;
+
   auto RecordSuccess(std::string_view suspect,
                      Instant Successes::*kind,
                      Instant at) -> void;
--- a/modules/al_gateway/quarantine/crash_quarantine.cc
+++ b/modules/al_gateway/quarantine/crash_quarantine.cc
@@ -98,8 +98,12 @@
 
 }  // namespace
 
-CrashQuarantine::CrashQuarantine(std::string self, OnChange on_change)
-    : self(std::move(self)), on_change(std::move(on_change)) {}
+CrashQuarantine::CrashQuarantine(std::string self,
+                                 OnChange on_change,
+                                 OnWeighed on_weighed)
+    : self(std::move(self)),
+      on_change(std::move(on_change)),
+      on_weighed(std::move(on_weighed)) {}
 
 //==============================================================================
 // Commands
@@ -350,6 +354,21 @@
   this->ReleaseByEvidence(now);
   this->QuarantineSuspects(now);
   this->HoldBackUnconfirmed();
+  this->ReportWeighed(now);
+}
+
+auto CrashQuarantine::ReportWeighed(Instant now) -> void {
+  if (!this->on_weighed) {
+    return;
+  }
+  std::vector<CrashEvidence::Weighing> current =
+      this->evidence.WeighSuspects(this->KnownSuspects(), now - kSettlingTime);
+  for (const CrashEvidence::Weighing& weighing : current) {
+    if (std::ranges::find(this->weighed, weighing) == this->weighed.end()) {
+      this->on_weighed(weighing);
+    }
+  }
+  this->weighed = std::move(current);
 }
 
 auto CrashQuarantine::ApplyTrialFailures(Instant now) -> void {
--- a/modules/al_gateway/quarantine/crash_quarantine.h
+++ b/modules/al_gateway/quarantine/crash_quarantine.h
@@ -62,6 +62,10 @@
   };
   using OnChange = std::function<void(const Change&)>;
 
+  /** Called when what counts against a suspect of three upstreams or more has
+     changed, whether it is quarantined or not. */
+  using OnWeighed = std::function<void(const CrashEvidence::Weighing&)>;
+
   /** Whether a request may be sent. */
   struct Decision {
     bool is_allowed = true;
@@ -74,7 +78,9 @@
   using RunsTrials = std::function<bool(std::string_view suspect)>;
 
   /** @param self  this router's incarnation. */
-  CrashQuarantine(std::string self, OnChange on_change);
+  CrashQuarantine(std::string self,
+                  OnChange on_change,
+                  OnWeighed on_weighed = {});
 
   CrashQuarantine(const CrashQuarantine&) = delete;
   auto operator=(const CrashQuarantine&) -> CrashQuarantine& = delete;
@@ -173,6 +179,9 @@
   [[nodiscard]] auto KnownSuspects() const -> std::set<std::string>;
   auto ApplyTrialFailures(Instant now) -> void;
   auto HoldBackUnconfirmed() -> void;
+  /** Calls `on_weighed` for each suspect whose evidence counts otherwise than
+     at the last call. */
+  auto ReportWeighed(Instant now) -> void;
   auto ReleaseByEvidence(Instant now) -> void;
   auto QuarantineSuspects(Instant now) -> void;
   auto AdoptQuarantines(const CrashReport& report, Instant now) -> void;
@@ -183,7 +192,9 @@
 
   std::string self;
   OnChange on_change;
+  OnWeighed on_weighed;
   CrashEvidence evidence;
+  std::vector<CrashEvidence::Weighing> weighed;  ///< That was reported.
   std::map<std::string, State> by_suspect;
   std::map<std::string, Instant> held_until;  ///< Parts that may be at fault.
   /** How often, and when last, an upstream was found to have ended: a process
--- a/programs/gateway/gateway_daemon.cc
+++ b/programs/gateway/gateway_daemon.cc
@@ -138,10 +138,14 @@
       reservations(loop,
                    this->allowance_manager,
                    [this](const std::string& team) { this->OnShortage(team); }),
-      quarantine(this->options.self.incarnation,
-                 [this](const CrashQuarantine::Change& change) {
-                   this->LogQuarantineChange(change);
-                 }),
+      quarantine(
+          this->options.self.incarnation,
+          [this](const CrashQuarantine::Change& change) {
+            this->LogQuarantineChange(change);
+          },
+          [this](const CrashEvidence::Weighing& weighing) {
+            this->LogWeighedEvidence(weighing);
+          }),
       end_detector(this->poller,
                    this->upstreams,
                    {[this](const UpstreamProcess& upstream) {
@@ -701,6 +705,18 @@
       this->loop.Now());
 }
 
+auto GatewayDaemon::LogWeighedEvidence(const CrashEvidence::Weighing& weighing)
+    -> void {
+  this->log.WriteLine(DecisionLog::Severity::kNotable, "crash_suspect",
+                      {{"suspect", weighing.suspect},
+                       {"counted", weighing.counted},
+                       {"unconfirmed", weighing.unconfirmed},
+                       {"explained", weighing.explained},
+                       {"domain_loss", weighing.of_domain_loss},
+                       {"cleared", weighing.cleared}},
+                      this->loop.Now());
+}
+
 //==============================================================================
 // Shutdown
 
--- a/programs/gateway/gateway_daemon.h
+++ b/programs/gateway/gateway_daemon.h
@@ -137,6 +137,7 @@
   auto OnUpstreamEnded(const UpstreamProcess& upstream) -> void;
   auto OnUpstreamCold(const ColdUpstreams::Change& change) -> void;
   auto LogQuarantineChange(const CrashQuarantine::Change& change) -> void;
+  auto LogWeighedEvidence(const CrashEvidence::Weighing& weighing) -> void;
   auto OnDrainTick() -> void;
   /** Returns the allowances that no open request needs, through the log or to
      other routers. */
