Crashes of a quarantined request stay evidence against its parts

Cause: a request that its caller and its router repeat is at three upstreams at once and is quarantined by itself. From then on the upstreams at which it was counted as explained for every other suspect, those of the same request included, so the next request with the part began without evidence. crash_suspect tells it: suspect=dead01 counted=0 explained=4.

Change: a quarantined suspect explains the ends at its upstreams for other requests that waited there only. For the suspects of the same requests they count on, but such a suspect is at fault only if it was at two upstreams without the quarantined one. A sound part of one deadly request is not: it fails where the request does. The same held for parts: a quarantined part hid the evidence against a wider one that it always came with.

DeadlyParts.AreNotSoundOnesOfADeadlyRequest holds before and after: with the failures counted and no such bound it is the sound part that goes.

--- a/modules/al_gateway/quarantine/crash_evidence.cc
+++ b/modules/al_gateway/quarantine/crash_evidence.cc
@@ -51,6 +51,10 @@
    suspect is in some. */
 constexpr int kMaxCrashesPerExplained = 4;
 
+/** A suspect of requests that also hold a quarantined suspect is at fault only
+   if it was at this many upstreams without that one. One may be chance. */
+constexpr int kMinUpstreamsWithoutKnown = 2;
+
 /** A possible failure that was not confirmed by then is dropped: an upstream's
    record expires within 4 s of its end. */
 constexpr Duration kConfirmationTime = std::chrono::seconds(5);
@@ -73,6 +77,8 @@
 /** The collected failures of one suspect. */
 struct Tally {
   FirstFailures upstreams;
+  /** Those of `upstreams` at which a known suspect was in the same request. */
+  std::map<std::string_view, std::set<std::string_view>> shared_with;
   std::set<std::string_view> reporters;
   std::size_t position = 0;  ///< The highest in a prompt.
   Instant last_at = Instant::min();
@@ -117,7 +123,26 @@
   return count;
 }
 
-/** @param crashes  of all upstreams, in their order. */
+/** Returns the most upstreams that one known suspect explains. */
+auto CountExplained(const Tally& tally) -> int {
+  std::size_t most = 0;
+  for (const auto& [known, upstreams] : tally.shared_with) {
+    most = std::max(most, upstreams.size());
+  }
+  return static_cast<int>(most);
+}
+
+/** Returns the upstreams at which a known suspect was in the same request. */
+auto SharedUpstreams(const Tally& tally) -> std::set<std::string_view> {
+  std::set<std::string_view> shared;
+  for (const auto& [known, upstreams] : tally.shared_with) {
+    shared.insert(upstreams.begin(), upstreams.end());
+  }
+  return shared;
+}
+
+/** @param crashes  of all upstreams that no known suspect explains, in their
+                    order. */
 auto Assess(std::string_view suspect,
             const Tally& tally,
             std::span<const Stay> crashes) -> CrashEvidence::Assessment {
@@ -128,17 +153,31 @@
   assessment.crashes = CountCrashes(stays, IsWholeRequest(suspect));
   assessment.first_at = stays.front().ended_at;
   assessment.last_at = tally.last_at;
-  assessment.crashes_since_first = static_cast<int>(std::ranges::count_if(
-      crashes, [first_at = assessment.first_at](const Stay& crash) {
-        return crash.ended_at >= first_at;
-      }));
+  assessment.explained = CountExplained(tally);
+  assessment.crashes_since_first =
+      static_cast<int>(SharedUpstreams(tally).size()) +
+      static_cast<int>(std::ranges::count_if(
+          crashes, [first_at = assessment.first_at](const Stay& crash) {
+            return crash.ended_at >= first_at;
+          }));
   assessment.had_one_cause = assessment.crashes < kMinCrashes;
   assessment.reporters = static_cast<int>(tally.reporters.size());
   assessment.position = tally.position;
   return assessment;
 }
 
+/** Returns whether a suspect was at `count` upstreams without the known suspect
+   that was in the same requests elsewhere. */
+auto HasFailedWithoutKnown(const CrashEvidence::Assessment& assessment,
+                           int count) -> bool {
+  return assessment.explained == 0 ||
+         assessment.upstreams - assessment.explained >= count;
+}
+
 auto IsConclusive(const CrashEvidence::Assessment& assessment) -> bool {
+  if (!HasFailedWithoutKnown(assessment, kMinUpstreamsWithoutKnown)) {
+    return false;
+  }
   if (IsWholeRequest(assessment.suspect)) {
     return assessment.upstreams >= kMinCrashes;
   }
@@ -155,6 +194,19 @@
   });
 }
 
+/** Returns those of `suspects` that are in `known`. */
+auto KnownAmong(const std::vector<std::string>& suspects,
+                const std::set<std::string>& known)
+    -> std::vector<std::string_view> {
+  std::vector<std::string_view> found;
+  for (const std::string& suspect : suspects) {
+    if (known.contains(suspect)) {
+      found.push_back(suspect);
+    }
+  }
+  return found;
+}
+
 }  // namespace
 
 //==============================================================================
@@ -358,7 +410,8 @@
     -> std::vector<Assessment> {
   std::vector<Assessment> assessments = this->AssessAll(known, {});
   std::erase_if(assessments, [](const Assessment& assessment) {
-    return assessment.upstreams < kMinCrashes;
+    return assessment.upstreams < kMinCrashes ||
+           !HasFailedWithoutKnown(assessment, 1);
   });
   return assessments;
 }
@@ -383,9 +436,9 @@
     -> std::vector<Weighing> {
   // By suspect and upstream; the lowest one of its failures there.
   std::map<std::string_view, std::map<std::string_view, int Weighing::*>> kinds;
-  constexpr std::array kOrder = {&Weighing::counted, &Weighing::unconfirmed,
-                                 &Weighing::explained,
-                                 &Weighing::of_domain_loss, &Weighing::cleared};
+  constexpr std::array kOrder = {
+      &Weighing::counted,   &Weighing::shared,         &Weighing::unconfirmed,
+      &Weighing::explained, &Weighing::of_domain_loss, &Weighing::cleared};
   const std::set<std::string_view> explained = this->ExplainedUpstreams(known);
   const std::vector<bool> is_of_domain_loss = this->FindDomainLosses();
   for (std::size_t i = 0; i < this->failures.size(); ++i) {
@@ -394,13 +447,17 @@
     if (failure.at > until) {
       continue;
     }
+    const bool has_known = Contains(failure.suspects, known);
     for (const std::string& suspect : failure.suspects) {
-      int Weighing::*kind = &Weighing::counted;
+      if (known.contains(suspect)) {
+        continue;
+      }
+      int Weighing::*kind = has_known ? &Weighing::shared : &Weighing::counted;
       if (!this->Counts(suspect, failure.at, ClearedBy::kAll)) {
         kind = &Weighing::cleared;
       } else if (is_of_domain_loss[i]) {
         kind = &Weighing::of_domain_loss;
-      } else if (explained.contains(failure.upstream)) {
+      } else if (!has_known && explained.contains(failure.upstream)) {
         kind = &Weighing::explained;
       } else if (entry.certainty != Certainty::kConfirmed) {
         kind = &Weighing::unconfirmed;
@@ -451,14 +508,24 @@
         !is_of_domain_loss[index] && failure.at <= scope.until &&
         entry.certainty != Certainty::kDoubted &&
         (!scope.only_confirmed || entry.certainty == Certainty::kConfirmed);
-    if (!is_in_scope || explained.contains(failure.upstream)) {
+    const bool is_explained = explained.contains(failure.upstream);
+    const std::vector<std::string_view> known_suspects =
+        KnownAmong(failure.suspects, known);
+    if (!is_in_scope || (is_explained && known_suspects.empty())) {
       continue;
     }
-    AddFirstFailure(crashed, failure);
+    if (!is_explained) {
+      AddFirstFailure(crashed, failure);
+    }
     for (std::size_t i = 0; i < failure.suspects.size(); ++i) {
-      if (this->Counts(failure.suspects[i], failure.at, scope.cleared_by)) {
-        Tally& tally = tallies[failure.suspects[i]];
+      const std::string& suspect = failure.suspects[i];
+      if (!known.contains(suspect) &&
+          this->Counts(suspect, failure.at, scope.cleared_by)) {
+        Tally& tally = tallies[suspect];
         AddFirstFailure(tally.upstreams, failure);
+        for (const std::string_view other : known_suspects) {
+          tally.shared_with[other].insert(failure.upstream);
+        }
         tally.reporters.insert(entry.reporter);
         tally.position = std::max(tally.position, i);
         tally.last_at = std::max(tally.last_at, failure.at);
--- a/modules/al_gateway/quarantine/crash_evidence.h
+++ b/modules/al_gateway/quarantine/crash_evidence.h
@@ -30,18 +30,28 @@
    succeeds. So a success clears a suspect of all failures before it, and of
    those shortly after it, which may have happened before it.
 
+    A quarantined suspect explains the ends of the upstreams at which it was, so
+   that they are no evidence against other requests that waited there. They stay
+   evidence against the other suspects of the same requests: a part that crashes
+   upstreams is in many requests, any of which may be quarantined first. Such a
+   part, unlike a sound part of one deadly request, also fails where the
+   quarantined suspect was not.
+
     The size is bounded, whatever callers send.
 
     Thread safety: none; used on one thread.
 */
 class CrashEvidence {
  public:
-  /** A suspect and the failures that no known suspect explains. */
+  /** A suspect, and the failures that count against it. */
   struct Assessment {
     std::string suspect;
     int upstreams = 0;  ///< That ended a request with the suspect.
-    int crashes = 0;    ///< As above; those that one cause may have ended
-                        ///< together count once.
+    int explained =
+        0;            ///< As above; the most at which one known suspect was
+                      ///< in the same requests, which may be at fault instead.
+    int crashes = 0;  ///< As above; those that one cause may have ended
+                      ///< together count once.
     bool had_one_cause = false;   ///< Possibly, such as the loss of a rack.
     int crashes_since_first = 0;  ///< Of upstreams, also without the suspect.
     int reporters = 0;            ///< Routers that reported the failures.
@@ -56,8 +66,9 @@
   struct Weighing {
     std::string suspect;
     int counted = 0;
+    int shared = 0;       ///< Counted, in requests with a quarantined suspect.
     int unconfirmed = 0;  ///< It is not known that they have ended.
-    int explained = 0;    ///< By a quarantined suspect.
+    int explained = 0;    ///< By a quarantined suspect of other requests.
     int of_domain_loss = 0;
     int cleared = 0;  ///< By a success of the suspect.
 
@@ -146,8 +157,10 @@
      doubt: a part of prompts was at three crashes at different times or at five
      upstreams, and at a good part of all crashes since; a whole request was at
      three upstreams.
-     Upstreams that ended a request with one of `known` suspects are left out,
-     as their crashes are explained. Among equals, returns the suspect whose
+     None of `known` is returned. What else waited at the upstreams which they
+     ended does not count, and a suspect that was in the same requests as one of
+     them has to have failed at two upstreams without it.
+     Among equals, returns the suspect whose
      last success is the longest ago, then the one later in the prompt, which
      fewer requests share.
       @param until  later failures are left out. */
@@ -170,13 +183,13 @@
   }
 
   /** Returns the suspects that were at three upstreams or more that ended a
-     request with them, and which no suspect of `known` explains: they may be at
-     fault. */
+     request with them, one at least without the suspect of `known` that was in
+     the same requests elsewhere: they may be at fault. */
   [[nodiscard]] auto FindUnconfirmed(const std::set<std::string>& known) const
       -> std::vector<Assessment>;
 
-  /** Weighs the failures of each suspect that was at three upstreams or more
-     without a success; for the log.
+  /** Weighs the failures of each suspect, without `known`, that was at three
+     upstreams or more without a success; for the log.
       @param until  later failures are left out. */
   [[nodiscard]] auto WeighSuspects(const std::set<std::string>& known,
                                    Instant until) const
@@ -219,8 +232,8 @@
                      Instant Successes::*kind,
                      Instant at) -> void;
 
-  /** Returns the suspects in unexplained failures of two or more upstreams, in
-     the order of FindCulprit(). */
+  /** Returns the suspects, without `known`, in failures of two or more
+     upstreams that count, in the order of FindCulprit(). */
   [[nodiscard]] auto AssessAll(const std::set<std::string>& known,
                                const Scope& scope) const
       -> std::vector<Assessment>;
--- a/programs/gateway/gateway_daemon.cc
+++ b/programs/gateway/gateway_daemon.cc
@@ -710,6 +710,7 @@
   this->log.WriteLine(DecisionLog::Severity::kNotable, "crash_suspect",
                       {{"suspect", weighing.suspect},
                        {"counted", weighing.counted},
+                       {"shared", weighing.shared},
                        {"unconfirmed", weighing.unconfirmed},
                        {"explained", weighing.explained},
                        {"domain_loss", weighing.of_domain_loss},
--- a/tests/gateway/crash_quarantine_test.cc
+++ b/tests/gateway/crash_quarantine_test.cc
@@ -2,6 +2,7 @@
 // that crash upstreams must be found from what all routers saw together, and
 // parts that merely were near a crash must not.
 #include <algorithm>
+#include <array>
 #include <cstdlib>
 #include <memory>
 #include <set>
@@ -67,10 +68,11 @@
   auto FailSuspects(int router,
                     const std::string& upstream,
                     const std::vector<std::string>& suspects,
-                    Duration after) -> void {
+                    Duration after,
+                    std::string_view domain = {}) -> void {
     const UpstreamProcess process{upstream, 1};
     this->At(router).RecordFailure(process, suspects, this->now - after,
-                                   this->now);
+                                   this->now, domain);
     this->At(router).ConfirmEnd(process, this->now);
   }
   auto Succeed(int router, const std::vector<std::string>& shared) -> void {
@@ -802,3 +804,196 @@
     }
   }
 }
+
+namespace {
+
+/** Requests with the part `dead`, no two alike, of which each ends the engine
+    that begins to answer it. */
+struct DeadlyPartLoad {
+  int routers = 8;
+  Duration interval{};      ///< Between two of them.
+  int tries = 1;            ///< Of each caller that gets no answer.
+  int attempts = 1;         ///< Of a router in each try.
+  std::size_t domains = 3;  ///< Of the engines.
+  std::uint64_t seed = 1;
+};
+
+/** Twelve engines, which are back two seconds after they ended. Sound requests
+   share the first part of the deadly ones; some of them wait at each engine
+   that ends. */
+class DeadlyPartPlay {
+ public:
+  explicit DeadlyPartPlay(const DeadlyPartLoad& load)
+      : load(load), random(load.seed), fleet(load.routers) {}
+
+  /** Plays 30 seconds. */
+  auto Play() -> void {
+    this->start = this->fleet.now;
+    for (int number = 0;
+         this->fleet.now - this->start < std::chrono::seconds(30); ++number) {
+      const Instant next = this->fleet.now + this->load.interval;
+      this->Call(number);
+      while (this->fleet.now < next) {
+        this->fleet.Succeed(this->Pick(this->load.routers), {"base", "sound"});
+        this->fleet.Advance(milliseconds(50));
+      }
+    }
+  }
+
+  /** Returns how many requests with the part reached engines later than three
+      seconds after the fifth end. */
+  [[nodiscard]] auto CountLate() const -> int {
+    if (this->ended_at.size() < 5) {
+      return 0;
+    }
+    return static_cast<int>(
+        std::ranges::count_if(this->ended_at, [this](Instant at) {
+          return at - kTimeToEnd > this->ended_at[4] + seconds(3);
+        }));
+  }
+
+  PromptFleet fleet;  // NOLINT(misc-non-private-member-variables-in-classes)
+
+ private:
+  static constexpr std::size_t kEngines = 12;
+  static constexpr Duration kTimeToEnd = milliseconds(30);
+  static constexpr Duration kTimeAway = seconds(2);
+
+  auto Pick(int count) -> int {
+    return static_cast<int>(
+        this->random.UniformBelow(static_cast<std::uint64_t>(count)));
+  }
+
+  /** A caller sends a request, and repeats it unless it is refused. */
+  auto Call(int number) -> void {
+    const std::vector<std::string> suspects = {
+        "base", "dead",
+        WholeRequestOf({"blue", "host", "POST", "/", std::to_string(number)})};
+    for (int attempt = 0; attempt < this->load.tries; ++attempt) {
+      const int router = this->Pick(this->load.routers);
+      this->fleet.At(router).Update(this->fleet.now);
+      if (!this->fleet.DecideFor(router, suspects).is_allowed) {
+        return;
+      }
+      this->Run(router, suspects);
+      for (int retry = 1; retry < this->load.attempts &&
+                          this->fleet.At(router).MayRetry(suspects);
+           ++retry) {
+        this->Run(router, suspects);
+      }
+      this->fleet.Advance(milliseconds(50));
+    }
+  }
+
+  /** An engine that is not away begins to answer, and ends. */
+  auto Run(int router, const std::vector<std::string>& suspects) -> void {
+    std::vector<std::size_t> serving;
+    for (std::size_t engine = 0; engine < kEngines; ++engine) {
+      if (this->fleet.now >= this->back_at.at(engine)) {
+        serving.push_back(engine);
+      }
+    }
+    if (serving.empty()) {
+      return;
+    }
+    const std::size_t engine =
+        serving.at(this->random.UniformBelow(serving.size()));
+    this->fleet.now += kTimeToEnd;
+    const std::string domain =
+        "domain-" + std::to_string(engine % this->load.domains);
+    const std::string process = "engine-" + std::to_string(engine) + "-" +
+                                std::to_string(this->ended_at.size());
+    this->fleet.FailSuspects(router, process, suspects, kTimeToEnd, domain);
+    this->fleet.FailSuspects(
+        this->Pick(this->load.routers), process,
+        {"base", "part-" + std::to_string(this->Pick(50)),
+         WholeRequestOf({"blue", "host", "POST", "/", process})},
+        milliseconds(20), domain);
+    this->back_at.at(engine) = this->fleet.now + kTimeAway;
+    this->ended_at.push_back(this->fleet.now);
+  }
+
+  DeadlyPartLoad load;
+  RandomSource random;
+  Instant start{};
+  std::array<Instant, kEngines> back_at{};
+  std::vector<Instant> ended_at;
+};
+
+}  // namespace
+
+TEST_GROUP(DeadlyParts){};
+
+// Guards against a part that is never quarantined, as each request with it is
+// quarantined by itself and then taken to explain the crashes: callers repeat
+// their requests, and routers retry them.
+TEST(DeadlyParts, AreFoundWhereEachRequestIsQuarantinedFirst) {
+  for (const int routers : {8, 420}) {
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+      DeadlyPartPlay play({.routers = routers,
+                           .interval = seconds(4),
+                           .tries = 2,
+                           .attempts = 2,
+                           .seed = seed});
+      play.Play();
+      CHECK_TRUE_TEXT(play.CountLate() <= 3,
+                      StringFromFormat("%d routers, seed %d: %d late", routers,
+                                       static_cast<int>(seed), play.CountLate())
+                          .asCharString());
+      CHECK_FALSE(play.fleet.quarantined.contains("base"));
+    }
+  }
+}
+
+// Guards against a sound part that is quarantined because one request with it
+// ends each engine: it waits at these engines in other requests, too, and has
+// no success for a while, in fleets of each size.
+TEST(DeadlyParts, AreNotSoundOnesOfADeadlyRequest) {
+  for (const int routers : {8, 420}) {
+    PromptFleet fleet(routers);
+    const auto suspects_of = [](const std::string& body) {
+      return std::vector<std::string>{
+          "sound", WholeRequestOf({"blue", "host", "POST", "/", body})};
+    };
+    const auto end_engine = [&](int number, const std::string& body) {
+      const std::string engine = "engine-" + std::to_string(number);
+      fleet.FailSuspects(number % routers, engine, suspects_of(body),
+                         milliseconds(30));
+      fleet.FailSuspects((number + 3) % routers, engine,
+                         suspects_of("waiting-" + engine), milliseconds(300));
+    };
+    for (int number = 0; number < 4; ++number) {
+      end_engine(number, "deadly");
+      fleet.Advance(milliseconds(50));
+    }
+    fleet.Advance(seconds(2));
+    CHECK_FALSE(fleet.DecideFor(1, suspects_of("deadly")).is_allowed);
+    CHECK_TRUE(fleet.DecideFor(1, suspects_of("other")).is_allowed);
+    // An ordinary end of an engine, under requests with the part, adds no more.
+    end_engine(4, "other");
+    fleet.Advance(seconds(3));
+    CHECK_TRUE(fleet.DecideFor(1, suspects_of("another")).is_allowed);
+    CHECK_EQUAL(1U, fleet.quarantined.size());
+  }
+}
+
+// Guards against evidence that is lost with a part that was quarantined: the
+// part that many prompts share ends engines, and each of the parts that follow
+// it is quarantined first.
+TEST(DeadlyParts, AreFoundWhereAnotherPartIsQuarantinedFirst) {
+  PromptFleet fleet(8);
+  int ended = 0;
+  for (int rare = 0; rare < 3; ++rare) {
+    for (int crash = 0; crash < 3; ++crash) {
+      const std::vector<std::string> shared = {"dead",
+                                               "rare-" + std::to_string(rare)};
+      fleet.Advance(seconds(1));
+      if (fleet.Sends(crash, shared)) {
+        fleet.Fail(crash, "engine-" + std::to_string(++ended), shared);
+      }
+    }
+    fleet.Advance(seconds(3));
+  }
+  CHECK_TRUE(ended <= 5);
+  CHECK_FALSE(fleet.Sends(1, {"dead", "new"}));
+}
