A request that is sent again is no bystander of a domain's loss

The part had ended three engines of one failure domain within 1.5 s, under a request that its caller repeated at another router, and these ends were taken for the loss of the domain.

Cause: only requests that were sent after their own router had seen the first end were left out of a loss. A caller repeats at another router, which has seen none; and a router's retry leaves within the 2 ms by which reported times are rounded.

Change: a request that was sent after an upstream of the domain had ended under it, at whatever router, is no part of the loss.

Test: DeadlyParts.AreFoundInEachLoad plays engines of one to three domains, rare requests and many, with repetitions and without. InnocentEnds.* hold.

--- a/modules/al_gateway/quarantine/crash_evidence.cc
+++ b/modules/al_gateway/quarantine/crash_evidence.cc
@@ -194,6 +194,13 @@
   });
 }
 
+/** Returns the whole request of a failure; empty if it is not known. */
+auto RequestOf(const CrashReport::Failure& failure) -> std::string_view {
+  return !failure.suspects.empty() && IsWholeRequest(failure.suspects.back())
+             ? std::string_view(failure.suspects.back())
+             : std::string_view();
+}
+
 /** Returns those of `suspects` that are in `known`. */
 auto KnownAmong(const std::vector<std::string>& suspects,
                 const std::set<std::string>& known)
@@ -567,14 +574,24 @@
         return at(i) - at(*first) > kDomainLossTime;
       });
       std::set<std::string_view> upstreams;
-      std::map<std::string_view, Instant> first_end_of;  // By reporter.
-      const auto waited_at_end = [&first_end_of](const Entry& entry) {
-        return entry.failure.sent_at <=
-               first_end_of.at(entry.reporter) + kRounding;
+      std::map<std::string_view, Instant> first_end_of;     // By reporter.
+      std::map<std::string_view, Instant> first_end_under;  // By request.
+      const auto waited_at_end = [&](const Entry& entry) {
+        const CrashReport::Failure& failure = entry.failure;
+        const auto request = first_end_under.find(RequestOf(failure));
+        const bool is_repetition =
+            request != first_end_under.end() && failure.at > request->second &&
+            failure.sent_at + kRounding >= request->second;
+        return !is_repetition &&
+               failure.sent_at <= first_end_of.at(entry.reporter) + kRounding;
       };
       for (auto item = first; item != last; ++item) {
         const Entry& entry = this->failures[*item];
         first_end_of.try_emplace(entry.reporter, entry.failure.at);
+        if (!RequestOf(entry.failure).empty()) {
+          first_end_under.try_emplace(RequestOf(entry.failure),
+                                      entry.failure.at);
+        }
         if (waited_at_end(entry)) {
           upstreams.insert(entry.failure.upstream);
         }
--- a/modules/al_gateway/quarantine/crash_evidence.h
+++ b/modules/al_gateway/quarantine/crash_evidence.h
@@ -23,8 +23,10 @@
     Failures at three or more upstreams of one failure domain at about the same
    time are those of a loss of the domain, such as its power: they are no
    evidence. Requests that were sent after their router had seen the first end
-   there are no part of it: a request that crashes one upstream after the other
-   is sent to each but the first after an end.
+   there are no part of it, and neither are those that were sent again, at
+   whatever router, after an upstream had ended under them there: a request that
+   crashes one upstream after the other is sent to each but the first after an
+   end.
 
     A suspect that crashes each upstream which begins to answer it never
    succeeds. So a success clears a suspect of all failures before it, and of
--- a/tests/gateway/crash_quarantine_test.cc
+++ b/tests/gateway/crash_quarantine_test.cc
@@ -997,3 +997,38 @@
   CHECK_TRUE(ended <= 5);
   CHECK_FALSE(fleet.Sends(1, {"dead", "new"}));
 }
+
+// Guards against evidence that is taken for the loss of a failure domain: a
+// request that was sent again after an upstream ended under it is no bystander
+// of the next end, at whatever router. Engines of one domain and of several,
+// rare requests and many, with repetitions and without. By hand,
+// AUBURNLOFT_SEEDS=10 plays more.
+TEST(DeadlyParts, AreFoundInEachLoad) {
+  const auto check = [](const DeadlyPartLoad& load) {
+    DeadlyPartPlay play(load);
+    play.Play();
+    CHECK_TRUE_TEXT(
+        play.CountLate() <= 3,
+        StringFromFormat("%d routers, %d domains, %d ms, %d tries, %d attempts,"
+                         " seed %d: %d late",
+                         load.routers, static_cast<int>(load.domains),
+                         static_cast<int>(load.interval / milliseconds(1)),
+                         load.tries, load.attempts, static_cast<int>(load.seed),
+                         play.CountLate())
+            .asCharString());
+    CHECK_FALSE(play.fleet.quarantined.contains("base"));
+  };
+  DeadlyPartLoad load;
+  for (load.domains = 1; load.domains <= 3; ++load.domains) {
+    for (const int interval_ms : {4'000, 2'000, 1'000, 500, 250}) {
+      load.interval = milliseconds(interval_ms);
+      for (load.tries = 1; load.tries <= 2; ++load.tries) {
+        for (load.attempts = 1; load.attempts <= 2; ++load.attempts) {
+          for (load.seed = 1; load.seed <= SeedCount(5); ++load.seed) {
+            check(load);
+          }
+        }
+      }
+    }
+  }
+}
