A domain that was just lost is not lost again

A fleet of 420 routers sent a part that crashes engines to 47 engines later than 3 s after the fifth crash (three are allowed): requests with it came each 500 ms, each at another router, and all engines were of one failure domain.

Cause: three ends in a domain within 1.5 s are taken for its loss, again and again, so that the ends of a part that comes in many requests were never evidence.

Change: after a loss of a domain, more ends there within 10 s count. Upstreams take some seconds to start again, so that there is little to lose a second time.

InnocentEnds.OfALostDomainConvictNothing holds.

--- a/modules/al_gateway/quarantine/crash_evidence.cc
+++ b/modules/al_gateway/quarantine/crash_evidence.cc
@@ -43,6 +43,10 @@
 constexpr Duration kDomainLossTime = std::chrono::milliseconds(1'500);
 constexpr std::size_t kMinUpstreamsOfDomainLoss = 3;
 
+/** Time from one loss of a domain to the next: longer than upstreams take to
+   start again. Ends in between have other causes. */
+constexpr Duration kMinTimeBetweenDomainLosses = std::chrono::seconds(10);
+
 /** The times of a failure are rounded to milliseconds in reports. */
 constexpr Duration kRounding = std::chrono::milliseconds(2);
 
@@ -569,6 +573,7 @@
   };
   for (auto& [domain, indices] : by_domain) {
     std::ranges::sort(indices, {}, at);
+    std::optional<Instant> lost_at;
     for (auto first = indices.begin(); first != indices.end();) {
       const auto last = std::find_if(first, indices.end(), [&](std::size_t i) {
         return at(i) - at(*first) > kDomainLossTime;
@@ -596,10 +601,13 @@
           upstreams.insert(entry.failure.upstream);
         }
       }
-      if (upstreams.size() < kMinUpstreamsOfDomainLoss) {
+      const bool was_just_lost =
+          lost_at && at(*first) - *lost_at < kMinTimeBetweenDomainLosses;
+      if (was_just_lost || upstreams.size() < kMinUpstreamsOfDomainLoss) {
         ++first;
         continue;
       }
+      lost_at = at(*first);
       for (auto item = first; item != last; ++item) {
         found[*item] = waited_at_end(this->failures[*item]);
       }
--- a/modules/al_gateway/quarantine/crash_evidence.h
+++ b/modules/al_gateway/quarantine/crash_evidence.h
@@ -27,6 +27,7 @@
    whatever router, after an upstream had ended under them there: a request that
    crashes one upstream after the other is sent to each but the first after an
    end.
+   Shortly after a loss, more ends there are no second one.
 
     A suspect that crashes each upstream which begins to answer it never
    succeeds. So a success clears a suspect of all failures before it, and of
--- a/tests/gateway/crash_quarantine_test.cc
+++ b/tests/gateway/crash_quarantine_test.cc
@@ -1024,9 +1024,13 @@
       load.interval = milliseconds(interval_ms);
       for (load.tries = 1; load.tries <= 2; ++load.tries) {
         for (load.attempts = 1; load.attempts <= 2; ++load.attempts) {
+          load.routers = 8;
           for (load.seed = 1; load.seed <= SeedCount(5); ++load.seed) {
             check(load);
           }
+          load.routers = 420;
+          load.seed = 1;
+          check(load);
         }
       }
     }
