Tell replicas of streams while no list could name their version

Every stream_taken_up line has versions_listed=1, complete=0: some router replied, but none has looked at the listed versions for as long as a stream lasts. So it is no lost reply and no second version.

Cause: routers tell each other of streams only while two versions are listed. With one version the lists are to name it, but they cannot before some router has looked for 16 s, nor when they are old.

Change: a router tells the replicas of its streams also while its own history is not complete or its list of upstreams is not fresh. The kin: in an outage of the log all lists are old, and nearly all routers that are asked have to answer, which those that were just killed do not.

Tests, both failed before with 503: StreamVersions.AreTakenUpInAFleetThatHasJustStarted and AreTakenUpWhileTheLogIsAwayAndRoutersDie.

--- a/modules/al_gateway/streams/stream_origin_replicas.cc
+++ b/modules/al_gateway/streams/stream_origin_replicas.cc
@@ -65,7 +65,7 @@
   }
 }
 
-auto StreamOriginReplicas::Update(const std::vector<std::string>& services,
+auto StreamOriginReplicas::Update(const IsReplicated& is_replicated,
                                   Instant now,
                                   Instant members_at) -> void {
   const std::set<std::uint64_t> active = this->is_leaving
@@ -79,9 +79,8 @@
     if (entry.teller != 0) {
       return;
     }
-    entry.is_replicated =
-        entry.is_replicated || this->is_leaving ||
-        std::ranges::find(services, entry.origin.service) != services.end();
+    entry.is_replicated = entry.is_replicated || this->is_leaving ||
+                          is_replicated(entry.origin.service);
     if (!entry.is_replicated) {
       return;
     }
--- a/modules/al_gateway/streams/stream_origin_replicas.h
+++ b/modules/al_gateway/streams/stream_origin_replicas.h
@@ -4,6 +4,7 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -39,6 +40,9 @@
   };
   using NewsByAddress = std::map<std::string, std::vector<News>>;
 
+  /** Returns whether the replicas of a service's streams have to be told. */
+  using IsReplicated = std::function<bool(const std::string& service)>;
+
   /** Peer addresses of routers that may know a stream. */
   struct Sources {
     std::vector<std::string> staying;
@@ -75,9 +79,9 @@
   /** From now on all streams of this router are replicated, as it leaves. */
   auto BeginLeaving() -> void { this->is_leaving = true; }
 
-  /** Replicates the streams of `services` from now on, and tells replicas that
-     are new. Call it twice a second. */
-  auto Update(const std::vector<std::string>& services,
+  /** Replicates the streams of more services from now on, and tells replicas
+     that are new. Call it twice a second. */
+  auto Update(const IsReplicated& is_replicated,
               Instant now,
               Instant members_at) -> void;
 
--- a/modules/al_gateway/upstreams/version_history.cc
+++ b/modules/al_gateway/upstreams/version_history.cc
@@ -74,15 +74,4 @@
   return versions;
 }
 
-auto VersionHistory::MixedServices(Instant now) const
-    -> std::vector<std::string> {
-  std::vector<std::string> mixed;
-  for (const auto& [service, versions] : this->listed_at) {
-    if (this->IsMixed(service, now)) {
-      mixed.push_back(service);
-    }
-  }
-  return mixed;
-}
-
 }  // namespace auburnloft::gateway
--- a/modules/al_gateway/upstreams/version_history.h
+++ b/modules/al_gateway/upstreams/version_history.h
@@ -76,10 +76,6 @@
     return this->VersionsOf(service, now).size() > 1;
   }
 
-  /** Returns the services for which IsMixed(). */
-  [[nodiscard]] auto MixedServices(Instant now) const
-      -> std::vector<std::string>;
-
   /** Returns whether the history covers the time within which a stream that may
      be taken up now has begun. */
   [[nodiscard]] auto IsComplete(Instant now) const -> bool {
--- a/programs/gateway/stream_origins.cc
+++ b/programs/gateway/stream_origins.cc
@@ -81,7 +81,7 @@
 auto StreamOrigins::Record(StreamOrigin origin, bool is_told_always) -> void {
   const Instant now = this->poller.loop().Now();
   const bool is_replicated =
-      is_told_always || this->history.IsMixed(origin.service, now);
+      is_told_always || this->MustTell(origin.service, now);
   this->replicas.RecordOwn(std::move(origin), is_replicated, now,
                            this->fleet.last_read_at());
   this->SendAllNews();
@@ -92,6 +92,12 @@
   this->Update();
 }
 
+auto StreamOrigins::MustTell(const std::string& service, Instant now) const
+    -> bool {
+  return !this->history.IsComplete(now) || !this->IsFresh() ||
+         this->history.IsMixed(service, now);
+}
+
 auto StreamOrigins::SendAllNews() -> void {
   for (auto& [address, news] : this->replicas.TakeNews()) {
     std::vector<StreamOriginReplicas::News>& waiting =
@@ -141,8 +147,11 @@
   }
   this->history.Update(now);
   this->history_exchange.Update();
-  this->replicas.Update(this->history.MixedServices(now), now,
-                        this->fleet.last_read_at());
+  this->replicas.Update(
+      [this, now](const std::string& service) {
+        return this->MustTell(service, now);
+      },
+      now, this->fleet.last_read_at());
   this->SendAllNews();
   this->clients.CloseUnused();
   std::erase_if(this->outboxes, [](const auto& item) {
--- a/programs/gateway/stream_origins.h
+++ b/programs/gateway/stream_origins.h
@@ -27,7 +27,8 @@
 /** Knows, together with the other routers, at which software version a stream
     began that its caller takes up.
 
-    While upstreams of more than one version are listed, a router that forwards
+    While upstreams of more than one version are listed, or this router could
+    not name the only one from what it has seen, a router that forwards
     the first event of a stream tells two others, which follow from the
    attempt's id; while it leaves, it does so in any case. The router at which
    the stream is taken up asks these. A stream that nobody knows goes on only if
@@ -84,9 +85,8 @@
             const std::string& request_id,
             OnAnswer on_answer) -> void;
 
-  /** Drops what is out of date, and tells of the streams of services of which a
-     second version has been listed, and routers that have joined. Call it twice
-     a second. */
+  /** Drops what is out of date, and tells of streams that have to be told now,
+     and routers that have joined. Call it twice a second. */
   auto Update() -> void;
 
   /** Tells others of all streams from now on, as this router leaves. */
@@ -119,6 +119,10 @@
   auto Decide(Search& search) -> void;
   auto Finish(Search& search, const Answer& answer) -> void;
   [[nodiscard]] auto IsFresh() const -> bool;
+  /** Returns whether other routers have to be told of a service's streams: what
+     was listed would not name the version of one that nobody knows. */
+  [[nodiscard]] auto MustTell(const std::string& service, Instant now) const
+      -> bool;
 
   SocketPoller& poller;
   std::string own_incarnation;
--- a/tests/gateway/stream_origin_test.cc
+++ b/tests/gateway/stream_origin_test.cc
@@ -1,5 +1,6 @@
 // What routers know of streams that their callers take up, without a network:
 // where streams began, which versions were listed, and who is told.
+#include <algorithm>
 #include <set>
 #include <string>
 #include <vector>
@@ -281,7 +282,11 @@
   }
   auto Update(int second, const std::vector<std::string>& services = {})
       ->StreamOriginReplicas::NewsByAddress {
-    this->replicas.Update(services, AtSecond(second), AtSecond(second));
+    this->replicas.Update(
+        [&services](const std::string& service) {
+          return std::ranges::find(services, service) != services.end();
+        },
+        AtSecond(second), AtSecond(second));
     return this->replicas.TakeNews();
   }
   /** Records a stream of which others are told. */
--- a/tests/gateway/stream_version_session_test.cc
+++ b/tests/gateway/stream_version_session_test.cc
@@ -386,6 +386,33 @@
   this->CheckGoesOn(3, began);
 }
 
+// Guards against a fleet that has just started, in which no router has looked
+// for as long as a stream lasts: one version serves, and the router that began
+// a stream dies.
+TEST(StreamVersions, AreTakenUpInAFleetThatHasJustStarted) {
+  this->fixture.SetStreamLifetime(seconds(16));
+  this->fixture.router.reset();
+  this->Start({"v1", "v1", "v1"});
+  this->AddRouters(4);
+  const std::string began = this->BeginAndBreak(2, true);
+  for (const int router : {3, 4, 5}) {
+    CHECK_EQUAL(kOk, this->TakeUp(router, began).status);
+  }
+}
+
+// Guards against refusals in an outage of the log, when all lists of upstreams
+// are old: the router that began a stream dies, and one that would be asked.
+TEST(StreamVersions, AreTakenUpWhileTheLogIsAwayAndRoutersDie) {
+  this->Start({"v1", "v1", "v1"});
+  this->AddRouters(3);
+  this->fixture.store.SetFault(standins::StoreServer::Fault::kBusy);
+  this->fixture.RunFor(milliseconds(3'500));
+  const std::string began = this->BeginAndBreak(2, true);
+  this->RouterAt(3).reset();
+  CHECK_EQUAL(kOk, this->TakeUp(1, began).status);
+  CHECK_EQUAL(kOk, this->TakeUp(4, began).status);
+}
+
 // Guards against ids of callers that are no text and spoil the news of others.
 TEST(StreamVersions, AreKnownWhateverIdsOtherCallersChoose) {
   this->Start({"v1", "v1", "v2"});
--- a/tests/support/restart_play.cc
+++ b/tests/support/restart_play.cc
@@ -21,9 +21,6 @@
 constexpr Duration kMaxStreamAge = seconds(15);
 constexpr Duration kStreamLifetime = seconds(16);
 
-/** Services at which two versions serve. */
-const std::vector<std::string> kMixedServices = {"engines"};
-
 }  // namespace
 
 struct RestartPlay::Router {
@@ -108,7 +105,8 @@
     this->Begin(router,
                 {"s" + std::to_string(this->stream_count++), this->now});
   }
-  router.replicas->Update(kMixedServices, this->now, this->now);
+  router.replicas->Update([](const std::string&) { return true; }, this->now,
+                          this->now);
   this->SendNews(router);
 }
 
@@ -153,8 +151,8 @@
 
 auto RestartPlay::Begin(Router& router, const Stream& stream) -> void {
   router.streams.push_back(stream);
-  router.replicas->RecordOwn({stream.id, kMixedServices.front(), "v1"}, true,
-                             this->now, this->now);
+  router.replicas->RecordOwn({stream.id, "engines", "v1"}, true, this->now,
+                             this->now);
   this->SendNews(router);
 }
 
