The first routers of a fleet know that no stream began before them

Cause: the history of listed versions counts from a router's first list, as if streams could have begun before. In a new fleet none can: nobody served.

Change: a router that lists the fleet topic before any router has ever announced itself counts its first list of upstreams for all the time before. The others take that over through the exchange of histories. It does not hold if the log was restored, as announcements may be lost, nor if the list of upstreams comes more than 2 s later. Announcements are kept for good, so that a loss of all routers is no new fleet.

Tests: StreamVersions.AreTakenUpWhereOneRouterOfANewFleetIsLeft failed before (503); AreNotGuessedAfterALossOfAllRouters guards the other side.

--- a/modules/al_gateway/membership/router_registry.h
+++ b/modules/al_gateway/membership/router_registry.h
@@ -75,6 +75,9 @@
                                   Instant now) const
       -> std::vector<std::string>;
 
+  /** Returns whether no announcement was read. */
+  [[nodiscard]] auto empty() const -> bool { return this->members.empty(); }
+
   /** Returns the number of active routers, including this one. */
   [[nodiscard]] auto CountActive(Instant now) const -> int;
 
--- a/modules/al_gateway/upstreams/version_history.cc
+++ b/modules/al_gateway/upstreams/version_history.cc
@@ -7,9 +7,9 @@
 
 namespace auburnloft::gateway {
 
-auto VersionHistory::Begin(Instant now) -> void {
+auto VersionHistory::Begin(Instant covered_since) -> void {
   if (!this->began_at) {
-    this->began_at = now;
+    this->began_at = covered_since;
   }
 }
 
--- a/modules/al_gateway/upstreams/version_history.h
+++ b/modules/al_gateway/upstreams/version_history.h
@@ -43,8 +43,11 @@
   auto operator=(const VersionHistory&) -> VersionHistory& = delete;
 
   /** Begins the history. Call it as soon as the directory holds all upstreams
-     that are listed; it has no effect after that. */
-  auto Begin(Instant now) -> void;
+     that are listed; it has no effect after that.
+      @param covered_since  since when no stream can have begun at a version
+     that is not listed: now, unless there was no router that could begin one.
+   */
+  auto Begin(Instant covered_since) -> void;
 
   /** Records what is listed now. Call it at least once a second. */
   auto Update(Instant now) -> void;
--- a/programs/gateway/fleet_topic_client.cc
+++ b/programs/gateway/fleet_topic_client.cc
@@ -230,6 +230,9 @@
   const Instant now = this->poller.loop().Now();
   this->listed = true;
   const bool has_just_started = this->announced_at == Instant();
+  if (has_just_started && this->era.number() == 0 && this->routers.empty()) {
+    this->empty_at = now;
+  }
   if (has_just_started && !this->restored_at && this->era.number() > 0 &&
       !this->routers.HasAnyAnnounced(this->announced_era())) {
     // Routers that the copy of the log does not know may be about to write
--- a/programs/gateway/fleet_topic_client.h
+++ b/programs/gateway/fleet_topic_client.h
@@ -111,6 +111,12 @@
     return this->log_read_at;
   }
   [[nodiscard]] auto CountActive() const -> int;
+  /** When this router, as one of the fleet's first, listed the topic and found
+     that no router had ever announced itself; none if one had, or if the log
+     has been restored and may have lost it. */
+  [[nodiscard]] auto found_no_fleet_at() const -> std::optional<Instant> {
+    return this->empty_at;
+  }
   /** True if the topic was read recently and no append has been waiting for its
       reply for longer than usual. */
   [[nodiscard]] auto IsLogResponsive() const -> bool;
@@ -213,6 +219,7 @@
   Instant log_read_at{};
   bool announce_at_once = false;
   bool listed = false;
+  std::optional<Instant> empty_at;  ///< See found_no_fleet_at().
   RestoreStep restore_step = RestoreStep::kDone;
   std::vector<KeyedRecord> restored_records;  ///< Still to be written.
   std::optional<Instant> restored_at;  ///< None: the log was never restored.
--- a/programs/gateway/stream_origins.cc
+++ b/programs/gateway/stream_origins.cc
@@ -25,6 +25,11 @@
     renew their records each 1.2 s. */
 constexpr Duration kMaxDirectoryAge = std::chrono::seconds(3);
 
+/** If a router of a new fleet gets its first list of upstreams later, others
+    may have begun streams at upstreams that are no longer listed: records
+    expire 4 s after an upstream has ended. */
+constexpr Duration kMaxFirstListTime = std::chrono::seconds(2);
+
 /** More streams are not looked for at a time, but refused if none knows them: a
     caller may take up any number that never was. */
 constexpr std::size_t kMaxSearches = 64;
@@ -92,6 +97,13 @@
   this->Update();
 }
 
+auto StreamOrigins::CoveredSince(Instant now) const -> Instant {
+  const std::optional<Instant> no_fleet_at = this->fleet.found_no_fleet_at();
+  return no_fleet_at && now - *no_fleet_at <= kMaxFirstListTime
+             ? now - VersionHistory::kPeriod
+             : now;
+}
+
 auto StreamOrigins::MustTell(const std::string& service, Instant now) const
     -> bool {
   return !this->history.IsComplete(now) || !this->IsFresh() ||
@@ -143,7 +155,7 @@
 auto StreamOrigins::Update() -> void {
   const Instant now = this->poller.loop().Now();
   if (this->IsFresh()) {
-    this->history.Begin(now);
+    this->history.Begin(this->CoveredSince(now));
   }
   this->history.Update(now);
   this->history_exchange.Update();
--- a/programs/gateway/stream_origins.h
+++ b/programs/gateway/stream_origins.h
@@ -119,6 +119,9 @@
   auto Decide(Search& search) -> void;
   auto Finish(Search& search, const Answer& answer) -> void;
   [[nodiscard]] auto IsFresh() const -> bool;
+  /** Returns since when no stream can have begun at a version that is missing
+     in a whole list of upstreams of now. */
+  [[nodiscard]] auto CoveredSince(Instant now) const -> Instant;
   /** Returns whether other routers have to be told of a service's streams: what
      was listed would not name the version of one that nobody knows. */
   [[nodiscard]] auto MustTell(const std::string& service, Instant now) const
--- a/tests/gateway/stream_version_session_test.cc
+++ b/tests/gateway/stream_version_session_test.cc
@@ -400,6 +400,41 @@
   }
 }
 
+// Guards against refusals in a fleet's first seconds, when nearly all routers
+// die: no stream can have begun before the first of them had its list.
+TEST(StreamVersions, AreTakenUpWhereOneRouterOfANewFleetIsLeft) {
+  this->fixture.SetStreamLifetime(seconds(16));
+  this->fixture.router.reset();
+  this->fixture.store.Put("keyed.fleet", "r/router-1", std::nullopt);
+  this->Start({"v1", "v1", "v1"});
+  this->AddRouters(5);
+  const std::string began = this->BeginAndBreak(2, true);
+  for (const int number : {3, 4, 5}) {
+    this->RouterAt(number).reset();
+  }
+  CHECK_EQUAL(kOk, this->TakeUp(6, began).status);
+}
+
+// Guards against a router that takes a fleet for a new one because its
+// predecessors are gone: it cannot know which versions were listed before.
+TEST(StreamVersions, AreNotGuessedAfterALossOfAllRouters) {
+  this->fixture.SetStreamLifetime(seconds(16));
+  this->Start({"v1", "v1", "v1"});
+  this->AddRouters(2);
+  const std::string began = this->BeginAndBreak(2);
+  for (const int number : {1, 2, 3}) {
+    this->RouterAt(number).reset();
+  }
+  for (WireUpstream* const engine : this->engines()) {
+    this->Relist(*engine, "v2");
+  }
+  this->fixture.AddRouter(4);
+  this->fixture.AddRouter(5);
+  this->fixture.RunFor(seconds(6));
+  CHECK_EQUAL(kUnavailable, this->TakeUp(4, began).status);
+  CHECK_TRUE(this->EngineOf(this->last_id()) == nullptr);
+}
+
 // Guards against refusals in an outage of the log, when all lists of upstreams
 // are old: the router that began a stream dies, and one that would be asked.
 TEST(StreamVersions, AreTakenUpWhileTheLogIsAwayAndRoutersDie) {
