--- a/modules/al_gateway/quarantine/crash_evidence.cc
+++ b/modules/al_gateway/quarantine/crash_evidence.cc
@@ -445,8 +445,9 @@
 auto CrashEvidence::WeighSuspects(const std::set<std::string>& known,
                                   Instant until) const
     -> std::vector<Weighing> {
-  // By suspect and upstream; the lowest one of its failures there.
+  // By suspect and upstream: the number that the upstream counts in.
   std::map<std::string_view, std::map<std::string_view, int Weighing::*>> kinds;
+  // Of several failures at an upstream, the one that comes first here counts.
   constexpr std::array kOrder = {
       &Weighing::counted,   &Weighing::shared,         &Weighing::unconfirmed,
       &Weighing::explained, &Weighing::of_domain_loss, &Weighing::cleared};
--- a/modules/al_gateway/quarantine/crash_evidence.h
+++ b/modules/al_gateway/quarantine/crash_evidence.h
@@ -26,8 +26,7 @@
    there are no part of it, and neither are those that were sent again, at
    whatever router, after an upstream had ended under them there: a request that
    crashes one upstream after the other is sent to each but the first after an
-   end.
-   Shortly after a loss, more ends there are no second one.
+   end. Shortly after a loss, more ends there are no second one.
 
     A suspect that crashes each upstream which begins to answer it never
    succeeds. So a success clears a suspect of all failures before it, and of
@@ -50,11 +49,11 @@
   struct Assessment {
     std::string suspect;
     int upstreams = 0;  ///< That ended a request with the suspect.
-    int explained =
-        0;            ///< As above; the most at which one known suspect was
-                      ///< in the same requests, which may be at fault instead.
-    int crashes = 0;  ///< As above; those that one cause may have ended
-                      ///< together count once.
+    /** As above; the most at which one known suspect was in the same requests,
+       and may be at fault instead. */
+    int explained = 0;
+    /** As above; those that one cause may have ended together count once. */
+    int crashes = 0;
     bool had_one_cause = false;   ///< Possibly, such as the loss of a rack.
     int crashes_since_first = 0;  ///< Of upstreams, also without the suspect.
     int reporters = 0;            ///< Routers that reported the failures.
